--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GO    ?= go
+TOOL  := $(GO) tool -modfile=tools/go.mod
+BIN   := bin
+# How long `make fuzz` runs each property.
+FUZZTIME ?= 10m
+
+.PHONY: all build generate fmt lint test demo fuzz measure slopes bench
+
+all: build
+
+# build compiles the daemon, the stand-ins and the demonstration's client.
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+generate:
+	$(GO) generate ./...
+
+fmt:
+	$(TOOL) gofumpt -w $$(git ls-files '*.go' | grep -v _gen.go)
+
+# lint fails on files that the formatter would change and on any finding.
+lint:
+	@test -z "$$($(TOOL) gofumpt -l $$(git ls-files '*.go' | grep -v _gen.go))" || \
+	  { echo "these files need make fmt:"; $(TOOL) gofumpt -l $$(git ls-files '*.go' | grep -v _gen.go); exit 1; }
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) revive -config revive.toml -exclude ./wire/messages_gen.go ./...
+
+# test runs every test from fixed seeds.
+test: build
+	$(GO) test -race -timeout 9m ./...
--- /dev/null
+++ b/api/code.go
@@ -0,0 +1,168 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+)
+
+// Code is a numbered result. The number is stable: callers and logs may rely on it.
+type Code int
+
+// Result codes. 1xx: the request is wrong as sent. 2xx: refused now, come back later.
+// 3xx: begun and not completed. 4xx: between processes. 5xx: configuration. 9xx: a defect.
+const (
+	OK Code = 0
+
+	BadRequest          Code = 101
+	HeaderTooLarge      Code = 102
+	BodyTooLarge        Code = 103
+	UnknownRoute        Code = 104
+	UnknownOrganisation Code = 105
+	KeyMissing          Code = 106
+	KeyInvalid          Code = 107
+	KeyTooOld           Code = 108
+	KeyFromFuture       Code = 109
+	KeyConflict         Code = 110
+	UnknownModel        Code = 111
+	Quarantined         Code = 112
+
+	Overloaded       Code = 201
+	ShareExceeded    Code = 202
+	DeadlineTooShort Code = 203
+	NoBackend        Code = 204
+	ColdLimit        Code = 205
+	Leaving          Code = 206
+	DataCentreOut    Code = 207
+	NotCurrent       Code = 208
+	LogUnavailable   Code = 209
+	WrongIncarnation Code = 210
+	Sealed           Code = 211
+	NotReady         Code = 212
+	RetryBudget      Code = 213
+	Unreachable      Code = 214
+
+	Unresolved       Code = 301
+	StreamBroken     Code = 302
+	DeadlineExceeded Code = 303
+	InProgress       Code = 304
+	Cancelled        Code = 305
+	BackendFailed    Code = 306
+
+	VersionMismatch Code = 401
+	BadFrame        Code = 402
+	StaleFence      Code = 403
+	UnknownMessage  Code = 404
+
+	ConfigInvalid  Code = 501
+	ConfigConflict Code = 502
+	ConfigUnknown  Code = 503
+
+	Internal Code = 901
+)
+
+// Info describes a Code as docs/RESULT-CODES.md prints it.
+type Info struct {
+	Name    string
+	Status  int           // HTTP status towards callers
+	Ran     Ran           // default when the answer says nothing else
+	Retry   time.Duration // default Retry-After; 0: coming back unchanged does not help
+	Meaning string
+}
+
+var infos = map[Code]Info{
+	OK: {"ok", http.StatusOK, DidRun, 0, "the whole answer was delivered"},
+
+	BadRequest:          {"bad-request", http.StatusBadRequest, NotRun, 0, "a header, the path or the body is malformed"},
+	HeaderTooLarge:      {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "the headers or one name in them exceed the limit"},
+	BodyTooLarge:        {"body-too-large", http.StatusRequestEntityTooLarge, NotRun, 0, "the body exceeds the limit"},
+	UnknownRoute:        {"unknown-route", http.StatusNotFound, NotRun, 0, "no route of the service matches the path"},
+	UnknownOrganisation: {"unknown-organisation", http.StatusForbidden, NotRun, 0, "the organisation is absent or not in the document"},
+	KeyMissing:          {"key-missing", http.StatusBadRequest, NotRun, 0, "the route may not repeat and the call carries no idempotency key"},
+	KeyInvalid:          {"key-invalid", http.StatusBadRequest, NotRun, 0, "the idempotency key is not a UUIDv7"},
+	KeyTooOld:           {"key-too-old", http.StatusGone, NotRun, 0, "the key is older than claims are kept; this attempt did not run, earlier ones may have"},
+	KeyFromFuture:       {"key-from-future", http.StatusBadRequest, NotRun, 0, "the key's birth time is ahead of the clock"},
+	KeyConflict:         {"key-conflict", http.StatusUnprocessableEntity, NotRun, 0, "the key was used before with other content"},
+	UnknownModel:        {"unknown-model", http.StatusNotFound, NotRun, 0, "no backend server of the document serves the model"},
+	Quarantined:         {"quarantined", http.StatusUnprocessableEntity, NotRun, 0, "the same request crashed backend servers before and is refused"},
+
+	Overloaded:       {"overloaded", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "every eligible backend server is at its limit"},
+	ShareExceeded:    {"share-exceeded", http.StatusTooManyRequests, NotRun, 2 * time.Second, "the organisation has used its share while others wait"},
+	DeadlineTooShort: {"deadline-too-short", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the answer cannot be completed within the caller's timeout"},
+	NoBackend:        {"no-backend", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "no backend server is eligible"},
+	ColdLimit:        {"cold-limit", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the backend server is in cold start and at its limit"},
+	Leaving:          {"leaving", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the backend server or process is shutting down"},
+	DataCentreOut:    {"data-centre-out", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the data centre is taken out"},
+	NotCurrent:       {"not-current", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "the process cannot prove that its configuration is current"},
+	LogUnavailable:   {"log-unavailable", http.StatusServiceUnavailable, NotRun, 5 * time.Second, "the log service is down, so a call that may not repeat cannot be claimed"},
+	WrongIncarnation: {"wrong-incarnation", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the claim names an earlier incarnation of the side process"},
+	Sealed:           {"sealed", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "this claim of the key was closed before it ran; the same key may be sent again"},
+	NotReady:         {"not-ready", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process has no configuration yet"},
+	RetryBudget:      {"retry-budget", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "attempts failed and the retry budget is spent"},
+	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
+
+	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
+	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
+	DeadlineExceeded: {"deadline-exceeded", http.StatusGatewayTimeout, MayHaveRun, 1 * time.Second, "the caller's timeout passed before the whole answer arrived"},
+	InProgress:       {"in-progress", http.StatusConflict, MayHaveRun, 1 * time.Second, "an earlier call with this key is still running"},
+	Cancelled:        {"cancelled", 499, MayHaveRun, 0, "the caller went away"},
+	BackendFailed:    {"backend-failed", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the backend server failed while it ran the request"},
+
+	VersionMismatch: {"version-mismatch", http.StatusBadGateway, NotRun, 0, "two processes share no version of the inner protocol"},
+	BadFrame:        {"bad-frame", http.StatusBadGateway, NotRun, 0, "a frame of the inner protocol could not be read"},
+	StaleFence:      {"stale-fence", http.StatusConflict, NotRun, 0, "an order carries an old fencing number"},
+	UnknownMessage:  {"unknown-message", http.StatusBadGateway, NotRun, 0, "a message of a type that the receiver does not serve"},
+
+	ConfigInvalid:  {"config-invalid", http.StatusBadRequest, NotRun, 0, "the document fails the checks of its format"},
+	ConfigConflict: {"config-conflict", http.StatusConflict, NotRun, 0, "the document was changed since the version it is based on"},
+	ConfigUnknown:  {"config-unknown", http.StatusBadGateway, MayHaveRun, 0, "the append was sent and its fate is not yet known; read it back"},
+
+	Internal: {"internal", http.StatusInternalServerError, MayHaveRun, 0, "a defect; see the log line with the request id"},
+}
+
+// Info returns the description of c; an unknown code is described as internal.
+func (c Code) Info() Info {
+	if info, ok := infos[c]; ok {
+		return info
+	}
+	return infos[Internal]
+}
+
+// String returns "number name", for log lines.
+func (c Code) String() string {
+	return fmt.Sprintf("%d %s", int(c), c.Info().Name)
+}
+
+// Codes returns every code in ascending order.
+func Codes() []Code {
+	codes := make([]Code, 0, len(infos))
+	for c := range infos {
+		codes = append(codes, c)
+	}
+	sort.Slice(codes, func(i, j int) bool { return codes[i] < codes[j] })
+	return codes
+}
+
+// Error is a refusal or failure with its code and whether the request ran.
+// It is the only error type that crosses a process boundary.
+type Error struct {
+	Code       Code
+	Ran        Ran
+	RetryAfter time.Duration // 0: coming back unchanged does not help
+	Detail     string
+}
+
+// NewError returns an Error with the defaults of code.
+func NewError(code Code, detail string) *Error {
+	info := code.Info()
+	return &Error{Code: code, Ran: info.Ran, RetryAfter: info.Retry, Detail: detail}
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return e.Code.String()
+	}
+	return e.Code.String() + ": " + e.Detail
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,170 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Kind is the first byte of a frame's payload.
+type Kind uint8
+
+// Kinds of frames. The numbers are part of the protocol.
+const (
+	KindHello Kind = iota + 1
+	KindHeartbeat
+	KindConfig
+	KindRequest
+	KindHead
+	KindChunk
+	KindEnd
+	KindRefusal
+	KindCancel
+	KindCredit
+	KindReport
+	KindKeyQuery
+	KindKeyAnswer
+	KindOrder
+	KindOrderAck
+	KindStatusQuery
+	KindStatus
+)
+
+// Bounds of a frame.
+const (
+	lengthBytes   = 4
+	MaxFrameBytes = 4 << 20 // payload: kind byte and body
+)
+
+// Errors of the codec. All of them close the connection they occur on.
+var (
+	ErrFrameSize = eris.New("wire: frame size out of bounds")
+	ErrFrameKind = eris.New("wire: unknown frame kind")
+	ErrFrameBody = eris.New("wire: frame body cannot be decoded")
+)
+
+// Message is a typed message of the protocol; only pointers to the types in
+// this package implement it.
+type Message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+	msgp.Sizer
+	kind() Kind
+}
+
+func (*Hello) kind() Kind       { return KindHello }
+func (*Heartbeat) kind() Kind   { return KindHeartbeat }
+func (*Config) kind() Kind      { return KindConfig }
+func (*Request) kind() Kind     { return KindRequest }
+func (*Head) kind() Kind        { return KindHead }
+func (*Chunk) kind() Kind       { return KindChunk }
+func (*End) kind() Kind         { return KindEnd }
+func (*Refusal) kind() Kind     { return KindRefusal }
+func (*Cancel) kind() Kind      { return KindCancel }
+func (*Credit) kind() Kind      { return KindCredit }
+func (*Report) kind() Kind      { return KindReport }
+func (*KeyQuery) kind() Kind    { return KindKeyQuery }
+func (*KeyAnswer) kind() Kind   { return KindKeyAnswer }
+func (*Order) kind() Kind       { return KindOrder }
+func (*OrderAck) kind() Kind    { return KindOrderAck }
+func (*StatusQuery) kind() Kind { return KindStatusQuery }
+func (*Status) kind() Kind      { return KindStatus }
+
+// newMessage returns an empty message of the kind, or nil.
+func newMessage(k Kind) Message {
+	switch k {
+	case KindHello:
+		return new(Hello)
+	case KindHeartbeat:
+		return new(Heartbeat)
+	case KindConfig:
+		return new(Config)
+	case KindRequest:
+		return new(Request)
+	case KindHead:
+		return new(Head)
+	case KindChunk:
+		return new(Chunk)
+	case KindEnd:
+		return new(End)
+	case KindRefusal:
+		return new(Refusal)
+	case KindCancel:
+		return new(Cancel)
+	case KindCredit:
+		return new(Credit)
+	case KindReport:
+		return new(Report)
+	case KindKeyQuery:
+		return new(KeyQuery)
+	case KindKeyAnswer:
+		return new(KeyAnswer)
+	case KindOrder:
+		return new(Order)
+	case KindOrderAck:
+		return new(OrderAck)
+	case KindStatusQuery:
+		return new(StatusQuery)
+	case KindStatus:
+		return new(Status)
+	}
+	return nil
+}
+
+// AppendFrame appends the frame of m to buf and returns the longer slice.
+// Error: ErrFrameSize when m is too large; buf is then returned unchanged.
+func AppendFrame(buf []byte, m Message) ([]byte, error) {
+	start := len(buf)
+	out := append(buf, 0, 0, 0, 0, byte(m.kind()))
+	out, err := m.MarshalMsg(out)
+	if err != nil {
+		return buf, eris.Wrap(err, "wire: encode")
+	}
+	size := len(out) - start - lengthBytes
+	if size > MaxFrameBytes {
+		return buf, ErrFrameSize
+	}
+	binary.BigEndian.PutUint32(out[start:], uint32(size))
+	return out, nil
+}
+
+// ReadFrame reads one frame. scratch is reused when it is large enough; the
+// message holds no reference to it. Errors: those of r, ErrFrameSize,
+// ErrFrameKind, ErrFrameBody.
+func ReadFrame(r io.Reader, scratch []byte) (Message, []byte, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, scratch, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size < 1 || size > MaxFrameBytes {
+		return nil, scratch, ErrFrameSize
+	}
+	if cap(scratch) < int(size) {
+		scratch = make([]byte, size)
+	}
+	payload := scratch[:size]
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return nil, scratch, err
+	}
+	m, err := decode(payload)
+	return m, scratch, err
+}
+
+// decode reads the payload of one frame: a kind byte and a body.
+func decode(payload []byte) (Message, error) {
+	m := newMessage(Kind(payload[0]))
+	if m == nil {
+		return nil, ErrFrameKind
+	}
+	rest, err := m.UnmarshalMsg(payload[1:])
+	if err != nil {
+		return nil, eris.Wrap(ErrFrameBody, err.Error())
+	}
+	if len(rest) != 0 {
+		return nil, ErrFrameBody
+	}
+	return m, nil
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,242 @@
+// Package wire is the inner protocol between the system's own processes:
+// length-framed msgpack over TCP. This file holds the message types.
+package wire
+
+//go:generate go tool -modfile=../tools/go.mod msgp -file messages.go -o messages_gen.go -tests=false
+
+//msgp:limit arrays:4096 maps:256
+
+// Versions of the protocol that this build speaks.
+const (
+	MinVersion uint16 = 1
+	MaxVersion uint16 = 1
+)
+
+// Role says what kind of process is at one end.
+type Role uint8
+
+// Roles of processes.
+const (
+	RoleEntry Role = iota + 1
+	RoleSide
+	RoleOperator
+)
+
+// Hello is the first message in both directions.
+type Hello struct {
+	MinVersion   uint16 `msg:"min"`
+	MaxVersion   uint16 `msg:"max"`
+	Role         Role   `msg:"role"`
+	Service      string `msg:"svc"`
+	Instance     string `msg:"inst"`
+	DataCentre   string `msg:"dc"`
+	Incarnation  string `msg:"inc"` // unique to one run of the process
+	ConfigOffset int64  `msg:"cfg"` // offset of the document in force; -1 for none
+}
+
+// Heartbeat goes in both directions at HeartbeatInterval.
+//
+// Freshness without clocks: the receiver knows when it sent Echo, so the
+// sender's proof is no older than ProofAgeMillis plus the time since then.
+type Heartbeat struct {
+	Seq            uint64   `msg:"seq"`
+	Echo           uint64   `msg:"echo"`    // highest Seq received from the peer; 0 for none
+	ConfigOffset   int64    `msg:"cfg"`     // offset of the document in force
+	ProofAgeMillis int64    `msg:"proof"`   // age of the sender's proof that it is current; -1 for none
+	LogDown        bool     `msg:"logdown"` // the sender cannot read the log now
+	Leaving        bool     `msg:"leaving"` // the sender takes no new work
+	Suspects       []uint64 `msg:"sus"`     // fingerprints of requests seen in flight at a crash
+}
+
+// Config carries a document to a peer whose ConfigOffset is lower.
+type Config struct {
+	Offset   int64  `msg:"off"`
+	Version  uint64 `msg:"ver"`
+	Document []byte `msg:"doc"`
+}
+
+// Header is one HTTP header field.
+type Header struct {
+	Name  string `msg:"n"`
+	Value string `msg:"v"`
+}
+
+// Request asks a side process to run one attempt of a caller's request.
+type Request struct {
+	Stream      uint64 `msg:"s"` // unique within the connection, chosen by the dialling end
+	RequestID   string `msg:"id"`
+	Attempt     uint32 `msg:"att"`
+	TraceParent string `msg:"tp"` // W3C trace context
+
+	Method       string   `msg:"m"`
+	Path         string   `msg:"p"` // with query
+	Headers      []Header `msg:"h"`
+	Body         []byte   `msg:"b"`
+	Streaming    bool     `msg:"str"` // the answer is a stream of server-sent events
+	Organisation string   `msg:"org"`
+	Session      string   `msg:"ses"`
+	Priority     uint8    `msg:"pri"`
+	Model        string   `msg:"mod"`
+	BudgetMillis int64    `msg:"ttl"` // time left until the caller's deadline, at the time of sending
+	Fingerprint  uint64   `msg:"fp"`  // hash of method, path, organisation and body
+	ConfigOffset int64    `msg:"cfg"` // document the entry decided by
+
+	Idempotent  bool   `msg:"idem"`
+	Key         string `msg:"key"`   // idempotency key, for calls that may not repeat
+	ClaimOffset int64  `msg:"claim"` // offset of the winning claim; -1 for none
+	ClaimStream string `msg:"cstr"`  // stream of the winning claim
+	Incarnation string `msg:"inc"`   // side incarnation that the claim names; empty for idempotent requests
+	Alone       bool   `msg:"alone"` // suspected of crashing servers: run with nothing else in flight
+
+	ResumeFrom uint64 `msg:"from"` // first chunk wanted, when an earlier attempt is resumed on the same server
+	Window     uint32 `msg:"win"`  // bytes of answer that may be sent before a Credit arrives
+}
+
+// Head is the start of an answer: status and headers.
+type Head struct {
+	Stream  uint64   `msg:"s"`
+	Attempt uint32   `msg:"att"`
+	Status  int      `msg:"st"`
+	Headers []Header `msg:"h"`
+}
+
+// Chunk is one part of an answer's body.
+type Chunk struct {
+	Stream  uint64 `msg:"s"`
+	Attempt uint32 `msg:"att"`
+	Seq     uint64 `msg:"q"` // 0, 1, 2, ...
+	Data    []byte `msg:"d"`
+}
+
+// End closes an answer that is whole.
+type End struct {
+	Stream   uint64 `msg:"s"`
+	Attempt  uint32 `msg:"att"`
+	Count    uint64 `msg:"n"`   // number of chunks of the whole answer
+	Replayed bool   `msg:"rep"` // the answer of an earlier run with the same key
+	Report   Report `msg:"rpt"`
+}
+
+// Refusal closes an attempt without a whole answer.
+type Refusal struct {
+	Stream           uint64 `msg:"s"`
+	Attempt          uint32 `msg:"att"`
+	Code             int    `msg:"code"` // api.Code
+	Ran              uint8  `msg:"ran"`  // api.Ran
+	RetryAfterMillis int64  `msg:"ra"`
+	Detail           string `msg:"det"`
+	Report           Report `msg:"rpt"`
+}
+
+// Cancel asks for an attempt to be given up: the caller went away.
+type Cancel struct {
+	Stream  uint64 `msg:"s"`
+	Attempt uint32 `msg:"att"`
+}
+
+// Credit allows the side to send more bytes of an answer.
+type Credit struct {
+	Stream uint64 `msg:"s"`
+	Bytes  uint32 `msg:"n"`
+}
+
+// Report is a side's view of its backend server; it rides on answers and is
+// sent alone when nothing else was sent for a while.
+type Report struct {
+	Instance    string  `msg:"inst"`
+	Backend     string  `msg:"be"`
+	Incarnation string  `msg:"inc"` // of the backend server
+	Seq         uint64  `msg:"seq"`
+	Cold        bool    `msg:"cold"`
+	Leaving     bool    `msg:"leav"`
+	Limit       int     `msg:"lim"` // requests that the side admits at once
+	Running     int     `msg:"run"`
+	Waiting     int     `msg:"wait"`
+	StepMillis  float64 `msg:"step"`
+	CacheUsed   float64 `msg:"kv"`
+}
+
+// KeyQuery asks a side what became of a claimed call. With Seal set, a key
+// that is unknown to the named incarnation is marked never to run.
+type KeyQuery struct {
+	Stream      uint64 `msg:"s"`
+	Key         string `msg:"key"`
+	ClaimOffset int64  `msg:"claim"`
+	ClaimStream string `msg:"cstr"`
+	Incarnation string `msg:"inc"`
+	Seal        bool   `msg:"seal"`
+}
+
+// KeyState is a side's knowledge of a key.
+type KeyState uint8
+
+// States of a key at a side.
+const (
+	KeyUnknown          KeyState = iota // not seen, and not sealed by this query
+	KeySealed                           // will never run under this claim
+	KeyRunning                          // in flight
+	KeyFinished                         // ran; the answer follows
+	KeyOtherIncarnation                 // the side was restarted since the claim
+)
+
+// KeyAnswer answers a KeyQuery.
+type KeyAnswer struct {
+	Stream      uint64   `msg:"s"`
+	Key         string   `msg:"key"`
+	State       KeyState `msg:"st"`
+	Incarnation string   `msg:"inc"`
+	Answer      Answer   `msg:"ans"`
+}
+
+// Answer is a stored whole answer of a call that may not repeat.
+type Answer struct {
+	Status  int      `msg:"st"`
+	Headers []Header `msg:"h"`
+	Body    []byte   `msg:"b"`
+}
+
+// Order carries one order for the rank of a group behind a side.
+type Order struct {
+	Seq     uint64 `msg:"q"` // unique within the connection
+	Group   string `msg:"g"`
+	Rank    int    `msg:"r"`
+	Kind    uint8  `msg:"k"`     // group.OrderKind
+	Fence   int64  `msg:"fence"` // fencing number: offset of the coordinator's claim
+	Epoch   uint64 `msg:"ep"`    // number of the expert map
+	Step    int64  `msg:"step"`  // first step that uses the map
+	MapHash string `msg:"mh"`
+	Map     []byte `msg:"map"` // encoded group.Map, with stage orders
+}
+
+// OrderAck answers an Order.
+type OrderAck struct {
+	Seq       uint64 `msg:"q"`
+	Group     string `msg:"g"`
+	Rank      int    `msg:"r"`
+	Kind      uint8  `msg:"k"`
+	Code      int    `msg:"code"`  // api.Code
+	Fence     int64  `msg:"fence"` // highest fencing number known to the side
+	Epoch     uint64 `msg:"ep"`    // map in force at the rank
+	Staged    uint64 `msg:"stg"`   // epoch staged; 0 for none
+	Armed     uint64 `msg:"arm"`   // epoch armed; 0 for none
+	ArmedStep int64  `msg:"astep"` // step at which the armed map takes effect
+	Committed bool   `msg:"com"`   // the armed epoch is committed
+	Step      int64  `msg:"step"`  // last completed step
+}
+
+// StatusQuery asks any process for the configuration it has in force.
+type StatusQuery struct {
+	Seq uint64 `msg:"q"`
+}
+
+// Status answers a StatusQuery.
+type Status struct {
+	Seq           uint64 `msg:"q"`
+	Instance      string `msg:"inst"`
+	DataCentre    string `msg:"dc"`
+	Role          Role   `msg:"role"`
+	ConfigOffset  int64  `msg:"cfg"`
+	ConfigVersion uint64 `msg:"ver"`
+	Current       bool   `msg:"cur"`
+	Leaving       bool   `msg:"leav"`
+}
