Side process: attempts, resume, flow control, graceful shutdown

Cause: the whole path needs the process that alone talks to a backend server. Ruled out: running a call that may not repeat on a reused connection, since net/http resends a request with an Idempotency-Key on its own.

--- a/config/document.go
+++ b/config/document.go
@@ -5,7 +5,10 @@
 // of goroutines may read it without a lock.
 package config
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Document is the one configuration document of a service, parsed and checked.
 type Document struct {
@@ -18,6 +21,9 @@
 	Routing       Routing
 	Placement     Placement
 	Limits        Limits
+
+	once  sync.Once
+	index *index
 }
 
 // Service is section [service].
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,135 @@
+// Package node holds what an entry and a side process have in common: the
+// exchange of heartbeats and documents with peers, and the leaving state.
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"marjorampitch/logfold"
+	"marjorampitch/wire"
+)
+
+// ConfigView is the process's view of the configuration; logfold.Runner
+// implements it. All methods may be called by any goroutine and never block.
+type ConfigView interface {
+	// Document returns the document in force, or nil before there is one.
+	Document() *logfold.InForce
+	// Current reports whether the process has a recent proof that no newer document is in force.
+	Current() bool
+	// ProofAge returns the age of that proof; ok is false without one.
+	ProofAge() (age time.Duration, ok bool)
+	// LogDown reports whether the process cannot read the log now.
+	LogDown() bool
+	// Offer hands over a document that a peer sent.
+	Offer(m *wire.Config)
+	// HeardFrom takes a heartbeat of a peer; age bounds how old the heartbeat is.
+	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration)
+}
+
+// Suspects supplies and takes the fingerprints of requests that were in flight at a crash.
+type Suspects interface {
+	Suspects() []uint64
+	Suspect(from string, fingerprints []uint64)
+}
+
+// Node is the part of a process that its connections share.
+type Node struct {
+	hello    wire.Hello
+	config   ConfigView
+	suspects Suspects
+	leaving  atomic.Bool
+}
+
+// New returns a Node; hello names the process. suspects may be nil.
+func New(hello wire.Hello, config ConfigView, suspects Suspects) *Node {
+	return &Node{hello: hello, config: config, suspects: suspects}
+}
+
+// Hello returns the hello to send on a new connection.
+func (n *Node) Hello() wire.Hello {
+	hello := n.hello
+	hello.ConfigOffset = n.offset()
+	return hello
+}
+
+// Config returns the process's view of the configuration.
+func (n *Node) Config() ConfigView { return n.config }
+
+// SetLeaving says in every later heartbeat that the process takes no new work.
+func (n *Node) SetLeaving() { n.leaving.Store(true) }
+
+// Leaving reports whether SetLeaving was called.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+func (n *Node) offset() int64 {
+	doc := n.config.Document()
+	if doc == nil {
+		return -1
+	}
+	return doc.Offset
+}
+
+// Beat implements wire.Beats.
+func (n *Node) Beat(*wire.Conn) wire.Heartbeat {
+	hb := wire.Heartbeat{
+		ConfigOffset:   n.offset(),
+		ProofAgeMillis: -1,
+		LogDown:        n.config.LogDown(),
+		Leaving:        n.Leaving(),
+	}
+	if age, ok := n.config.ProofAge(); ok {
+		hb.ProofAgeMillis = age.Milliseconds()
+	}
+	if n.suspects != nil {
+		hb.Suspects = n.suspects.Suspects()
+	}
+	return hb
+}
+
+// Control handles m if it is a message that every process serves, and
+// reports whether it was.
+func (n *Node) Control(c *wire.Conn, m wire.Message) bool {
+	switch m := m.(type) {
+	case *wire.Heartbeat:
+		n.heartbeat(c, m)
+	case *wire.Config:
+		n.config.Offer(m)
+	case *wire.StatusQuery:
+		c.Send(n.status(m.Seq))
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) heartbeat(c *wire.Conn, hb *wire.Heartbeat) {
+	peer := c.Peer()
+	if age, ok := c.EchoAge(hb); ok {
+		n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age)
+	}
+	if n.suspects != nil && len(hb.Suspects) > 0 {
+		n.suspects.Suspect(peer.Instance, hb.Suspects)
+	}
+	doc := n.config.Document()
+	if doc != nil && hb.ConfigOffset < doc.Offset && peer.Role != wire.RoleOperator {
+		c.Send(&wire.Config{Offset: doc.Offset, Version: doc.Version, Document: doc.Raw})
+	}
+}
+
+func (n *Node) status(seq uint64) *wire.Status {
+	st := &wire.Status{
+		Seq:          seq,
+		Instance:     n.hello.Instance,
+		DataCentre:   n.hello.DataCentre,
+		Role:         n.hello.Role,
+		ConfigOffset: -1,
+		Current:      n.config.Current(),
+		Leaving:      n.Leaving(),
+	}
+	if doc := n.config.Document(); doc != nil {
+		st.ConfigOffset = doc.Offset
+		st.ConfigVersion = doc.Version
+	}
+	return st
+}
--- /dev/null
+++ b/side/server.go
@@ -0,0 +1,134 @@
+// Package side is the process beside one backend server. It is the only way
+// to that server, so limits, drains and at-most-once execution are enforced
+// here, whatever the entries believe.
+package side
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/api"
+	"marjorampitch/internal/node"
+	"marjorampitch/wire"
+)
+
+// Timing and sizes of a side process.
+const (
+	resumeGrace   = 5 * time.Second // an answer without a receiver is kept running this long
+	maxAttempts   = 1024            // attempts at the backend server at once, whatever the limits say
+	pollInterval  = 200 * time.Millisecond
+	drainInterval = 20 * time.Millisecond
+)
+
+// Options of a Server. All fields but Metrics are needed.
+type Options struct {
+	Hello   wire.Hello // names the process; Role is RoleSide
+	Backend string     // IP:port of the backend server
+	Config  node.ConfigView
+	Log     *log.Logger
+	Metrics Metrics
+}
+
+// Metrics receives what a side process counts.
+type Metrics interface {
+	Refusal(code api.Code)
+	Attempt(code api.Code, took time.Duration)
+}
+
+// Server is a side process. Lock order: mu before any attempt's mu.
+type Server struct {
+	opt     Options
+	node    *node.Node
+	backend *backend
+	pool    pond.Pool
+
+	mu       sync.Mutex
+	attempts map[string]*attempt         // running or kept, by request id
+	streams  map[streamKey]*subscription // by connection and stream
+	conns    map[*wire.Conn]bool
+	running  int // attempts at the backend server
+}
+
+type streamKey struct {
+	conn   *wire.Conn
+	stream uint64
+}
+
+type subscription struct {
+	attempt *attempt
+	sub     *subscriber
+}
+
+// New returns a Server that is not yet listening.
+func New(opt Options) *Server {
+	return &Server{
+		opt:      opt,
+		node:     node.New(opt.Hello, opt.Config, nil),
+		backend:  newBackend(opt.Backend),
+		pool:     pond.NewPool(maxAttempts),
+		attempts: make(map[string]*attempt),
+		streams:  make(map[streamKey]*subscription),
+		conns:    make(map[*wire.Conn]bool),
+	}
+}
+
+// Serve accepts connections of entries until ln is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go s.accept(nc)
+	}
+}
+
+func (s *Server) accept(nc net.Conn) {
+	c, err := wire.Accept(nc, s.node.Hello(), s, s.node)
+	if err != nil {
+		s.opt.Log.Warn("peer-refused", "peer", nc.RemoteAddr(), "err", err)
+		return
+	}
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	s.opt.Log.Info("peer-connected", "peer", c.Peer().Instance)
+}
+
+// Shutdown takes no new work, waits until the attempts in flight are
+// finished and delivered, and returns. Error: that of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.node.SetLeaving()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for !s.idle() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	s.closeConns()
+	s.pool.StopAndWait()
+	return nil
+}
+
+func (s *Server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0 && len(s.streams) == 0
+}
+
+// closeConns closes the connections a moment after their queues were filled last.
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.CloseAfterFlush()
+	}
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// CloseAfterFlush closes the connection once every message queued so far is written.
+func (c *Conn) CloseAfterFlush() {
+	select {
+	case c.queue <- nil:
+	default:
+		c.Close(nil)
+	}
+}
+
 // Close closes the connection with the reason err. Later calls do nothing.
 func (c *Conn) Close(err error) {
 	c.once.Do(func() {
@@ -164,38 +173,47 @@
 // write sends queued messages, as many in one system call as are waiting.
 func (c *Conn) write() {
 	buf := make([]byte, 0, bufferBytes)
+	last := false
 	for {
 		select {
 		case <-c.done:
 			return
 		case m := <-c.queue:
-			buf = c.gather(buf[:0], m)
+			buf, last = c.gather(buf[:0], m)
 		}
 		if !c.flush(buf) {
 			return
 		}
+		if last {
+			c.Close(nil)
+			return
+		}
 		if cap(buf) > MaxFrameBytes {
 			buf = make([]byte, 0, bufferBytes)
 		}
 	}
 }
 
-// gather encodes m and what else is queued, up to about bufferBytes.
-func (c *Conn) gather(buf []byte, m Message) []byte {
+// gather encodes m and what else is queued, up to about bufferBytes. last
+// says that the connection is to be closed once buf is written.
+func (c *Conn) gather(buf []byte, m Message) (out []byte, last bool) {
 	for {
+		if m == nil {
+			return buf, true
+		}
 		next, err := AppendFrame(buf, m)
 		if err != nil {
 			c.Close(err)
-			return buf
+			return buf, true
 		}
 		buf = next
 		if len(buf) >= bufferBytes {
-			return buf
+			return buf, false
 		}
 		select {
 		case m = <-c.queue:
 		default:
-			return buf
+			return buf, false
 		}
 	}
 }
