--- a/config/lookup.go
+++ b/config/lookup.go
@@ -10,6 +10,7 @@
 	groups        map[string]*Group
 	exact         map[string]*Route
 	prefixes      []*Route
+	models        map[poolModel]bool
 }
 
 func (d *Document) lookup() *index {
@@ -26,12 +27,13 @@
 		organisations: make(map[string]*Organisation, len(d.Organisations)),
 		groups:        make(map[string]*Group, len(d.Groups)),
 		exact:         make(map[string]*Route, len(d.Routes)),
+		models:        make(map[poolModel]bool),
 	}
 	for i := range d.DataCentres {
 		x.dataCentres[d.DataCentres[i].Name] = &d.DataCentres[i]
 	}
 	for i := range d.Backends {
-		x.backends[d.Backends[i].Name] = &d.Backends[i]
+		x.addBackend(&d.Backends[i])
 	}
 	for i := range d.Organisations {
 		x.organisations[d.Organisations[i].Name] = &d.Organisations[i]
@@ -45,6 +47,13 @@
 	return x
 }
 
+func (x *index) addBackend(b *Backend) {
+	x.backends[b.Name] = b
+	for _, model := range b.Models {
+		x.models[poolModel{b.Pool, model}] = true
+	}
+}
+
 func (x *index) addRoute(r *Route) {
 	if strings.HasSuffix(r.Path, "/") {
 		x.prefixes = append(x.prefixes, r)
@@ -88,3 +97,13 @@
 	}
 	return best
 }
+
+// Serves reports whether a backend server of the pool serves the model.
+func (d *Document) Serves(pool, model string) bool {
+	return d.lookup().models[poolModel{pool, model}]
+}
+
+// poolModel is a model as served by one pool.
+type poolModel struct {
+	pool, model string
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/wire"
+)
+
+// prefixBytes is how much of a prompt stands for its prefix when a call names no session.
+const prefixBytes = 256
+
+// call is a caller's request after parsing: everything that decides on it.
+type call struct {
+	id           string
+	route        *config.Route
+	method       string
+	path         string // with query
+	headers      []wire.Header
+	body         []byte
+	organisation string
+	session      string
+	priority     api.Priority
+	model        string
+	streaming    bool // the caller asked for server-sent events
+	key          string
+	fingerprint  uint64
+	prefix       uint64 // hash that requests with a shared prompt prefix have in common
+	deadline     time.Time
+	configOffset int64
+}
+
+// chatFields are the fields of a chat completion request that routing needs.
+type chatFields struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Messages []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+// parse reads a caller's request against the document in force.
+func parse(r *http.Request, doc *config.Document, offset int64, now time.Time) (*call, *api.Error) {
+	c := &call{
+		id:           requestID(r),
+		method:       r.Method,
+		path:         r.URL.RequestURI(),
+		organisation: r.Header.Get(api.HeaderOrganisation),
+		session:      r.Header.Get(api.HeaderSession),
+		key:          r.Header.Get(api.HeaderIdempotencyKey),
+		configOffset: offset,
+	}
+	c.route = doc.Route(r.URL.Path)
+	if c.route == nil {
+		return c, api.NewError(api.UnknownRoute, r.URL.Path)
+	}
+	if e := c.parseHeaders(r, doc, now); e != nil {
+		return c, e
+	}
+	if e := c.readBody(r); e != nil {
+		return c, e
+	}
+	if e := c.parseChat(doc); e != nil {
+		return c, e
+	}
+	c.fingerprint = c.hash()
+	return c, nil
+}
+
+// requestID takes the caller's id when it is fit to be logged, else makes one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(api.HeaderRequestID)
+	if id == "" || len(id) > api.MaxRequestIDLen || strings.ContainsFunc(id, unprintable) {
+		return uuid.NewString()
+	}
+	return id
+}
+
+func unprintable(r rune) bool { return r <= ' ' || r > '~' || r == '"' }
+
+func (c *call) parseHeaders(r *http.Request, doc *config.Document, now time.Time) *api.Error {
+	for _, value := range []string{c.organisation, c.session, c.key} {
+		if len(value) > api.MaxNameBytes {
+			return api.NewError(api.HeaderTooLarge, "organisation, session or key")
+		}
+	}
+	if doc.Organisation(c.organisation) == nil {
+		return api.NewError(api.UnknownOrganisation, c.organisation)
+	}
+	priority, ok := api.ParsePriority(r.Header.Get(api.HeaderPriority))
+	if !ok {
+		return api.NewError(api.BadRequest, api.HeaderPriority+" is not live, normal or batch")
+	}
+	c.priority = priority
+	timeout, e := parseTimeout(r.Header.Get(api.HeaderTimeout), c.route)
+	if e != nil {
+		return e
+	}
+	c.deadline = now.Add(timeout)
+	c.headers = callerHeaders(r.Header)
+	return nil
+}
+
+// parseTimeout returns the smaller of the caller's and the route's timeout.
+func parseTimeout(value string, route *config.Route) (time.Duration, *api.Error) {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = api.DefaultTimeout
+	}
+	if value == "" {
+		return limit, nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 || d > api.MaxTimeout {
+		return 0, api.NewError(api.BadRequest, api.HeaderTimeout+" is not a duration between 0 and "+api.MaxTimeout.String())
+	}
+	return min(d, limit), nil
+}
+
+// callerHeaders are the headers that the backend server receives as sent.
+func callerHeaders(h http.Header) []wire.Header {
+	var out []wire.Header
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", "Authorization"} {
+		for _, v := range h.Values(name) {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func (c *call) readBody(r *http.Request) *api.Error {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, api.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case asError(err, &tooLarge):
+		return api.NewError(api.BodyTooLarge, "")
+	case err != nil:
+		return api.NewError(api.BadRequest, "body: "+err.Error())
+	}
+	c.body = body
+	return nil
+}
+
+// parseChat reads the model and the streaming flag of a chat completion.
+func (c *call) parseChat(doc *config.Document) *api.Error {
+	if !c.route.Streaming {
+		c.prefix = xxhash.Sum64String(c.session)
+		return nil
+	}
+	var chat chatFields
+	if err := json.Unmarshal(c.body, &chat); err != nil {
+		return api.NewError(api.BadRequest, "body: "+err.Error())
+	}
+	c.model = chat.Model
+	c.streaming = chat.Stream
+	c.prefix = prefixHash(c.session, &chat)
+	if !doc.Serves(c.route.Pool, c.model) {
+		return api.NewError(api.UnknownModel, c.model)
+	}
+	return nil
+}
+
+// prefixHash names the prompt prefix that a request shares with others: its
+// session's, else the start of its first message.
+func prefixHash(session string, chat *chatFields) uint64 {
+	if session != "" {
+		return xxhash.Sum64String(session)
+	}
+	if len(chat.Messages) == 0 {
+		return 0
+	}
+	first := chat.Messages[0].Content
+	return xxhash.Sum64(first[:min(len(first), prefixBytes)])
+}
+
+// hash is the fingerprint of the content: equal for a request sent again.
+func (c *call) hash() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{c.method, c.path, c.organisation} {
+		d.WriteString(part)
+		d.Write([]byte{0})
+	}
+	d.Write(c.body)
+	return d.Sum64()
+}
+
+// request is the message for attempt number n.
+func (c *call) request(ctx context.Context, n uint32, now time.Time) *wire.Request {
+	return &wire.Request{
+		RequestID:    c.id,
+		Attempt:      n,
+		Method:       c.method,
+		Path:         c.path,
+		Headers:      c.headers,
+		Body:         c.body,
+		Streaming:    c.streaming,
+		Organisation: c.organisation,
+		Session:      c.session,
+		Priority:     uint8(c.priority),
+		Model:        c.model,
+		BudgetMillis: c.deadline.Sub(now).Milliseconds(),
+		Fingerprint:  c.fingerprint,
+		ConfigOffset: c.configOffset,
+		Idempotent:   c.route.Idempotent,
+		Key:          c.key,
+		ClaimOffset:  -1,
+		TraceParent:  traceParent(ctx),
+	}
+}
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/api"
+	"marjorampitch/internal/node"
+	"marjorampitch/route"
+	"marjorampitch/wire"
+)
+
+// Timing and sizes of a link.
+const (
+	minRedial   = 50 * time.Millisecond
+	maxRedial   = 2 * time.Second
+	windowBytes = 256 << 10
+)
+
+// link is the entry's connection to one side process. It is dialled again
+// whenever it is lost, so that a silent connection is never reused.
+//
+// mu guards the fields below it; no other lock is taken while it is held.
+type link struct {
+	name       string
+	address    string
+	dataCentre string
+	node       *node.Node
+	log        *log.Logger
+	stop       context.CancelFunc
+
+	mu       sync.Mutex
+	conn     *wire.Conn
+	leaving  bool
+	next     uint64 // number of the last stream
+	streams  map[uint64]*inbox
+	report   wire.Report
+	reported time.Time // zero before the first report
+	own      int       // own requests in flight
+	since    int       // own requests sent minus own finished since the report
+}
+
+func newLink(name, address, dataCentre string, n *node.Node, logger *log.Logger) *link {
+	return &link{
+		name:       name,
+		address:    address,
+		dataCentre: dataCentre,
+		node:       n,
+		log:        logger,
+		streams:    make(map[uint64]*inbox),
+	}
+}
+
+// run keeps the link connected until ctx ends.
+func (l *link) run(ctx context.Context) {
+	wait := minRedial
+	for ctx.Err() == nil {
+		c, err := wire.Dial(ctx, l.address, l.node.Hello(), l, l.node)
+		if err == nil {
+			wait = minRedial
+			l.connected(c)
+			select {
+			case <-ctx.Done():
+				c.CloseAfterFlush()
+				return
+			case <-c.Done():
+				l.disconnected(c)
+			}
+			continue
+		}
+		l.log.Debug("dial-failed", "side", l.name, "err", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait/2 + rand.N(wait/2)):
+		}
+		wait = min(2*wait, maxRedial)
+	}
+}
+
+func (l *link) connected(c *wire.Conn) {
+	l.log.Info("side-connected", "side", l.name, "incarnation", c.Peer().Incarnation)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = c
+	l.leaving = false
+	l.reported = time.Time{}
+}
+
+// disconnected forgets c, also when it failed before connected was called.
+func (l *link) disconnected(c *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == c {
+		l.conn = nil
+	}
+}
+
+// Handle implements wire.Handler.
+func (l *link) Handle(c *wire.Conn, m wire.Message) {
+	if hb, ok := m.(*wire.Heartbeat); ok {
+		l.mu.Lock()
+		l.leaving = hb.Leaving
+		l.mu.Unlock()
+	}
+	if l.node.Control(c, m) {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Report:
+		l.setReport(m)
+	case *wire.Head:
+		l.deliver(m.Stream, m)
+	case *wire.Chunk:
+		l.deliver(m.Stream, m)
+	case *wire.End:
+		l.setReport(&m.Report)
+		l.deliver(m.Stream, m)
+	case *wire.Refusal:
+		l.setReport(&m.Report)
+		l.deliver(m.Stream, m)
+	case *wire.KeyAnswer:
+		l.deliver(m.Stream, m)
+	}
+}
+
+// Closed implements wire.Handler.
+func (l *link) Closed(c *wire.Conn, err error) {
+	l.log.Info("side-gone", "side", l.name, "err", err)
+	l.mu.Lock()
+	if l.conn != c {
+		l.mu.Unlock()
+		return
+	}
+	l.conn = nil
+	streams := l.streams
+	l.streams = make(map[uint64]*inbox)
+	l.mu.Unlock()
+	for _, b := range streams {
+		b.fail(err)
+	}
+}
+
+func (l *link) setReport(r *wire.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Instance == "" || (r.Seq < l.report.Seq && r.Incarnation == l.report.Incarnation) {
+		return
+	}
+	l.report = *r
+	l.reported = time.Now()
+	l.since = 0
+}
+
+func (l *link) deliver(stream uint64, m wire.Message) {
+	l.mu.Lock()
+	b := l.streams[stream]
+	l.mu.Unlock()
+	if b != nil {
+		b.put(m)
+	}
+}
+
+// exchange is one stream on one connection.
+type exchange struct {
+	link   *link
+	conn   *wire.Conn
+	stream uint64
+	inbox  *inbox
+}
+
+// open starts a stream and sends the message that build makes for it. When it
+// fails, nothing was sent.
+func (l *link) open(build func(stream uint64) wire.Message) (*exchange, *api.Error) {
+	l.mu.Lock()
+	if l.conn == nil {
+		l.mu.Unlock()
+		return nil, api.NewError(api.Unreachable, l.name)
+	}
+	l.next++
+	x := &exchange{link: l, conn: l.conn, stream: l.next, inbox: newInbox()}
+	l.streams[x.stream] = x.inbox
+	l.own++
+	l.since++
+	l.mu.Unlock()
+	if err := x.conn.Send(build(x.stream)); err != nil {
+		x.close()
+		return nil, api.NewError(api.Unreachable, err.Error())
+	}
+	return x, nil
+}
+
+// close ends the stream at this end; later messages for it are dropped.
+func (x *exchange) close() {
+	l := x.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == x.conn {
+		delete(l.streams, x.stream)
+	}
+	l.own--
+	l.since--
+}
+
+// credit allows the side to send n bytes more.
+func (x *exchange) credit(n int) {
+	x.conn.Send(&wire.Credit{Stream: x.stream, Bytes: uint32(n)})
+}
+
+// cancel tells the side that nobody waits for the answer.
+func (x *exchange) cancel(attempt uint32) {
+	x.conn.Send(&wire.Cancel{Stream: x.stream, Attempt: attempt})
+}
+
+// fill writes what the link knows into c.
+func (l *link) fill(c *route.Candidate, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Excluded = l.conn == nil
+	c.Leaving = l.leaving || l.report.Leaving
+	c.Own = l.own
+	c.Since = l.since
+	c.Age = route.NoReport
+	if l.reported.IsZero() {
+		return
+	}
+	c.Age = now.Sub(l.reported)
+	c.Cold = l.report.Cold
+	c.Limit = l.report.Limit
+	c.Running = l.report.Running
+	c.Waiting = l.report.Waiting
+	c.StepMillis = l.report.StepMillis
+	c.CacheUsed = l.report.CacheUsed
+}
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -32,7 +32,6 @@
 	sentTo  uint64
 	result  *api.Error // set with done, nil when the answer is whole
 	done    bool
-	replay  bool
 	sub     *subscriber
 	changed chan struct{} // closed and replaced at each change
 }
