Documents and settings: parsed and checked in full, all problems at once

Cause: entry, side and the fold need the typed document and settings. Ruled out: trusting ini.v1 alone, since it merges sections and keys that stand twice, passes continuation lines and quoted values over several lines, and stops at the first line without '='. A line index beside it reports these and gives line numbers. Policy names are checked for form only: which policies a build registers must not decide whether a published document is valid, else builds would fold the log differently.

--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,193 @@
+package config_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/config"
+)
+
+func readExample(t *testing.T, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../examples/" + name)
+	require.NoError(t, err)
+	return data
+}
+
+func TestExampleDocuments(t *testing.T) {
+	for _, name := range []string{"bryllupslyd.ini", "caroni-watch.ini"} {
+		doc, err := config.ParseDocument(name, readExample(t, name))
+		require.NoError(t, err)
+		require.Len(t, doc.DataCentres, 3)
+		require.Len(t, doc.Backends, 15)
+		require.Len(t, doc.Organisations, 10)
+		require.Len(t, doc.Groups, 1)
+		require.Equal(t, 200_000_000, doc.Groups[0].WeightRate)
+	}
+}
+
+// broken has one fault a line where a comment says so.
+const broken = `stray = 1
+[service]
+name = Wrong Name
+format = 1
+colour = red
+[data-centre a]
+region = r
+state = outside
+[data-centre a]
+[backend-server x]
+data-centre = nowhere
+kind = engine
+pool = p
+models = m, m
+max-running = 1
+group = g
+rank = 7
+[backend-server y]
+data-centre = a
+kind = plain
+pool = p
+max-running = many
+state =
+[organisation o]
+weight = 0
+[route r]
+path = v1
+pool = q
+idempotent = no
+streaming = yes
+timeout = 30
+look-up = /by-key
+[group g]
+model = other
+ranks = 2
+experts = 8
+layers = 1
+slots = 2
+weight-rate = 100
+[routing]
+policy = one
+candidate = one
+mode = share
+[placement]
+policy = one
+policy = two
+no delimiter here
+[limits]
+fresh-for = 1ms
+[unknown]
+a = b
+`
+
+func TestAllProblemsAtOnce(t *testing.T) {
+	_, err := config.ParseDocument("b.ini", []byte(broken))
+	var problems config.Problems
+	require.ErrorAs(t, err, &problems)
+	type place struct {
+		Line int
+		Key  string
+	}
+	var got []place
+	for _, p := range problems {
+		require.Equal(t, "b.ini", p.File)
+		require.NotEmpty(t, p.Want)
+		got = append(got, place{p.Line, p.Key})
+	}
+	require.Equal(t, []place{
+		{1, "stray"},
+		{3, "name"},
+		{5, "colour"},
+		{8, "state"},
+		{9, ""},
+		{11, "data-centre"},
+		{14, "models"},
+		{14, "models"},
+		{15, "max-running"},
+		{17, "rank"},
+		{21, "pool"},
+		{22, "max-running"},
+		{23, "state"},
+		{25, "weight"},
+		{27, "path"},
+		{28, "pool"},
+		{30, "streaming"},
+		{31, "timeout"},
+		{32, "look-up"},
+		{35, "ranks"},
+		{35, "ranks"},
+		{38, "slots"},
+		{39, "weight-rate"},
+		{40, "share"},
+		{42, "candidate"},
+		{46, "policy"},
+		{47, ""},
+		{49, "fresh-for"},
+		{50, ""},
+	}, got, "%v", err)
+}
+
+func TestFormatDecidesTheChecks(t *testing.T) {
+	for _, data := range []string{"", "[service]\nformat = 2\n", "[service]\nformat = x\n", "[service]\nformat = 1 \n\x00"} {
+		_, err := config.ParseDocument("f.ini", []byte(data))
+		require.ErrorAs(t, err, new(config.Problems), "%q", data)
+	}
+}
+
+const sideSettings = `[process]
+role = side
+instance = dk1-llm-1
+service = bryllupslyd
+data-centre = dk1
+listen = 127.0.0.1:7101
+status = 127.0.0.1:7201 ; health checks
+[platform]
+log-service = http://127.0.0.1:7000/
+instance-list = http://127.0.0.1:7001
+[backend-server]
+url = http://127.0.0.1:7301
+[trace]
+exporter = file
+target = /tmp/spans.json
+`
+
+func TestSideSettings(t *testing.T) {
+	st, err := config.ParseSettings("side.ini", []byte(sideSettings))
+	require.NoError(t, err)
+	require.Equal(t, config.RoleSide, st.Process.Role)
+	require.Equal(t, "127.0.0.1:7201", st.Process.Status)
+	require.Equal(t, "http://127.0.0.1:7000", st.Platform.LogService)
+	require.Equal(t, config.BackendSettings{Name: "dk1-llm-1", URL: "http://127.0.0.1:7301", DataCentre: "dk1"}, st.Backend)
+	require.Equal(t, config.LogInfo, st.Log)
+	require.Equal(t, config.TraceSettings{Exporter: config.TraceFile, Target: "/tmp/spans.json"}, st.Trace)
+}
+
+func TestEntrySettingsProblems(t *testing.T) {
+	const text = `[process]
+role = entry
+instance = e1
+service = s
+data-centre = d
+listen = localhost:1
+http = 127.0.0.1:2
+status = 127.0.0.1:2
+drain-wait = 5
+[platform]
+log-service = 127.0.0.1:1
+[backend-server]
+url = http://127.0.0.1:7301
+[trace]
+exporter = none
+target = x
+`
+	_, err := config.ParseSettings("e.ini", []byte(text))
+	var problems config.Problems
+	require.ErrorAs(t, err, &problems)
+	var keys []string
+	for _, p := range problems {
+		keys = append(keys, p.Key)
+	}
+	require.Equal(t, []string{"listen", "status", "drain-wait", "instance-list", "log-service", "", "target"}, keys, "%v", err)
+}
--- /dev/null
+++ b/config/format1_refer.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+// refer checks what spans several sections: names that refer to something,
+// and combinations that cannot work.
+func (f *format1) refer() {
+	f.checkPresent()
+	f.checkBackends()
+	f.checkRoutes()
+	f.checkGroups()
+}
+
+// checkPresent reports kinds of sections of which at least one is needed.
+func (f *format1) checkPresent() {
+	needed := []struct {
+		kind  string
+		count int
+	}{
+		{"data-centre", len(f.doc.DataCentres)},
+		{"backend-server", len(f.doc.Backends)},
+		{"organisation", len(f.doc.Organisations)},
+		{"route", len(f.doc.Routes)},
+	}
+	for _, n := range needed {
+		if n.count == 0 {
+			f.c.add("", "", "", fmt.Sprintf("at least one section [%s NAME]", n.kind))
+		}
+	}
+}
+
+func (f *format1) checkBackends() {
+	centres := map[string]bool{}
+	for _, dc := range f.doc.DataCentres {
+		centres[dc.Name] = true
+	}
+	groups := map[string]bool{}
+	for _, g := range f.doc.Groups {
+		groups[g.Name] = true
+	}
+	kinds := map[string]Kind{}
+	for _, b := range f.doc.Backends {
+		title := "backend-server " + b.Name
+		if b.DataCentre != "" && !centres[b.DataCentre] {
+			f.c.add(title, "data-centre", b.DataCentre, "the name of a [data-centre NAME] section")
+		}
+		if b.Group != "" && !groups[b.Group] {
+			f.c.add(title, "group", b.Group, "the name of a [group NAME] section")
+		}
+		if kind, ok := kinds[b.Pool]; ok && kind != b.Kind {
+			f.c.add(title, "pool", b.Pool, "a pool of one kind; its others have kind = "+string(kind))
+		} else {
+			kinds[b.Pool] = b.Kind
+		}
+		if b.MaxRunning > 0 && b.MaxRunning < f.doc.Limits.ColdStart {
+			f.c.add(title, "max-running", strconv.Itoa(b.MaxRunning), "at least cold-start of [limits]")
+		}
+	}
+}
+
+func (f *format1) checkRoutes() {
+	kinds := map[string]Kind{}
+	for _, b := range f.doc.Backends {
+		kinds[b.Pool] = b.Kind
+	}
+	paths := map[string]string{}
+	for _, r := range f.doc.Routes {
+		title := "route " + r.Name
+		kind, ok := kinds[r.Pool]
+		if r.Pool != "" && !ok {
+			f.c.add(title, "pool", r.Pool, "the pool of a [backend-server NAME] section")
+		}
+		if ok && r.Streaming && kind != KindEngine {
+			f.c.add(title, "streaming", "yes", "a pool of model engines on a streaming route")
+		}
+		if other, twice := paths[r.Path]; twice && r.Path != "" {
+			f.c.add(title, "path", r.Path, "a path that route "+other+" does not have")
+		}
+		paths[r.Path] = r.Name
+	}
+}
+
+// checkGroups sees to it that every group has each of its ranks once, in one
+// pool, with its model.
+func (f *format1) checkGroups() {
+	for _, g := range f.doc.Groups {
+		f.checkRanks(g)
+	}
+}
+
+func (f *format1) checkRanks(g Group) {
+	ranks := map[int]string{}
+	pool := ""
+	for _, b := range f.doc.Backends {
+		if b.Group != g.Name {
+			continue
+		}
+		title := "backend-server " + b.Name
+		if b.Rank >= g.Ranks {
+			f.c.add(title, "rank", strconv.Itoa(b.Rank), fmt.Sprintf("a rank below %d, the ranks of its group", g.Ranks))
+		}
+		if other, twice := ranks[b.Rank]; twice {
+			f.c.add(title, "rank", strconv.Itoa(b.Rank), "a rank that backend server "+other+" does not have")
+		}
+		ranks[b.Rank] = b.Name
+		if pool != "" && b.Pool != pool {
+			f.c.add(title, "pool", b.Pool, "the pool of the other ranks, "+pool)
+		}
+		pool = b.Pool
+		if g.Model != "" && !slices.Contains(b.Models, g.Model) {
+			f.c.add(title, "models", "", "the model of its group, "+g.Model)
+		}
+	}
+	for rank := range g.Ranks {
+		if ranks[rank] == "" {
+			f.c.add("group "+g.Name, "ranks", strconv.Itoa(g.Ranks), fmt.Sprintf("a backend server with rank = %d", rank))
+		}
+	}
+}
