--- a/entry/assembler.go
+++ b/entry/assembler.go
@@ -42,6 +42,10 @@
 // restartable reports whether another backend server may begin the answer anew.
 func (a *assembler) restartable() bool { return !a.forgot && !a.diverged }
 
+// resumable reports whether the answer can go on after the last chunk taken.
+// An attempt of which nothing was taken is begun anew instead.
+func (a *assembler) resumable() bool { return a.next > 0 && !a.diverged }
+
 // resume makes number the current attempt; it continues after the last delivered chunk.
 func (a *assembler) resume(number uint32) uint64 {
 	a.reset(number, a.next)
--- a/entry/call.go
+++ b/entry/call.go
@@ -76,13 +76,16 @@
 	return c, nil
 }
 
-// requestID takes the caller's id when it is fit to be logged, else makes one.
+// requestID makes the id of a request. A caller's own id is kept as its start
+// when it is fit to be logged; the rest is new, so that two callers with one
+// id are never mixed up.
 func requestID(r *http.Request) string {
-	id := r.Header.Get(api.HeaderRequestID)
-	if id == "" || len(id) > api.MaxRequestIDLen || strings.ContainsFunc(id, unprintable) {
-		return uuid.NewString()
+	id := uuid.NewString()
+	own := r.Header.Get(api.HeaderRequestID)
+	if own == "" || len(own) > api.MaxRequestIDLen || strings.ContainsFunc(own, unprintable) {
+		return id
 	}
-	return id
+	return own + "." + id
 }
 
 func unprintable(r rune) bool { return r <= ' ' || r > '~' || r == '"' }
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"marjorampitch/api"
+	"marjorampitch/wire"
+)
+
+// handle serves one caller's request.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	doc := s.opt.Config.Document()
+	if doc == nil || !s.opt.Config.Current() {
+		s.refuseEarly(w, r, doc == nil)
+		return
+	}
+	c, e := parse(r, doc.Doc, doc.Offset, start)
+	a := newAnswer(w, c.id)
+	if e == nil {
+		e = s.serve(r.Context(), c, a)
+	}
+	s.record(c, a, e, time.Since(start))
+	if e != nil {
+		a.fail(e)
+	}
+}
+
+// refuseEarly answers when the entry has no document, or none that it may trust.
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, none bool) {
+	code := api.NotCurrent
+	if none {
+		code = api.NotReady
+	}
+	newAnswer(w, requestID(r)).fail(api.NewError(code, ""))
+}
+
+// serve runs the call within its deadline. The error is the caller's final answer.
+func (s *Server) serve(ctx context.Context, c *call, a *answer) *api.Error {
+	ctx, stop := context.WithDeadline(ctx, c.deadline)
+	defer stop()
+	ctx, span := startRequest(ctx, c)
+	defer span.End()
+	if !c.route.Idempotent {
+		return s.serveOnce(ctx, c, a)
+	}
+	if e := s.serveIdempotent(ctx, c, a); e != nil {
+		return e
+	}
+	if a.complete() != nil {
+		return api.NewError(api.Cancelled, "caller went away")
+	}
+	return nil
+}
+
+// serveOnce runs a call that may not repeat.
+func (s *Server) serveOnce(_ context.Context, _ *call, _ *answer) *api.Error {
+	return api.NewError(api.LogUnavailable, "claims are not wired")
+}
+
+// record writes the log line and the metrics of a request.
+func (s *Server) record(c *call, a *answer, e *api.Error, took time.Duration) {
+	code, ran, detail := api.OK, api.DidRun, ""
+	if e != nil {
+		code, ran, detail = e.Code, e.Ran, e.Detail
+		s.refusals.Add(c.id, e)
+	}
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	s.opt.Metrics.Request(name, code, took)
+	s.opt.Log.Info("request",
+		"request", c.id, "route", name, "organisation", c.organisation,
+		"code", int(code), "ran", ran, "attempts", a.attempts, "side", a.servedBy,
+		"took", took, "detail", detail)
+}
+
+// asError is errors.As with a pointer of the wanted type.
+func asError[T error](err error, target *T) bool {
+	return err != nil && errors.As(err, target)
+}
+
+func isEventStream(headers []wire.Header) bool {
+	for _, h := range headers {
+		if http.CanonicalHeaderKey(h.Name) == "Content-Type" {
+			return strings.HasPrefix(h.Value, "text/event-stream")
+		}
+	}
+	return false
+}
--- a/entry/link.go
+++ b/entry/link.go
@@ -236,3 +236,25 @@
 	c.StepMillis = l.report.StepMillis
 	c.CacheUsed = l.report.CacheUsed
 }
+
+// await waits until the link is connected again after old, at most resumeWait.
+func (l *link) await(ctx context.Context, old *wire.Conn) bool {
+	deadline := time.After(resumeWait)
+	ticker := time.NewTicker(resumePoll)
+	defer ticker.Stop()
+	for {
+		l.mu.Lock()
+		back := l.conn != nil && l.conn != old
+		l.mu.Unlock()
+		if back {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-deadline:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"marjorampitch/api"
+	"marjorampitch/route"
+	"marjorampitch/wire"
+)
+
+// maxAttempts bounds the attempts for one request.
+const maxAttempts = 4
+
+// run is the progress of one request that may be repeated.
+type run struct {
+	server *Server
+	call   *call
+	answer *answer
+	parts  *assembler
+	number uint32          // of the current attempt
+	tried  map[string]bool // backend servers that are not to be picked again
+	ran    api.Ran         // the worst case over all attempts
+	last   *api.Error      // how the last attempt ended
+}
+
+// serveIdempotent makes attempts until one delivers the whole answer or there
+// is no point in another. The error is the caller's final answer.
+func (s *Server) serveIdempotent(ctx context.Context, c *call, a *answer) *api.Error {
+	r := &run{
+		server: s,
+		call:   c,
+		answer: a,
+		parts:  newAssembler(),
+		tried:  make(map[string]bool),
+	}
+	s.countFirst()
+	for r.number < maxAttempts {
+		if r.number > 0 && !r.mayRetry() {
+			break
+		}
+		if r.try(ctx) {
+			return nil
+		}
+		if !r.another(ctx) {
+			break
+		}
+	}
+	return r.final()
+}
+
+// mayRetry takes a retry from the budget; an attempt that was refused before
+// it ran costs the backend servers nothing and is free.
+func (r *run) mayRetry() bool {
+	if r.last.Ran == api.NotRun {
+		return true
+	}
+	return r.server.takeRetry()
+}
+
+// try makes one attempt, resumed as often as its connection is lost and comes
+// back. It reports whether the answer is whole.
+func (r *run) try(ctx context.Context) bool {
+	l, ok := r.server.pick(r.call, r.tried)
+	if !ok {
+		if r.last == nil {
+			r.last = api.NewError(api.NoBackend, r.call.route.Pool)
+		}
+		r.number = maxAttempts
+		return false
+	}
+	r.number++
+	if r.number > 1 {
+		r.parts.restart(r.number)
+		r.answer.discard()
+	}
+	r.answer.servedBy = l.name
+	r.answer.attempts = int(r.number)
+	start := time.Now()
+	ctx, span := startAttempt(ctx, l.name, r.number)
+	out := r.attempt(ctx, l)
+	endAttempt(span, out.err)
+	r.server.feedback(r.call, l.name, out, time.Since(start))
+	if out.err == nil {
+		return true
+	}
+	r.tried[l.name] = true
+	r.last = out.err
+	r.ran = max(r.ran, out.err.Ran)
+	return false
+}
+
+// attempt sends the request to l and follows the answer across lost connections.
+func (r *run) attempt(ctx context.Context, l *link) outcome {
+	req := r.call.request(ctx, r.number, time.Now())
+	for {
+		req.Window = windowBytes
+		x, e := l.open(func(stream uint64) wire.Message {
+			req.Stream = stream
+			return req
+		})
+		if e != nil {
+			return outcome{err: e}
+		}
+		out := follow(ctx, x, r.parts, r.answer)
+		x.close()
+		if !out.lost || !r.parts.resumable() || !l.await(ctx, x.conn) {
+			return out
+		}
+		next := *req
+		r.number++
+		next.Attempt = r.number
+		next.ResumeFrom = r.parts.resume(r.number)
+		next.BudgetMillis = time.Until(r.call.deadline).Milliseconds()
+		req = &next
+	}
+}
+
+// another reports whether a further attempt can help.
+func (r *run) another(ctx context.Context) bool {
+	switch r.last.Code {
+	case api.Cancelled, api.DeadlineExceeded, api.Quarantined, api.BadRequest, api.KeyConflict:
+		return false
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if r.answer.begun() {
+		return r.answer.stream && r.parts.restartable()
+	}
+	return true
+}
+
+// final is the caller's answer when no attempt delivered. "Not run" is said
+// only if it holds for every attempt.
+func (r *run) final() *api.Error {
+	e := *r.last
+	e.Ran = max(e.Ran, r.ran)
+	return &e
+}
+
+// pick chooses a backend server that is not in tried.
+func (s *Server) pick(c *call, tried map[string]bool) (*link, bool) {
+	candidates, links := s.table.candidates(c, tried)
+	req := route.Request{
+		Organisation: c.organisation,
+		Session:      c.session,
+		Prefix:       c.prefix,
+		Priority:     c.priority,
+		Model:        c.model,
+		Budget:       time.Until(c.deadline),
+	}
+	s.pickMu.Lock()
+	defer s.pickMu.Unlock()
+	i, ok := s.picker.Pick(&req, candidates)
+	if !ok {
+		return nil, false
+	}
+	return links[i], true
+}
+
+// feedback tells the picker how an attempt ended.
+func (s *Server) feedback(c *call, name string, out outcome, took time.Duration) {
+	code := api.OK
+	if out.err != nil {
+		code = out.err.Code
+	}
+	s.pickMu.Lock()
+	defer s.pickMu.Unlock()
+	s.picker.Done(route.Feedback{
+		Candidate:  name,
+		Session:    c.session,
+		Code:       code,
+		FirstToken: out.firstChunk,
+		Total:      took,
+	})
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,188 @@
+// Package entry is the stateless front of the system. It parses, admits and
+// routes callers' requests, relays answers and retries. Any entry may serve
+// any caller; what it believes of backend servers lags, and the side
+// processes decide.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/admit"
+	"marjorampitch/api"
+	"marjorampitch/internal/node"
+	"marjorampitch/internal/recent"
+	"marjorampitch/platform"
+	"marjorampitch/route"
+	_ "marjorampitch/route/affinity"   // registers the policy
+	_ "marjorampitch/route/bounded"    // registers the policy
+	_ "marjorampitch/route/leastconn"  // registers the policy
+	_ "marjorampitch/route/random"     // registers the policy
+	_ "marjorampitch/route/roundrobin" // registers the policy
+	"marjorampitch/wire"
+)
+
+// Timing and sizes of an entry.
+const (
+	listInterval      = 500 * time.Millisecond
+	headerReadTimeout = 5 * time.Second
+	bodyReadTimeout   = 15 * time.Second
+	idleTimeout       = 60 * time.Second
+	retryBurst        = 20 // retries that may be made at once
+	defaultPolicy     = "bounded"
+)
+
+// Metrics receives what an entry counts.
+type Metrics interface {
+	Request(route string, code api.Code, took time.Duration)
+	FirstToken(took time.Duration)
+}
+
+// Options of a Server. All fields are needed.
+type Options struct {
+	Hello     wire.Hello // names the process; Role is RoleEntry
+	Config    node.ConfigView
+	Instances platform.InstanceList
+	Log       *log.Logger
+	Metrics   Metrics
+	DrainWait time.Duration // from readiness off until new connections are refused
+}
+
+// Server is an entry. Lock order: pickMu and budgetMu are taken alone.
+type Server struct {
+	opt   Options
+	node  *node.Node
+	table *table
+	http  *http.Server
+
+	refusals recent.Log
+
+	pickMu     sync.Mutex
+	picker     route.Picker
+	pickerName string
+
+	budgetMu sync.Mutex
+	budget   *admit.RetryBudget
+	ratio    float64
+}
+
+// New returns a Server that is not yet serving.
+func New(opt Options) *Server {
+	n := node.New(opt.Hello, opt.Config, nil)
+	s := &Server{
+		opt:    opt,
+		node:   n,
+		table:  newTable(opt.Hello.Instance, n, opt.Log),
+		budget: admit.NewRetryBudget(0, retryBurst),
+	}
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.handle),
+		ReadHeaderTimeout: headerReadTimeout,
+		ReadTimeout:       bodyReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    api.MaxHeaderBytes,
+	}
+	return s
+}
+
+// Serve answers callers on ln and follows the instance list until Shutdown.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.follow(ctx)
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// follow keeps links, picker and retry budget in line with the document and the instance list.
+func (s *Server) follow(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	var instances []platform.Instance
+	for {
+		list, err := s.opt.Instances.Instances(ctx)
+		if err == nil {
+			instances = list
+		}
+		s.apply(ctx, instances)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) apply(ctx context.Context, instances []platform.Instance) {
+	doc := s.opt.Config.Document()
+	if doc == nil {
+		return
+	}
+	s.setPicker(doc.Doc.Routing.Policy)
+	s.setBudget(doc.Doc.Limits.RetryBudget)
+	s.table.update(ctx, doc, instances)
+}
+
+// setPicker replaces the picker when the document names another policy.
+func (s *Server) setPicker(name string) {
+	s.pickMu.Lock()
+	defer s.pickMu.Unlock()
+	if name == s.pickerName && s.picker != nil {
+		return
+	}
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	picker, err := route.New(name, source)
+	if err != nil {
+		s.opt.Log.Error("policy-unknown", "policy", name, "used", defaultPolicy)
+		picker, _ = route.New(defaultPolicy, source)
+	}
+	s.picker = picker
+	s.pickerName = name
+}
+
+func (s *Server) setBudget(ratio float64) {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	if ratio != s.ratio {
+		s.ratio = ratio
+		s.budget = admit.NewRetryBudget(ratio, retryBurst)
+	}
+}
+
+func (s *Server) countFirst() {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	s.budget.First()
+}
+
+func (s *Server) takeRetry() bool {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	return s.budget.Retry()
+}
+
+// Ready reports whether the entry can serve: it is current and not leaving.
+func (s *Server) Ready() bool {
+	return !s.node.Leaving() && s.opt.Config.Document() != nil && s.opt.Config.Current()
+}
+
+// Shutdown turns readiness off, waits until the platform's balancer has had
+// time to see it, then serves what is in flight and returns.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.node.SetLeaving()
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.opt.DrainWait):
+	}
+	return s.http.Shutdown(ctx)
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"marjorampitch/internal/recent"
+	"marjorampitch/route"
+)
+
+// Status is what an entry believes now, for its status page.
+type Status struct {
+	Instance      string           `json:"instance"`
+	DataCentre    string           `json:"data_centre"`
+	Service       string           `json:"service"`
+	Incarnation   string           `json:"incarnation"`
+	ConfigOffset  int64            `json:"config_offset"`
+	ConfigVersion uint64           `json:"config_version"`
+	Current       bool             `json:"current"`
+	Leaving       bool             `json:"leaving"`
+	Policy        string           `json:"policy"`
+	Sides         []SideStatus     `json:"sides"`
+	Refusals      []recent.Refusal `json:"refusals"`
+}
+
+// SideStatus is what an entry believes of one backend server.
+type SideStatus struct {
+	Name       string  `json:"name"`
+	Address    string  `json:"address"`
+	DataCentre string  `json:"data_centre"`
+	Connected  bool    `json:"connected"`
+	Leaving    bool    `json:"leaving"`
+	Cold       bool    `json:"cold"`
+	Limit      int     `json:"limit"`
+	Running    int     `json:"running"`
+	Own        int     `json:"own"` // requests of this entry in flight
+	StepMillis float64 `json:"step_millis"`
+	AgeMillis  int64   `json:"report_age_millis"` // -1 before the first report
+}
+
+// Status returns what the entry believes now.
+func (s *Server) Status() Status {
+	hello := s.opt.Hello
+	st := Status{
+		Instance:     hello.Instance,
+		DataCentre:   hello.DataCentre,
+		Service:      hello.Service,
+		Incarnation:  hello.Incarnation,
+		ConfigOffset: -1,
+		Current:      s.opt.Config.Current(),
+		Leaving:      s.node.Leaving(),
+		Policy:       s.policy(),
+		Sides:        s.table.status(),
+		Refusals:     s.refusals.Last(),
+	}
+	if doc := s.opt.Config.Document(); doc != nil {
+		st.ConfigOffset = doc.Offset
+		st.ConfigVersion = doc.Version
+	}
+	return st
+}
+
+func (s *Server) policy() string {
+	s.pickMu.Lock()
+	defer s.pickMu.Unlock()
+	return s.pickerName
+}
+
+// status describes every link, in order of name.
+func (t *table) status() []SideStatus {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]SideStatus, 0, len(t.links))
+	for _, l := range t.links {
+		out = append(out, l.status(now, t.leaving[l.name]))
+	}
+	slices.SortFunc(out, func(a, b SideStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (l *link) status(now time.Time, leaving bool) SideStatus {
+	var c route.Candidate
+	l.fill(&c, now)
+	return SideStatus{
+		Name:       l.name,
+		Address:    l.address,
+		DataCentre: l.dataCentre,
+		Connected:  !c.Excluded,
+		Leaving:    leaving || c.Leaving,
+		Cold:       c.Cold,
+		Limit:      c.Limit,
+		Running:    c.Running,
+		Own:        c.Own,
+		StepMillis: c.StepMillis,
+		AgeMillis:  max(-1, c.Age.Milliseconds()),
+	}
+}
+
+// WriteText writes the status as plain text.
+func (st Status) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "entry\t%s\t%s\t%s\n", st.Instance, st.DataCentre, st.Service)
+	fmt.Fprintf(tw, "config\tversion %d\toffset %d\tcurrent %t\n", st.ConfigVersion, st.ConfigOffset, st.Current)
+	fmt.Fprintf(tw, "policy\t%s\tleaving %t\n\n", st.Policy, st.Leaving)
+	fmt.Fprintln(tw, "SIDE\tDATA CENTRE\tCONNECTED\tLEAVING\tCOLD\tLIMIT\tRUNNING\tOWN\tSTEP MS\tREPORT AGE MS")
+	for _, s := range st.Sides {
+		fmt.Fprintf(tw, "%s\t%s\t%t\t%t\t%t\t%d\t%d\t%d\t%.1f\t%d\n", s.Name, s.DataCentre,
+			s.Connected, s.Leaving, s.Cold, s.Limit, s.Running, s.Own, s.StepMillis, s.AgeMillis)
+	}
+	fmt.Fprintln(tw, "\nREFUSED AT\tREQUEST\tCODE\tNAME\tDETAIL")
+	for _, r := range st.Refusals {
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%s\t%s\n", r.At.Format(time.RFC3339Nano), r.RequestID, r.Code, r.Name, r.Detail)
+	}
+	return tw.Flush()
+}
