Routing and admission: pickers, subsets, cold-start limit, fair shares, quarantine

Cause: the entry and the side need their decisions as pure state machines. Change: package route (Picker, Table, Subset, Trial, five policies) and package admit (ColdStart, FairShare, RetryBudget, Quarantine). wire.Heartbeat.Suspects now carries wire.Suspect (fingerprint, crash, alone, cleared): a list of bare fingerprints cannot be merged twice without counting a crash twice.

--- /dev/null
+++ b/admit/coldstart.go
@@ -0,0 +1,305 @@
+package admit
+
+import (
+	"time"
+
+	"marjorampitch/api"
+	"marjorampitch/platform"
+)
+
+// Settings of the growth of a ColdStart limit.
+const (
+	// growth is the factor by which the limit grows after each proof.
+	growth = 1.5
+	// slowStep is the ratio of a step's time to the fastest seen beyond which the limit does not grow.
+	slowStep = 3.0
+	// stalledStep is the ratio beyond which the limit is halved at once.
+	stalledStep = 8.0
+	// coldRetry is the Retry-After of a refusal by the limit.
+	coldRetry = 500 * time.Millisecond
+)
+
+// ColdConfig sets a ColdStart.
+type ColdConfig struct {
+	Cold     int           // requests at once that the cold backend server bears
+	Warm     int           // requests at once when warm
+	Reports  bool          // the backend server reports its load; false for plain services
+	FreshFor time.Duration // evidence older than this no longer shows that the server is warm
+	Settle   time.Duration // longest time that an abandoned request takes to reach the server, or to show in no report
+}
+
+// Ticket identifies an admitted request.
+type Ticket uint64
+
+// ColdStart limits the requests that a side process has in flight at its
+// backend server. It is cold until shown otherwise: after a restart of the
+// side, a crash, a new incarnation, a report of cold, or a gap in reports.
+// While cold, requests in flight are at most ColdConfig.Cold, with those that
+// an earlier run of the side left behind counted in.
+//
+// Times are on the side's monotonic clock, which must not go backwards. It is
+// not safe for concurrent use.
+type ColdStart struct {
+	cfg         ColdConfig
+	limit       int
+	incarnation string
+	cold        bool
+	evidence    time.Duration // when the last report was true
+	known       bool          // a report (or Settle, without reports) showed what earlier runs left behind
+	knowFrom    time.Duration // evidence before this says nothing about what was left behind
+	chilled     time.Duration // reports true before this cannot lift the cold
+	foreign     int           // in flight at the server and not ours: left behind, or abandoned
+	count       count         // the server's count that waits to be used
+	running     map[Ticket]flight
+	next        Ticket
+	alone       bool // a request is running alone
+	proofs      int  // requests completed at this limit
+	reached     bool // the limit was reached since it last grew
+	fastest     float64
+}
+
+type flight struct {
+	begun bool          // the server has answered something for it
+	since time.Duration // when it first did
+}
+
+// count is the server's own count of its requests. It is used only at due,
+// when the ends of those that were over by then have surely reached the side.
+type count struct {
+	pending  bool
+	evidence time.Duration
+	due      time.Duration
+	total    int
+}
+
+// NewColdStart returns a cold limiter of a side process that starts at now.
+func NewColdStart(cfg ColdConfig, now time.Duration) *ColdStart {
+	return &ColdStart{
+		cfg:      cfg,
+		limit:    cfg.Cold,
+		cold:     true,
+		evidence: now - cfg.FreshFor - 1,
+		knowFrom: now + cfg.Settle,
+		running:  map[Ticket]flight{},
+	}
+}
+
+// Admit asks for one request to be sent to the backend server. alone asks for
+// a run with nothing else in flight. Refusals (ColdLimit, Overloaded) did not
+// run and are to be sent with Limit.
+func (c *ColdStart) Admit(now time.Duration, alone bool) (Ticket, *api.Error) {
+	c.age(now)
+	if !c.settled(now) {
+		return 0, c.refuse("waiting for the server's report after a start")
+	}
+	inFlight := c.InFlight()
+	switch {
+	case c.alone && inFlight > 0:
+		return 0, c.refuse("a suspected request is running alone")
+	case alone && inFlight > 0:
+		return 0, c.refuse("other requests are in flight")
+	case inFlight >= c.limit:
+		c.reached = true
+		return 0, c.refuse("at the limit")
+	}
+	c.next++
+	c.running[c.next] = flight{}
+	c.alone = alone
+	if inFlight+1 >= c.limit {
+		c.reached = true
+	}
+	return c.next, nil
+}
+
+func (c *ColdStart) refuse(detail string) *api.Error {
+	code := api.Overloaded
+	if c.cold || c.limit < c.cfg.Warm {
+		code = api.ColdLimit
+	}
+	err := api.NewError(code, detail)
+	err.RetryAfter = coldRetry
+	return err
+}
+
+// settled reports whether what earlier runs left behind is known.
+func (c *ColdStart) settled(now time.Duration) bool {
+	if !c.cfg.Reports && now >= c.knowFrom {
+		c.known = true
+		c.foreign = 0
+	}
+	return c.known
+}
+
+// Began says that the backend server has answered something for the request.
+func (c *ColdStart) Began(t Ticket, now time.Duration) {
+	f, ok := c.running[t]
+	if ok && !f.begun {
+		c.running[t] = flight{begun: true, since: now}
+	}
+}
+
+// Finish says that the backend server ended the request, or never received it.
+// whole is false for a failed answer; it counts as no proof of health.
+func (c *ColdStart) Finish(t Ticket, now time.Duration, whole bool) {
+	if !c.drop(t) {
+		return
+	}
+	c.alone = false
+	if !whole {
+		return
+	}
+	c.proofs++
+	c.grow(now)
+}
+
+// Abandon says that the side gave the request up while the backend server may
+// still be running it. It counts until a later report shows it gone.
+func (c *ColdStart) Abandon(t Ticket, now time.Duration) {
+	if !c.drop(t) {
+		return
+	}
+	c.foreign++
+	c.knowFrom = now + c.cfg.Settle
+}
+
+func (c *ColdStart) drop(t Ticket) bool {
+	if _, ok := c.running[t]; !ok {
+		return false
+	}
+	delete(c.running, t)
+	return true
+}
+
+// Observe takes the backend server's report. asked is when the side sent the
+// question that r answers, so the report was true at asked-r.AgeMillis or later.
+func (c *ColdStart) Observe(now, asked time.Duration, r *platform.EngineReport) {
+	c.age(now)
+	evidence := asked - time.Duration(r.AgeMillis)*time.Millisecond
+	if r.Incarnation != c.incarnation {
+		c.chill(now)
+	}
+	if evidence < c.evidence {
+		return
+	}
+	if r.Incarnation != c.incarnation {
+		c.incarnation = r.Incarnation
+		c.fastest = 0
+		c.chilled = evidence
+	}
+	c.evidence = evidence
+	if r.Cold || now-evidence > c.cfg.FreshFor {
+		c.chill(evidence)
+	}
+	c.cold = evidence < c.chilled || r.Cold || now-evidence > c.cfg.FreshFor
+	c.learn(now, evidence, r.Running+r.Waiting)
+	c.judge(r.StepMillis, r.Running)
+}
+
+// learn takes the server's own count, and uses it at once when no request of
+// ours can be in it, else after Settle.
+func (c *ColdStart) learn(now, evidence time.Duration, total int) {
+	if c.count.pending && now >= c.count.due {
+		c.settle(c.count.evidence, c.count.total)
+		c.count.pending = false
+	}
+	if len(c.running) == 0 {
+		c.settle(evidence, total)
+		return
+	}
+	if !c.count.pending && c.foreign > 0 {
+		c.count = count{pending: true, evidence: evidence, due: now + c.cfg.Settle, total: total}
+	}
+}
+
+// settle learns from the server's count how many requests are not ours. Ours
+// that had begun before the count, and whose end has not come until now, are
+// in it.
+func (c *ColdStart) settle(evidence time.Duration, total int) {
+	if evidence < c.knowFrom {
+		return
+	}
+	ours := 0
+	for _, f := range c.running {
+		if f.begun && f.since <= evidence {
+			ours++
+		}
+	}
+	left := max(0, total-ours)
+	if !c.known || left < c.foreign {
+		c.foreign = left
+	}
+	c.known = true
+}
+
+// judge shrinks the limit when steps take far longer than they should.
+func (c *ColdStart) judge(step float64, running int) {
+	if step <= 0 || running == 0 {
+		return
+	}
+	if c.fastest == 0 || step < c.fastest {
+		c.fastest = step
+	}
+	if step > stalledStep*c.fastest {
+		c.limit = max(c.cfg.Cold, c.limit/2)
+	}
+	if step > slowStep*c.fastest {
+		c.proofs = 0
+	}
+}
+
+// Crash says that the backend server went down: its connections broke. What
+// was in flight is to be ended with Finish.
+func (c *ColdStart) Crash(now time.Duration) {
+	c.chill(now)
+}
+
+// chill makes the limiter cold at once. Reports that were true before at
+// cannot lift it.
+func (c *ColdStart) chill(at time.Duration) {
+	c.cold = true
+	c.chilled = max(c.chilled, at)
+	c.limit = min(c.cfg.Cold, c.cfg.Warm)
+	c.proofs = 0
+	c.reached = false
+}
+
+// age turns the limiter cold when the last evidence has become too old.
+func (c *ColdStart) age(now time.Duration) {
+	if c.cfg.Reports && now-c.evidence > c.cfg.FreshFor {
+		c.chill(c.evidence)
+	}
+}
+
+// grow raises the limit when as many requests were completed under it as it
+// admits at once, and it was reached.
+func (c *ColdStart) grow(now time.Duration) {
+	c.age(now)
+	if c.cfg.Reports && c.cold {
+		return
+	}
+	if !c.reached || c.proofs < c.limit || c.limit >= c.cfg.Warm {
+		return
+	}
+	c.limit = min(c.cfg.Warm, max(c.limit+1, int(float64(c.limit)*growth)))
+	c.cold = c.cold && c.limit < c.cfg.Warm
+	c.proofs = 0
+	c.reached = false
+}
+
+// Limit returns the number of requests that may be in flight now.
+func (c *ColdStart) Limit(now time.Duration) int {
+	c.age(now)
+	return c.limit
+}
+
+// Cold reports whether the backend server counts as cold now.
+func (c *ColdStart) Cold(now time.Duration) bool {
+	c.age(now)
+	return c.cold
+}
+
+// InFlight returns the requests that count against the limit.
+func (c *ColdStart) InFlight() int { return len(c.running) + c.foreign }
+
+// Incarnation returns the incarnation that the last report named.
+func (c *ColdStart) Incarnation() string { return c.incarnation }
--- /dev/null
+++ b/admit/example_test.go
@@ -0,0 +1,47 @@
+package admit_test
+
+import (
+	"fmt"
+	"time"
+
+	"marjorampitch/admit"
+	"marjorampitch/platform"
+)
+
+func ExampleColdStart() {
+	cold := admit.NewColdStart(admit.ColdConfig{Cold: 2, Warm: 16, Reports: true, FreshFor: time.Second}, 0)
+	_, err := cold.Admit(0, false)
+	fmt.Println(err)
+
+	now := 10 * time.Millisecond
+	cold.Observe(now, now, &platform.EngineReport{Incarnation: "a", Cold: true})
+	for range 3 {
+		_, err = cold.Admit(now, false)
+	}
+	fmt.Println(err, cold.Limit(now))
+	// Output:
+	// 205 cold-limit: waiting for the server's report after a start
+	// 205 cold-limit: at the limit 2
+}
+
+func ExampleRetryBudget() {
+	budget := admit.NewRetryBudget(0.1, 1)
+	fmt.Println(budget.Retry(), budget.Retry())
+	for range 10 {
+		budget.First()
+	}
+	fmt.Println(budget.Retry())
+	// Output:
+	// true false
+	// true
+}
+
+func ExampleQuarantine() {
+	side, entry := admit.NewQuarantine(2), admit.NewQuarantine(2)
+	side.Crash(1, []uint64{7, 8}, false, 0)
+	side.Crash(2, []uint64{7, 9}, false, 0)
+	news, _ := side.Changes(0)
+	entry.Merge(news, 0)
+	fmt.Println(entry.Judge(7, 0) == admit.RunAlone, entry.Judge(8, 0) == admit.Run)
+	// Output: true true
+}
--- /dev/null
+++ b/route/policies/policies.go
@@ -0,0 +1,11 @@
+// Package policies registers all routing policies of the project. Import it
+// for its side effect.
+package policies
+
+import (
+	_ "marjorampitch/route/affinity"   // registers "affinity"
+	_ "marjorampitch/route/bounded"    // registers "bounded"
+	_ "marjorampitch/route/leastconn"  // registers "leastconn"
+	_ "marjorampitch/route/random"     // registers "random"
+	_ "marjorampitch/route/roundrobin" // registers "roundrobin"
+)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -39,13 +39,22 @@
 // Freshness without clocks: the receiver knows when it sent Echo, so the
 // sender's proof is no older than ProofAgeMillis plus the time since then.
 type Heartbeat struct {
-	Seq            uint64   `msg:"seq"`
-	Echo           uint64   `msg:"echo"`    // highest Seq received from the peer; 0 for none
-	ConfigOffset   int64    `msg:"cfg"`     // offset of the document in force
-	ProofAgeMillis int64    `msg:"proof"`   // age of the sender's proof that it is current; -1 for none
-	LogDown        bool     `msg:"logdown"` // the sender cannot read the log now
-	Leaving        bool     `msg:"leaving"` // the sender takes no new work
-	Suspects       []uint64 `msg:"sus"`     // fingerprints of requests seen in flight at a crash
+	Seq            uint64    `msg:"seq"`
+	Echo           uint64    `msg:"echo"`    // highest Seq received from the peer; 0 for none
+	ConfigOffset   int64     `msg:"cfg"`     // offset of the document in force
+	ProofAgeMillis int64     `msg:"proof"`   // age of the sender's proof that it is current; -1 for none
+	LogDown        bool      `msg:"logdown"` // the sender cannot read the log now
+	Leaving        bool      `msg:"leaving"` // the sender takes no new work
+	Suspects       []Suspect `msg:"sus"`     // news about requests seen in flight at a crash
+}
+
+// Suspect is one piece of evidence about a request that may crash backend
+// servers. Receivers keep the union of all they hear.
+type Suspect struct {
+	Fingerprint uint64 `msg:"fp"`
+	Crash       uint64 `msg:"c"`     // identifies one crash of one backend server
+	Alone       bool   `msg:"alone"` // the request was alone in flight in a trial
+	Cleared     bool   `msg:"clr"`   // the request has since run whole; the crash no longer counts
 }
 
 // Config carries a document to a peer whose ConfigOffset is lower.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -1729,10 +1729,10 @@
 			if cap(z.Suspects) >= int(zb0002) {
 				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
-				z.Suspects = make([]uint64, zb0002)
+				z.Suspects = make([]Suspect, zb0002)
 			}
 			for za0001 := range z.Suspects {
-				z.Suspects[za0001], err = dc.ReadUint64()
+				err = z.Suspects[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Suspects", za0001)
 					return
@@ -1823,7 +1823,7 @@
 		return
 	}
 	for za0001 := range z.Suspects {
-		err = en.WriteUint64(z.Suspects[za0001])
+		err = z.Suspects[za0001].EncodeMsg(en)
 		if err != nil {
 			err = msgp.WrapError(err, "Suspects", za0001)
 			return
@@ -1858,7 +1858,11 @@
 	o = append(o, 0xa3, 0x73, 0x75, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
 	for za0001 := range z.Suspects {
-		o = msgp.AppendUint64(o, z.Suspects[za0001])
+		o, err = z.Suspects[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0001)
+			return
+		}
 	}
 	return
 }
@@ -1935,10 +1939,10 @@
 			if cap(z.Suspects) >= int(zb0002) {
 				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
-				z.Suspects = make([]uint64, zb0002)
+				z.Suspects = make([]Suspect, zb0002)
 			}
 			for za0001 := range z.Suspects {
-				z.Suspects[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				bts, err = z.Suspects[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Suspects", za0001)
 					return
@@ -1958,7 +1962,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 5 + msgp.Uint64Size + 4 + msgp.Int64Size + 6 + msgp.Int64Size + 8 + msgp.BoolSize + 8 + msgp.BoolSize + 4 + msgp.ArrayHeaderSize + (len(z.Suspects) * (msgp.Uint64Size))
+	s = 1 + 4 + msgp.Uint64Size + 5 + msgp.Uint64Size + 4 + msgp.Int64Size + 6 + msgp.Int64Size + 8 + msgp.BoolSize + 8 + msgp.BoolSize + 4 + msgp.ArrayHeaderSize
+	for za0001 := range z.Suspects {
+		s += z.Suspects[za0001].Msgsize()
+	}
 	return
 }
 
@@ -5406,3 +5413,189 @@
 	s = 1 + 2 + msgp.Uint64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "fp":
+			z.Fingerprint, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		case "c":
+			z.Crash, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Crash")
+				return
+			}
+		case "alone":
+			z.Alone, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
+		case "clr":
+			z.Cleared, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Cleared")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Suspect) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "fp"
+	err = en.Append(0x84, 0xa2, 0x66, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Fingerprint)
+	if err != nil {
+		err = msgp.WrapError(err, "Fingerprint")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Crash)
+	if err != nil {
+		err = msgp.WrapError(err, "Crash")
+		return
+	}
+	// write "alone"
+	err = en.Append(0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Alone)
+	if err != nil {
+		err = msgp.WrapError(err, "Alone")
+		return
+	}
+	// write "clr"
+	err = en.Append(0xa3, 0x63, 0x6c, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Cleared)
+	if err != nil {
+		err = msgp.WrapError(err, "Cleared")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "fp"
+	o = append(o, 0x84, 0xa2, 0x66, 0x70)
+	o = msgp.AppendUint64(o, z.Fingerprint)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Crash)
+	// string "alone"
+	o = append(o, 0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendBool(o, z.Alone)
+	// string "clr"
+	o = append(o, 0xa3, 0x63, 0x6c, 0x72)
+	o = msgp.AppendBool(o, z.Cleared)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "fp":
+			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		case "c":
+			z.Crash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crash")
+				return
+			}
+		case "alone":
+			z.Alone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
+		case "clr":
+			z.Cleared, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cleared")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Suspect) Msgsize() (s int) {
+	s = 1 + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 6 + msgp.BoolSize + 4 + msgp.BoolSize
+	return
+}
