--- /dev/null
+++ b/cmd/measure/placement.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"marjorampitch/placement"
+	"marjorampitch/placement/fullrepack"
+	"marjorampitch/placement/packed"
+	"marjorampitch/placement/placementtest"
+	"marjorampitch/placement/speedblind"
+	"marjorampitch/placement/static"
+)
+
+// Bounds of the placement comparison.
+const (
+	placementWorkers = 3
+	placementSeed    = 20261203
+	placementLayers  = 2
+)
+
+func init() { register("placement", measurePlacement) }
+
+// placementLoads are the loads that every policy meets at 64 ranks and 256 experts.
+func placementLoads() []placementtest.Load {
+	const day = 24 * time.Hour
+	slow := 2 * time.Hour
+	return []placementtest.Load{
+		{Name: "drift-zipf0.6", Zipf: 0.6, Swing: 0.7, Length: day},
+		{Name: "drift-zipf0.9", Zipf: 0.9, Swing: 0.7, Length: day},
+		{Name: "drift-zipf1.2", Zipf: 1.2, Swing: 0.7, Length: day},
+		{Name: "jump-zipf0.9", Zipf: 0.9, Jump: time.Hour, Length: 3 * time.Hour},
+		{Name: "spike-zipf0.9", Zipf: 0.9, Jump: time.Hour, Return: time.Hour + 6*time.Minute, Length: 2 * time.Hour},
+		{Name: "slow1-zipf0.9", Zipf: 0.9, Swing: 0.7, Slow: []float64{0.7}, SlowAt: slow, Length: day / 2},
+		{Name: "slow2-zipf0.9", Zipf: 0.9, Swing: 0.7, Slow: []float64{0.7, 0.8}, SlowAt: slow, Length: day / 2},
+	}
+}
+
+// placementRuns lists every run of the comparison.
+func placementRuns() []placementtest.Run {
+	policies := []string{static.Name, fullrepack.Name, speedblind.Name, packed.Name}
+	shape := placement.Shape{Layers: placementLayers, Ranks: 64, Experts: 256, Slots: 5}
+	var runs []placementtest.Run
+	for _, load := range placementLoads() {
+		for _, policy := range policies {
+			runs = append(runs, placementtest.Run{Shape: shape, Load: load, Policy: policy, Seed: placementSeed})
+		}
+	}
+	drift := placementLoads()[1]
+	drift.Length = 6 * time.Hour
+	for _, size := range [][2]int{{8, 64}, {16, 128}, {32, 256}} {
+		small := placement.Shape{Layers: placementLayers, Ranks: size[0], Experts: size[1], Slots: size[1]/size[0] + 1}
+		for _, policy := range policies {
+			runs = append(runs, placementtest.Run{Shape: small, Load: drift, Policy: policy, Seed: placementSeed})
+		}
+	}
+	return runs
+}
+
+// measurePlacement runs the policies side by side and prints in a fixed order.
+func measurePlacement(out io.Writer) error {
+	runs := placementRuns()
+	results := make([]placementtest.Result, len(runs))
+	pool := pond.NewPool(placementWorkers)
+	group := pool.NewGroup()
+	for i, r := range runs {
+		group.SubmitErr(func() error {
+			res, err := r.Do()
+			results[i] = res
+			return err
+		})
+	}
+	err := group.Wait()
+	pool.StopAndWait()
+	if err != nil {
+		return err
+	}
+	for i, r := range runs {
+		printPlacement(out, r, results[i])
+	}
+	return nil
+}
+
+func printPlacement(out io.Writer, r placementtest.Run, res placementtest.Result) {
+	prefix := fmt.Sprintf("measure=placement policy=%s load=%s ranks=%d experts=%d",
+		r.Policy, r.Load.Name, r.Shape.Ranks, r.Shape.Experts)
+	fmt.Fprintf(out, "%s skew_p50=%.3f skew_p95=%.3f skew_p99=%.3f skew_mean=%.3f worst_interval=%.3f above_goal=%s"+
+		" bound_p50=%.3f bound_p95=%.3f bound_p99=%.3f bound_slots=%.3f\n",
+		prefix, res.P50, res.P95, res.P99, res.Mean, res.WorstInterval, res.Above,
+		res.Bound.P50, res.Bound.P95, res.Bound.P99, res.Bound.Slots)
+	fmt.Fprintf(out, "%s bytes_mib=%d switches=%d switches_moving=%d held_steps=%.1f cost_steps=%.1f lost_tokens=%.0f"+
+		" decide_mean=%s decide_max=%s\n",
+		prefix, res.Bytes>>20, res.Switches, res.Moving, res.HeldSteps, res.CostSteps, res.LostTokens,
+		res.Decide.Round(time.Microsecond), res.DecideMax.Round(time.Microsecond))
+}
--- /dev/null
+++ b/placement/fullrepack/fullrepack.go
@@ -0,0 +1,46 @@
+// Package fullrepack registers the policy "fullrepack", which packs every
+// layer from scratch once a period, whatever the moves cost. It is the
+// baseline with the best balance and the most bytes.
+package fullrepack
+
+import (
+	"time"
+
+	"marjorampitch/placement"
+	"marjorampitch/placement/pack"
+)
+
+// Name is the registered name.
+const Name = "fullrepack"
+
+// Period is the time between two repackings.
+const Period = 15 * time.Minute
+
+func init() { placement.Register(Name, func() placement.Policy { return Policy{} }) }
+
+// Policy packs from scratch every Period.
+type Policy struct{}
+
+// Decide implements placement.Policy.
+func (Policy) Decide(in placement.Input) (placement.Decision, error) {
+	if in.LastMove < Period {
+		return placement.Decision{}, nil
+	}
+	next, err := placement.NewMap(in.Map.Shape)
+	if err != nil {
+		return placement.Decision{}, err
+	}
+	d := placement.Decision{Map: next}
+	for l := range in.Map.Shape.Layers {
+		load := in.Loads.Layer(l)
+		d.Before += pack.Open(in.Map, l, load, in.Speeds).Skew()
+		d.After += pack.Full(in.Map, next, l, load, in.Speeds).Skew()
+	}
+	layers := float64(in.Map.Shape.Layers)
+	d.Before /= layers
+	d.After /= layers
+	for _, n := range in.Map.Moves(next) {
+		d.Moves += n
+	}
+	return d, nil
+}
--- /dev/null
+++ b/placement/pack/full.go
@@ -0,0 +1,134 @@
+package pack
+
+import (
+	"sort"
+
+	"marjorampitch/placement"
+)
+
+// Sweeps of Balance.
+const (
+	fullSweeps  = 40 // for a result
+	trialSweeps = 2  // for comparing candidates
+)
+
+// replica is one copy of an expert that is to be placed.
+type replica struct {
+	expert int
+	load   float64
+}
+
+// Full packs layer l of m from scratch into next: spare slots go to the
+// experts with the highest load per replica, then replicas are placed in
+// descending order of load, each on the rank that ends soonest. Experts that
+// stay on a rank keep their slot.
+func Full(m, next *placement.Map, l int, load, speed []float64) *Layer {
+	s := newLayer(m.Shape, load, speed)
+	for _, rep := range replicate(m.Shape, load) {
+		s.place(rep)
+	}
+	s.collectShared()
+	s.Balance(fullSweeps)
+	s.Improve(Limits{Moves: len(s.rank), Target: 1.002, MinGain: 0.0005})
+	old, _ := m.Layer(l)
+	s.align(old)
+	s.Store(next, l)
+	return s
+}
+
+// replicate returns the replicas of a layer, heaviest first.
+func replicate(shape placement.Shape, load []float64) []replica {
+	count := make([]int, len(load))
+	for e := range count {
+		count[e] = 1
+	}
+	for range shape.LayerSlots() - shape.Experts {
+		best := -1
+		for e, n := range count {
+			if n < shape.Ranks && (best < 0 || load[e]*float64(count[best]) > load[best]*float64(n)) {
+				best = e
+			}
+		}
+		if best < 0 {
+			break
+		}
+		count[best]++
+	}
+	var reps []replica
+	for e, n := range count {
+		for range n {
+			reps = append(reps, replica{e, load[e] / float64(n)})
+		}
+	}
+	sort.SliceStable(reps, func(i, j int) bool { return reps[i].load > reps[j].load })
+	return reps
+}
+
+// place puts rep on the rank that ends soonest with it. A replica that fits
+// on no rank is left out; an expert's first replica always fits.
+func (s *Layer) place(rep replica) {
+	best, bestTime, bestSlot := -1, 0.0, 0
+	for r := range s.rank {
+		slot := s.freeSlot(r)
+		if slot < 0 || s.holds(r, rep.expert) {
+			continue
+		}
+		t := (s.rank[r] + rep.load) / s.speed[r]
+		if best < 0 || t < bestTime {
+			best, bestTime, bestSlot = r, t, slot
+		}
+	}
+	if best < 0 {
+		return
+	}
+	s.put(bestSlot, rep.expert)
+	s.add(bestSlot, rep.load)
+}
+
+// freeSlot returns the first empty slot of rank r, or -1.
+func (s *Layer) freeSlot(r int) int {
+	for i := r * s.slots; i < (r+1)*s.slots; i++ {
+		if s.expert[i] == placement.Empty {
+			return i
+		}
+	}
+	return -1
+}
+
+// align reorders the slots within each rank so that experts which the rank
+// already held keep their slot.
+func (s *Layer) align(old []uint16) {
+	for r := range s.rank {
+		for i := r * s.slots; i < (r+1)*s.slots; i++ {
+			if old[i] == placement.Empty || s.expert[i] == old[i] {
+				continue
+			}
+			for j := r * s.slots; j < (r+1)*s.slots; j++ {
+				if s.expert[j] == old[i] {
+					s.swapSlots(i, j)
+				}
+			}
+		}
+	}
+}
+
+// swapSlots exchanges two slots of one rank.
+func (s *Layer) swapSlots(i, j int) {
+	s.expert[i], s.expert[j] = s.expert[j], s.expert[i]
+	s.part[i], s.part[j] = s.part[j], s.part[i]
+	s.rehome(s.expert[i], j, i)
+	s.rehome(s.expert[j], i, j)
+}
+
+// rehome replaces slot from by slot to in the list of expert e.
+func (s *Layer) rehome(e uint16, from, to int) {
+	if e == placement.Empty {
+		return
+	}
+	for k, slot := range s.homes[e] {
+		if slot == from {
+			s.homes[e][k] = to
+			return
+		}
+	}
+}
--- /dev/null
+++ b/placement/pack/improve.go
@@ -0,0 +1,195 @@
+package pack
+
+import (
+	"sort"
+
+	"marjorampitch/placement"
+)
+
+// Limits bound one call of Improve.
+type Limits struct {
+	Moves   int     // expert copies at most
+	Target  float64 // stop at this skew
+	MinGain float64 // least reduction of the skew that is worth one copy
+}
+
+// Width of the search for one step.
+const (
+	coldRanks = 6 // coldest ranks tried as targets
+)
+
+// change is one step of Improve: expert e of slot from gets a replica in slot
+// to. The expert there loses this replica; when it has no other, it takes the
+// slot from instead and the two change places.
+type change struct {
+	from, to int
+	swap     bool
+}
+
+func (c change) moves() int {
+	if c.swap {
+		return 2
+	}
+	return 1
+}
+
+// Improve changes the placement step by step, each time by the change that
+// lowers the skew most per copy, and returns the number of copies.
+func (s *Layer) Improve(lim Limits) int {
+	used := 0
+	skew := s.Skew()
+	for used < lim.Moves && skew > lim.Target {
+		best, found := s.bestChange(skew, lim.MinGain)
+		if !found || used+best.moves() > lim.Moves {
+			break
+		}
+		s.apply(best)
+		s.Balance(fullSweeps / 4)
+		used += best.moves()
+		after := s.Skew()
+		if after >= skew {
+			break
+		}
+		skew = after
+	}
+	return used
+}
+
+// bestChange tries the changes that relieve the hottest rank.
+func (s *Layer) bestChange(skew, minGain float64) (change, bool) {
+	var best change
+	bestGain := minGain
+	found := false
+	hot := s.hottest()
+	saved := s.save()
+	for _, c := range s.changes(hot) {
+		s.apply(c)
+		s.Balance(trialSweeps)
+		gain := (skew - s.Skew()) / float64(c.moves())
+		s.restore(saved)
+		if gain > bestGain {
+			best, bestGain, found = c, gain, true
+		}
+	}
+	return best, found
+}
+
+// changes lists the candidates for relieving rank hot.
+func (s *Layer) changes(hot int) []change {
+	var list []change
+	for _, r := range s.coldest(hot) {
+		for from := hot * s.slots; from < (hot+1)*s.slots; from++ {
+			if s.expert[from] == placement.Empty || s.part[from] == 0 || s.holds(r, int(s.expert[from])) {
+				continue
+			}
+			list = s.targets(list, from, r, hot)
+		}
+	}
+	return list
+}
+
+// targets appends the changes that bring the expert of slot from to rank r.
+func (s *Layer) targets(list []change, from, r, hot int) []change {
+	for to := r * s.slots; to < (r+1)*s.slots; to++ {
+		f := s.expert[to]
+		if f == placement.Empty || len(s.homes[f]) > 1 {
+			list = append(list, change{from, to, false})
+			continue
+		}
+		if !s.holds(hot, int(f)) && s.part[to] < s.part[from] {
+			list = append(list, change{from, to, true})
+		}
+	}
+	return list
+}
+
+// coldest returns the ranks with the shortest times, hot left out.
+func (s *Layer) coldest(hot int) []int {
+	ranks := make([]int, 0, len(s.rank))
+	for r := range s.rank {
+		if r != hot {
+			ranks = append(ranks, r)
+		}
+	}
+	sort.Slice(ranks, func(i, j int) bool {
+		a, b := s.time(ranks[i]), s.time(ranks[j])
+		if a != b {
+			return a < b
+		}
+		return ranks[i] < ranks[j]
+	})
+	return ranks[:min(coldRanks, len(ranks))]
+}
+
+// apply performs c and leaves the shares to Balance.
+func (s *Layer) apply(c change) {
+	e, f := s.expert[c.from], s.expert[c.to]
+	if f != placement.Empty {
+		s.drop(c.to)
+	}
+	if c.swap {
+		s.drop(c.from)
+		s.put(c.from, int(f))
+		s.reset(int(f))
+	} else if f != placement.Empty {
+		s.reset(int(f))
+	}
+	s.put(c.to, int(e))
+	s.reset(int(e))
+	s.collectShared()
+}
+
+// drop removes the replica in slot.
+func (s *Layer) drop(slot int) {
+	e := s.expert[slot]
+	s.add(slot, -s.part[slot])
+	s.part[slot] = 0
+	s.expert[slot] = placement.Empty
+	kept := make([]int, 0, len(s.homes[e]))
+	for _, h := range s.homes[e] {
+		if h != slot {
+			kept = append(kept, h)
+		}
+	}
+	s.homes[e] = kept
+}
+
+// reset spreads expert e over its replicas anew.
+func (s *Layer) reset(e int) {
+	if len(s.homes[e]) > 0 {
+		s.fill(e)
+	}
+}
+
+// saved is a copy of the parts of a Layer that a trial changes.
+type saved struct {
+	expert []uint16
+	part   []float64
+	rank   []float64
+	homes  [][]int
+	shared []int
+}
+
+func (s *Layer) save() saved {
+	homes := make([][]int, len(s.homes))
+	for e, h := range s.homes {
+		homes[e] = append([]int(nil), h...)
+	}
+	return saved{
+		expert: append([]uint16(nil), s.expert...),
+		part:   append([]float64(nil), s.part...),
+		rank:   append([]float64(nil), s.rank...),
+		homes:  homes,
+		shared: append([]int(nil), s.shared...),
+	}
+}
+
+func (s *Layer) restore(v saved) {
+	copy(s.expert, v.expert)
+	copy(s.part, v.part)
+	copy(s.rank, v.rank)
+	for e, h := range v.homes {
+		s.homes[e] = append(s.homes[e][:0], h...)
+	}
+	s.shared = append(s.shared[:0], v.shared...)
+}
