--- a/entry/link.go
+++ b/entry/link.go
@@ -62,7 +62,6 @@
 		c, err := wire.Dial(ctx, l.address, l.node.Hello(), l, l.node)
 		if err == nil {
 			wait = minRedial
-			l.connected(c)
 			select {
 			case <-ctx.Done():
 				c.CloseAfterFlush()
@@ -82,16 +81,17 @@
 	}
 }
 
+// connected makes c usable. That is after its first heartbeat, which brings
+// what the side process knows of requests that crash backend servers.
 func (l *link) connected(c *wire.Conn) {
 	l.log.Info("side-connected", "side", l.name, "incarnation", c.Peer().Incarnation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = c
-	l.leaving = false
 	l.reported = time.Time{}
 }
 
-// disconnected forgets c, also when it failed before connected was called.
+// disconnected forgets c.
 func (l *link) disconnected(c *wire.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,12 +102,11 @@
 
 // Handle implements wire.Handler.
 func (l *link) Handle(c *wire.Conn, m wire.Message) {
+	handled := l.node.Control(c, m)
 	if hb, ok := m.(*wire.Heartbeat); ok {
-		l.mu.Lock()
-		l.leaving = hb.Leaving
-		l.mu.Unlock()
+		l.heartbeat(c, hb)
 	}
-	if l.node.Control(c, m) {
+	if handled {
 		return
 	}
 	switch m := m.(type) {
@@ -128,8 +127,20 @@
 	}
 }
 
+// heartbeat notes the peer's leaving state; the first one makes c usable.
+func (l *link) heartbeat(c *wire.Conn, hb *wire.Heartbeat) {
+	l.mu.Lock()
+	l.leaving = hb.Leaving
+	fresh := l.conn != c
+	l.mu.Unlock()
+	if fresh {
+		l.connected(c)
+	}
+}
+
 // Closed implements wire.Handler.
 func (l *link) Closed(c *wire.Conn, err error) {
+	l.node.Gone(c)
 	l.log.Info("side-gone", "side", l.name, "err", err)
 	l.mu.Lock()
 	if l.conn != c {
--- a/entry/server.go
+++ b/entry/server.go
@@ -75,7 +75,7 @@
 
 // New returns a Server that is not yet serving.
 func New(opt Options) *Server {
-	n := node.New(opt.Hello, opt.Config, nil)
+	n := node.New(opt.Hello, opt.Config)
 	s := &Server{
 		opt:    opt,
 		node:   n,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,23 +27,17 @@
 	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration)
 }
 
-// Suspects supplies and takes the fingerprints of requests that were in flight at a crash.
-type Suspects interface {
-	Suspects() []uint64
-	Suspect(from string, fingerprints []uint64)
-}
-
 // Node is the part of a process that its connections share.
 type Node struct {
 	hello    wire.Hello
 	config   ConfigView
-	suspects Suspects
+	suspects *Suspicion
 	leaving  atomic.Bool
 }
 
-// New returns a Node; hello names the process. suspects may be nil.
-func New(hello wire.Hello, config ConfigView, suspects Suspects) *Node {
-	return &Node{hello: hello, config: config, suspects: suspects}
+// New returns a Node; hello names the process.
+func New(hello wire.Hello, config ConfigView) *Node {
+	return &Node{hello: hello, config: config, suspects: newSuspicion()}
 }
 
 // Hello returns the hello to send on a new connection.
@@ -71,22 +65,26 @@
 }
 
 // Beat implements wire.Beats.
-func (n *Node) Beat(*wire.Conn) wire.Heartbeat {
+func (n *Node) Beat(c *wire.Conn) wire.Heartbeat {
 	hb := wire.Heartbeat{
 		ConfigOffset:   n.offset(),
 		ProofAgeMillis: -1,
 		LogDown:        n.config.LogDown(),
 		Leaving:        n.Leaving(),
+		Suspects:       n.suspects.news(c),
 	}
 	if age, ok := n.config.ProofAge(); ok {
 		hb.ProofAgeMillis = age.Milliseconds()
 	}
-	if n.suspects != nil {
-		hb.Suspects = n.suspects.Suspects()
-	}
 	return hb
 }
 
+// Suspicion returns what the process knows of requests that crash backend servers.
+func (n *Node) Suspicion() *Suspicion { return n.suspects }
+
+// Gone forgets what was kept for a closed connection.
+func (n *Node) Gone(c *wire.Conn) { n.suspects.gone(c) }
+
 // Control handles m if it is a message that every process serves, and
 // reports whether it was.
 func (n *Node) Control(c *wire.Conn, m wire.Message) bool {
@@ -108,9 +106,7 @@
 	if age, ok := c.EchoAge(hb); ok {
 		n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age)
 	}
-	if n.suspects != nil && len(hb.Suspects) > 0 {
-		n.suspects.Suspect(peer.Instance, hb.Suspects)
-	}
+	n.suspects.merge(hb.Suspects)
 	doc := n.config.Document()
 	if doc != nil && hb.ConfigOffset < doc.Offset && peer.Role != wire.RoleOperator {
 		c.Send(&wire.Config{Offset: doc.Offset, Version: doc.Version, Document: doc.Raw})
--- /dev/null
+++ b/internal/node/suspicion.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"marjorampitch/admit"
+	"marjorampitch/wire"
+)
+
+// crashLimit is the number of crashes after which a request runs alone, until
+// a document says otherwise.
+const crashLimit = 2
+
+// Suspicion is the process's quarantine of requests that crash backend
+// servers. It is safe for concurrent use; no other lock is taken under its own.
+type Suspicion struct {
+	start time.Time
+
+	mu         sync.Mutex
+	quarantine *admit.Quarantine
+	cursors    map[*wire.Conn]uint64 // what each peer was told
+}
+
+func newSuspicion() *Suspicion {
+	return &Suspicion{
+		start:      time.Now(),
+		quarantine: admit.NewQuarantine(crashLimit),
+		cursors:    make(map[*wire.Conn]uint64),
+	}
+}
+
+func (s *Suspicion) now() time.Duration { return time.Since(s.start) }
+
+// Judge says how a request with this fingerprint may run now.
+func (s *Suspicion) Judge(fingerprint uint64) admit.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.Judge(fingerprint, s.now())
+}
+
+// Crash records a crash of a backend server; see admit.Quarantine.Crash.
+func (s *Suspicion) Crash(id uint64, fingerprints []uint64, trial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Crash(id, fingerprints, trial, s.now())
+}
+
+// Completed records that a request ran whole.
+func (s *Suspicion) Completed(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Completed(fingerprint, s.now())
+}
+
+// merge takes what a peer knows.
+func (s *Suspicion) merge(evidence []wire.Suspect) {
+	if len(evidence) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Merge(evidence, s.now())
+}
+
+// news returns what the peer behind c was not told yet.
+func (s *Suspicion) news(c *wire.Conn) []wire.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	evidence, next := s.quarantine.Changes(s.cursors[c])
+	s.cursors[c] = next
+	return evidence
+}
+
+func (s *Suspicion) gone(c *wire.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.cursors, c)
+}
--- a/side/server.go
+++ b/side/server.go
@@ -68,7 +68,7 @@
 func New(opt Options) *Server {
 	return &Server{
 		opt:      opt,
-		node:     node.New(opt.Hello, opt.Config, nil),
+		node:     node.New(opt.Hello, opt.Config),
 		backend:  newBackend(opt.Backend),
 		pool:     pond.NewPool(maxAttempts),
 		attempts: make(map[string]*attempt),
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -252,6 +252,13 @@
 	}
 }
 
+// BeatNow sends a heartbeat out of turn, so that what it carries arrives
+// before the messages that are sent after it.
+func (c *Conn) BeatNow(b Beats) {
+	hb := c.nextBeat(b)
+	c.Send(&hb)
+}
+
 func (c *Conn) nextBeat(b Beats) Heartbeat {
 	hb := b.Beat(c)
 	c.mu.Lock()
