--- a/entry/server.go
+++ b/entry/server.go
@@ -21,11 +21,7 @@
 	"marjorampitch/internal/recent"
 	"marjorampitch/platform"
 	"marjorampitch/route"
-	_ "marjorampitch/route/affinity"   // registers the policy
-	_ "marjorampitch/route/bounded"    // registers the policy
-	_ "marjorampitch/route/leastconn"  // registers the policy
-	_ "marjorampitch/route/random"     // registers the policy
-	_ "marjorampitch/route/roundrobin" // registers the policy
+	_ "marjorampitch/route/policies" // registers the policies
 	"marjorampitch/wire"
 )
 
@@ -36,7 +32,6 @@
 	bodyReadTimeout   = 15 * time.Second
 	idleTimeout       = 60 * time.Second
 	retryBurst        = 20 // retries that may be made at once
-	defaultPolicy     = "bounded"
 )
 
 // Metrics receives what an entry counts.
@@ -140,11 +135,10 @@
 	if name == s.pickerName && s.picker != nil {
 		return
 	}
-	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	picker, err := route.New(name, source)
+	picker, err := route.Build(name, rand.Uint64())
 	if err != nil {
-		s.opt.Log.Error("policy-unknown", "policy", name, "used", defaultPolicy)
-		picker, _ = route.New(defaultPolicy, source)
+		s.opt.Log.Error("policy-unknown", "policy", name, "used", route.Default)
+		picker, _ = route.Build(route.Default, rand.Uint64())
 	}
 	s.picker = picker
 	s.pickerName = name
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -22,6 +22,7 @@
 type attempt struct {
 	req    *wire.Request
 	cancel context.CancelCauseFunc
+	ticket *ticket
 
 	mu      sync.Mutex
 	head    *wire.Head
--- a/side/backend.go
+++ b/side/backend.go
@@ -36,9 +36,9 @@
 	once   *http.Client
 }
 
-func newBackend(address string) *backend {
+func newBackend(base string) *backend {
 	return &backend{
-		base:   "http://" + address,
+		base:   strings.TrimSuffix(base, "/"),
 		client: newClient(false),
 		once:   newClient(true),
 	}
@@ -73,7 +73,8 @@
 // run performs the request of a and feeds the answer to it. The returned
 // error is nil when the whole answer was read; its Ran is NotRun only when
 // no byte of the request can have reached the backend server.
-func (b *backend) run(ctx context.Context, a *attempt) *api.Error {
+// answered is called when the head of the answer is there.
+func (b *backend) run(ctx context.Context, a *attempt, answered func()) *api.Error {
 	req, err := b.newRequest(ctx, a.req)
 	if err != nil {
 		return api.NewError(api.BadRequest, err.Error())
@@ -83,6 +84,7 @@
 		return callError(ctx, err)
 	}
 	defer resp.Body.Close()
+	answered()
 	a.setHead(resp.StatusCode, answerHeaders(resp.Header))
 	if isEventStream(resp.Header) {
 		err = copyEvents(ctx, a, resp.Body)
--- a/side/peer.go
+++ b/side/peer.go
@@ -28,6 +28,7 @@
 // Closed implements wire.Handler: answers on c lose their receiver.
 func (s *Server) Closed(c *wire.Conn, err error) {
 	s.opt.Log.Info("peer-gone", "peer", c.Peer().Instance, "err", err)
+	s.node.Gone(c)
 	s.mu.Lock()
 	delete(s.conns, c)
 	var lost []*subscription
@@ -43,19 +44,33 @@
 	}
 }
 
-// abandon gives a request that lost its receiver some time to be resumed.
+// abandon gives a request that lost its receiver some time to be resumed. A
+// call that may not repeat goes on: its outcome belongs to its key.
 func (s *Server) abandon(sn *subscription) {
 	sn.sub.cancel()
-	if !sn.attempt.detach(sn.sub) || !sn.attempt.req.Idempotent {
+	a := sn.attempt
+	if !a.detach(sn.sub) || !a.req.Idempotent {
 		return
 	}
 	time.AfterFunc(resumeGrace, func() {
-		if sn.attempt.orphaned() {
-			sn.attempt.cancel(api.NewError(api.Cancelled, "no receiver"))
+		if a.orphaned() {
+			s.giveUp(a, "no receiver")
 		}
 	})
 }
 
+// giveUp ends an attempt that nobody waits for.
+func (s *Server) giveUp(a *attempt, why string) {
+	e := api.NewError(api.Cancelled, why)
+	l := s.limiter.Load()
+	if l != nil && l.withdraw(a.ticket) {
+		e.Ran = api.NotRun
+		s.drop(a, e)
+		return
+	}
+	a.cancel(e)
+}
+
 func (s *Server) credit(c *wire.Conn, m *wire.Credit) {
 	s.mu.Lock()
 	sn := s.streams[streamKey{c, m.Stream}]
@@ -65,8 +80,7 @@
 	}
 }
 
-// cancel gives up an idempotent request whose caller went away. A call that
-// may not repeat goes on: its outcome belongs to its key.
+// cancel gives up an idempotent request whose caller went away.
 func (s *Server) cancel(c *wire.Conn, m *wire.Cancel) {
 	key := streamKey{c, m.Stream}
 	s.mu.Lock()
@@ -78,7 +92,7 @@
 	}
 	sn.sub.cancel()
 	if sn.attempt.detach(sn.sub) && sn.attempt.req.Idempotent {
-		sn.attempt.cancel(api.NewError(api.Cancelled, "caller went away"))
+		s.giveUp(sn.attempt, "caller went away")
 	}
 }
 
@@ -88,17 +102,50 @@
 		s.resume(c, m)
 		return
 	}
-	if e := s.admit(m); e != nil {
-		s.refuse(c, m.Stream, m.Attempt, e)
+	doc, e := s.allowed()
+	if e == nil && m.BudgetMillis <= 0 {
+		e = api.NewError(api.DeadlineTooShort, "no time left")
+	}
+	alone := false
+	if e == nil {
+		alone, e = s.judge(m)
+	}
+	if e != nil {
+		s.refuse(c, m.Stream, m.Attempt, m.RequestID, e)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
+	a := s.begin(m, alone)
+	s.subscribe(c, m, a)
+	s.limiter.Load().offer(a.ticket, m, weight(doc, m.Organisation))
+}
+
+// begin makes the attempt for m, to be started or refused by the limiter.
+func (s *Server) begin(m *wire.Request, alone bool) *attempt {
+	budget := time.Duration(m.BudgetMillis) * time.Millisecond
+	late := api.NewError(api.DeadlineExceeded, "at the backend server")
+	ctx, stop := context.WithTimeoutCause(context.Background(), budget, late)
+	ctx, cancel := context.WithCancelCause(ctx)
 	a := newAttempt(m, cancel)
+	a.ticket = &ticket{
+		organisation: m.Organisation,
+		fingerprint:  m.Fingerprint,
+		alone:        alone,
+		start: func() {
+			s.pool.Go(func() {
+				defer stop()
+				s.run(ctx, a)
+			})
+		},
+		refuse: func(e *api.Error) {
+			stop()
+			s.refusals.Add(m.RequestID, e)
+			s.drop(a, e)
+		},
+	}
 	s.mu.Lock()
 	s.attempts[m.RequestID] = a
 	s.mu.Unlock()
-	s.subscribe(c, m, a)
-	s.pool.Go(func() { s.run(ctx, a) })
+	return a
 }
 
 // resume continues the answer of an attempt that lost its connection.
@@ -108,7 +155,7 @@
 	s.mu.Unlock()
 	if a == nil || a.req.Fingerprint != m.Fingerprint || !s.subscribe(c, m, a) {
 		e := api.NewError(api.StreamBroken, "nothing to resume")
-		s.refuse(c, m.Stream, m.Attempt, e)
+		s.refuse(c, m.Stream, m.Attempt, m.RequestID, e)
 	}
 }
 
@@ -141,35 +188,3 @@
 	}()
 	return true
 }
-
-// run performs one attempt on a worker of the pool.
-func (s *Server) run(ctx context.Context, a *attempt) {
-	budget := time.Duration(a.req.BudgetMillis) * time.Millisecond
-	ctx, stop := context.WithTimeoutCause(ctx, budget, api.NewError(api.DeadlineExceeded, "at the backend server"))
-	defer stop()
-	start := time.Now()
-	e := s.backend.run(ctx, a)
-	a.finish(e)
-	s.release(a)
-	code := api.OK
-	if e != nil {
-		code = e.Code
-	}
-	took := time.Since(start)
-	s.opt.Metrics.Attempt(code, took)
-	s.opt.Log.Info("attempt", "request", a.req.RequestID, "attempt", a.req.Attempt, "code", int(code), "took", took)
-}
-
-// release gives the slot of a back and forgets a once nobody can resume it.
-func (s *Server) release(a *attempt) {
-	s.mu.Lock()
-	s.running--
-	s.mu.Unlock()
-	time.AfterFunc(resumeGrace, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.attempts[a.req.RequestID] == a {
-			delete(s.attempts, a.req.RequestID)
-		}
-	})
-}
--- a/side/pump.go
+++ b/side/pump.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marjorampitch/api"
 	"marjorampitch/wire"
@@ -41,19 +42,25 @@
 // conclude sends the last message of an attempt.
 func (s *Server) conclude(sub *subscriber, st step) {
 	if st.result != nil {
-		s.refuse(sub.conn, sub.stream, sub.attempt, st.result)
+		s.sendRefusal(sub.conn, sub.stream, sub.attempt, st.result)
 		return
 	}
 	sub.conn.Send(&wire.End{
 		Stream:  sub.stream,
 		Attempt: sub.attempt,
 		Count:   st.count,
-		Report:  s.report(),
+		Report:  s.reportTo(sub.conn),
 	})
 }
 
-// refuse closes an attempt with e.
-func (s *Server) refuse(c *wire.Conn, stream uint64, number uint32, e *api.Error) {
+// refuse closes an attempt that did not begin.
+func (s *Server) refuse(c *wire.Conn, stream uint64, number uint32, id string, e *api.Error) {
+	s.refusals.Add(id, e)
+	s.sendRefusal(c, stream, number, e)
+}
+
+// sendRefusal sends e as the last message of an attempt.
+func (s *Server) sendRefusal(c *wire.Conn, stream uint64, number uint32, e *api.Error) {
 	s.opt.Metrics.Refusal(e.Code)
 	c.Send(&wire.Refusal{
 		Stream:           stream,
@@ -62,6 +69,16 @@
 		Ran:              uint8(e.Ran),
 		RetryAfterMillis: e.RetryAfter.Milliseconds(),
 		Detail:           e.Detail,
-		Report:           s.report(),
+		Report:           s.reportTo(c),
 	})
 }
+
+// reportTo returns a report and notes that c received one.
+func (s *Server) reportTo(c *wire.Conn) wire.Report {
+	s.mu.Lock()
+	if _, open := s.conns[c]; open {
+		s.conns[c] = time.Now()
+	}
+	s.mu.Unlock()
+	return s.report()
+}
--- /dev/null
+++ b/side/run.go
@@ -0,0 +1,47 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"marjorampitch/api"
+)
+
+// run performs one attempt at the backend server, on a worker of the pool.
+func (s *Server) run(ctx context.Context, a *attempt) {
+	start := time.Now()
+	l := s.limiter.Load()
+	e := s.backend.run(ctx, a, func() { l.answered(a.ticket) })
+	if e != nil {
+		s.broke(l, e)
+	} else {
+		s.node.Suspicion().Completed(a.req.Fingerprint)
+	}
+	l.finish(a.ticket, e == nil, abandoned(ctx, e))
+	s.drop(a, e)
+	code := api.OK
+	if e != nil {
+		code = e.Code
+	}
+	took := time.Since(start)
+	s.opt.Metrics.Attempt(code, took)
+	s.opt.Log.Info("attempt", "request", a.req.RequestID, "attempt", a.req.Attempt, "code", int(code), "took", took)
+}
+
+// abandoned reports whether this side gave the attempt up, so that the
+// backend server may still be at it.
+func abandoned(ctx context.Context, e *api.Error) bool {
+	return e != nil && ctx.Err() != nil
+}
+
+// drop closes an attempt and forgets it once nobody can resume it.
+func (s *Server) drop(a *attempt, e *api.Error) {
+	a.finish(e)
+	time.AfterFunc(resumeGrace, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.attempts[a.req.RequestID] == a {
+			delete(s.attempts, a.req.RequestID)
+		}
+	})
+}
--- a/side/server.go
+++ b/side/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -14,6 +15,8 @@
 
 	"marjorampitch/api"
 	"marjorampitch/internal/node"
+	"marjorampitch/internal/recent"
+	"marjorampitch/platform"
 	"marjorampitch/wire"
 )
 
@@ -28,7 +31,7 @@
 // Options of a Server. All fields but Metrics are needed.
 type Options struct {
 	Hello   wire.Hello // names the process; Role is RoleSide
-	Backend string     // IP:port of the backend server
+	Backend string     // base URL of the backend server
 	Config  node.ConfigView
 	Log     *log.Logger
 	Metrics Metrics
@@ -45,13 +48,16 @@
 	opt     Options
 	node    *node.Node
 	backend *backend
+	engine  *platform.EngineClient
 	pool    pond.Pool
+	limiter atomic.Pointer[limiter] // nil until a document names this backend server
+
+	refusals recent.Log
 
 	mu       sync.Mutex
 	attempts map[string]*attempt         // running or kept, by request id
 	streams  map[streamKey]*subscription // by connection and stream
-	conns    map[*wire.Conn]bool
-	running  int // attempts at the backend server
+	conns    map[*wire.Conn]time.Time // when each last received a report
 }
 
 type streamKey struct {
@@ -70,10 +76,11 @@
 		opt:      opt,
 		node:     node.New(opt.Hello, opt.Config),
 		backend:  newBackend(opt.Backend),
+		engine:   platform.NewEngineClient(opt.Backend),
 		pool:     pond.NewPool(maxAttempts),
 		attempts: make(map[string]*attempt),
 		streams:  make(map[streamKey]*subscription),
-		conns:    make(map[*wire.Conn]bool),
+		conns:    make(map[*wire.Conn]time.Time),
 	}
 }
 
@@ -95,7 +102,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.conns[c] = true
+	s.conns[c] = time.Time{}
 	s.mu.Unlock()
 	s.opt.Log.Info("peer-connected", "peer", c.Peer().Instance)
 }
@@ -119,9 +126,12 @@
 }
 
 func (s *Server) idle() bool {
+	if l := s.limiter.Load(); l != nil && l.busy() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.running == 0 && len(s.streams) == 0
+	return len(s.streams) == 0
 }
 
 // closeConns closes the connections a moment after their queues were filled last.
