--- a/config/checker.go
+++ b/config/checker.go
@@ -7,9 +7,9 @@
 	"gopkg.in/ini.v1"
 )
 
-// maxFileBytes bounds a document or settings file, so that a document always
+// MaxFileBytes bounds a document or settings file, so that a document always
 // fits into one frame of the inner protocol.
-const maxFileBytes = 2 << 20
+const MaxFileBytes = 2 << 20
 
 // loadOptions turn off what INI dialects add to "key = value".
 var loadOptions = ini.LoadOptions{
@@ -32,8 +32,8 @@
 // newChecker reads data. The error is a Problems when the text is so
 // malformed that its sections cannot be told apart.
 func newChecker(file string, data []byte) (*checker, error) {
-	if len(data) > maxFileBytes {
-		want := fmt.Sprintf("at most %d bytes", maxFileBytes)
+	if len(data) > MaxFileBytes {
+		want := fmt.Sprintf("at most %d bytes", MaxFileBytes)
 		return nil, Problems{{File: file, Found: fmt.Sprint(len(data)), Want: want}}
 	}
 	index, problems := indexLines(file, data)
--- /dev/null
+++ b/logfold/fold.go
@@ -0,0 +1,144 @@
+package logfold
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/platform"
+)
+
+// ErrFormat says that a change can't be judged by this build, since it does
+// not know the checks of the change's format. The fold stops before it.
+var ErrFormat = eris.New("logfold: format of the next change is unknown to this build")
+
+// ErrGap says that a record is not the next one.
+var ErrGap = eris.New("logfold: record is not the next one")
+
+// Outcome is the judgement of one record of the configuration stream.
+type Outcome struct {
+	Offset   platform.Offset
+	Accepted bool
+	Version  uint64   // current version after the record
+	Base     uint64   // version that the change is based on
+	Code     api.Code // OK, ConfigInvalid or ConfigConflict
+	Detail   string   // why it was refused
+	Author   string
+	Nonce    string
+}
+
+// Fold is the state after the records of the configuration stream up to
+// ReadTo. It is a value; Doc, Text and Packed are never changed in place.
+type Fold struct {
+	Service string
+	ReadTo  platform.Offset // last record judged
+	Version uint64          // number of accepted changes
+	Offset  platform.Offset // accepted record of that version
+	Packed  []byte          // its document, as in the record
+	Text    []byte          // its document
+	Doc     *config.Document
+}
+
+// NewFold returns the state before the first record.
+func NewFold(service string) Fold {
+	return Fold{Service: service, ReadTo: platform.None, Offset: platform.None}
+}
+
+// Apply judges the next record. A change is accepted if its base is the
+// current version and its document passes the checks of its format.
+// Errors: ErrFormat, ErrGap; the state is then unchanged.
+func (f *Fold) Apply(rec platform.Record) (Outcome, error) {
+	if rec.Offset != f.ReadTo+1 {
+		return Outcome{}, ErrGap
+	}
+	var change ConfigChange
+	_, err := change.UnmarshalMsg(rec.Data)
+	out := Outcome{Offset: rec.Offset, Base: change.Base, Author: change.Author, Nonce: change.Nonce}
+	switch {
+	case err != nil:
+		out.Code, out.Detail = api.ConfigInvalid, "the record cannot be decoded"
+	case change.Base != f.Version:
+		out.Code = api.ConfigConflict
+		out.Detail = fmt.Sprintf("based on version %d, current is %d", change.Base, f.Version)
+	case !slices.Contains(config.Formats(), change.Format):
+		return Outcome{}, ErrFormat
+	default:
+		f.judge(rec.Offset, &change, &out)
+	}
+	f.ReadTo = rec.Offset
+	out.Version = f.Version
+	return out, nil
+}
+
+// judge checks the document of a change with the right base, and takes it
+// over when it passes.
+func (f *Fold) judge(at platform.Offset, change *ConfigChange, out *Outcome) {
+	text, doc, err := checkDocument(f.Service, change.Format, change.Document)
+	if err != nil {
+		out.Code, out.Detail = api.ConfigInvalid, err.Error()
+		return
+	}
+	out.Accepted = true
+	f.Version++
+	f.Offset = at
+	f.Packed, f.Text, f.Doc = change.Document, text, doc
+}
+
+// checkDocument unpacks a document and judges it by the checks of format.
+func checkDocument(service string, format int, packed []byte) ([]byte, *config.Document, error) {
+	text, err := Unpack(packed)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, err := config.ParseDocument(service, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	if doc.Service.Format != format {
+		return nil, nil, eris.Errorf("the record says format %d, the document %d", format, doc.Service.Format)
+	}
+	if doc.Service.Name != service {
+		return nil, nil, eris.Errorf("the document is that of service %q", doc.Service.Name)
+	}
+	return text, doc, nil
+}
+
+// Checkpoint returns the record that stands for f. It is nil before the
+// first accepted change.
+func (f *Fold) Checkpoint() *Checkpoint {
+	if f.Doc == nil {
+		return nil
+	}
+	return &Checkpoint{
+		Service:  f.Service,
+		ReadTo:   int64(f.ReadTo),
+		Offset:   int64(f.Offset),
+		Version:  f.Version,
+		Document: f.Packed,
+	}
+}
+
+// foldOf returns the state that a checkpoint or a peer's message stands for.
+// ok is false when this build can't read its document.
+func foldOf(cp *Checkpoint) (Fold, bool) {
+	text, err := Unpack(cp.Document)
+	if err != nil {
+		return Fold{}, false
+	}
+	doc, err := config.ParseDocument(cp.Service, text)
+	if err != nil || doc.Service.Name != cp.Service {
+		return Fold{}, false
+	}
+	return Fold{
+		Service: cp.Service,
+		ReadTo:  platform.Offset(cp.ReadTo),
+		Version: cp.Version,
+		Offset:  platform.Offset(cp.Offset),
+		Packed:  cp.Document,
+		Text:    text,
+		Doc:     doc,
+	}, true
+}
--- /dev/null
+++ b/logfold/follower_checkpoint.go
@@ -0,0 +1,166 @@
+package logfold
+
+import (
+	"time"
+
+	"marjorampitch/platform"
+)
+
+// checkpointStep is what the read of the checkpoint stream under way is for.
+type checkpointStep uint8
+
+const (
+	stepIdle    checkpointStep = iota
+	stepProbing                // learns where the stream ends
+	stepLoading                // reads its last records
+	stepLooking                // precedes a write
+)
+
+// checkpointer is the part of a Follower's state that concerns checkpoints.
+type checkpointer struct {
+	step    checkpointStep
+	tail    platform.Offset // checkpoints to look at when the fold is lost
+	dueAt   time.Duration   // time of the next write
+	endSeen bool            // the end of the configuration stream was read in this run
+	next    platform.Offset // first checkpoint not yet seen; valid when known
+	known   bool
+}
+
+// findCheckpoint looks for a start.
+func (f *Follower) findCheckpoint() []Action {
+	c := &f.checkpoints
+	if c.step != stepIdle {
+		return nil
+	}
+	c.step = stepProbing
+	return []Action{ReadCheckpoints{From: 0, Limit: 1}}
+}
+
+func (f *Follower) checkpointsRead(now time.Duration, e CheckpointsRead) []Action {
+	c := &f.checkpoints
+	step := c.step
+	c.step = stepIdle
+	c.next, c.known = e.Batch.End, true
+	switch step {
+	case stepProbing:
+		if e.Batch.Start >= e.Batch.End {
+			f.lookAgain(now)
+			return nil
+		}
+		c.step = stepLoading
+		tail := max(c.tail, checkpointTail)
+		from := max(e.Batch.Start, e.Batch.End-tail)
+		return []Action{ReadCheckpoints{From: from, Limit: int(tail)}}
+	case stepLoading:
+		f.startFrom(now, e.Batch)
+	case stepLooking:
+		return f.writeUnlessWritten(now, e.Batch)
+	}
+	return nil
+}
+
+func (f *Follower) checkpointsReadFailed(now time.Duration) {
+	f.checkpoints.step = stepIdle
+	f.fresh.ReadFailed()
+	f.retryAt = now + f.jittered(retryAfter)
+}
+
+// startFrom adopts the newest usable checkpoint of a batch.
+func (f *Follower) startFrom(now time.Duration, batch platform.Batch) {
+	var best *Checkpoint
+	for _, rec := range batch.Records {
+		cp := new(Checkpoint)
+		if _, err := cp.UnmarshalMsg(rec.Data); err != nil || !f.usable(cp) {
+			continue
+		}
+		if best == nil || cp.ReadTo > best.ReadTo {
+			best = cp
+		}
+	}
+	if best != nil {
+		if next, ok := foldOf(best); ok && f.adopt(next) {
+			f.checkpoints.tail = checkpointTail
+			return
+		}
+	}
+	f.lookAgain(now)
+}
+
+// lookAgain looks further back next time, and after the furthest look waits
+// longer.
+func (f *Follower) lookAgain(now time.Duration) {
+	c := &f.checkpoints
+	c.tail = max(c.tail, checkpointTail) * 4
+	wait := lostRetryAfter
+	if c.tail > checkpointsMost {
+		c.tail = checkpointTail
+		wait = lostPause
+	}
+	f.retryAt = now + f.jittered(wait)
+}
+
+// usable reports whether the fold may start at a checkpoint: every record
+// after it can still be read.
+func (f *Follower) usable(cp *Checkpoint) bool {
+	if cp.Service != f.opts.Service {
+		return false
+	}
+	return f.faults.anyCheckpoint || platform.Offset(cp.ReadTo)+1 >= f.configStart
+}
+
+// checkpointDue begins to write a checkpoint when it is time: first it looks
+// whether another process has written one.
+func (f *Follower) checkpointDue(now time.Duration) []Action {
+	c := &f.checkpoints
+	due := f.opts.CheckpointEvery > 0 && now >= c.dueAt
+	if !due || c.step != stepIdle || !f.mayWrite() {
+		return nil
+	}
+	if !c.known {
+		return f.writeCheckpoint(now)
+	}
+	c.step = stepLooking
+	return []Action{ReadCheckpoints{From: c.next, Limit: checkpointTail}}
+}
+
+// mayWrite reports whether the fold stands at an end of the stream that this
+// process has read itself.
+func (f *Follower) mayWrite() bool {
+	return f.checkpoints.endSeen && f.readFine && !f.lost && f.fold.Doc != nil
+}
+
+// writeUnlessWritten writes a checkpoint unless the batch holds one that will do.
+func (f *Follower) writeUnlessWritten(now time.Duration, batch platform.Batch) []Action {
+	for _, rec := range batch.Records {
+		var cp Checkpoint
+		if _, err := cp.UnmarshalMsg(rec.Data); err != nil || !f.usable(&cp) {
+			continue
+		}
+		if platform.Offset(cp.Offset) >= f.fold.Offset {
+			f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)
+			return nil
+		}
+	}
+	return f.writeCheckpoint(now)
+}
+
+func (f *Follower) writeCheckpoint(now time.Duration) []Action {
+	if !f.mayWrite() {
+		return nil
+	}
+	data, err := f.fold.Checkpoint().MarshalMsg(nil)
+	if err != nil {
+		return nil
+	}
+	f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)
+	return []Action{WriteCheckpoint{Data: data}}
+}
+
+// checkpointWritten tries again soon when the write failed; a second copy is harmless.
+func (f *Follower) checkpointWritten(now time.Duration, e CheckpointWritten) {
+	if !e.OK {
+		f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)/8
+		return
+	}
+	f.checkpoints.next, f.checkpoints.known = max(f.checkpoints.next, e.Offset+1), true
+}
--- /dev/null
+++ b/logfold/freshness.go
@@ -0,0 +1,144 @@
+package logfold
+
+import (
+	"slices"
+	"time"
+
+	"marjorampitch/config"
+	"marjorampitch/platform"
+)
+
+// DefaultFreshFor applies until a process has its first document.
+const DefaultFreshFor = 5 * time.Second
+
+// Freshness decides whether the document of a process is proved to be
+// current. Times are monotonic, counted from the start of the process.
+//
+// There are two proofs. A log proof says that at some time the whole stream
+// had been read and led to this document; it is the process's own, or a
+// peer's that has the same document or an older one. A quorum proof takes its
+// place while the log service can't be read: peers in more than half of the
+// data centres of the document, the own one counted in, say that they can't
+// read it either and have the same document.
+type Freshness struct {
+	ownCentre  string
+	centres    []string
+	freshFor   time.Duration
+	offset     platform.Offset // of the own document
+	known      platform.Offset // highest of a peer's document
+	logAt      time.Duration   // time of the newest log proof
+	hasLog     bool
+	readFailed bool                     // the last own read failed, or the process never reads
+	votes      map[string]time.Duration // per data centre: when a peer said that the log can't be read
+}
+
+// NewFreshness returns the state of a process in the data centre without a
+// document. With canRead false, the process never reads the log itself.
+func NewFreshness(dataCentre string, canRead bool) *Freshness {
+	return &Freshness{
+		ownCentre:  dataCentre,
+		freshFor:   DefaultFreshFor,
+		offset:     platform.None,
+		known:      platform.None,
+		readFailed: !canRead,
+		votes:      map[string]time.Duration{},
+	}
+}
+
+// Adopt makes doc, accepted at offset, the own document.
+func (f *Freshness) Adopt(doc *config.Document, offset platform.Offset) {
+	f.offset = offset
+	f.freshFor = doc.Limits.FreshFor
+	f.centres = f.centres[:0]
+	for _, dc := range doc.DataCentres {
+		f.centres = append(f.centres, dc.Name)
+	}
+	clear(f.votes)
+}
+
+// ReadEnd records that a read of the log, sent at the time given, showed that
+// the own document is that of the whole stream.
+func (f *Freshness) ReadEnd(sent time.Duration) {
+	f.readFailed = false
+	f.proved(sent)
+}
+
+// ReadFailed records that a read of the log failed.
+func (f *Freshness) ReadFailed() { f.readFailed = true }
+
+// Heard is what one heartbeat of a peer says.
+type Heard struct {
+	DataCentre string
+	Offset     platform.Offset // of the peer's document
+	Proof      time.Duration   // age of the peer's log proof when it sent the heartbeat; negative for none
+	Age        time.Duration   // age of the heartbeat, at most
+	LogDown    bool
+}
+
+// Hear records a heartbeat that arrived now.
+func (f *Freshness) Hear(now time.Duration, h Heard) {
+	f.known = max(f.known, h.Offset)
+	if h.Proof >= 0 && h.Offset <= f.offset {
+		f.proved(now - h.Proof - h.Age)
+	}
+	if h.LogDown && h.Offset == f.offset {
+		f.votes[h.DataCentre] = max(f.votes[h.DataCentre], now-h.Age)
+	}
+}
+
+func (f *Freshness) proved(at time.Duration) {
+	if !f.hasLog || at > f.logAt {
+		f.hasLog, f.logAt = true, at
+	}
+}
+
+// Behind reports whether a peer has a newer document.
+func (f *Freshness) Behind() bool { return f.known > f.offset }
+
+// LogAge returns the age of the newest log proof.
+func (f *Freshness) LogAge(now time.Duration) (age time.Duration, ok bool) {
+	return now - f.logAt, f.hasLog
+}
+
+// LogDown reports whether the process has no way to the log service: its own
+// read failed, and its newest log proof has lost half of its time.
+func (f *Freshness) LogDown(now time.Duration) bool {
+	age, ok := f.LogAge(now)
+	return f.readFailed && (!ok || age > f.freshFor/2)
+}
+
+// Proof returns the time of the newest proof of either kind.
+func (f *Freshness) Proof(now time.Duration) (at time.Duration, ok bool) {
+	quorum, has := f.quorum(now)
+	if has && (!f.hasLog || quorum > f.logAt) {
+		return quorum, true
+	}
+	return f.logAt, f.hasLog
+}
+
+// quorum returns the time of the newest quorum proof.
+func (f *Freshness) quorum(now time.Duration) (at time.Duration, ok bool) {
+	if f.offset == platform.None || f.Behind() || !f.LogDown(now) {
+		return 0, false
+	}
+	var times []time.Duration
+	for _, dc := range f.centres {
+		if dc == f.ownCentre {
+			times = append(times, now)
+		} else if at, heard := f.votes[dc]; heard {
+			times = append(times, at)
+		}
+	}
+	needed := len(f.centres)/2 + 1
+	if len(times) < needed {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[len(times)-needed], true
+}
+
+// Current reports whether the proof is young enough for new work.
+func (f *Freshness) Current(now time.Duration) bool {
+	at, ok := f.Proof(now)
+	return ok && now-at <= f.freshFor
+}
--- /dev/null
+++ b/logfold/record.go
@@ -0,0 +1,25 @@
+package logfold
+
+//go:generate go tool -modfile=../tools/go.mod msgp -file record.go -o record_gen.go -tests=false
+
+// ConfigChange is a record of the configuration stream: one operator's wish
+// to replace the document.
+type ConfigChange struct {
+	Service  string `msg:"svc"`
+	Base     uint64 `msg:"base"` // version that the author changed; 0 before the first
+	Format   int    `msg:"fmt"`  // set of checks that the document is judged by
+	Document []byte `msg:"doc"`  // compressed by Pack
+	Author   string `msg:"by"`
+	Nonce    string `msg:"nonce"` // unique to one publishing; finds the record again
+}
+
+// Checkpoint is a record of the checkpoint stream: the state of the fold
+// after it has judged the record at ReadTo. It is usable as long as every
+// record after ReadTo can still be read.
+type Checkpoint struct {
+	Service  string `msg:"svc"`
+	ReadTo   int64  `msg:"read"`
+	Offset   int64  `msg:"off"` // offset of the accepted record
+	Version  uint64 `msg:"ver"`
+	Document []byte `msg:"doc"` // compressed by Pack
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -30,6 +30,7 @@
 	KindOrderAck
 	KindStatusQuery
 	KindStatus
+	KindConfigQuery
 )
 
 // Bounds of a frame.
@@ -71,6 +72,7 @@
 func (*OrderAck) kind() Kind    { return KindOrderAck }
 func (*StatusQuery) kind() Kind { return KindStatusQuery }
 func (*Status) kind() Kind      { return KindStatus }
+func (*ConfigQuery) kind() Kind { return KindConfigQuery }
 
 // newMessage returns an empty message of the kind, or nil.
 func newMessage(k Kind) Message {
@@ -109,6 +111,8 @@
 		return new(StatusQuery)
 	case KindStatus:
 		return new(Status)
+	case KindConfigQuery:
+		return new(ConfigQuery)
 	}
 	return nil
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -57,11 +57,18 @@
 	Cleared     bool   `msg:"clr"`   // the request has since run whole; the crash no longer counts
 }
 
-// Config carries a document to a peer whose ConfigOffset is lower.
+// ConfigQuery asks a peer, whose heartbeat names a higher ConfigOffset, for
+// its document. Config is the answer when the peer has read further than ReadTo.
+type ConfigQuery struct {
+	ReadTo int64 `msg:"read"` // last record of the configuration stream that the sender has judged; -1 for none
+}
+
+// Config answers a ConfigQuery.
 type Config struct {
 	Offset   int64  `msg:"off"`
 	Version  uint64 `msg:"ver"`
-	Document []byte `msg:"doc"`
+	ReadTo   int64  `msg:"read"` // last record of the configuration stream that led to this document
+	Document []byte `msg:"doc"`  // compressed by logfold.Pack
 }
 
 // Header is one HTTP header field.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -703,6 +703,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "read":
+			z.ReadTo, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ReadTo")
+				return
+			}
 		case "doc":
 			z.Document, err = dc.ReadBytesLimit(z.Document, z2c18a699limitArrays)
 			if err == nil && z.Document == nil {
@@ -725,9 +731,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Config) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "off"
-	err = en.Append(0x83, 0xa3, 0x6f, 0x66, 0x66)
+	err = en.Append(0x84, 0xa3, 0x6f, 0x66, 0x66)
 	if err != nil {
 		return
 	}
@@ -746,6 +752,16 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	// write "read"
+	err = en.Append(0xa4, 0x72, 0x65, 0x61, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ReadTo)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadTo")
+		return
+	}
 	// write "doc"
 	err = en.Append(0xa3, 0x64, 0x6f, 0x63)
 	if err != nil {
@@ -762,13 +778,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Config) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "off"
-	o = append(o, 0x83, 0xa3, 0x6f, 0x66, 0x66)
+	o = append(o, 0x84, 0xa3, 0x6f, 0x66, 0x66)
 	o = msgp.AppendInt64(o, z.Offset)
 	// string "ver"
 	o = append(o, 0xa3, 0x76, 0x65, 0x72)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "read"
+	o = append(o, 0xa4, 0x72, 0x65, 0x61, 0x64)
+	o = msgp.AppendInt64(o, z.ReadTo)
 	// string "doc"
 	o = append(o, 0xa3, 0x64, 0x6f, 0x63)
 	o = msgp.AppendBytes(o, z.Document)
@@ -809,6 +828,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "read":
+			z.ReadTo, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadTo")
+				return
+			}
 		case "doc":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadBytesHeader(bts)
@@ -845,7 +870,118 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Config) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Int64Size + 4 + msgp.Uint64Size + 4 + msgp.BytesPrefixSize + len(z.Document)
+	s = 1 + 4 + msgp.Int64Size + 4 + msgp.Uint64Size + 5 + msgp.Int64Size + 4 + msgp.BytesPrefixSize + len(z.Document)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ConfigQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "read":
+			z.ReadTo, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ReadTo")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ConfigQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "read"
+	err = en.Append(0x81, 0xa4, 0x72, 0x65, 0x61, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ReadTo)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadTo")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ConfigQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "read"
+	o = append(o, 0x81, 0xa4, 0x72, 0x65, 0x61, 0x64)
+	o = msgp.AppendInt64(o, z.ReadTo)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "read":
+			z.ReadTo, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadTo")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ConfigQuery) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Int64Size
 	return
 }
 
