--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"marjorampitch/config"
 	"marjorampitch/platform"
 	"marjorampitch/wire"
 )
@@ -31,7 +30,7 @@
 	askTimeout      = time.Second            // a peer that has not answered is asked no more
 	askDelay        = time.Second            // time that a process whose reads succeed leaves to its own read
 	checkpointTail  = 4                      // checkpoints looked at first
-	checkpointsMost = 64                    // checkpoints looked at last
+	checkpointsMost = 64                     // checkpoints looked at last
 )
 
 // Options of a Follower.
@@ -43,14 +42,6 @@
 	Jitter          func() float64 // from 0 to 1, differs between processes
 }
 
-// InForce is the document in force in a process.
-type InForce struct {
-	Offset  platform.Offset
-	Version uint64
-	Doc     *config.Document
-	Text    []byte
-}
-
 // Follower is the state machine of one process: which document is in force,
 // and whether that is proved to be current. It does no I/O and is used by one
 // goroutine. Times are monotonic, counted from the start of the process.
@@ -78,9 +69,7 @@
 
 // faults take mechanisms out, so that tests can show what they are for.
 type faults struct {
-	anyCheckpoint bool // use checkpoints with records after them cut away
-	lowerOffers   bool // take any document that a peer offers
-	noQuorum      bool // count the peers of one data centre as enough
+	anyCheckpoint bool // use checkpoints after which records were cut away
 }
 
 // NewFollower returns a Follower that has read nothing. Its first Tick sets it going.
@@ -142,7 +131,7 @@
 	if f.enf == nil {
 		return
 	}
-	hb.ConfigOffset = int64(f.enf.Offset)
+	hb.ConfigOffset = f.enf.Offset
 	if age, ok := f.fresh.LogAge(now); ok {
 		hb.ProofAgeMillis = (age + time.Millisecond - 1).Milliseconds()
 	}
@@ -164,13 +153,13 @@
 // enforce puts the fold's document in force when it is newer. The first one
 // waits for a proof, since a start may lie far behind.
 func (f *Follower) enforce(now time.Duration) []Action {
-	if f.fold.Doc == nil || (f.enf != nil && f.fold.Offset <= f.enf.Offset) {
+	if f.fold.Doc == nil || (f.enf != nil && int64(f.fold.Offset) <= f.enf.Offset) {
 		return nil
 	}
 	if f.enf == nil && !f.fresh.Current(now) {
 		return nil
 	}
-	f.enf = &InForce{Offset: f.fold.Offset, Version: f.fold.Version, Doc: f.fold.Doc, Text: f.fold.Text}
+	f.enf = &InForce{Offset: int64(f.fold.Offset), Version: f.fold.Version, Raw: f.fold.Text, Doc: f.fold.Doc}
 	return []Action{Enforce{InForce: *f.enf}}
 }
 
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -67,16 +67,7 @@
 
 // startFrom adopts the newest usable checkpoint of a batch.
 func (f *Follower) startFrom(now time.Duration, batch platform.Batch) {
-	var best *Checkpoint
-	for _, rec := range batch.Records {
-		cp := new(Checkpoint)
-		if _, err := cp.UnmarshalMsg(rec.Data); err != nil || !f.usable(cp) {
-			continue
-		}
-		if best == nil || cp.ReadTo > best.ReadTo {
-			best = cp
-		}
-	}
+	best := pickCheckpoint(batch, f.opts.Service, f.usableFrom(), false)
 	if best != nil {
 		if next, ok := foldOf(best); ok && f.adopt(next) {
 			f.checkpoints.tail = checkpointTail
@@ -99,13 +90,13 @@
 	f.retryAt = now + f.jittered(wait)
 }
 
-// usable reports whether the fold may start at a checkpoint: every record
-// after it can still be read.
-func (f *Follower) usable(cp *Checkpoint) bool {
-	if cp.Service != f.opts.Service {
-		return false
+// usableFrom returns the first retained offset of the configuration stream: a
+// checkpoint is usable if every record after it can still be read.
+func (f *Follower) usableFrom() platform.Offset {
+	if f.faults.anyCheckpoint {
+		return 0
 	}
-	return f.faults.anyCheckpoint || platform.Offset(cp.ReadTo)+1 >= f.configStart
+	return f.configStart
 }
 
 // checkpointDue begins to write a checkpoint when it is time: first it looks
@@ -131,15 +122,10 @@
 
 // writeUnlessWritten writes a checkpoint unless the batch holds one that will do.
 func (f *Follower) writeUnlessWritten(now time.Duration, batch platform.Batch) []Action {
-	for _, rec := range batch.Records {
-		var cp Checkpoint
-		if _, err := cp.UnmarshalMsg(rec.Data); err != nil || !f.usable(&cp) {
-			continue
-		}
-		if platform.Offset(cp.Offset) >= f.fold.Offset {
-			f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)
-			return nil
-		}
+	cp := pickCheckpoint(batch, f.opts.Service, f.configStart, false)
+	if cp != nil && platform.Offset(cp.Offset) >= f.fold.Offset {
+		f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)
+		return nil
 	}
 	return f.writeCheckpoint(now)
 }
--- a/logfold/inforce.go
+++ b/logfold/inforce.go
@@ -1,6 +1,3 @@
-// Package logfold derives the configuration in force from the log service's
-// stream of changes. Two processes that have read to the same offset hold the
-// same document.
 package logfold
 
 import "marjorampitch/config"
