--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -216,6 +217,6 @@
 		Idempotent:   c.route.Idempotent,
 		Key:          c.key,
 		ClaimOffset:  -1,
-		TraceParent:  traceParent(ctx),
+		TraceParent:  telemetry.TraceParent(ctx),
 	}
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"marjorampitch/api"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
 // handle serves one caller's request.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	s.opt.Metrics.RequestBegun()
 	doc := s.opt.Config.Document()
 	if doc == nil || !s.opt.Config.Current() {
 		s.refuseEarly(w, r, doc == nil)
@@ -22,7 +24,7 @@
 	c, e := parse(r, doc.Doc, doc.Offset, start)
 	a := newAnswer(w, c.id)
 	if e == nil {
-		e = s.serve(r.Context(), c, a)
+		e = s.serve(telemetry.Extract(r.Context(), r.Header), c, a)
 	}
 	s.record(c, a, e, time.Since(start))
 	if e != nil {
@@ -36,6 +38,7 @@
 	if none {
 		code = api.NotReady
 	}
+	s.opt.Metrics.RequestDone(code, 0, 0)
 	newAnswer(w, requestID(r)).fail(api.NewError(code, ""))
 }
 
@@ -43,7 +46,7 @@
 func (s *Server) serve(ctx context.Context, c *call, a *answer) *api.Error {
 	ctx, stop := context.WithDeadline(ctx, c.deadline)
 	defer stop()
-	ctx, span := startRequest(ctx, c)
+	ctx, span := s.startRequest(ctx, c)
 	defer span.End()
 	if !c.route.Idempotent {
 		return s.serveOnce(ctx, c, a)
@@ -73,7 +76,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	s.opt.Metrics.Request(name, code, took)
+	s.opt.Metrics.RequestDone(code, a.attempts, took)
 	s.opt.Log.Info("request",
 		"request", c.id, "route", name, "organisation", c.organisation,
 		"code", int(code), "ran", ran, "attempts", a.attempts, "side", a.servedBy,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -77,9 +77,9 @@
 	r.answer.servedBy = l.name
 	r.answer.attempts = int(r.number)
 	start := time.Now()
-	ctx, span := startAttempt(ctx, l.name, r.number)
+	ctx, span := r.server.startAttempt(ctx, l.name, r.number)
 	out := r.attempt(ctx, l)
-	endAttempt(span, out.err)
+	endSpan(span, out.err)
 	r.server.feedback(r.call, l.name, out, time.Since(start))
 	if out.err == nil {
 		return true
@@ -165,6 +165,10 @@
 	if out.err != nil {
 		code = out.err.Code
 	}
+	s.opt.Metrics.AttemptDone(code)
+	if out.firstChunk > 0 && c.streaming {
+		s.opt.Metrics.FirstToken(out.firstChunk)
+	}
 	s.pickMu.Lock()
 	defer s.pickMu.Unlock()
 	s.picker.Done(route.Feedback{
--- a/entry/server.go
+++ b/entry/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
@@ -22,6 +23,7 @@
 	"marjorampitch/platform"
 	"marjorampitch/route"
 	_ "marjorampitch/route/policies" // registers the policies
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -34,19 +36,14 @@
 	retryBurst        = 20 // retries that may be made at once
 )
 
-// Metrics receives what an entry counts.
-type Metrics interface {
-	Request(route string, code api.Code, took time.Duration)
-	FirstToken(took time.Duration)
-}
-
 // Options of a Server. All fields are needed.
 type Options struct {
 	Hello     wire.Hello // names the process; Role is RoleEntry
 	Config    node.ConfigView
 	Instances platform.InstanceList
 	Log       *log.Logger
-	Metrics   Metrics
+	Metrics   *telemetry.EntryMetrics
+	Tracer    trace.Tracer
 	DrainWait time.Duration // from readiness off until new connections are refused
 }
 
@@ -165,10 +162,8 @@
 	return s.budget.Retry()
 }
 
-// Ready reports whether the entry can serve: it is current and not leaving.
-func (s *Server) Ready() bool {
-	return !s.node.Leaving() && s.opt.Config.Document() != nil && s.opt.Config.Current()
-}
+// Ready returns nil while the entry takes new work, and otherwise the reason.
+func (s *Server) Ready() error { return s.node.Ready() }
 
 // Shutdown turns readiness off, waits until the platform's balancer has had
 // time to see it, then serves what is in flight and returns.
--- a/entry/status.go
+++ b/entry/status.go
@@ -112,9 +112,7 @@
 		fmt.Fprintf(tw, "%s\t%s\t%t\t%t\t%t\t%d\t%d\t%d\t%.1f\t%d\n", s.Name, s.DataCentre,
 			s.Connected, s.Leaving, s.Cold, s.Limit, s.Running, s.Own, s.StepMillis, s.AgeMillis)
 	}
-	fmt.Fprintln(tw, "\nREFUSED AT\tREQUEST\tCODE\tNAME\tDETAIL")
-	for _, r := range st.Refusals {
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%s\t%s\n", r.At.Format(time.RFC3339Nano), r.RequestID, r.Code, r.Name, r.Detail)
-	}
+	fmt.Fprintln(tw)
+	recent.WriteText(tw, st.Refusals)
 	return tw.Flush()
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -18,7 +19,7 @@
 func Run(args []string) int {
 	root := newRoot()
 	root.SetArgs(args)
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 		return ExitError
 	}
@@ -26,10 +27,12 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "marjorampitch",
 		Short:         "Load balancer for expert-parallel model groups",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newEntryCommand(), newSideCommand())
+	return root
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"marjorampitch/api"
 	"marjorampitch/logfold"
 	"marjorampitch/wire"
 )
@@ -17,14 +18,15 @@
 	Document() *logfold.InForce
 	// Current reports whether the process has a recent proof that no newer document is in force.
 	Current() bool
-	// ProofAge returns the age of that proof; ok is false without one.
-	ProofAge() (age time.Duration, ok bool)
-	// LogDown reports whether the process cannot read the log now.
-	LogDown() bool
-	// Offer hands over a document that a peer sent.
+	// FillHeartbeat sets the fields of hb that concern the configuration.
+	FillHeartbeat(hb *wire.Heartbeat)
+	// HeardFrom takes a heartbeat of a peer; age bounds how old it is when ageKnown.
+	// The result, if not nil, is to be sent to that peer.
+	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration, ageKnown bool) *wire.ConfigQuery
+	// Offer takes a document that a peer sent.
 	Offer(m *wire.Config)
-	// HeardFrom takes a heartbeat of a peer; age bounds how old the heartbeat is.
-	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration)
+	// Answer returns the answer to a peer's query, or nil when there is none.
+	Answer(q *wire.ConfigQuery) *wire.Config
 }
 
 // Node is the part of a process that its connections share.
@@ -56,6 +58,19 @@
 // Leaving reports whether SetLeaving was called.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
+// Ready returns nil while the process takes new work, and otherwise the reason.
+func (n *Node) Ready() error {
+	switch {
+	case n.Leaving():
+		return api.NewError(api.Leaving, "")
+	case n.config.Document() == nil:
+		return api.NewError(api.NotReady, "no document")
+	case !n.config.Current():
+		return api.NewError(api.NotCurrent, "")
+	}
+	return nil
+}
+
 func (n *Node) offset() int64 {
 	doc := n.config.Document()
 	if doc == nil {
@@ -67,15 +82,10 @@
 // Beat implements wire.Beats.
 func (n *Node) Beat(c *wire.Conn) wire.Heartbeat {
 	hb := wire.Heartbeat{
-		ConfigOffset:   n.offset(),
-		ProofAgeMillis: -1,
-		LogDown:        n.config.LogDown(),
-		Leaving:        n.Leaving(),
-		Suspects:       n.suspects.news(c),
-	}
-	if age, ok := n.config.ProofAge(); ok {
-		hb.ProofAgeMillis = age.Milliseconds()
+		Leaving:  n.Leaving(),
+		Suspects: n.suspects.news(c),
 	}
+	n.config.FillHeartbeat(&hb)
 	return hb
 }
 
@@ -93,6 +103,8 @@
 		n.heartbeat(c, m)
 	case *wire.Config:
 		n.config.Offer(m)
+	case *wire.ConfigQuery:
+		n.answer(c, m)
 	case *wire.StatusQuery:
 		c.Send(n.status(m.Seq))
 	default:
@@ -103,13 +115,19 @@
 
 func (n *Node) heartbeat(c *wire.Conn, hb *wire.Heartbeat) {
 	peer := c.Peer()
-	if age, ok := c.EchoAge(hb); ok {
-		n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age)
-	}
 	n.suspects.merge(hb.Suspects)
-	doc := n.config.Document()
-	if doc != nil && hb.ConfigOffset < doc.Offset && peer.Role != wire.RoleOperator {
-		c.Send(&wire.Config{Offset: doc.Offset, Version: doc.Version, Document: doc.Raw})
+	if peer.Role == wire.RoleOperator || peer.Service != n.hello.Service {
+		return
+	}
+	age, known := c.EchoAge(hb)
+	if q := n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age, known); q != nil {
+		c.Send(q)
+	}
+}
+
+func (n *Node) answer(c *wire.Conn, q *wire.ConfigQuery) {
+	if m := n.config.Answer(q); m != nil {
+		c.Send(m)
 	}
 }
 
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -2,6 +2,8 @@
 package recent
 
 import (
+	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -52,3 +54,11 @@
 	}
 	return out
 }
+
+// WriteText writes refusals as a table with tab-separated columns.
+func WriteText(w io.Writer, refusals []Refusal) {
+	fmt.Fprintln(w, "REFUSED AT\tREQUEST\tCODE\tNAME\tDETAIL")
+	for _, r := range refusals {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", r.At.Format(time.RFC3339Nano), r.RequestID, int(r.Code), r.Name, r.Detail)
+	}
+}
--- a/side/backend.go
+++ b/side/backend.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"marjorampitch/api"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -111,9 +112,7 @@
 	if m.Key != "" {
 		req.Header.Set(api.HeaderIdempotencyKey, m.Key)
 	}
-	if m.TraceParent != "" {
-		req.Header.Set("Traceparent", m.TraceParent)
-	}
+	telemetry.Inject(ctx, req.Header)
 	return req, nil
 }
 
--- a/side/pump.go
+++ b/side/pump.go
@@ -61,7 +61,7 @@
 
 // sendRefusal sends e as the last message of an attempt.
 func (s *Server) sendRefusal(c *wire.Conn, stream uint64, number uint32, e *api.Error) {
-	s.opt.Metrics.Refusal(e.Code)
+	s.opt.Metrics.Refused(e.Code)
 	c.Send(&wire.Refusal{
 		Stream:           stream,
 		Attempt:          number,
--- a/side/run.go
+++ b/side/run.go
@@ -11,7 +11,13 @@
 func (s *Server) run(ctx context.Context, a *attempt) {
 	start := time.Now()
 	l := s.limiter.Load()
-	e := s.backend.run(ctx, a, func() { l.answered(a.ticket) })
+	s.opt.Metrics.Admitted()
+	ctx, span := s.startAttempt(ctx, a.req)
+	e := s.backend.run(ctx, a, func() {
+		s.opt.Metrics.FirstPart(time.Since(start))
+		l.answered(a.ticket)
+	})
+	endSpan(span, e)
 	if e != nil {
 		s.broke(l, e)
 	} else {
@@ -24,7 +30,7 @@
 		code = e.Code
 	}
 	took := time.Since(start)
-	s.opt.Metrics.Attempt(code, took)
+	s.opt.Metrics.Done(code, took)
 	s.opt.Log.Info("attempt", "request", a.req.RequestID, "attempt", a.req.Attempt, "code", int(code), "took", took)
 }
 
--- a/side/server.go
+++ b/side/server.go
@@ -12,11 +12,12 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
-	"marjorampitch/api"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
 	"marjorampitch/platform"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -28,19 +29,14 @@
 	drainInterval = 20 * time.Millisecond
 )
 
-// Options of a Server. All fields but Metrics are needed.
+// Options of a Server. All fields are needed.
 type Options struct {
 	Hello   wire.Hello // names the process; Role is RoleSide
 	Backend string     // base URL of the backend server
 	Config  node.ConfigView
 	Log     *log.Logger
-	Metrics Metrics
-}
-
-// Metrics receives what a side process counts.
-type Metrics interface {
-	Refusal(code api.Code)
-	Attempt(code api.Code, took time.Duration)
+	Metrics *telemetry.SideMetrics
+	Tracer  trace.Tracer
 }
 
 // Server is a side process. Lock order: mu before any attempt's mu.
@@ -57,7 +53,7 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt         // running or kept, by request id
 	streams  map[streamKey]*subscription // by connection and stream
-	conns    map[*wire.Conn]time.Time // when each last received a report
+	conns    map[*wire.Conn]time.Time    // when each last received a report
 }
 
 type streamKey struct {
@@ -107,6 +103,9 @@
 	s.opt.Log.Info("peer-connected", "peer", c.Peer().Instance)
 }
 
+// Ready returns nil while the side process takes new work, and otherwise the reason.
+func (s *Server) Ready() error { return s.node.Ready() }
+
 // Shutdown takes no new work, waits until the attempts in flight are
 // finished and delivered, and returns. Error: that of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
