Configuration fold, freshness, follower and runner

Cause: processes need one document in force, proved to be current. Ruled out: pushing the document to every peer that is behind; with hundreds of peers it would arrive hundreds of times. A process that is behind now asks one peer (wire.ConfigQuery). Documents are compressed in records and messages. Change: logfold.Fold, Freshness, Follower, Runner and Reader; internal/node passes heartbeats and queries to the runner; Config carries ReadTo, so that a process which lost its place in the log may go on from a peer's.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,12 +19,15 @@
 	Current() bool
 	// ProofAge returns the age of that proof; ok is false without one.
 	ProofAge() (age time.Duration, ok bool)
-	// LogDown reports whether the process cannot read the log now.
-	LogDown() bool
+	// FillHeartbeat sets the fields of hb that concern the configuration.
+	FillHeartbeat(hb *wire.Heartbeat)
 	// Offer hands over a document that a peer sent.
 	Offer(m *wire.Config)
-	// HeardFrom takes a heartbeat of a peer; age bounds how old the heartbeat is.
-	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration)
+	// HeardFrom takes a heartbeat of a peer; age bounds how old the heartbeat is, when that is known.
+	// The result, if not nil, is to be sent to the peer.
+	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration, ageKnown bool) *wire.ConfigQuery
+	// Answer returns the answer to a peer's query, or nil when there is none.
+	Answer(q *wire.ConfigQuery) *wire.Config
 }
 
 // Node is the part of a process that its connections share.
@@ -67,15 +70,10 @@
 // Beat implements wire.Beats.
 func (n *Node) Beat(c *wire.Conn) wire.Heartbeat {
 	hb := wire.Heartbeat{
-		ConfigOffset:   n.offset(),
-		ProofAgeMillis: -1,
-		LogDown:        n.config.LogDown(),
-		Leaving:        n.Leaving(),
-		Suspects:       n.suspects.news(c),
-	}
-	if age, ok := n.config.ProofAge(); ok {
-		hb.ProofAgeMillis = age.Milliseconds()
+		Leaving:  n.Leaving(),
+		Suspects: n.suspects.news(c),
 	}
+	n.config.FillHeartbeat(&hb)
 	return hb
 }
 
@@ -93,6 +91,10 @@
 		n.heartbeat(c, m)
 	case *wire.Config:
 		n.config.Offer(m)
+	case *wire.ConfigQuery:
+		if answer := n.config.Answer(m); answer != nil {
+			c.Send(answer)
+		}
 	case *wire.StatusQuery:
 		c.Send(n.status(m.Seq))
 	default:
@@ -103,13 +105,14 @@
 
 func (n *Node) heartbeat(c *wire.Conn, hb *wire.Heartbeat) {
 	peer := c.Peer()
-	if age, ok := c.EchoAge(hb); ok {
-		n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age)
-	}
 	n.suspects.merge(hb.Suspects)
-	doc := n.config.Document()
-	if doc != nil && hb.ConfigOffset < doc.Offset && peer.Role != wire.RoleOperator {
-		c.Send(&wire.Config{Offset: doc.Offset, Version: doc.Version, Document: doc.Raw})
+	if peer.Role == wire.RoleOperator || peer.Service != n.hello.Service {
+		return
+	}
+	age, known := c.EchoAge(hb)
+	query := n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age, known)
+	if query != nil {
+		c.Send(query)
 	}
 }
 
--- a/logfold/follower_read.go
+++ b/logfold/follower_read.go
@@ -103,7 +103,10 @@
 	if moved {
 		f.fresh.Adopt(next.Doc, next.Offset)
 	}
-	if f.lost && next.ReadTo+1 >= f.configStart {
+	if f.faults.anyCheckpoint {
+		f.fold.ReadTo = max(f.fold.ReadTo, f.configStart-1)
+	}
+	if f.lost && f.fold.ReadTo+1 >= f.configStart {
 		f.lost = false
 	}
 	return true
--- /dev/null
+++ b/logfold/follower_test.go
@@ -0,0 +1,140 @@
+package logfold
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/api"
+	"marjorampitch/platform"
+	"marjorampitch/wire"
+)
+
+// document returns a small document of service s; mark tells documents apart.
+func document(mark, centres int) []byte {
+	var b strings.Builder
+	b.WriteString("[service]\nname = s\nformat = 1\n")
+	for i := range centres {
+		fmt.Fprintf(&b, "[data-centre d%d]\nregion = r\n", i)
+	}
+	b.WriteString("[backend-server b]\ndata-centre = d0\nkind = plain\npool = p\nmax-running = 4\n")
+	b.WriteString("[organisation o]\n[route r]\npath = /r\npool = p\nidempotent = yes\n")
+	fmt.Fprintf(&b, "[organisation mark]\nweight = %d\n", mark+1)
+	b.WriteString("[routing]\npolicy = random\n[placement]\npolicy = static\n[limits]\nfresh-for = 5s\n")
+	return []byte(b.String())
+}
+
+// change returns a record with a document based on a version.
+func change(t testing.TB, base uint64, text []byte, nonce string) []byte {
+	packed, err := Pack(text)
+	require.NoError(t, err)
+	c := ConfigChange{Service: "s", Base: base, Format: 1, Document: packed, Nonce: nonce}
+	data, err := c.MarshalMsg(nil)
+	require.NoError(t, err)
+	return data
+}
+
+func half() float64 { return 0.5 }
+
+func TestFoldJudges(t *testing.T) {
+	other := strings.Replace(string(document(0, 1)), "name = s", "name = other", 1)
+	records := []struct {
+		data []byte
+		code api.Code
+	}{
+		{[]byte("rubbish"), api.ConfigInvalid},
+		{change(t, 0, []byte("[service]\nformat = 1\n"), "invalid"), api.ConfigInvalid},
+		{change(t, 0, []byte(other), "other service"), api.ConfigInvalid},
+		{change(t, 0, document(1, 1), "first"), api.OK},
+		{change(t, 0, document(2, 1), "raced"), api.ConfigConflict},
+		{change(t, 1, document(3, 1), "second"), api.OK},
+	}
+	fold := NewFold("s")
+	for i, r := range records {
+		out, err := fold.Apply(platform.Record{Offset: platform.Offset(i), Data: r.data})
+		require.NoError(t, err)
+		require.Equal(t, r.code, out.Code, out.Nonce)
+		require.Equal(t, r.code == api.OK, out.Accepted)
+	}
+	require.Equal(t, uint64(2), fold.Version)
+	require.Equal(t, platform.Offset(5), fold.Offset)
+	require.Equal(t, document(3, 1), fold.Text)
+	_, err := fold.Apply(platform.Record{Offset: 7})
+	require.ErrorIs(t, err, ErrGap)
+}
+
+func TestFoldStopsAtUnknownFormat(t *testing.T) {
+	c := ConfigChange{Service: "s", Format: 99}
+	data, err := c.MarshalMsg(nil)
+	require.NoError(t, err)
+	fold := NewFold("s")
+	_, err = fold.Apply(platform.Record{Data: data})
+	require.ErrorIs(t, err, ErrFormat)
+	require.Equal(t, platform.None, fold.ReadTo)
+}
+
+func TestStartFromCheckpoint(t *testing.T) {
+	fold := NewFold("s")
+	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 1), "a")})
+	require.NoError(t, err)
+	cp, err := fold.Checkpoint().MarshalMsg(nil)
+	require.NoError(t, err)
+	for _, c := range []struct {
+		start platform.Offset
+		takes bool
+	}{{1, true}, {2, false}} {
+		f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
+		require.Equal(t, []Action{ReadConfig{From: 0, Wait: pollWait}}, f.Handle(0, Tick{}))
+		f.Handle(1, ConfigReadFailed{Trimmed: true, Batch: platform.Batch{Start: c.start, End: c.start}})
+		require.Equal(t, []Action{ReadCheckpoints{From: 0, Limit: 1}}, f.Handle(2, Tick{}))
+		found := platform.Batch{Records: []platform.Record{{Data: cp}}, End: 1}
+		require.Equal(t, []Action{ReadCheckpoints{From: 0, Limit: checkpointTail}}, f.Handle(3, CheckpointsRead{Batch: found}))
+		f.Handle(4, CheckpointsRead{Batch: found})
+		require.Equal(t, !c.takes, f.lost)
+		require.Nil(t, f.InForce(), "no proof yet")
+	}
+}
+
+func TestFollowerOnPeersAlone(t *testing.T) {
+	fold := NewFold("s")
+	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 3), "a")})
+	require.NoError(t, err)
+	f := NewFollower(Options{Service: "s", DataCentre: "d0", Reading: ReadNever, Jitter: half})
+	require.Empty(t, f.Handle(0, Tick{}))
+	heard := PeerHeard{
+		Peer: "p", DataCentre: "d1", AgeKnown: true, Age: 10 * time.Millisecond,
+		Heartbeat: wire.Heartbeat{ConfigOffset: 0, ProofAgeMillis: 200},
+	}
+	require.Equal(t, []Action{Ask{Peer: "p", Query: wire.ConfigQuery{ReadTo: -1}}}, f.Handle(time.Second, heard))
+	offer := wire.Config{Offset: 0, Version: 1, ReadTo: 0, Document: fold.Packed}
+	require.Empty(t, f.Handle(time.Second, PeerOffered{Config: offer}), "offered, not proved")
+	actions := f.Handle(2*time.Second, heard)
+	require.Len(t, actions, 1)
+	require.Equal(t, uint64(1), actions[0].(Enforce).InForce.Version)
+	require.True(t, f.Current(6*time.Second))
+	require.False(t, f.Current(8*time.Second))
+}
+
+func TestQuorumWhileLogIsDown(t *testing.T) {
+	fold := NewFold("s")
+	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 3), "a")})
+	require.NoError(t, err)
+	fresh := NewFreshness("d0", true)
+	fresh.Adopt(fold.Doc, 0)
+	fresh.ReadEnd(0)
+	fresh.ReadFailed()
+	at := 10 * time.Second
+	require.False(t, fresh.Current(at))
+	fresh.Hear(at, Heard{DataCentre: "d0", Offset: 0, Proof: -1, LogDown: true})
+	require.False(t, fresh.Current(at), "the own data centre is not a majority")
+	fresh.Hear(at, Heard{DataCentre: "d1", Offset: -1, Proof: -1, LogDown: true})
+	require.False(t, fresh.Current(at), "a peer with another document is no vote")
+	fresh.Hear(at, Heard{DataCentre: "d1", Offset: 0, Proof: -1, LogDown: true})
+	require.True(t, fresh.Current(at+time.Second))
+	require.False(t, fresh.Current(at+6*time.Second))
+	fresh.Hear(at, Heard{DataCentre: "d2", Offset: 4, Proof: -1, LogDown: true})
+	require.False(t, fresh.Current(at+time.Second), "a peer has a newer document")
+}
--- a/side/server.go
+++ b/side/server.go
@@ -57,7 +57,7 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt         // running or kept, by request id
 	streams  map[streamKey]*subscription // by connection and stream
-	conns    map[*wire.Conn]time.Time // when each last received a report
+	conns    map[*wire.Conn]time.Time    // when each last received a report
 }
 
 type streamKey struct {
