--- a/admit/coldstart.go
+++ b/admit/coldstart.go
@@ -54,13 +54,15 @@
 	next        Ticket
 	alone       bool // a request is running alone
 	proofs      int  // requests completed at this limit
+	chills      int  // times it turned cold; requests admitted before prove nothing after
 	reached     bool // the limit was reached since it last grew
 	fastest     float64
 }
 
 type flight struct {
-	begun bool          // the server has answered something for it
-	since time.Duration // when it first did
+	chills int           // ColdStart.chills when it was admitted
+	begun  bool          // the server has answered something for it
+	since  time.Duration // when it first did
 }
 
 // count is the server's own count of its requests. It is used only at due,
@@ -103,7 +105,7 @@
 		return 0, c.refuse("at the limit")
 	}
 	c.next++
-	c.running[c.next] = flight{}
+	c.running[c.next] = flight{chills: c.chills}
 	c.alone = alone
 	if inFlight+1 >= c.limit {
 		c.reached = true
@@ -134,18 +136,20 @@
 func (c *ColdStart) Began(t Ticket, now time.Duration) {
 	f, ok := c.running[t]
 	if ok && !f.begun {
-		c.running[t] = flight{begun: true, since: now}
+		f.begun, f.since = true, now
+		c.running[t] = f
 	}
 }
 
 // Finish says that the backend server ended the request, or never received it.
 // whole is false for a failed answer; it counts as no proof of health.
 func (c *ColdStart) Finish(t Ticket, now time.Duration, whole bool) {
-	if !c.drop(t) {
+	f, ok := c.drop(t)
+	if !ok {
 		return
 	}
 	c.alone = false
-	if !whole {
+	if !whole || f.chills != c.chills {
 		return
 	}
 	c.proofs++
@@ -155,19 +159,17 @@
 // Abandon says that the side gave the request up while the backend server may
 // still be running it. It counts until a later report shows it gone.
 func (c *ColdStart) Abandon(t Ticket, now time.Duration) {
-	if !c.drop(t) {
+	if _, ok := c.drop(t); !ok {
 		return
 	}
 	c.foreign++
 	c.knowFrom = now + c.cfg.Settle
 }
 
-func (c *ColdStart) drop(t Ticket) bool {
-	if _, ok := c.running[t]; !ok {
-		return false
-	}
+func (c *ColdStart) drop(t Ticket) (flight, bool) {
+	f, ok := c.running[t]
 	delete(c.running, t)
-	return true
+	return f, ok
 }
 
 // Observe takes the backend server's report. asked is when the side sent the
@@ -259,6 +261,7 @@
 	c.cold = true
 	c.chilled = max(c.chilled, at)
 	c.limit = min(c.cfg.Cold, c.cfg.Warm)
+	c.chills++
 	c.proofs = 0
 	c.reached = false
 }
