Inner protocol: byte fields of up to a whole frame can be decoded

Cause: the limit on arrays (4096) also bounds []byte fields, so a request body, an answer's chunk, a document or a map of more than 4096 bytes could be sent, and closed the receiver's connection with ErrFrameBody, with every stream on it. Ruled out: dropping the limits, since a decoder must not allocate by a claimed length. Change: byte fields are limited to MaxFrameBytes by their own tag. Figures: TestFrameCarriesLargeBytes failed at *wire.Config with the old tags, passes now. Conclusion: mended.

--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -2,11 +2,22 @@
 
 import (
 	"bytes"
+	"flag"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("FUZZ") != "1" {
+		flag.Set("rapid.seed", "20261203")
+		flag.Set("rapid.checks", "2000")
+	}
+	os.Exit(m.Run())
+}
+
 func TestFrameRoundTrip(t *testing.T) {
 	in := &Chunk{Stream: 7, Attempt: 2, Seq: 3, Data: []byte("token")}
 	frame, err := AppendFrame(nil, in)
@@ -15,3 +26,20 @@
 	require.NoError(t, err)
 	require.Equal(t, in, out)
 }
+
+// A frame may carry as many bytes as fit into it, whatever its kind.
+func TestFrameCarriesLargeBytes(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 1<<20)
+	for _, in := range []Message{
+		&Config{Document: large},
+		&Request{Body: large},
+		&Chunk{Data: large},
+		&KeyAnswer{Answer: Answer{Body: large}},
+		&Order{Map: large},
+	} {
+		frame, err := AppendFrame(nil, in)
+		require.NoError(t, err)
+		_, _, err = ReadFrame(bytes.NewReader(frame), nil)
+		require.NoError(t, err, "%T", in)
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -4,6 +4,8 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -file messages.go -o messages_gen.go -tests=false
 
+// The limit of a []byte field is MaxFrameBytes; other fields are bounded here.
+//
 //msgp:limit arrays:4096 maps:256
 
 // Versions of the protocol that this build speaks.
@@ -67,8 +69,8 @@
 type Config struct {
 	Offset   int64  `msg:"off"`
 	Version  uint64 `msg:"ver"`
-	ReadTo   int64  `msg:"read"` // last record of the configuration stream that led to this document
-	Document []byte `msg:"doc"`  // compressed by logfold.Pack
+	ReadTo   int64  `msg:"read"`              // last record of the configuration stream that led to this document
+	Document []byte `msg:"doc,limit=4194304"` // compressed by logfold.Pack
 }
 
 // Header is one HTTP header field.
@@ -87,7 +89,7 @@
 	Method       string   `msg:"m"`
 	Path         string   `msg:"p"` // with query
 	Headers      []Header `msg:"h"`
-	Body         []byte   `msg:"b"`
+	Body         []byte   `msg:"b,limit=4194304"`
 	Streaming    bool     `msg:"str"` // the answer is a stream of server-sent events
 	Organisation string   `msg:"org"`
 	Session      string   `msg:"ses"`
@@ -121,7 +123,7 @@
 	Stream  uint64 `msg:"s"`
 	Attempt uint32 `msg:"att"`
 	Seq     uint64 `msg:"q"` // 0, 1, 2, ...
-	Data    []byte `msg:"d"`
+	Data    []byte `msg:"d,limit=4194304"`
 }
 
 // End closes an answer that is whole.
@@ -208,7 +210,7 @@
 type Answer struct {
 	Status  int      `msg:"st"`
 	Headers []Header `msg:"h"`
-	Body    []byte   `msg:"b"`
+	Body    []byte   `msg:"b,limit=4194304"`
 }
 
 // Order carries one order for the rank of a group behind a side.
@@ -221,7 +223,7 @@
 	Epoch   uint64 `msg:"ep"`    // number of the expert map
 	Step    int64  `msg:"step"`  // first step that uses the map
 	MapHash string `msg:"mh"`
-	Map     []byte `msg:"map"` // encoded group.Map, with stage orders
+	Map     []byte `msg:"map,limit=4194304"` // encoded group.Map, with stage orders
 }
 
 // OrderAck answers an Order.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -52,7 +52,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -97,7 +97,7 @@
 				}
 			}
 		case "b":
-			z.Body, err = dc.ReadBytesLimit(z.Body, z2c18a699limitArrays)
+			z.Body, err = dc.ReadBytesLimit(z.Body, 4194304)
 			if err == nil && z.Body == nil {
 				z.Body = []byte{}
 			}
@@ -240,7 +240,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -291,7 +291,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0004 > z2c18a699limitArrays {
+			if zb0004 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -505,7 +505,7 @@
 				return
 			}
 		case "d":
-			z.Data, err = dc.ReadBytesLimit(z.Data, z2c18a699limitArrays)
+			z.Data, err = dc.ReadBytesLimit(z.Data, 4194304)
 			if err == nil && z.Data == nil {
 				z.Data = []byte{}
 			}
@@ -636,7 +636,7 @@
 				err = msgp.WrapError(err, "Data")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0002 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -710,7 +710,7 @@
 				return
 			}
 		case "doc":
-			z.Document, err = dc.ReadBytesLimit(z.Document, z2c18a699limitArrays)
+			z.Document, err = dc.ReadBytesLimit(z.Document, 4194304)
 			if err == nil && z.Document == nil {
 				z.Document = []byte{}
 			}
@@ -841,7 +841,7 @@
 				err = msgp.WrapError(err, "Document")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0002 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1388,7 +1388,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1592,7 +1592,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1863,7 +1863,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = (z.Suspects)[:zb0002]
+				z.Suspects = z.Suspects[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -2073,7 +2073,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = (z.Suspects)[:zb0002]
+				z.Suspects = z.Suspects[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -2981,7 +2981,7 @@
 				return
 			}
 		case "map":
-			z.Map, err = dc.ReadBytesLimit(z.Map, z2c18a699limitArrays)
+			z.Map, err = dc.ReadBytesLimit(z.Map, 4194304)
 			if err == nil && z.Map == nil {
 				z.Map = []byte{}
 			}
@@ -3207,7 +3207,7 @@
 				err = msgp.WrapError(err, "Map")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0002 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -4322,7 +4322,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -4367,7 +4367,7 @@
 				}
 			}
 		case "b":
-			z.Body, err = dc.ReadBytesLimit(z.Body, z2c18a699limitArrays)
+			z.Body, err = dc.ReadBytesLimit(z.Body, 4194304)
 			if err == nil && z.Body == nil {
 				z.Body = []byte{}
 			}
@@ -4909,7 +4909,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = (z.Headers)[:zb0002]
+				z.Headers = z.Headers[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -4960,7 +4960,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0004 > z2c18a699limitArrays {
+			if zb0004 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
