Placement: search by the excess of all ranks above the target

Cause: after a jump several ranks are nearly equally hot; relieving one does not lower the longest time, so the search by longest time stopped at a median skew of 1.169. Change: a step of the search is judged by the excess over the target summed over the ranks; the gain of a plan is that of the whole plan, of which one decision stages at most a minute's copies.

--- a/placement/pack/improve.go
+++ b/placement/pack/improve.go
@@ -9,8 +9,8 @@
 // Limits bound one call of Improve.
 type Limits struct {
 	Moves   int     // expert copies at most
-	Target  float64 // stop at this skew
-	MinGain float64 // least reduction of the skew that is worth one copy
+	Target  float64 // skew to reach
+	MinGain float64 // least reduction of the excess that is worth one copy
 }
 
 // Width of the search for one step.
@@ -34,38 +34,51 @@
 }
 
 // Improve changes the placement step by step, each time by the change that
-// lowers the skew most per copy, and returns the number of copies.
+// lowers the excess most per copy, and returns the number of copies.
 func (s *Layer) Improve(lim Limits) int {
 	used := 0
-	skew := s.Skew()
-	for used < lim.Moves && skew > lim.Target {
-		best, found := s.bestChange(skew, lim.MinGain)
+	excess := s.excess(lim.Target)
+	for used < lim.Moves && excess > 0 {
+		best, found := s.bestChange(excess, lim)
 		if !found || used+best.moves() > lim.Moves {
 			break
 		}
 		s.apply(best)
 		s.Balance(fullSweeps / 4)
 		used += best.moves()
-		after := s.Skew()
-		if after >= skew {
+		after := s.excess(lim.Target)
+		if after >= excess {
 			break
 		}
-		skew = after
+		excess = after
 	}
 	return used
 }
 
+// excess is the time above target, summed over the ranks, in mean rank times.
+// Unlike the longest time it falls when one of several hot ranks is relieved.
+func (s *Layer) excess(target float64) float64 {
+	if s.mean == 0 {
+		return 0
+	}
+	sum := 0.0
+	for r := range s.rank {
+		sum += max(0, s.time(r)/s.mean-target)
+	}
+	return sum
+}
+
 // bestChange tries the changes that relieve the hottest rank.
-func (s *Layer) bestChange(skew, minGain float64) (change, bool) {
+func (s *Layer) bestChange(excess float64, lim Limits) (change, bool) {
 	var best change
-	bestGain := minGain
+	bestGain := lim.MinGain
 	found := false
 	hot := s.hottest()
 	saved := s.save()
 	for _, c := range s.changes(hot) {
 		s.apply(c)
 		s.Balance(trialSweeps)
-		gain := (skew - s.Skew()) / float64(c.moves())
+		gain := (excess - s.excess(lim.Target)) / float64(c.moves())
 		s.restore(saved)
 		if gain > bestGain {
 			best, bestGain, found = c, gain, true
--- a/placement/packed/packed.go
+++ b/placement/packed/packed.go
@@ -22,7 +22,7 @@
 	shareGain  = 0.002            // least gain for which new shares are worth a switch
 	startAbove = 1.02             // experts move in layers whose best shares leave more than this
 	stopBelow  = 1.008            // and until this is reached
-	minGain    = 0.002            // least gain of a layer for one copy
+	minGain    = 0.002            // least excess, in mean rank times, that one copy must remove
 	maxStaging = 60 * time.Second // weight copies of one decision; the rest waits for the next
 	sweeps     = 30
 )
@@ -50,11 +50,7 @@
 		layer.Balance(sweeps)
 		layer.Store(shares, l)
 		balanced += layer.Skew() / float64(shape.Layers)
-		if layer.Skew() > startAbove {
-			layer.Improve(limits(in))
-		}
-		layer.Store(moved, l)
-		after += layer.Skew() / float64(shape.Layers)
+		after += move(in, l, layer, shares, moved) / float64(shape.Layers)
 	}
 	if worthMoving(in, moved, balanced-after) {
 		return decision(in, moved, before, after), nil
@@ -65,6 +61,27 @@
 	return decision(in, shares, before, balanced), nil
 }
 
+// move improves layer l where shares do not suffice, stores into next as much
+// of it as the weight store delivers in maxStaging and returns the skew at the
+// end of the whole improvement, which later decisions complete.
+func move(in placement.Input, l int, layer *pack.Layer, shares, next *placement.Map) float64 {
+	if layer.Skew() <= startAbove {
+		layer.Store(next, l)
+		return layer.Skew()
+	}
+	part := limits(in)
+	whole := part
+	whole.Moves = in.Map.Shape.LayerSlots()
+	if layer.Improve(whole) <= part.Moves {
+		layer.Store(next, l)
+		return layer.Skew()
+	}
+	first := pack.Open(shares, l, in.Loads.Layer(l), in.Speeds)
+	first.Improve(part)
+	first.Store(next, l)
+	return layer.Skew()
+}
+
 // limits bounds the copies of one layer by what the weight store delivers in maxStaging.
 func limits(in placement.Input) pack.Limits {
 	moves := in.Map.Shape.LayerSlots()
