Placement stand-in: reports and decisions each minute

Cause: after a jump that returns within 6 minutes packed did worse than static because it reacts one report and one staging late, in both directions. Change: a report and a decision each minute in place of two.

--- a/placement/placementtest/run.go
+++ b/placement/placementtest/run.go
@@ -12,9 +12,9 @@
 const (
 	assignments  = 2048 // expert assignments a rank and step, in the mean
 	perToken     = 8    // experts that one token is assigned to
-	interval     = 2 * time.Minute
+	interval     = time.Minute
 	stepTime     = 50 * time.Millisecond
-	sampledSteps = 6   // steps drawn and measured in each interval
+	sampledSteps = 3   // steps drawn and measured in each interval
 	countsKept   = 0.2 // of the counts, from one interval to the next
 	expertBytes  = 44 << 20
 	layerRate    = 35e6 // bytes a second and layer from the weight store
