Placement: staged maps are judged again before they switch; tests, make measure

Cause: with a jump that returns after 3 minutes the staged map switched in when the load had already returned. Change: a staged map that no longer predicts less skew than the one in force is dropped.

--- a/cmd/measure/placement.go
+++ b/cmd/measure/placement.go
@@ -33,7 +33,8 @@
 		{Name: "drift-zipf0.9", Zipf: 0.9, Swing: 0.7, Length: day},
 		{Name: "drift-zipf1.2", Zipf: 1.2, Swing: 0.7, Length: day},
 		{Name: "jump-zipf0.9", Zipf: 0.9, Jump: time.Hour, Length: 3 * time.Hour},
-		{Name: "spike-zipf0.9", Zipf: 0.9, Jump: time.Hour, Return: time.Hour + 6*time.Minute, Length: 2 * time.Hour},
+		{Name: "spike3m-zipf0.9", Zipf: 0.9, Jump: time.Hour, Return: time.Hour + 3*time.Minute, Length: 2 * time.Hour},
+		{Name: "spike6m-zipf0.9", Zipf: 0.9, Jump: time.Hour, Return: time.Hour + 6*time.Minute, Length: 2 * time.Hour},
 		{Name: "slow1-zipf0.9", Zipf: 0.9, Swing: 0.7, Slow: []float64{0.7}, SlowAt: slow, Length: day / 2},
 		{Name: "slow2-zipf0.9", Zipf: 0.9, Swing: 0.7, Slow: []float64{0.7, 0.8}, SlowAt: slow, Length: day / 2},
 	}
@@ -78,21 +79,29 @@
 	if err != nil {
 		return err
 	}
+	var base placementtest.Result
 	for i, r := range runs {
-		printPlacement(out, r, results[i])
+		if r.Policy == static.Name {
+			base = results[i] // the first of the policies under each load
+		}
+		printPlacement(out, r, results[i], base)
 	}
 	return nil
 }
 
-func printPlacement(out io.Writer, r placementtest.Run, res placementtest.Result) {
+// printPlacement prints two lines; steps_against_static is the time lost to
+// skew and rebalancing beyond that of static, in balanced steps, negative for a gain.
+func printPlacement(out io.Writer, r placementtest.Run, res, base placementtest.Result) {
 	prefix := fmt.Sprintf("measure=placement policy=%s load=%s ranks=%d experts=%d",
 		r.Policy, r.Load.Name, r.Shape.Ranks, r.Shape.Experts)
 	fmt.Fprintf(out, "%s skew_p50=%.3f skew_p95=%.3f skew_p99=%.3f skew_mean=%.3f worst_interval=%.3f above_goal=%s"+
 		" bound_p50=%.3f bound_p95=%.3f bound_p99=%.3f bound_slots=%.3f\n",
 		prefix, res.P50, res.P95, res.P99, res.Mean, res.WorstInterval, res.Above,
 		res.Bound.P50, res.Bound.P95, res.Bound.P99, res.Bound.Slots)
-	fmt.Fprintf(out, "%s bytes_mib=%d switches=%d switches_moving=%d held_steps=%.1f cost_steps=%.1f lost_tokens=%.0f"+
-		" decide_mean=%s decide_max=%s\n",
-		prefix, res.Bytes>>20, res.Switches, res.Moving, res.HeldSteps, res.CostSteps, res.LostTokens,
+	against := (res.Mean-base.Mean)*res.Steps + res.CostSteps
+	fmt.Fprintf(out, "%s bytes_mib=%d switches=%d switches_moving=%d dropped=%d held_steps=%.1f cost_steps=%.1f"+
+		" lost_tokens=%.0f steps=%.0f steps_against_static=%.0f decide_mean=%s decide_max=%s\n",
+		prefix, res.Bytes>>20, res.Switches, res.Moving, res.Dropped, res.HeldSteps, res.CostSteps,
+		res.LostTokens, res.Steps, against,
 		res.Decide.Round(time.Microsecond), res.DecideMax.Round(time.Microsecond))
 }
--- a/placement/placementtest/run.go
+++ b/placement/placementtest/run.go
@@ -26,9 +26,11 @@
 	Mean          float64 // mean skew
 	WorstInterval float64 // worst interval's median skew
 	Above         time.Duration
+	Steps         float64 // length of the run, in balanced steps
 	Bytes         int64
 	Switches      int     // maps put in force
 	Moving        int     // of them, those that moved weights
+	Dropped       int     // maps staged and not put in force
 	HeldSteps     float64 // steps lost to holds at switches
 	CostSteps     float64 // steps lost to holds and cold caches
 	LostTokens    float64
@@ -137,6 +139,12 @@
 	if s.staged == nil || t < s.readyAt {
 		return
 	}
+	speeds := s.speeds.Values()
+	if pack.Predict(s.staged, s.loads, speeds) >= pack.Predict(s.current, s.loads, speeds) {
+		s.staged = nil // the load has changed meanwhile
+		s.result.Dropped++
+		return
+	}
 	moves := s.current.Moves(s.staged)
 	costs := s.costs()
 	s.result.HeldSteps += costs.HeldSteps(moves)
@@ -274,6 +282,7 @@
 	res.P50, res.P95, res.P99 = s.skews.quantile(0.5), s.skews.quantile(0.95), s.skews.quantile(0.99)
 	res.Mean = s.skews.mean()
 	res.Bound.P50, res.Bound.P95, res.Bound.P99 = s.bound.quantile(0.5), s.bound.quantile(0.95), s.bound.quantile(0.99)
+	res.Steps = s.run.Load.Length.Seconds() / stepTime.Seconds()
 	tokens := float64(assignments*s.run.Shape.Ranks) / perToken
 	res.LostTokens = res.CostSteps * tokens
 	if s.decided > 0 {
