--- a/entry/table.go
+++ b/entry/table.go
@@ -167,9 +167,3 @@
 	return model == "" || slices.Contains(be.Models, model)
 }
 
-// link returns the link to a side process, or nil.
-func (t *table) link(name string) *link {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.links[name]
-}
