--- a/entry/table.go
+++ b/entry/table.go
@@ -166,4 +166,3 @@
 func serves(be *config.Backend, model string) bool {
 	return model == "" || slices.Contains(be.Models, model)
 }
-
