Thin whole path: make demo serves streamed drafts and look-ups through entries and sides

Also: links of an entry outlive Serve, so a graceful stop does not cut streams; a queued request is checked again before it is sent.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 # measure runs every comparison from fixed seeds; ONLY=regexp picks some.
 measure:
 	$(GO) run ./cmd/measure --only '$(ONLY)'
+
+# demo starts two services as separate processes and shows what they do.
+demo: build
+	scripts/demo.sh
--- a/admit/reconfigure.go
+++ b/admit/reconfigure.go
@@ -1,5 +1,7 @@
 package admit
 
+import "time"
+
 // Reconfigure changes the two bounds of a ColdStart in operation. A lower
 // bound holds at once for new requests; a higher one is grown into.
 func (c *ColdStart) Reconfigure(cold, warm int) {
@@ -11,3 +13,7 @@
 	}
 	c.limit = min(c.limit, warm)
 }
+
+// Settled reports whether it is known what earlier runs of the side left in
+// flight; before that nothing is admitted.
+func (c *ColdStart) Settled(now time.Duration) bool { return c.settled(now) }
--- a/entry/call.go
+++ b/entry/call.go
@@ -38,6 +38,7 @@
 	prefix       uint64 // hash that requests with a shared prompt prefix have in common
 	deadline     time.Time
 	configOffset int64
+	alone        bool // suspected of crashing servers
 }
 
 // chatFields are the fields of a chat completion request that routing needs.
@@ -217,6 +218,7 @@
 		Idempotent:   c.route.Idempotent,
 		Key:          c.key,
 		ClaimOffset:  -1,
+		Alone:        c.alone,
 		TraceParent:  telemetry.TraceParent(ctx),
 	}
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/route"
 	"marjorampitch/wire"
@@ -36,6 +37,9 @@
 	}
 	s.countFirst()
 	for r.number < maxAttempts {
+		if !r.judge() {
+			break
+		}
 		if r.number > 0 && !r.mayRetry() {
 			break
 		}
@@ -49,6 +53,19 @@
 	return r.final()
 }
 
+// judge looks the request up among those that crash backend servers. It
+// reports false when the request is refused for good.
+func (r *run) judge() bool {
+	switch r.server.node.Suspicion().Judge(r.call.fingerprint) {
+	case admit.Refuse:
+		r.last = api.NewError(api.Quarantined, "")
+		return false
+	case admit.RunAlone:
+		r.call.alone = true
+	}
+	return true
+}
+
 // mayRetry takes a retry from the budget; an attempt that was refused before
 // it ran costs the backend servers nothing and is free.
 func (r *run) mayRetry() bool {
--- a/entry/server.go
+++ b/entry/server.go
@@ -84,10 +84,10 @@
 	return s
 }
 
-// Serve answers callers on ln and follows the instance list until Shutdown.
+// Serve answers callers on ln until Shutdown is called, which it does not wait
+// for. The links to side processes and the following of the instance list
+// last until ctx ends, so ctx must outlive Shutdown.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	go s.follow(ctx)
 	err := s.http.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/side/gate.go
+++ b/side/gate.go
@@ -13,6 +13,13 @@
 	if s.node.Leaving() {
 		return nil, api.NewError(api.Leaving, "side process is shutting down")
 	}
+	return s.inService()
+}
+
+// inService checks what must still hold when a request that was taken in
+// earlier is about to run: time has passed while it waited, or the process
+// was paused.
+func (s *Server) inService() (*config.Document, *api.Error) {
 	inForce := s.opt.Config.Document()
 	if inForce == nil || s.limiter.Load() == nil {
 		return nil, api.NewError(api.NotReady, "no document with this backend server")
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -236,3 +236,10 @@
 	defer l.mu.Unlock()
 	return len(l.waiting)+len(l.running) > 0
 }
+
+// ready reports whether requests can be admitted at all.
+func (l *limiter) ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.Settled(l.now())
+}
--- a/side/run.go
+++ b/side/run.go
@@ -13,17 +13,21 @@
 	l := s.limiter.Load()
 	s.opt.Metrics.Admitted()
 	ctx, span := s.startAttempt(ctx, a.req)
-	e := s.backend.run(ctx, a, func() {
-		s.opt.Metrics.FirstPart(time.Since(start))
-		l.answered(a.ticket)
-	})
+	e := s.recheck(ctx)
+	sent := e == nil
+	if sent {
+		e = s.backend.run(ctx, a, func() {
+			s.opt.Metrics.FirstPart(time.Since(start))
+			l.answered(a.ticket)
+		})
+	}
 	endSpan(span, e)
 	if e != nil {
 		s.broke(l, e)
 	} else {
 		s.node.Suspicion().Completed(a.req.Fingerprint)
 	}
-	l.finish(a.ticket, e == nil, abandoned(ctx, e))
+	l.finish(a.ticket, e == nil, sent && abandoned(ctx, e))
 	s.drop(a, e)
 	code := api.OK
 	if e != nil {
@@ -34,6 +38,17 @@
 	s.opt.Log.Info("attempt", "request", a.req.RequestID, "attempt", a.req.Attempt, "code", int(code), "took", took)
 }
 
+// recheck is the last check before a request is sent. Its refusals say "not run".
+func (s *Server) recheck(ctx context.Context) *api.Error {
+	if cause := context.Cause(ctx); cause != nil {
+		e := *causeError(cause)
+		e.Ran = api.NotRun
+		return &e
+	}
+	_, e := s.inService()
+	return e
+}
+
 // abandoned reports whether this side gave the attempt up, so that the
 // backend server may still be at it.
 func abandoned(ctx context.Context, e *api.Error) bool {
--- a/side/server.go
+++ b/side/server.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"marjorampitch/api"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
 	"marjorampitch/platform"
@@ -104,7 +105,16 @@
 }
 
 // Ready returns nil while the side process takes new work, and otherwise the reason.
-func (s *Server) Ready() error { return s.node.Ready() }
+func (s *Server) Ready() error {
+	if err := s.node.Ready(); err != nil {
+		return err
+	}
+	l := s.limiter.Load()
+	if l == nil || !l.ready() {
+		return api.NewError(api.NotReady, "what the backend server has in flight is not known yet")
+	}
+	return nil
+}
 
 // Shutdown takes no new work, waits until the attempts in flight are
 // finished and delivered, and returns. Error: that of ctx.
