Entry: candidates by pool and model, smaller heartbeats and reports, links drain before they close

Cause: a pick walked all backend servers of the document; a link that the document no longer wants was closed under its answers; a report carried names that the connection's hello already gives.

--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -288,4 +288,3 @@
 	}
 	return nil
 }
-
--- a/entry/link.go
+++ b/entry/link.go
@@ -64,7 +64,7 @@
 			wait = minRedial
 			select {
 			case <-ctx.Done():
-				c.CloseAfterFlush()
+				l.drain(c)
 				return
 			case <-c.Done():
 				l.disconnected(c)
@@ -81,6 +81,26 @@
 	}
 }
 
+// drain closes c once no answer is in flight on it.
+func (l *link) drain(c *wire.Conn) {
+	ticker := time.NewTicker(resumePoll)
+	defer ticker.Stop()
+	for !l.idle() {
+		select {
+		case <-c.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	c.CloseAfterFlush()
+}
+
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.streams) == 0
+}
+
 // connected makes c usable. That is after its first heartbeat, which brings
 // what the side process knows of requests that crash backend servers.
 func (l *link) connected(c *wire.Conn) {
@@ -88,6 +108,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = c
+	l.report = wire.Report{}
 	l.reported = time.Time{}
 }
 
@@ -159,7 +180,7 @@
 func (l *link) setReport(r *wire.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Instance == "" || (r.Seq < l.report.Seq && r.Incarnation == l.report.Incarnation) {
+	if r.Seq <= l.report.Seq {
 		return
 	}
 	l.report = *r
@@ -232,7 +253,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.Excluded = l.conn == nil
-	c.Leaving = l.leaving || l.report.Leaving
+	c.Leaving = c.Leaving || l.leaving || l.report.Leaving
 	c.Own = l.own
 	c.Since = l.since
 	c.Age = route.NoReport
@@ -244,8 +265,8 @@
 	c.Limit = l.report.Limit
 	c.Running = l.report.Running
 	c.Waiting = l.report.Waiting
-	c.StepMillis = l.report.StepMillis
-	c.CacheUsed = l.report.CacheUsed
+	c.StepMillis = float64(l.report.StepMillis)
+	c.CacheUsed = float64(l.report.CacheUsed)
 }
 
 // await waits until the link is connected again after old, at most resumeWait.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -158,7 +158,7 @@
 
 // pick chooses a backend server that is not in tried.
 func (s *Server) pick(c *call, tried map[string]bool) (*link, bool) {
-	candidates, links := s.table.candidates(c, tried)
+	candidates, rows := s.table.candidates(c, tried)
 	req := route.Request{
 		Organisation: c.organisation,
 		Session:      c.session,
@@ -173,7 +173,7 @@
 	if !ok {
 		return nil, false
 	}
-	return links[i], true
+	return rows[i].link, true
 }
 
 // feedback tells the picker how an attempt ended.
--- a/entry/status.go
+++ b/entry/status.go
@@ -77,21 +77,20 @@
 	defer t.mu.Unlock()
 	out := make([]SideStatus, 0, len(t.links))
 	for _, l := range t.links {
-		out = append(out, l.status(now, t.leaving[l.name]))
+		out = append(out, l.status(now, t.byName[l.name].known))
 	}
 	slices.SortFunc(out, func(a, b SideStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-func (l *link) status(now time.Time, leaving bool) SideStatus {
-	var c route.Candidate
+func (l *link) status(now time.Time, c route.Candidate) SideStatus {
 	l.fill(&c, now)
 	return SideStatus{
 		Name:       l.name,
 		Address:    l.address,
 		DataCentre: l.dataCentre,
 		Connected:  !c.Excluded,
-		Leaving:    leaving || c.Leaving,
+		Leaving:    c.Leaving,
 		Cold:       c.Cold,
 		Limit:      c.Limit,
 		Running:    c.Running,
--- a/entry/table.go
+++ b/entry/table.go
@@ -39,17 +39,29 @@
 	mu        sync.Mutex
 	links     map[string]*link
 	instances []platform.Instance
-	leaving   map[string]bool
 	doc       *logfold.InForce
+	pools     map[poolKey][]row
+	byName    map[string]row
+}
+
+// poolKey names the backend servers that may serve a call. model is empty for
+// routes that do not depend on one.
+type poolKey struct {
+	pool, model string
+}
+
+// row is a link with what the document and the instance list say of it.
+type row struct {
+	link  *link
+	known route.Candidate // the fields that change with the document or the list only
 }
 
 func newTable(self string, n *node.Node, logger *log.Logger) *table {
 	return &table{
-		self:    self,
-		node:    n,
-		log:     logger,
-		links:   make(map[string]*link),
-		leaving: make(map[string]bool),
+		self:  self,
+		node:  n,
+		log:   logger,
+		links: make(map[string]*link),
 	}
 }
 
@@ -70,13 +82,41 @@
 			delete(t.links, name)
 		}
 	}
-	clear(t.leaving)
 	for name, in := range wanted {
-		t.leaving[name] = in.State == platform.InstanceLeaving
 		if t.links[name] == nil {
 			t.start(ctx, in)
 		}
 	}
+	t.buildPools(wanted)
+}
+
+// buildPools groups the links by what they serve. The caller holds mu.
+func (t *table) buildPools(wanted map[string]platform.Instance) {
+	t.pools = make(map[poolKey][]row)
+	t.byName = make(map[string]row)
+	for i := range t.doc.Doc.Backends {
+		be := &t.doc.Doc.Backends[i]
+		l := t.links[be.Name]
+		if l == nil {
+			continue
+		}
+		r := row{link: l, known: route.Candidate{
+			Name:       be.Name,
+			Hash:       route.HashName(be.Name),
+			DataCentre: be.DataCentre,
+			Distance:   t.distance(be.DataCentre),
+			Leaving:    t.out(be) || wanted[be.Name].State == platform.InstanceLeaving,
+		}}
+		t.byName[be.Name] = r
+		t.addRow(poolKey{pool: be.Pool}, r)
+		for _, model := range be.Models {
+			t.addRow(poolKey{pool: be.Pool, model: model}, r)
+		}
+	}
+}
+
+func (t *table) addRow(key poolKey, r row) {
+	t.pools[key] = append(t.pools[key], r)
 }
 
 // start opens a link. The caller holds mu.
@@ -120,35 +160,24 @@
 
 // candidates returns what a picker may choose from for a call, and the links
 // behind it at the same indices.
-func (t *table) candidates(c *call, tried map[string]bool) ([]route.Candidate, []*link) {
+func (t *table) candidates(c *call, tried map[string]bool) ([]route.Candidate, []row) {
 	now := time.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.doc == nil {
-		return nil, nil
-	}
-	var out []route.Candidate
-	var links []*link
-	for _, be := range t.doc.Doc.Backends {
-		l := t.links[be.Name]
-		if l == nil || be.Pool != c.route.Pool || !serves(&be, c.model) {
-			continue
-		}
-		cand := route.Candidate{Name: be.Name, Hash: route.HashName(be.Name), DataCentre: be.DataCentre}
-		l.fill(&cand, now)
-		cand.Distance = t.distance(be.DataCentre)
-		cand.Excluded = cand.Excluded || tried[be.Name]
-		cand.Leaving = cand.Leaving || t.out(&be)
-		out = append(out, cand)
-		links = append(links, l)
+	rows := t.pools[poolKey{pool: c.route.Pool, model: c.model}]
+	t.mu.Unlock()
+	out := make([]route.Candidate, len(rows))
+	for i := range rows {
+		out[i] = rows[i].known
+		rows[i].link.fill(&out[i], now)
+		out[i].Excluded = out[i].Excluded || tried[out[i].Name]
 	}
-	return out, links
+	return out, rows
 }
 
-// out reports whether the backend server may get no new work. The caller holds mu.
+// out reports whether the document takes the backend server out of service. The caller holds mu.
 func (t *table) out(be *config.Backend) bool {
 	dc := t.doc.Doc.DataCentre(be.DataCentre)
-	return be.Leaving || t.leaving[be.Name] || dc == nil || dc.Out
+	return be.Leaving || dc == nil || dc.Out
 }
 
 func (t *table) distance(dataCentre string) time.Duration {
@@ -162,7 +191,3 @@
 	}
 	return otherRegions
 }
-
-func serves(be *config.Backend, model string) bool {
-	return model == "" || slices.Contains(be.Models, model)
-}
--- a/route/table.go
+++ b/route/table.go
@@ -70,8 +70,8 @@
 	row.Limit = r.Limit
 	row.Running = r.Running
 	row.Waiting = r.Waiting
-	row.StepMillis = r.StepMillis
-	row.CacheUsed = r.CacheUsed
+	row.StepMillis = float64(r.StepMillis)
+	row.CacheUsed = float64(r.CacheUsed)
 	row.Since = 0
 }
 
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -219,14 +219,13 @@
 	now := l.now()
 	l.seq++
 	return wire.Report{
-		Incarnation: l.last.Incarnation,
-		Seq:         l.seq,
-		Cold:        l.cold.Cold(now),
-		Limit:       l.cold.Limit(now),
-		Running:     l.shares.Running(),
-		Waiting:     l.shares.Queued(),
-		StepMillis:  l.last.StepMillis,
-		CacheUsed:   l.last.CacheUsed,
+		Seq:        l.seq,
+		Cold:       l.cold.Cold(now),
+		Limit:      l.cold.Limit(now),
+		Running:    l.shares.Running(),
+		Waiting:    l.shares.Queued(),
+		StepMillis: float32(l.last.StepMillis),
+		CacheUsed:  float32(l.last.CacheUsed),
 	}
 }
 
--- a/side/load.go
+++ b/side/load.go
@@ -173,8 +173,6 @@
 	if l := s.limiter.Load(); l != nil {
 		r = l.report()
 	}
-	r.Instance = s.opt.Hello.Instance
-	r.Backend = s.opt.Hello.Instance
 	r.Leaving = s.node.Leaving()
 	return r
 }
--- a/side/status.go
+++ b/side/status.go
@@ -44,7 +44,7 @@
 		Limit:        r.Limit,
 		Running:      r.Running,
 		Waiting:      r.Waiting,
-		StepMillis:   r.StepMillis,
+		StepMillis:   float64(r.StepMillis),
 		Entries:      len(s.peers()),
 		Refusals:     s.refusals.Last(),
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -41,13 +41,13 @@
 // Freshness without clocks: the receiver knows when it sent Echo, so the
 // sender's proof is no older than ProofAgeMillis plus the time since then.
 type Heartbeat struct {
-	Seq            uint64    `msg:"seq"`
-	Echo           uint64    `msg:"echo"`    // highest Seq received from the peer; 0 for none
-	ConfigOffset   int64     `msg:"cfg"`     // offset of the document in force
-	ProofAgeMillis int64     `msg:"proof"`   // age of the sender's proof that it is current; -1 for none
-	LogDown        bool      `msg:"logdown"` // the sender cannot read the log now
-	Leaving        bool      `msg:"leaving"` // the sender takes no new work
-	Suspects       []Suspect `msg:"sus"`     // news about requests seen in flight at a crash
+	Seq            uint64    `msg:"s"`
+	Echo           uint64    `msg:"e"`           // highest Seq received from the peer; 0 for none
+	ConfigOffset   int64     `msg:"c"`           // offset of the document in force
+	ProofAgeMillis int64     `msg:"p"`           // age of the sender's proof that it is current; -1 for none
+	LogDown        bool      `msg:"d,omitempty"` // the sender cannot read the log now
+	Leaving        bool      `msg:"l,omitempty"` // the sender takes no new work
+	Suspects       []Suspect `msg:"u,omitempty"` // news about requests seen in flight at a crash
 }
 
 // Suspect is one piece of evidence about a request that may crash backend
@@ -161,17 +161,14 @@
 // Report is a side's view of its backend server; it rides on answers and is
 // sent alone when nothing else was sent for a while.
 type Report struct {
-	Instance    string  `msg:"inst"`
-	Backend     string  `msg:"be"`
-	Incarnation string  `msg:"inc"` // of the backend server
-	Seq         uint64  `msg:"seq"`
-	Cold        bool    `msg:"cold"`
-	Leaving     bool    `msg:"leav"`
-	Limit       int     `msg:"lim"` // requests that the side admits at once
-	Running     int     `msg:"run"`
-	Waiting     int     `msg:"wait"`
-	StepMillis  float64 `msg:"step"`
-	CacheUsed   float64 `msg:"kv"`
+	Seq        uint64  `msg:"q"`           // rises with each report of one incarnation of the side; 0 for no report
+	Cold       bool    `msg:"c,omitempty"` // in cold start
+	Leaving    bool    `msg:"l,omitempty"` // takes no new work
+	Limit      int     `msg:"m,omitempty"` // requests that the side admits at once
+	Running    int     `msg:"r,omitempty"`
+	Waiting    int     `msg:"w,omitempty"`
+	StepMillis float32 `msg:"t,omitempty"` // time of the engine's last step
+	CacheUsed  float32 `msg:"k,omitempty"` // share of KV cache memory in use, 0 to 1
 }
 
 // KeyQuery asks a side what became of a claimed call. With Seal set, a key
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -52,7 +52,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -240,7 +240,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1388,7 +1388,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1592,7 +1592,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1815,43 +1815,43 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "seq":
+		case "s":
 			z.Seq, err = dc.ReadUint64()
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "echo":
+		case "e":
 			z.Echo, err = dc.ReadUint64()
 			if err != nil {
 				err = msgp.WrapError(err, "Echo")
 				return
 			}
-		case "cfg":
+		case "c":
 			z.ConfigOffset, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "ConfigOffset")
 				return
 			}
-		case "proof":
+		case "p":
 			z.ProofAgeMillis, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "ProofAgeMillis")
 				return
 			}
-		case "logdown":
+		case "d":
 			z.LogDown, err = dc.ReadBool()
 			if err != nil {
 				err = msgp.WrapError(err, "LogDown")
 				return
 			}
-		case "leaving":
+		case "l":
 			z.Leaving, err = dc.ReadBool()
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "sus":
+		case "u":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
@@ -1863,7 +1863,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = z.Suspects[:zb0002]
+				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -1887,83 +1887,113 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "seq"
-	err = en.Append(0x87, 0xa3, 0x73, 0x65, 0x71)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.LogDown == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "echo"
-	err = en.Append(0xa4, 0x65, 0x63, 0x68, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Echo)
-	if err != nil {
-		err = msgp.WrapError(err, "Echo")
-		return
+	if z.Suspects == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// write "cfg"
-	err = en.Append(0xa3, 0x63, 0x66, 0x67)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.ConfigOffset)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
-		return
-	}
-	// write "proof"
-	err = en.Append(0xa5, 0x70, 0x72, 0x6f, 0x6f, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ProofAgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "ProofAgeMillis")
-		return
-	}
-	// write "logdown"
-	err = en.Append(0xa7, 0x6c, 0x6f, 0x67, 0x64, 0x6f, 0x77, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.LogDown)
-	if err != nil {
-		err = msgp.WrapError(err, "LogDown")
-		return
-	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	// write "sus"
-	err = en.Append(0xa3, 0x73, 0x75, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Suspects)))
-	if err != nil {
-		err = msgp.WrapError(err, "Suspects")
-		return
-	}
-	for za0001 := range z.Suspects {
-		err = z.Suspects[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Seq")
+			return
+		}
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Echo)
 		if err != nil {
-			err = msgp.WrapError(err, "Suspects", za0001)
+			err = msgp.WrapError(err, "Echo")
 			return
 		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ConfigOffset)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigOffset")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ProofAgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "ProofAgeMillis")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.LogDown)
+			if err != nil {
+				err = msgp.WrapError(err, "LogDown")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "l"
+			err = en.Append(0xa1, 0x6c)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Leaving)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Suspects)))
+			if err != nil {
+				err = msgp.WrapError(err, "Suspects")
+				return
+			}
+			for za0001 := range z.Suspects {
+				err = z.Suspects[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspects", za0001)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1971,33 +2001,60 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "seq"
-	o = append(o, 0x87, 0xa3, 0x73, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "echo"
-	o = append(o, 0xa4, 0x65, 0x63, 0x68, 0x6f)
-	o = msgp.AppendUint64(o, z.Echo)
-	// string "cfg"
-	o = append(o, 0xa3, 0x63, 0x66, 0x67)
-	o = msgp.AppendInt64(o, z.ConfigOffset)
-	// string "proof"
-	o = append(o, 0xa5, 0x70, 0x72, 0x6f, 0x6f, 0x66)
-	o = msgp.AppendInt64(o, z.ProofAgeMillis)
-	// string "logdown"
-	o = append(o, 0xa7, 0x6c, 0x6f, 0x67, 0x64, 0x6f, 0x77, 0x6e)
-	o = msgp.AppendBool(o, z.LogDown)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "sus"
-	o = append(o, 0xa3, 0x73, 0x75, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
-	for za0001 := range z.Suspects {
-		o, err = z.Suspects[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Suspects", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.LogDown == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Suspects == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.Echo)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendInt64(o, z.ConfigOffset)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt64(o, z.ProofAgeMillis)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBool(o, z.LogDown)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
+			for za0001 := range z.Suspects {
+				o, err = z.Suspects[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspects", za0001)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -2025,43 +2082,43 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "seq":
+		case "s":
 			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "echo":
+		case "e":
 			z.Echo, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Echo")
 				return
 			}
-		case "cfg":
+		case "c":
 			z.ConfigOffset, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "ConfigOffset")
 				return
 			}
-		case "proof":
+		case "p":
 			z.ProofAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "ProofAgeMillis")
 				return
 			}
-		case "logdown":
+		case "d":
 			z.LogDown, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "LogDown")
 				return
 			}
-		case "leaving":
+		case "l":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "sus":
+		case "u":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
@@ -2073,7 +2130,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = z.Suspects[:zb0002]
+				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -2098,7 +2155,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 5 + msgp.Uint64Size + 4 + msgp.Int64Size + 6 + msgp.Int64Size + 8 + msgp.BoolSize + 8 + msgp.BoolSize + 4 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Suspects {
 		s += z.Suspects[za0001].Msgsize()
 	}
@@ -3913,68 +3970,50 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "inst":
-			z.Instance, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "be":
-			z.Backend, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Backend")
-				return
-			}
-		case "inc":
-			z.Incarnation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "seq":
+		case "q":
 			z.Seq, err = dc.ReadUint64()
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "cold":
+		case "c":
 			z.Cold, err = dc.ReadBool()
 			if err != nil {
 				err = msgp.WrapError(err, "Cold")
 				return
 			}
-		case "leav":
+		case "l":
 			z.Leaving, err = dc.ReadBool()
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "lim":
+		case "m":
 			z.Limit, err = dc.ReadInt()
 			if err != nil {
 				err = msgp.WrapError(err, "Limit")
 				return
 			}
-		case "run":
+		case "r":
 			z.Running, err = dc.ReadInt()
 			if err != nil {
 				err = msgp.WrapError(err, "Running")
 				return
 			}
-		case "wait":
+		case "w":
 			z.Waiting, err = dc.ReadInt()
 			if err != nil {
 				err = msgp.WrapError(err, "Waiting")
 				return
 			}
-		case "step":
-			z.StepMillis, err = dc.ReadFloat64()
+		case "t":
+			z.StepMillis, err = dc.ReadFloat32()
 			if err != nil {
 				err = msgp.WrapError(err, "StepMillis")
 				return
 			}
-		case "kv":
-			z.CacheUsed, err = dc.ReadFloat64()
+		case "k":
+			z.CacheUsed, err = dc.ReadFloat32()
 			if err != nil {
 				err = msgp.WrapError(err, "CacheUsed")
 				return
@@ -3992,116 +4031,140 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
-	// write "inst"
-	err = en.Append(0x8b, 0xa4, 0x69, 0x6e, 0x73, 0x74)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Cold == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(z.Instance)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "be"
-	err = en.Append(0xa2, 0x62, 0x65)
-	if err != nil {
-		return
+	if z.Limit == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteString(z.Backend)
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "inc"
-	err = en.Append(0xa3, 0x69, 0x6e, 0x63)
-	if err != nil {
-		return
+	if z.Waiting == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteString(z.Incarnation)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
+	if z.StepMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// write "seq"
-	err = en.Append(0xa3, 0x73, 0x65, 0x71)
-	if err != nil {
-		return
+	if z.CacheUsed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteUint64(z.Seq)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Seq")
 		return
 	}
-	// write "cold"
-	err = en.Append(0xa4, 0x63, 0x6f, 0x6c, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Cold)
-	if err != nil {
-		err = msgp.WrapError(err, "Cold")
-		return
-	}
-	// write "leav"
-	err = en.Append(0xa4, 0x6c, 0x65, 0x61, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	// write "lim"
-	err = en.Append(0xa3, 0x6c, 0x69, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Limit)
-	if err != nil {
-		err = msgp.WrapError(err, "Limit")
-		return
-	}
-	// write "run"
-	err = en.Append(0xa3, 0x72, 0x75, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Running)
-	if err != nil {
-		err = msgp.WrapError(err, "Running")
-		return
-	}
-	// write "wait"
-	err = en.Append(0xa4, 0x77, 0x61, 0x69, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Waiting)
-	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
-		return
-	}
-	// write "step"
-	err = en.Append(0xa4, 0x73, 0x74, 0x65, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.StepMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "StepMillis")
-		return
-	}
-	// write "kv"
-	err = en.Append(0xa2, 0x6b, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.CacheUsed)
-	if err != nil {
-		err = msgp.WrapError(err, "CacheUsed")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Seq")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Cold)
+			if err != nil {
+				err = msgp.WrapError(err, "Cold")
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "l"
+			err = en.Append(0xa1, 0x6c)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Leaving)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Limit)
+			if err != nil {
+				err = msgp.WrapError(err, "Limit")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Running)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "w"
+			err = en.Append(0xa1, 0x77)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Waiting)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteFloat32(z.StepMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "StepMillis")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
+			if err != nil {
+				return
+			}
+			err = en.WriteFloat32(z.CacheUsed)
+			if err != nil {
+				err = msgp.WrapError(err, "CacheUsed")
+				return
+			}
+		}
 	}
 	return
 }
@@ -4109,40 +4172,82 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "inst"
-	o = append(o, 0x8b, 0xa4, 0x69, 0x6e, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Instance)
-	// string "be"
-	o = append(o, 0xa2, 0x62, 0x65)
-	o = msgp.AppendString(o, z.Backend)
-	// string "inc"
-	o = append(o, 0xa3, 0x69, 0x6e, 0x63)
-	o = msgp.AppendString(o, z.Incarnation)
-	// string "seq"
-	o = append(o, 0xa3, 0x73, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "cold"
-	o = append(o, 0xa4, 0x63, 0x6f, 0x6c, 0x64)
-	o = msgp.AppendBool(o, z.Cold)
-	// string "leav"
-	o = append(o, 0xa4, 0x6c, 0x65, 0x61, 0x76)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "lim"
-	o = append(o, 0xa3, 0x6c, 0x69, 0x6d)
-	o = msgp.AppendInt(o, z.Limit)
-	// string "run"
-	o = append(o, 0xa3, 0x72, 0x75, 0x6e)
-	o = msgp.AppendInt(o, z.Running)
-	// string "wait"
-	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
-	o = msgp.AppendInt(o, z.Waiting)
-	// string "step"
-	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
-	o = msgp.AppendFloat64(o, z.StepMillis)
-	// string "kv"
-	o = append(o, 0xa2, 0x6b, 0x76)
-	o = msgp.AppendFloat64(o, z.CacheUsed)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Cold == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Limit == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Waiting == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.StepMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.CacheUsed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendBool(o, z.Cold)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendInt(o, z.Limit)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendInt(o, z.Running)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendInt(o, z.Waiting)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendFloat32(o, z.StepMillis)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendFloat32(o, z.CacheUsed)
+		}
+	}
 	return
 }
 
@@ -4168,68 +4273,50 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "inst":
-			z.Instance, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "be":
-			z.Backend, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Backend")
-				return
-			}
-		case "inc":
-			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "seq":
+		case "q":
 			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "cold":
+		case "c":
 			z.Cold, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Cold")
 				return
 			}
-		case "leav":
+		case "l":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "lim":
+		case "m":
 			z.Limit, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Limit")
 				return
 			}
-		case "run":
+		case "r":
 			z.Running, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Running")
 				return
 			}
-		case "wait":
+		case "w":
 			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Waiting")
 				return
 			}
-		case "step":
-			z.StepMillis, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "t":
+			z.StepMillis, bts, err = msgp.ReadFloat32Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "StepMillis")
 				return
 			}
-		case "kv":
-			z.CacheUsed, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "k":
+			z.CacheUsed, bts, err = msgp.ReadFloat32Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "CacheUsed")
 				return
@@ -4248,7 +4335,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Instance) + 3 + msgp.StringPrefixSize + len(z.Backend) + 4 + msgp.StringPrefixSize + len(z.Incarnation) + 4 + msgp.Uint64Size + 5 + msgp.BoolSize + 5 + msgp.BoolSize + 4 + msgp.IntSize + 4 + msgp.IntSize + 5 + msgp.IntSize + 5 + msgp.Float64Size + 3 + msgp.Float64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.Float32Size
 	return
 }
 
@@ -4322,7 +4409,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -4909,7 +4996,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
