--- a/entry/server.go
+++ b/entry/server.go
@@ -29,7 +29,7 @@
 
 // Timing and sizes of an entry.
 const (
-	listInterval      = 500 * time.Millisecond
+	listInterval      = time.Second
 	headerReadTimeout = 5 * time.Second
 	bodyReadTimeout   = 15 * time.Second
 	idleTimeout       = 60 * time.Second
