--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 # demo starts two services as separate processes and shows what they do.
 demo: build
 	scripts/demo.sh
+
+# slopes measures how costs grow with sizes; ONLY=regexp picks some.
+slopes:
+	$(GO) run ./cmd/slopes --only '$(ONLY)'
--- /dev/null
+++ b/cmd/slopes/main.go
@@ -0,0 +1,36 @@
+// Command slopes measures how costs grow with sizes; docs/CAPACITY.md is
+// worked out from its output.
+package main
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+
+	"github.com/spf13/cobra"
+
+	"marjorampitch/internal/slopes"
+)
+
+func main() {
+	var only string
+	cmd := &cobra.Command{
+		Use:           "slopes",
+		Short:         "Measure how costs grow with sizes",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			match, err := regexp.Compile(only)
+			if err != nil {
+				return err
+			}
+			return slopes.Run(os.Stdout, match)
+		},
+	}
+	cmd.Flags().StringVar(&only, "only", "", "regular expression of the names to measure")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/slopes/documents.go
@@ -0,0 +1,90 @@
+package slopes
+
+import (
+	"fmt"
+	"strings"
+
+	"marjorampitch/config"
+	"marjorampitch/logfold"
+)
+
+var (
+	backendSizes      = []int{100, 400, 1_600, 3_100}
+	organisationSizes = []int{10, 100, 1_000, 7_400}
+)
+
+// documents measures what a document costs to read and to hand on.
+func documents() []Slope {
+	byBackends := func(n int) string { return document(n, 10) }
+	byOrganisations := func(n int) string { return document(10, n) }
+	return []Slope{
+		documentSlope("document-parse", "backend-server", "us", backendSizes, byBackends, parseTime),
+		documentSlope("document-parse", "organisation", "us", organisationSizes, byOrganisations, parseTime),
+		documentSlope("document-packed", "backend-server", "B", backendSizes, byBackends, packedSize),
+		documentSlope("document-packed", "organisation", "B", organisationSizes, byOrganisations, packedSize),
+		documentSlope("document-memory", "backend-server", "B", backendSizes, byBackends, documentMemory),
+		documentSlope("document-memory", "organisation", "B", organisationSizes, byOrganisations, documentMemory),
+	}
+}
+
+func documentSlope(name, per, unit string, sizes []int, text func(int) string, cost func(string) (float64, error)) Slope {
+	return Slope{
+		Name: name, Per: per, Unit: unit, Sizes: sizes,
+		Measure: func(n int) (float64, error) { return cost(text(n)) },
+	}
+}
+
+func parseTime(text string) (float64, error) {
+	var failed error
+	data := []byte(text)
+	cost := nanos(func() {
+		doc, err := config.ParseDocument("slope.ini", data)
+		if err != nil {
+			failed = err
+			return
+		}
+		doc.Backend("none")
+	})
+	return cost / 1e3, failed
+}
+
+func packedSize(text string) (float64, error) {
+	packed, err := logfold.Pack([]byte(text))
+	return float64(len(packed)), err
+}
+
+func documentMemory(text string) (float64, error) {
+	before := heldBytes()
+	doc, err := config.ParseDocument("slope.ini", []byte(text))
+	if err != nil {
+		return 0, err
+	}
+	doc.Backend("none")
+	held := heldBytes() - before
+	if doc.Service.Name == "" {
+		return 0, fmt.Errorf("document without a service")
+	}
+	return held, nil
+}
+
+// document returns the text of a document of the given size, with 35 models
+// in 35 pools and six data centres.
+func document(backends, organisations int) string {
+	var b strings.Builder
+	b.WriteString("[service]\nname = slope\nformat = 1\n")
+	for dc := range 6 {
+		fmt.Fprintf(&b, "[data-centre dc%d]\nregion = r%d\nstate = in\n", dc, dc/2)
+	}
+	for m := range 35 {
+		fmt.Fprintf(&b, "[route chat-%d]\npath = /m%d/v1/chat/completions\npool = pool-%d\nidempotent = yes\nstreaming = yes\ntimeout = 30s\n", m, m, m)
+	}
+	for i := range max(backends, 35) {
+		fmt.Fprintf(&b, "[backend-server dc%d-llm-%d]\ndata-centre = dc%d\nkind = engine\npool = pool-%d\nmodels = model-%d\nmax-running = 64\nstate = in\n",
+			i%6, i, i%6, i%35, i%35)
+	}
+	for i := range organisations {
+		fmt.Fprintf(&b, "[organisation org-%d]\nweight = %d\n", i, 1+i%5)
+	}
+	b.WriteString("[routing]\npolicy = bounded\nsubset = 4\n[placement]\npolicy = packed\n[limits]\ncold-start = 2\n")
+	return b.String()
+}
--- /dev/null
+++ b/internal/slopes/membership.go
@@ -0,0 +1,77 @@
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"marjorampitch/platform"
+	"marjorampitch/route"
+)
+
+// instances measures what a changed instance list costs.
+func instances() []Slope {
+	sizes := []int{140, 560, 2_240, 3_540}
+	return []Slope{
+		{Name: "list-bytes", Per: "instance", Unit: "B", Sizes: sizes, Measure: func(n int) (float64, error) {
+			text, err := json.Marshal(instanceList(n))
+			return float64(len(text)), err
+		}},
+		{Name: "list-decode", Per: "instance", Unit: "us", Sizes: sizes, Measure: func(n int) (float64, error) {
+			text, err := json.Marshal(instanceList(n))
+			if err != nil {
+				return 0, err
+			}
+			var failed error
+			cost := nanos(func() {
+				var body platform.InstancesBody
+				if err := json.Unmarshal(text, &body); err != nil {
+					failed = err
+				}
+			})
+			return cost / 1e3, failed
+		}},
+	}
+}
+
+func instanceList(n int) platform.InstancesBody {
+	var body platform.InstancesBody
+	for i := range n {
+		body.Instances = append(body.Instances, platform.Instance{
+			Name:       fmt.Sprintf("dc%d-llm-%d", i%6, i),
+			Address:    fmt.Sprintf("10.%d.%d.%d:7000", i%6, i/250, i%250),
+			DataCentre: fmt.Sprintf("dc%d", i%6),
+			Role:       "side",
+			State:      platform.InstanceLive,
+		})
+	}
+	return body
+}
+
+// subsets measures the choice of links: 440 entries at the target, one model's
+// pool of sides at a time.
+func subsets() []Slope {
+	return []Slope{
+		{Name: "subset-choice", Per: "entry", Unit: "us", Sizes: []int{10, 40, 160, 440}, Measure: func(n int) (float64, error) {
+			return subsetCost(n, 89), nil
+		}},
+		{Name: "subset-choice", Per: "side", Unit: "us", Sizes: []int{20, 89, 400, 1_600}, Measure: func(n int) (float64, error) {
+			return subsetCost(440, n), nil
+		}},
+	}
+}
+
+// subsetLinks is the subset of each pool that an entry connects to.
+const subsetLinks = 4
+
+func subsetCost(entries, sides int) float64 {
+	e, s := routeMembers("entry", entries), routeMembers("llm", sides)
+	return nanos(func() { route.Subset(e[0].Name, e, s, subsetLinks) }) / 1e3
+}
+
+func routeMembers(kind string, n int) []route.Member {
+	out := make([]route.Member, n)
+	for i := range out {
+		out[i] = route.Member{Name: fmt.Sprintf("dc%d-%s-%d", i%6, kind, i), DataCentre: fmt.Sprintf("dc%d", i%6)}
+	}
+	return out
+}
