Inner protocol: hardened reader, queue bounds, closing without loss, heartbeat age

Cause: a review of the connection found: (1) closing with input unread makes the operating system reset the connection, and the peer loses what it has not received, so a graceful stop could cut an answer's end off; (2) a heartbeat read Echo after it was filled, so a sender paused in between looked current although its proof was old; (3) the queue was bounded in messages only (4096 of up to 4 MiB); (4) silence was measured by the wall clock; (5) an oversized message closed the connection of every stream on it; (6) a burst of chunks to a slow but living peer closed the connection. Ruled out: SO_LINGER, which blocks the close and still resets. Change: half-close, then wait for the peer's end; Echo first; a bound in bytes; monotonic time; ErrFrameSize before queueing; SendWait, which leaves half of the queue to messages that can't wait. Reader decodes from its buffer, chunks into slabs. Conclusion: mended; side and entry may use SendWait for chunks.

--- /dev/null
+++ b/wire/beat.go
@@ -0,0 +1,59 @@
+package wire
+
+import "time"
+
+// beat sends heartbeats and closes the connection when the peer is silent.
+func (c *Conn) beat(b Beats) {
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		hb := c.nextBeat(b)
+		if err := c.Send(&hb); err != nil {
+			return
+		}
+		select {
+		case <-c.done:
+			return
+		case <-ticker.C:
+		}
+		silent := time.Since(c.opened) - time.Duration(c.lastIn.Load())
+		if silent > HeartbeatTimeout {
+			c.Close(ErrSilent)
+			return
+		}
+	}
+}
+
+// BeatNow sends a heartbeat out of turn, so that what it carries arrives
+// before the messages that are sent after it.
+func (c *Conn) BeatNow(b Beats) {
+	hb := c.nextBeat(b)
+	c.Send(&hb)
+}
+
+// nextBeat makes a heartbeat. Echo is read before b is asked: the receiver
+// takes it that what the heartbeat says was true after Echo was sent, also
+// when this process is paused in between.
+func (c *Conn) nextBeat(b Beats) Heartbeat {
+	echo := c.lastSeq.Load()
+	hb := b.Beat(c)
+	hb.Echo = echo
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	hb.Seq = c.seq
+	c.sent[hb.Seq] = time.Now()
+	if hb.Seq > keptEchoes {
+		delete(c.sent, hb.Seq-keptEchoes)
+	}
+	return hb
+}
+
+// EchoAge returns how long ago the heartbeat that hb answers was sent: an
+// upper bound on the age of hb itself. ok is false when hb answers none.
+func (c *Conn) EchoAge(hb *Heartbeat) (age time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.sent[hb.Echo]
+	return time.Since(at), ok
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"io"
 
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
@@ -133,42 +132,3 @@
 	binary.BigEndian.PutUint32(out[start:], uint32(size))
 	return out, nil
 }
-
-// ReadFrame reads one frame. scratch is reused when it is large enough; the
-// message holds no reference to it. Errors: those of r, ErrFrameSize,
-// ErrFrameKind, ErrFrameBody.
-func ReadFrame(r io.Reader, scratch []byte) (Message, []byte, error) {
-	var head [lengthBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, scratch, err
-	}
-	size := binary.BigEndian.Uint32(head[:])
-	if size < 1 || size > MaxFrameBytes {
-		return nil, scratch, ErrFrameSize
-	}
-	if cap(scratch) < int(size) {
-		scratch = make([]byte, size)
-	}
-	payload := scratch[:size]
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return nil, scratch, err
-	}
-	m, err := decode(payload)
-	return m, scratch, err
-}
-
-// decode reads the payload of one frame: a kind byte and a body.
-func decode(payload []byte) (Message, error) {
-	m := newMessage(Kind(payload[0]))
-	if m == nil {
-		return nil, ErrFrameKind
-	}
-	rest, err := m.UnmarshalMsg(payload[1:])
-	if err != nil {
-		return nil, eris.Wrap(ErrFrameBody, err.Error())
-	}
-	if len(rest) != 0 {
-		return nil, ErrFrameBody
-	}
-	return m, nil
-}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -22,7 +22,7 @@
 	in := &Chunk{Stream: 7, Attempt: 2, Seq: 3, Data: []byte("token")}
 	frame, err := AppendFrame(nil, in)
 	require.NoError(t, err)
-	out, _, err := ReadFrame(bytes.NewReader(frame), nil)
+	out, err := NewReader(bytes.NewReader(frame)).Next()
 	require.NoError(t, err)
 	require.Equal(t, in, out)
 }
@@ -39,7 +39,7 @@
 	} {
 		frame, err := AppendFrame(nil, in)
 		require.NoError(t, err)
-		_, _, err = ReadFrame(bytes.NewReader(frame), nil)
+		_, err = NewReader(bytes.NewReader(frame)).Next()
 		require.NoError(t, err, "%T", in)
 	}
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -17,8 +16,12 @@
 	HeartbeatTimeout  = 3 * time.Second // a connection silent for this long is closed and never reused
 	helloTimeout      = 2 * time.Second
 	writeTimeout      = 3 * time.Second
-	queueLen          = 4096 // messages
+	closeTimeout      = 1 * time.Second // from the last message sent until the peer closes its end
+	queueLen          = 4096            // messages
+	maxQueueBytes     = 32 << 20        // of messages queued
+	maxHelloBytes     = 16 << 10
 	bufferBytes       = 32 << 10
+	keptEchoes        = 64 // heartbeats whose time of sending is kept
 )
 
 // Errors of a connection.
@@ -32,7 +35,8 @@
 
 // Handler receives what arrives on a connection. Handle is called by one
 // goroutine per connection, in order; it must not block. Closed is called
-// once, after the last Handle.
+// once, after the last Handle. Both may be called before Dial or Accept has
+// returned the connection.
 type Handler interface {
 	Handle(c *Conn, m Message)
 	Closed(c *Conn, err error)
@@ -48,16 +52,20 @@
 type Conn struct {
 	nc      net.Conn
 	peer    Hello
+	opened  time.Time // times below count from it, on the monotonic clock
 	queue   chan Message
+	queued  atomic.Int64  // bytes of the messages in queue
+	room    chan struct{} // has a value after the queue has shrunk
+	leaving atomic.Bool   // CloseAfterFlush was called
 	done    chan struct{}
 	once    sync.Once
-	err     error // set before done is closed
-	lastIn  atomic.Int64
+	err     error         // set before done is closed
+	lastIn  atomic.Int64  // nanoseconds from opened to the last message received
 	lastSeq atomic.Uint64 // highest heartbeat Seq received
 
-	mu   sync.Mutex
+	mu   sync.Mutex // guards what follows
 	seq  uint64
-	sent map[uint64]time.Time // when each unanswered heartbeat was sent
+	sent map[uint64]time.Time // when each of the last heartbeats was sent
 }
 
 // Dial connects to address, exchanges hellos and starts the connection.
@@ -78,20 +86,21 @@
 }
 
 func start(nc net.Conn, hello Hello, h Handler, b Beats) (*Conn, error) {
-	r := bufio.NewReaderSize(nc, bufferBytes)
+	r := NewReader(nc)
 	peer, err := exchange(nc, r, hello)
 	if err != nil {
 		nc.Close()
 		return nil, err
 	}
 	c := &Conn{
-		nc:    nc,
-		peer:  peer,
-		queue: make(chan Message, queueLen),
-		done:  make(chan struct{}),
-		sent:  make(map[uint64]time.Time),
+		nc:     nc,
+		peer:   peer,
+		opened: time.Now(),
+		queue:  make(chan Message, queueLen),
+		room:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+		sent:   make(map[uint64]time.Time),
 	}
-	c.lastIn.Store(time.Now().UnixNano())
 	go c.write()
 	go c.beat(b)
 	go c.read(r, h)
@@ -99,7 +108,7 @@
 }
 
 // exchange sends our hello, reads the peer's and agrees on a version.
-func exchange(nc net.Conn, r *bufio.Reader, hello Hello) (Hello, error) {
+func exchange(nc net.Conn, r *Reader, hello Hello) (Hello, error) {
 	hello.MinVersion = MinVersion
 	hello.MaxVersion = MaxVersion
 	if err := nc.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
@@ -112,7 +121,7 @@
 	if _, err := nc.Write(frame); err != nil {
 		return Hello{}, err
 	}
-	m, _, err := ReadFrame(r, nil)
+	m, err := r.next(maxHelloBytes)
 	if err != nil {
 		return Hello{}, err
 	}
@@ -121,7 +130,8 @@
 		return Hello{}, ErrHello
 	}
 	if peer.MaxVersion < MinVersion || peer.MinVersion > MaxVersion {
-		return Hello{}, ErrVersion
+		return Hello{}, eris.Wrapf(ErrVersion, "peer %q speaks %d to %d, we speak %d to %d",
+			peer.Instance, peer.MinVersion, peer.MaxVersion, MinVersion, MaxVersion)
 	}
 	return *peer, nc.SetDeadline(time.Time{})
 }
@@ -129,39 +139,16 @@
 // Peer returns the hello that the other end sent.
 func (c *Conn) Peer() Hello { return c.peer }
 
+// Version returns the highest version that both ends speak.
+func (c *Conn) Version() uint16 { return min(c.peer.MaxVersion, MaxVersion) }
+
 // Done is closed when the connection is.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
-// Send queues m. It never blocks. Errors: ErrClosed; ErrSlow, which also
-// closes the connection, since a message was lost on it.
-func (c *Conn) Send(m Message) error {
-	select {
-	case <-c.done:
-		return ErrClosed
-	default:
-	}
-	select {
-	case c.queue <- m:
-		return nil
-	default:
-		c.Close(ErrSlow)
-		return ErrSlow
-	}
-}
-
-// CloseAfterFlush closes the connection once every message queued so far is written.
-func (c *Conn) CloseAfterFlush() {
-	select {
-	case c.queue <- nil:
-	default:
-		c.Close(nil)
-	}
-}
-
 // Close closes the connection with the reason err. Later calls do nothing.
 func (c *Conn) Close(err error) {
 	c.once.Do(func() {
-		if err == nil {
+		if err == nil || c.leaving.Load() {
 			err = ErrClosed
 		}
 		c.err = err
@@ -170,132 +157,16 @@
 	})
 }
 
-// write sends queued messages, as many in one system call as are waiting.
-func (c *Conn) write() {
-	buf := make([]byte, 0, bufferBytes)
-	last := false
-	for {
-		select {
-		case <-c.done:
-			return
-		case m := <-c.queue:
-			buf, last = c.gather(buf[:0], m)
-		}
-		if !c.flush(buf) {
-			return
-		}
-		if last {
-			c.Close(nil)
-			return
-		}
-		if cap(buf) > MaxFrameBytes {
-			buf = make([]byte, 0, bufferBytes)
-		}
-	}
-}
-
-// gather encodes m and what else is queued, up to about bufferBytes. last
-// says that the connection is to be closed once buf is written.
-func (c *Conn) gather(buf []byte, m Message) (out []byte, last bool) {
-	for {
-		if m == nil {
-			return buf, true
-		}
-		next, err := AppendFrame(buf, m)
-		if err != nil {
-			c.Close(err)
-			return buf, true
-		}
-		buf = next
-		if len(buf) >= bufferBytes {
-			return buf, false
-		}
-		select {
-		case m = <-c.queue:
-		default:
-			return buf, false
-		}
-	}
-}
-
-func (c *Conn) flush(buf []byte) bool {
-	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		c.Close(err)
-		return false
-	}
-	if _, err := c.nc.Write(buf); err != nil {
-		c.Close(err)
-		return false
-	}
-	return true
-}
-
-// beat sends heartbeats and closes the connection when the peer is silent.
-func (c *Conn) beat(b Beats) {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		hb := c.nextBeat(b)
-		if err := c.Send(&hb); err != nil {
-			return
-		}
-		select {
-		case <-c.done:
-			return
-		case <-ticker.C:
-		}
-		silent := time.Since(time.Unix(0, c.lastIn.Load()))
-		if silent > HeartbeatTimeout {
-			c.Close(ErrSilent)
-			return
-		}
-	}
-}
-
-// BeatNow sends a heartbeat out of turn, so that what it carries arrives
-// before the messages that are sent after it.
-func (c *Conn) BeatNow(b Beats) {
-	hb := c.nextBeat(b)
-	c.Send(&hb)
-}
-
-func (c *Conn) nextBeat(b Beats) Heartbeat {
-	hb := b.Beat(c)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.seq++
-	hb.Seq = c.seq
-	hb.Echo = c.lastSeq.Load()
-	c.sent[hb.Seq] = time.Now()
-	return hb
-}
-
-// EchoAge returns how long ago the heartbeat that hb answers was sent: an
-// upper bound on the age of hb itself. ok is false when hb answers none.
-func (c *Conn) EchoAge(hb *Heartbeat) (age time.Duration, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, ok := c.sent[hb.Echo]
-	for seq := range c.sent {
-		if seq < hb.Echo {
-			delete(c.sent, seq)
-		}
-	}
-	return time.Since(at), ok
-}
-
 // read delivers messages until the connection fails.
-func (c *Conn) read(r *bufio.Reader, h Handler) {
-	var scratch []byte
+func (c *Conn) read(r *Reader, h Handler) {
 	for {
-		m, next, err := ReadFrame(r, scratch)
+		m, err := r.Next()
 		if err != nil {
 			c.Close(err)
 			h.Closed(c, c.err)
 			return
 		}
-		scratch = next
-		c.lastIn.Store(time.Now().UnixNano())
+		c.lastIn.Store(int64(time.Since(c.opened)))
 		if hb, ok := m.(*Heartbeat); ok {
 			c.lastSeq.Store(hb.Seq)
 		}
--- /dev/null
+++ b/wire/conn_test.go
@@ -0,0 +1,321 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// settle is the time that the goroutines of closed connections take to end.
+const settle = 10 * time.Second
+
+// link joins two ends like a network with a buffer; silenced, it swallows
+// everything and shows neither end.
+type link struct {
+	a, b   net.Conn
+	silent atomic.Bool
+}
+
+func newLink(buffer int) *link {
+	a, near := net.Pipe()
+	b, far := net.Pipe()
+	l := &link{a: a, b: b}
+	l.relay(near, far, buffer)
+	l.relay(far, near, buffer)
+	return l
+}
+
+func (l *link) relay(from, to net.Conn, buffer int) {
+	pieces := make(chan []byte, buffer)
+	go func() {
+		defer close(pieces)
+		for {
+			p := make([]byte, 4096)
+			n, err := from.Read(p)
+			if err != nil {
+				return
+			}
+			pieces <- p[:n]
+		}
+	}()
+	go func() {
+		for p := range pieces {
+			if !l.silent.Load() {
+				to.Write(p)
+			}
+		}
+		if !l.silent.Load() {
+			to.Close()
+		}
+	}()
+}
+
+// recorder is a Handler that keeps what it gets, and a Beats.
+type recorder struct {
+	mu     sync.Mutex
+	got    []Message
+	closed error
+	onBeat func(c *Conn) Heartbeat
+	block  chan struct{} // Handle waits for it, if set
+}
+
+func (r *recorder) Handle(_ *Conn, m Message) {
+	if r.block != nil {
+		<-r.block
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, m)
+}
+
+func (r *recorder) Closed(_ *Conn, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = err
+}
+
+func (r *recorder) Beat(c *Conn) Heartbeat {
+	if r.onBeat != nil {
+		return r.onBeat(c)
+	}
+	return Heartbeat{ConfigOffset: 5}
+}
+
+func (r *recorder) reason() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closed
+}
+
+// chunks returns the numbers of the chunks received.
+func (r *recorder) chunks() []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []uint64
+	for _, m := range r.got {
+		if c, ok := m.(*Chunk); ok {
+			out = append(out, c.Seq)
+		}
+	}
+	return out
+}
+
+// connect starts a connection on both ends.
+func connect(t *testing.T, a, b net.Conn, ra, rb *recorder) (ca, cb *Conn) {
+	accepted := make(chan *Conn, 1)
+	go func() {
+		c, _ := Accept(b, Hello{Instance: "b"}, rb, rb)
+		accepted <- c
+	}()
+	ca, err := Accept(a, Hello{Instance: "a"}, ra, ra)
+	require.NoError(t, err)
+	cb = <-accepted
+	require.NotNil(t, cb)
+	t.Cleanup(func() {
+		ca.Close(nil)
+		cb.Close(nil)
+		time.Sleep(settle)
+	})
+	require.Equal(t, "b", ca.Peer().Instance)
+	require.Equal(t, MaxVersion, ca.Version())
+	return ca, cb
+}
+
+func TestSilentConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(100)
+		ra, rb := &recorder{}, &recorder{}
+		ca, cb := connect(t, l.a, l.b, ra, rb)
+		time.Sleep(time.Minute)
+		require.NoError(t, ra.reason(), "heartbeats keep an idle connection open")
+
+		l.silent.Store(true)
+		began := time.Now()
+		<-ca.Done()
+		<-cb.Done()
+		require.LessOrEqual(t, time.Since(began), HeartbeatTimeout+2*HeartbeatInterval)
+		synctest.Wait()
+		require.ErrorIs(t, ra.reason(), ErrSilent)
+		require.ErrorIs(t, ca.Send(&Cancel{}), ErrClosed)
+	})
+}
+
+func TestBadFrameClosesOnlyItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := &recorder{}
+		good := newLink(100)
+		cGood, _ := connect(t, good.a, good.b, &recorder{}, shared)
+		bad := newLink(100)
+		cBad, _ := connect(t, bad.a, bad.b, &recorder{}, shared)
+
+		_, err := cBad.nc.Write([]byte{0, 0, 0, 2, 200, 1})
+		require.NoError(t, err)
+		<-cBad.Done()
+		synctest.Wait()
+		require.ErrorIs(t, shared.reason(), ErrFrameKind)
+		require.NoError(t, cGood.Send(&Chunk{Seq: 1}))
+		synctest.Wait()
+		require.Equal(t, []uint64{1}, shared.chunks())
+	})
+}
+
+func TestVersionMismatchIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(100)
+		go func() {
+			frame, _ := AppendFrame(nil, &Hello{MinVersion: MaxVersion + 1, MaxVersion: MaxVersion + 3})
+			l.b.Write(frame)
+			io.Copy(io.Discard, l.b)
+		}()
+		_, err := Accept(l.a, Hello{}, &recorder{}, &recorder{})
+		require.ErrorIs(t, err, ErrVersion)
+	})
+}
+
+func TestFirstMessageMustBeHello(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(100)
+		go func() {
+			frame, _ := AppendFrame(nil, &Cancel{})
+			l.b.Write(frame)
+			io.Copy(io.Discard, l.b)
+		}()
+		_, err := Accept(l.a, Hello{}, &recorder{}, &recorder{})
+		require.ErrorIs(t, err, ErrHello)
+	})
+}
+
+func TestPeerWithoutHelloTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(100)
+		_, err := Accept(l.a, Hello{}, &recorder{}, &recorder{})
+		require.Error(t, err)
+		l.b.Close()
+	})
+}
+
+// A peer that stops reading costs a bounded amount of memory.
+func TestSlowPeerGetsErrSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(1)
+		rb := &recorder{block: make(chan struct{})}
+		ca, _ := connect(t, l.a, l.b, &recorder{}, rb)
+		var err error
+		sent := 0
+		for err == nil {
+			err = ca.Send(&Chunk{Seq: uint64(sent), Data: make([]byte, 1<<20)})
+			sent++
+		}
+		require.ErrorIs(t, err, ErrSlow)
+		require.LessOrEqual(t, sent, maxQueueBytes>>20+4)
+		<-ca.Done()
+		close(rb.block)
+	})
+}
+
+// SendWait waits for a slow peer and loses nothing; heartbeats find room meanwhile.
+func TestSendWaitWaitsForSlowPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(1)
+		rb := &recorder{block: make(chan struct{})}
+		ca, _ := connect(t, l.a, l.b, &recorder{}, rb)
+		const senders, each = 4, 2000
+		var wg sync.WaitGroup
+		for s := range senders {
+			wg.Go(func() {
+				for i := range each {
+					require.NoError(t, ca.SendWait(t.Context(), &Chunk{Seq: uint64(s*each + i)}))
+				}
+			})
+		}
+		time.Sleep(2 * HeartbeatInterval)
+		short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		require.ErrorIs(t, ca.SendWait(short, &Chunk{}), context.DeadlineExceeded)
+		close(rb.block)
+		wg.Wait()
+		synctest.Wait()
+		require.Equal(t, senders*each, len(rb.chunks()))
+	})
+}
+
+func TestSendRefusesLargeMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink(100)
+		ca, _ := connect(t, l.a, l.b, &recorder{}, &recorder{})
+		require.ErrorIs(t, ca.Send(&Chunk{Data: make([]byte, MaxFrameBytes)}), ErrFrameSize)
+		require.NoError(t, ca.Send(&Cancel{}), "the connection stays open")
+	})
+}
+
+// EchoAge must bound the age of what a heartbeat says also when its sender
+// was paused between asking for it and sending it.
+func TestEchoAgeCoversPausedSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 2 * time.Second
+		l := newLink(100)
+		var asked atomic.Pointer[time.Time]
+		ra, rb := &recorder{}, &recorder{}
+		rb.onBeat = func(*Conn) Heartbeat {
+			now := time.Now()
+			asked.Store(&now)
+			time.Sleep(pause)
+			return Heartbeat{ConfigOffset: now.UnixNano()}
+		}
+		ca, _ := connect(t, l.a, l.b, ra, rb)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		checked := 0
+		ra.mu.Lock()
+		defer ra.mu.Unlock()
+		for _, m := range ra.got {
+			hb := m.(*Heartbeat)
+			age, ok := ca.EchoAge(hb)
+			if !ok {
+				continue
+			}
+			checked++
+			require.GreaterOrEqual(t, age, time.Since(time.Unix(0, hb.ConfigOffset)))
+		}
+		require.NotZero(t, checked)
+	})
+}
+
+// The last messages arrive although the peer's own are still on their way.
+func TestCloseAfterFlushDeliversEverything(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	rb := &recorder{}
+	accepted := make(chan *Conn, 1)
+	go func() {
+		nc, _ := listener.Accept()
+		c, _ := Accept(nc, Hello{}, rb, rb)
+		accepted <- c
+	}()
+	ca, err := Dial(t.Context(), listener.Addr().String(), Hello{}, &recorder{}, &recorder{})
+	require.NoError(t, err)
+	cb := <-accepted
+	go func() {
+		for cb.SendWait(context.Background(), &Chunk{Data: make([]byte, 1000)}) == nil {
+		}
+	}()
+	const count = 2000
+	for i := range count {
+		require.NoError(t, ca.SendWait(t.Context(), &Chunk{Seq: uint64(i), Data: make([]byte, 1000)}))
+	}
+	ca.CloseAfterFlush()
+	require.ErrorIs(t, ca.Send(&Cancel{}), ErrClosed)
+	<-cb.Done()
+	<-ca.Done()
+	require.Eventually(t, func() bool { return rb.reason() != nil }, time.Minute, time.Millisecond)
+	require.Equal(t, count, len(rb.chunks()))
+	require.ErrorIs(t, rb.reason(), io.EOF)
+}
