--- a/entry/server.go
+++ b/entry/server.go
@@ -100,21 +100,30 @@
 func (s *Server) follow(ctx context.Context) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
-	var instances []platform.Instance
+	changed := s.opt.Config.Subscribe()
+	instances := s.list(ctx, nil)
 	for {
-		list, err := s.opt.Instances.Instances(ctx)
-		if err == nil {
-			instances = list
-		}
 		s.apply(ctx, instances)
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
 		case <-ticker.C:
+			instances = s.list(ctx, instances)
 		}
 	}
 }
 
+// list asks for the instance list; while it is unavailable the last one counts.
+func (s *Server) list(ctx context.Context, last []platform.Instance) []platform.Instance {
+	list, err := s.opt.Instances.Instances(ctx)
+	if err != nil {
+		s.opt.Log.Warn("instance-list-unavailable", "err", err)
+		return last
+	}
+	return list
+}
+
 func (s *Server) apply(ctx context.Context, instances []platform.Instance) {
 	doc := s.opt.Config.Document()
 	if doc == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,8 @@
 	Document() *logfold.InForce
 	// Current reports whether the process has a recent proof that no newer document is in force.
 	Current() bool
+	// Subscribe returns a channel that receives a value after the document in force has changed.
+	Subscribe() <-chan struct{}
 	// FillHeartbeat sets the fields of hb that concern the configuration.
 	FillHeartbeat(hb *wire.Heartbeat)
 	// HeardFrom takes a heartbeat of a peer; age bounds how old it is when ageKnown.
--- a/internal/slopes/links.go
+++ b/internal/slopes/links.go
@@ -142,6 +142,7 @@
 
 func (steady) Document() *logfold.InForce { return nil }
 func (steady) Current() bool              { return true }
+func (steady) Subscribe() <-chan struct{} { return nil }
 func (steady) FillHeartbeat(hb *wire.Heartbeat) {
 	hb.ConfigOffset = 4_000
 	hb.ProofAgeMillis = 300
@@ -150,5 +151,5 @@
 func (steady) HeardFrom(string, string, *wire.Heartbeat, time.Duration, bool) *wire.ConfigQuery {
 	return nil
 }
-func (steady) Offer(*wire.Config)                     {}
+func (steady) Offer(*wire.Config)                    {}
 func (steady) Answer(*wire.ConfigQuery) *wire.Config { return nil }
