--- a/side/pump.go
+++ b/side/pump.go
@@ -33,7 +33,10 @@
 			if sub.window.take(ctx, len(st.chunk)) != nil {
 				return
 			}
-			sub.conn.Send(&wire.Chunk{Stream: sub.stream, Attempt: sub.attempt, Seq: sub.next, Data: st.chunk})
+			chunk := &wire.Chunk{Stream: sub.stream, Attempt: sub.attempt, Seq: sub.next, Data: st.chunk}
+			if sub.conn.SendWait(ctx, chunk) != nil {
+				return
+			}
 			a.sent(sub, len(st.chunk))
 		}
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -12,7 +12,7 @@
 
 // Timing and sizes of a connection.
 const (
-	HeartbeatInterval = 500 * time.Millisecond
+	HeartbeatInterval = time.Second
 	HeartbeatTimeout  = 3 * time.Second // a connection silent for this long is closed and never reused
 	helloTimeout      = 2 * time.Second
 	writeTimeout      = 3 * time.Second
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -43,6 +43,8 @@
 		f.SetInt(rapid.Int64().Draw(t, "int"))
 	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
 		f.SetUint(rapid.Uint64Max(1<<f.Type().Bits()-1).Draw(t, "uint"))
+	case reflect.Float32:
+		f.SetFloat(float64(rapid.Float32().Draw(t, "float")))
 	case reflect.Float64:
 		f.SetFloat(rapid.Float64().Draw(t, "float"))
 	case reflect.Slice:
