--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 # slopes measures how costs grow with sizes; ONLY=regexp picks some.
 slopes:
 	$(GO) run ./cmd/slopes --only '$(ONLY)'
+
+# bench compares an engine called directly with one called through the system.
+bench: build
+	scripts/bench.sh
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -106,7 +107,7 @@
 	return opts
 }
 
-// serveStatus serves health checks, metrics and the status page until ctx ends.
+// serveStatus serves health checks, metrics, profiles and the status page until ctx ends.
 func (b *base) serveStatus(ctx context.Context, ready func() error, describe func() status) error {
 	ln, err := net.Listen("tcp", b.settings.Process.Status)
 	if err != nil {
@@ -116,6 +117,8 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		writeStatus(w, r, describe())
 	})
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout}
 	go func() {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
