Entry: credit in quarters of the window, not for each chunk

Cause: every chunk that was taken sent a message back to the side. Ruled out: a larger window, which would hold more of a slow caller's answer.

--- a/entry/link.go
+++ b/entry/link.go
@@ -19,6 +19,7 @@
 	minRedial   = 50 * time.Millisecond
 	maxRedial   = 2 * time.Second
 	windowBytes = 256 << 10
+	creditBytes = windowBytes / 4
 )
 
 // link is the entry's connection to one side process. It is dialled again
@@ -203,6 +204,7 @@
 	conn   *wire.Conn
 	stream uint64
 	inbox  *inbox
+	taken  int // bytes taken since the last credit
 }
 
 // open starts a stream and sends the message that build makes for it. When it
@@ -238,9 +240,15 @@
 	l.since--
 }
 
-// credit allows the side to send n bytes more.
+// credit counts n bytes as taken, and allows the side to send as many more
+// once they add up to creditBytes.
 func (x *exchange) credit(n int) {
-	x.conn.Send(&wire.Credit{Stream: x.stream, Bytes: uint32(n)})
+	x.taken += n
+	if x.taken < creditBytes {
+		return
+	}
+	x.conn.Send(&wire.Credit{Stream: x.stream, Bytes: uint32(x.taken)})
+	x.taken = 0
 }
 
 // cancel tells the side that nobody waits for the answer.
