--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -191,3 +192,37 @@
 	}
 	require.Equal(t, []string{"listen", "status", "drain-wait", "instance-list", "log-service", "", "target"}, keys, "%v", err)
 }
+
+func TestSetStateKeepsEverythingElse(t *testing.T) {
+	text := "# top\n[data-centre a] ; first\nregion = r\nstate = in  ; since May\n\n[data-centre b]\nregion = in\n"
+	out, err := config.SetState([]byte(text), config.SectionDataCentre, "a", "out")
+	require.NoError(t, err)
+	require.Equal(t, strings.Replace(text, "state = in  ;", "state = out  ;", 1), string(out))
+	out, err = config.SetState(out, config.SectionDataCentre, "b", "out")
+	require.NoError(t, err)
+	require.Contains(t, string(out), "[data-centre b]\nstate = out\nregion = in\n")
+	_, err = config.SetState(out, config.SectionBackend, "a", "leaving")
+	require.ErrorIs(t, err, config.ErrNoSection)
+}
+
+func TestSetStateOnExamples(t *testing.T) {
+	for _, name := range []string{"bryllupslyd.ini", "caroni-watch.ini"} {
+		text := readExample(t, name)
+		doc, err := config.ParseDocument(name, text)
+		require.NoError(t, err)
+		for _, b := range doc.Backends {
+			changed, err := config.SetState(text, config.SectionBackend, b.Name, "leaving")
+			require.NoError(t, err)
+			after, err := config.ParseDocument(name, changed)
+			require.NoError(t, err)
+			for i, other := range after.Backends {
+				want := doc.Backends[i]
+				want.Leaving = other.Name == b.Name
+				require.Equal(t, want, other)
+			}
+			back, err := config.SetState(changed, config.SectionBackend, b.Name, "in")
+			require.NoError(t, err)
+			require.Equal(t, string(text), string(back))
+		}
+	}
+}
--- /dev/null
+++ b/config/publish/publish.go
@@ -0,0 +1,255 @@
+// Package publish changes the document of a service: it appends an operator's
+// change to the log service and finds out what became of it.
+//
+// A change is accepted only if the version that it is based on is still the
+// current one, so no operator overwrites a change that he hasn't seen. When
+// the answer to the append is lost, the change is found again by its nonce.
+package publish
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pmezard/go-difflib/difflib"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/logfold"
+	"marjorampitch/platform"
+)
+
+// Status says what became of a change.
+type Status string
+
+// Fates of a change.
+const (
+	Accepted Status = "accepted" // it became the version of the result
+	Refused  Status = "refused"  // it is not and will not become a version
+	Unknown  Status = "unknown"  // it may be or become a version; Resolve tells
+)
+
+// Result is the answer to a publishing.
+type Result struct {
+	Status   Status          `json:"status"`
+	Code     api.Code        `json:"code"`
+	Base     uint64          `json:"base"`
+	Version  uint64          `json:"version"` // of the change if accepted, else the current one
+	Offset   platform.Offset `json:"offset"`  // of the record if accepted
+	Nonce    string          `json:"nonce,omitempty"`
+	Detail   string          `json:"detail,omitempty"`
+	Problems config.Problems `json:"problems,omitempty"`
+	Diff     string          `json:"diff,omitempty"` // from the current document to the refused one
+}
+
+// Times of a publishing.
+const (
+	readBackEvery = 200 * time.Millisecond
+	// DefaultPatience is how long Publish goes on reading back.
+	DefaultPatience = 5 * time.Second
+)
+
+// Publisher publishes changes of one service.
+type Publisher struct {
+	Log      platform.Log
+	Service  string
+	Author   string
+	Patience time.Duration                        // how long to read back; 0: once
+	Nonce    func() string                        // NewPublisher sets a random one
+	Sleep    func(context.Context, time.Duration) // between reads back
+
+	blind bool // fault for tests: judge the append's answer alone
+}
+
+// NewPublisher returns a Publisher with DefaultPatience.
+func NewPublisher(log platform.Log, service, author string) *Publisher {
+	return &Publisher{
+		Log:      log,
+		Service:  service,
+		Author:   author,
+		Patience: DefaultPatience,
+		Nonce:    uuid.NewString,
+		Sleep:    sleep,
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Publish proposes text as the version after base. The error is one of the
+// log service's, before anything was appended.
+func (p *Publisher) Publish(ctx context.Context, base uint64, text []byte) (Result, error) {
+	doc, err := config.ParseDocument("document", text)
+	var problems config.Problems
+	if errors.As(err, &problems) {
+		return Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Problems: problems}, nil
+	}
+	if doc.Service.Name != p.Service {
+		detail := fmt.Sprintf("the document is that of service %q, not %q", doc.Service.Name, p.Service)
+		return Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Detail: detail}, nil
+	}
+	reader := logfold.NewReader(p.Log, p.Service)
+	if err := reader.ReadToEnd(ctx); err != nil {
+		return Result{}, err
+	}
+	if reader.Fold.Version != base {
+		return p.conflict(&reader.Fold, base, text), nil
+	}
+	change, err := p.newChange(base, doc.Service.Format, text)
+	if err != nil {
+		return Result{}, err
+	}
+	return p.append(ctx, reader, change, text)
+}
+
+func (p *Publisher) newChange(base uint64, format int, text []byte) (*logfold.ConfigChange, error) {
+	packed, err := logfold.Pack(text)
+	if err != nil {
+		return nil, err
+	}
+	return &logfold.ConfigChange{
+		Service:  p.Service,
+		Base:     base,
+		Format:   format,
+		Document: packed,
+		Author:   p.Author,
+		Nonce:    p.Nonce(),
+	}, nil
+}
+
+// append appends the change once and reads back what became of it.
+func (p *Publisher) append(ctx context.Context, reader *logfold.Reader, change *logfold.ConfigChange, text []byte) (Result, error) {
+	data, err := change.MarshalMsg(nil)
+	if err != nil {
+		return Result{}, err
+	}
+	offset, err := p.Log.Append(ctx, logfold.ConfigStream(p.Service), [][]byte{data})
+	if errors.Is(err, platform.ErrRefused) {
+		detail := "the log service refused the append; the change is not and will not be stored"
+		return Result{Status: Refused, Code: api.LogUnavailable, Base: change.Base, Version: reader.Fold.Version, Detail: detail}, nil
+	}
+	if p.blind && err == nil {
+		return Result{Status: Accepted, Base: change.Base, Version: change.Base + 1, Offset: offset, Nonce: change.Nonce}, nil
+	}
+	return p.readBack(ctx, reader, change, text), nil
+}
+
+// readBack reads until the change is found or patience ends.
+func (p *Publisher) readBack(ctx context.Context, reader *logfold.Reader, change *logfold.ConfigChange, text []byte) Result {
+	for waited := time.Duration(0); ; waited += readBackEvery {
+		if reader.ReadToEnd(ctx) == nil {
+			if r, ok := p.find(reader, change.Base, change.Nonce, text); ok {
+				return r
+			}
+		}
+		if waited >= p.Patience || ctx.Err() != nil {
+			detail := "the append was sent and its fate is not yet known"
+			return Result{Status: Unknown, Code: api.ConfigUnknown, Base: change.Base, Nonce: change.Nonce, Detail: detail}
+		}
+		p.Sleep(ctx, readBackEvery)
+	}
+}
+
+// find settles the fate of a change from what reader has judged; ok is false
+// while it is open. The change may be stored late and twice, so that:
+// accepted once is accepted; and not accepted is settled as soon as the
+// current version is beyond its base, for then it can't be any more.
+func (p *Publisher) find(reader *logfold.Reader, base uint64, nonce string, text []byte) (Result, bool) {
+	refusal := logfold.Outcome{Code: api.ConfigConflict, Detail: "another change became the next version"}
+	invalid := false
+	for _, out := range reader.Outcomes {
+		if out.Nonce != nonce {
+			continue
+		}
+		if out.Accepted {
+			return Result{Status: Accepted, Base: base, Version: out.Version, Offset: out.Offset, Nonce: nonce}, true
+		}
+		invalid = invalid || out.Code == api.ConfigInvalid
+		refusal = out
+	}
+	covered := reader.First <= base
+	if !invalid && (!covered || reader.Fold.Version <= base) {
+		return Result{}, false
+	}
+	r := p.conflict(&reader.Fold, base, text)
+	r.Code, r.Detail, r.Nonce = refusal.Code, refusal.Detail, nonce
+	return r, true
+}
+
+func (p *Publisher) conflict(current *logfold.Fold, base uint64, text []byte) Result {
+	r := Result{
+		Status:  Refused,
+		Code:    api.ConfigConflict,
+		Base:    base,
+		Version: current.Version,
+		Detail:  fmt.Sprintf("the change is based on version %d, current is %d", base, current.Version),
+	}
+	if text != nil {
+		r.Diff = Diff(fmt.Sprintf("version %d", current.Version), current.Text, "refused", text)
+	}
+	return r
+}
+
+// Resolve tells what became of a change whose fate was unknown. With settle
+// set, a change that is still open is closed: the current document is
+// published once more, as a version of its own, after which the change can't
+// be accepted any more.
+func (p *Publisher) Resolve(ctx context.Context, base uint64, nonce string, settle bool) (Result, error) {
+	reader := logfold.NewReader(p.Log, p.Service)
+	reader.Oldest = true
+	if err := reader.ReadToEnd(ctx); err != nil {
+		return Result{}, err
+	}
+	if r, ok := p.find(reader, base, nonce, nil); ok {
+		return r, nil
+	}
+	open := Result{Status: Unknown, Code: api.ConfigUnknown, Base: base, Nonce: nonce, Version: reader.Fold.Version}
+	switch {
+	case reader.First > base:
+		open.Detail = "the records of that time are no longer retained"
+		return open, nil
+	case !settle || reader.Fold.Doc == nil:
+		open.Detail = "the change is not stored, and may be later"
+		return open, nil
+	}
+	seal, err := p.newChange(base, reader.Fold.Doc.Service.Format, reader.Fold.Text)
+	if err != nil {
+		return Result{}, err
+	}
+	if _, err := p.append(ctx, reader, seal, nil); err != nil {
+		return Result{}, err
+	}
+	if r, ok := p.find(reader, base, nonce, nil); ok {
+		return r, nil
+	}
+	open.Detail = "the change could not be closed; try again"
+	return open, nil
+}
+
+// Diff returns the unified diff between two documents; empty when they are equal.
+func Diff(fromName string, from []byte, toName string, to []byte) string {
+	if bytes.Equal(from, to) {
+		return ""
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A:        difflib.SplitLines(strings.TrimSuffix(string(from), "\n")),
+		B:        difflib.SplitLines(strings.TrimSuffix(string(to), "\n")),
+		FromFile: fromName,
+		ToFile:   toName,
+		Context:  3,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return text
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,11 +22,11 @@
 	Subscribe() <-chan struct{}
 	// FillHeartbeat sets the fields of hb that concern the configuration.
 	FillHeartbeat(hb *wire.Heartbeat)
-	// HeardFrom takes a heartbeat of a peer; age bounds how old it is when ageKnown.
-	// The result, if not nil, is to be sent to that peer.
-	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration, ageKnown bool) *wire.ConfigQuery
-	// Offer takes a document that a peer sent.
+	// Offer hands over a document that a peer sent.
 	Offer(m *wire.Config)
+	// HeardFrom takes a heartbeat of a peer that was sent after the time given; zero when that is not known.
+	// The result, if not nil, is to be sent to the peer.
+	HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, sentAfter time.Time) *wire.ConfigQuery
 	// Answer returns the answer to a peer's query, or nil when there is none.
 	Answer(q *wire.ConfigQuery) *wire.Config
 }
@@ -121,9 +121,9 @@
 	if peer.Role == wire.RoleOperator || peer.Service != n.hello.Service {
 		return
 	}
-	age, known := c.EchoAge(hb)
-	if q := n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, age, known); q != nil {
-		c.Send(q)
+	query := n.config.HeardFrom(peer.Instance, peer.DataCentre, hb, c.EchoSent(hb))
+	if query != nil {
+		c.Send(query)
 	}
 }
 
--- a/internal/slopes/links.go
+++ b/internal/slopes/links.go
@@ -148,7 +148,7 @@
 	hb.ProofAgeMillis = 300
 }
 
-func (steady) HeardFrom(string, string, *wire.Heartbeat, time.Duration, bool) *wire.ConfigQuery {
+func (steady) HeardFrom(string, string, *wire.Heartbeat, time.Time) *wire.ConfigQuery {
 	return nil
 }
 func (steady) Offer(*wire.Config)                    {}
--- a/logfold/events.go
+++ b/logfold/events.go
@@ -41,13 +41,13 @@
 	Offset platform.Offset // of the record, when OK
 }
 
-// PeerHeard is a heartbeat of a peer. Without AgeKnown it proves nothing.
+// PeerHeard is a heartbeat of a peer. Unless it is Dated it proves nothing.
 type PeerHeard struct {
 	Peer       string // names the connection it came by
 	DataCentre string
 	Heartbeat  wire.Heartbeat
-	Age        time.Duration
-	AgeKnown   bool
+	Dated      bool
+	SentAfter  time.Duration // the peer sent it later than this
 }
 
 // PeerOffered is a peer's document.
--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -78,7 +78,7 @@
 		opts:      opts,
 		fold:      NewFold(opts.Service),
 		fresh:     NewFreshness(opts.DataCentre, opts.Reading != ReadNever),
-		needShare: 0.3 + 0.2*opts.Jitter(),
+		needShare: 0.45 + 0.15*opts.Jitter(),
 	}
 	f.checkpoints.dueAt = f.jittered(opts.CheckpointEvery) / 2
 	return f
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -40,6 +40,7 @@
 	c := &f.checkpoints
 	step := c.step
 	c.step = stepIdle
+	f.fresh.ReadAnswered(true)
 	c.next, c.known = e.Batch.End, true
 	switch step {
 	case stepProbing:
@@ -61,7 +62,7 @@
 
 func (f *Follower) checkpointsReadFailed(now time.Duration) {
 	f.checkpoints.step = stepIdle
-	f.fresh.ReadFailed()
+	f.fresh.ReadAnswered(false)
 	f.retryAt = now + f.jittered(retryAfter)
 }
 
--- a/logfold/follower_peers.go
+++ b/logfold/follower_peers.go
@@ -10,8 +10,8 @@
 // peerHeard takes a heartbeat, and asks the peer for its document when that
 // is newer, or when the fold is lost and the peer may know where to go on.
 func (f *Follower) peerHeard(now time.Duration, e PeerHeard) []Action {
-	if e.AgeKnown {
-		f.hear(now, e)
+	if e.Dated {
+		f.hear(e)
 	}
 	theirs := platform.Offset(e.Heartbeat.ConfigOffset)
 	newer := theirs > f.fold.Offset
@@ -24,15 +24,15 @@
 	return []Action{Ask{Peer: e.Peer, Query: wire.ConfigQuery{ReadTo: int64(f.fold.ReadTo)}}}
 }
 
-func (f *Follower) hear(now time.Duration, e PeerHeard) {
+func (f *Follower) hear(e PeerHeard) {
 	h := Heard{
 		DataCentre: e.DataCentre,
 		Offset:     platform.Offset(e.Heartbeat.ConfigOffset),
 		Proof:      time.Duration(e.Heartbeat.ProofAgeMillis) * time.Millisecond,
-		Age:        e.Age,
+		SentAfter:  e.SentAfter,
 		LogDown:    e.Heartbeat.LogDown,
 	}
-	f.fresh.Hear(now, h)
+	f.fresh.Hear(h)
 }
 
 // noteBehind keeps the time since which peers are known to be ahead.
--- a/logfold/follower_read.go
+++ b/logfold/follower_read.go
@@ -39,6 +39,7 @@
 func (f *Follower) configRead(now time.Duration, e ConfigRead) []Action {
 	f.reading = false
 	f.readFine = true
+	f.fresh.ReadAnswered(true)
 	f.configStart = max(f.configStart, e.Batch.Start)
 	if f.fold.ReadTo+1 < e.Batch.Start {
 		f.loseWay(now)
@@ -73,9 +74,9 @@
 
 func (f *Follower) configReadFailed(now time.Duration, e ConfigReadFailed) {
 	f.reading = false
+	f.fresh.ReadAnswered(e.Trimmed)
 	if !e.Trimmed {
 		f.readFine = false
-		f.fresh.ReadFailed()
 		f.retryAt = now + f.jittered(retryAfter)
 		return
 	}
--- a/logfold/follower_test.go
+++ b/logfold/follower_test.go
@@ -105,12 +105,13 @@
 	f := NewFollower(Options{Service: "s", DataCentre: "d0", Reading: ReadNever, Jitter: half})
 	require.Empty(t, f.Handle(0, Tick{}))
 	heard := PeerHeard{
-		Peer: "p", DataCentre: "d1", AgeKnown: true, Age: 10 * time.Millisecond,
+		Peer: "p", DataCentre: "d1", Dated: true, SentAfter: time.Second,
 		Heartbeat: wire.Heartbeat{ConfigOffset: 0, ProofAgeMillis: 200},
 	}
 	require.Equal(t, []Action{Ask{Peer: "p", Query: wire.ConfigQuery{ReadTo: -1}}}, f.Handle(time.Second, heard))
 	offer := wire.Config{Offset: 0, Version: 1, ReadTo: 0, Document: fold.Packed}
 	require.Empty(t, f.Handle(time.Second, PeerOffered{Config: offer}), "offered, not proved")
+	heard.SentAfter = 2 * time.Second
 	actions := f.Handle(2*time.Second, heard)
 	require.Len(t, actions, 1)
 	require.Equal(t, uint64(1), actions[0].(Enforce).InForce.Version)
@@ -125,16 +126,32 @@
 	fresh := NewFreshness("d0", true)
 	fresh.Adopt(fold.Doc, 0)
 	fresh.ReadEnd(0)
-	fresh.ReadFailed()
+	fresh.ReadAnswered(false)
 	at := 10 * time.Second
 	require.False(t, fresh.Current(at))
-	fresh.Hear(at, Heard{DataCentre: "d0", Offset: 0, Proof: -1, LogDown: true})
+	fresh.Hear(Heard{SentAfter: at, DataCentre: "d0", Offset: 0, Proof: -1, LogDown: true})
 	require.False(t, fresh.Current(at), "the own data centre is not a majority")
-	fresh.Hear(at, Heard{DataCentre: "d1", Offset: -1, Proof: -1, LogDown: true})
+	fresh.Hear(Heard{SentAfter: at, DataCentre: "d1", Offset: -1, Proof: -1, LogDown: true})
 	require.False(t, fresh.Current(at), "a peer with another document is no vote")
-	fresh.Hear(at, Heard{DataCentre: "d1", Offset: 0, Proof: -1, LogDown: true})
+	fresh.Hear(Heard{SentAfter: at, DataCentre: "d1", Offset: 0, Proof: -1, LogDown: true})
 	require.True(t, fresh.Current(at+time.Second))
 	require.False(t, fresh.Current(at+6*time.Second))
-	fresh.Hear(at, Heard{DataCentre: "d2", Offset: 4, Proof: -1, LogDown: true})
+	fresh.Hear(Heard{SentAfter: at, DataCentre: "d2", Offset: 4, Proof: -1, LogDown: true})
 	require.False(t, fresh.Current(at+time.Second), "a peer has a newer document")
 }
+
+// A process that lost its place while the log was down must not go on saying
+// that the log is down, else such processes prove each other current.
+func TestLostProcessSaysThatTheLogAnswers(t *testing.T) {
+	f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
+	f.Handle(0, Tick{})
+	f.Handle(time.Second, ConfigReadFailed{})
+	require.True(t, f.fresh.LogDown(time.Second))
+	f.Handle(2*time.Second, Tick{})
+	f.Handle(3*time.Second, ConfigReadFailed{Trimmed: true, Batch: platform.Batch{Start: 5, End: 6}})
+	require.True(t, f.lost)
+	require.False(t, f.fresh.LogDown(3*time.Second))
+	f.Handle(3*time.Second, Tick{})
+	f.Handle(4*time.Second, CheckpointsReadFailed{})
+	require.True(t, f.fresh.LogDown(4*time.Second))
+}
--- a/logfold/freshness.go
+++ b/logfold/freshness.go
@@ -17,9 +17,9 @@
 // There are two proofs. A log proof says that at some time the whole stream
 // had been read and led to this document; it is the process's own, or a
 // peer's that has the same document or an older one. A quorum proof takes its
-// place while the log service can't be read: peers in more than half of the
-// data centres of the document, the own one counted in, say that they can't
-// read it either and have the same document.
+// place while the log service can't be read: in more than half of the data
+// centres of the document there is a process, this one counted in, that has
+// tried and can't read it, and that has the same document.
 type Freshness struct {
 	ownCentre  string
 	centres    []string
@@ -28,7 +28,8 @@
 	known      platform.Offset // highest of a peer's document
 	logAt      time.Duration   // time of the newest log proof
 	hasLog     bool
-	readFailed bool                     // the last own read failed, or the process never reads
+	canRead    bool                     // the process reads the log itself
+	readFailed bool                     // the last own read failed
 	votes      map[string]time.Duration // per data centre: when a peer said that the log can't be read
 }
 
@@ -36,12 +37,12 @@
 // document. With canRead false, the process never reads the log itself.
 func NewFreshness(dataCentre string, canRead bool) *Freshness {
 	return &Freshness{
-		ownCentre:  dataCentre,
-		freshFor:   DefaultFreshFor,
-		offset:     platform.None,
-		known:      platform.None,
-		readFailed: !canRead,
-		votes:      map[string]time.Duration{},
+		ownCentre: dataCentre,
+		freshFor:  DefaultFreshFor,
+		offset:    platform.None,
+		known:     platform.None,
+		canRead:   canRead,
+		votes:     map[string]time.Duration{},
 	}
 }
 
@@ -59,30 +60,30 @@
 // ReadEnd records that a read of the log, sent at the time given, showed that
 // the own document is that of the whole stream.
 func (f *Freshness) ReadEnd(sent time.Duration) {
-	f.readFailed = false
 	f.proved(sent)
 }
 
-// ReadFailed records that a read of the log failed.
-func (f *Freshness) ReadFailed() { f.readFailed = true }
+// ReadAnswered records whether the log service answered a read, with
+// whatever answer. As long as it does, there is no quorum proof.
+func (f *Freshness) ReadAnswered(ok bool) { f.readFailed = !ok }
 
 // Heard is what one heartbeat of a peer says.
 type Heard struct {
 	DataCentre string
 	Offset     platform.Offset // of the peer's document
 	Proof      time.Duration   // age of the peer's log proof when it sent the heartbeat; negative for none
-	Age        time.Duration   // age of the heartbeat, at most
+	SentAfter  time.Duration   // the peer sent the heartbeat later than this
 	LogDown    bool
 }
 
-// Hear records a heartbeat that arrived now.
-func (f *Freshness) Hear(now time.Duration, h Heard) {
+// Hear records a heartbeat of a peer.
+func (f *Freshness) Hear(h Heard) {
 	f.known = max(f.known, h.Offset)
 	if h.Proof >= 0 && h.Offset <= f.offset {
-		f.proved(now - h.Proof - h.Age)
+		f.proved(h.SentAfter - h.Proof)
 	}
 	if h.LogDown && h.Offset == f.offset {
-		f.votes[h.DataCentre] = max(f.votes[h.DataCentre], now-h.Age)
+		f.votes[h.DataCentre] = max(f.votes[h.DataCentre], h.SentAfter)
 	}
 }
 
@@ -100,11 +101,17 @@
 	return now - f.logAt, f.hasLog
 }
 
-// LogDown reports whether the process has no way to the log service: its own
-// read failed, and its newest log proof has lost half of its time.
+// LogDown reports whether the process tried and has no way to the log
+// service: its own read failed, and no log proof is young. A process that
+// never reads can't know, and doesn't say so.
 func (f *Freshness) LogDown(now time.Duration) bool {
+	return f.canRead && f.readFailed && !f.young(now)
+}
+
+// young reports whether the newest log proof has more than half of its time left.
+func (f *Freshness) young(now time.Duration) bool {
 	age, ok := f.LogAge(now)
-	return f.readFailed && (!ok || age > f.freshFor/2)
+	return ok && age <= f.freshFor/2
 }
 
 // Proof returns the time of the newest proof of either kind.
@@ -118,12 +125,13 @@
 
 // quorum returns the time of the newest quorum proof.
 func (f *Freshness) quorum(now time.Duration) (at time.Duration, ok bool) {
-	if f.offset == platform.None || f.Behind() || !f.LogDown(now) {
+	down := f.LogDown(now)
+	if f.offset == platform.None || f.Behind() || f.young(now) || f.canRead != down {
 		return 0, false
 	}
 	var times []time.Duration
 	for _, dc := range f.centres {
-		if dc == f.ownCentre {
+		if dc == f.ownCentre && down {
 			times = append(times, now)
 		} else if at, heard := f.votes[dc]; heard {
 			times = append(times, at)
--- a/logfold/runner.go
+++ b/logfold/runner.go
@@ -106,16 +106,16 @@
 	r.follower.FillHeartbeat(r.now(), hb)
 }
 
-// HeardFrom takes a heartbeat of a peer of the same service; age bounds how
-// old it is, and without ageKnown it proves nothing. The result, if not nil,
-// is to be sent to that peer.
-func (r *Runner) HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, age time.Duration, ageKnown bool) *wire.ConfigQuery {
+// HeardFrom takes a heartbeat that a peer of the same service sent after the
+// time given; when that is zero, the heartbeat proves nothing. The result, if
+// not nil, is to be sent to that peer.
+func (r *Runner) HeardFrom(instance, dataCentre string, hb *wire.Heartbeat, sentAfter time.Time) *wire.ConfigQuery {
 	return r.handle(PeerHeard{
 		Peer:       instance,
 		DataCentre: dataCentre,
 		Heartbeat:  *hb,
-		Age:        age,
-		AgeKnown:   ageKnown,
+		Dated:      !sentAfter.IsZero(),
+		SentAfter:  sentAfter.Sub(r.begun),
 	})
 }
 
--- a/wire/beat.go
+++ b/wire/beat.go
@@ -49,11 +49,18 @@
 	return hb
 }
 
-// EchoAge returns how long ago the heartbeat that hb answers was sent: an
-// upper bound on the age of hb itself. ok is false when hb answers none.
-func (c *Conn) EchoAge(hb *Heartbeat) (age time.Duration, ok bool) {
+// EchoSent returns when the heartbeat that hb answers was sent: hb itself was
+// sent later. It is zero when hb answers none. Being a time and no age, it
+// stays true when the process is paused before it is used.
+func (c *Conn) EchoSent(hb *Heartbeat) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.sent[hb.Echo]
-	return time.Since(at), ok
+	return c.sent[hb.Echo]
+}
+
+// EchoAge returns how long ago EchoSent was: an upper bound on the age of hb.
+// ok is false when hb answers none.
+func (c *Conn) EchoAge(hb *Heartbeat) (age time.Duration, ok bool) {
+	at := c.EchoSent(hb)
+	return time.Since(at), !at.IsZero()
 }
