Operator's commands: config, drain, restore, version

Cause: operators drive the system by publishing the document. Ruled out: a drain based on a file, since it would carry along whatever else the file lacks; the line is edited in the current document, and again in the next one when another change comes first.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,21 +9,21 @@
 	"github.com/spf13/cobra"
 )
 
-// Exit codes of the command line.
-const (
-	ExitOK    = 0
-	ExitError = 1
-)
-
 // Run executes the command line and returns the exit code.
 func Run(args []string) int {
 	root := newRoot()
 	root.SetArgs(args)
-	if err := root.ExecuteContext(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", err)
-		return ExitError
+	parsed := false // the command line was understood
+	root.PersistentPreRun = func(*cobra.Command, []string) { parsed = true }
+	err := root.ExecuteContext(context.Background())
+	if err == nil {
+		return int(ExitOK)
+	}
+	fmt.Fprintln(os.Stderr, "error:", err)
+	if !parsed {
+		return int(ExitUsage)
 	}
-	return ExitOK
+	return int(exitCode(err))
 }
 
 func newRoot() *cobra.Command {
@@ -33,6 +33,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newSideCommand())
+	o := new(operatorFlags)
+	o.register(root)
+	root.AddCommand(
+		newEntryCommand(),
+		newSideCommand(),
+		newConfigCommand(o),
+		newDrainCommand(o),
+		newRestoreCommand(o),
+		newVersionCommand(o),
+	)
 	return root
 }
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,218 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/config/inforce"
+	"marjorampitch/config/publish"
+	"marjorampitch/logfold"
+	"marjorampitch/platform"
+)
+
+// statusEvery is the pause between two looks at the processes with --wait.
+const statusEvery = 200 * time.Millisecond
+
+func newPublishCommand(o *operatorFlags) *cobra.Command {
+	var base int64
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Publish a document as the version after its base",
+		Long: "Publish a document as the version after its base, which --base names or the file\n" +
+			"FILE" + baseSuffix + " holds (see show --write). A first document has base 0. The change is\n" +
+			"refused if the base is no longer the current version.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			seen := uint64(max(base, 0))
+			if base < 0 {
+				if seen, err = readBase(args[0]); err != nil {
+					return err
+				}
+			}
+			if _, err := config.CheckDocument(args[0], text, policies()); err != nil {
+				return o.printCheck(cmd, args[0], err)
+			}
+			result, err := o.publish(cmd.Context(), seen, text)
+			if err != nil {
+				return err
+			}
+			if result.Status == publish.Accepted {
+				if err := writeBase(args[0], result.Version); err != nil {
+					return err
+				}
+			}
+			return o.finish(cmd, result, wait)
+		},
+	}
+	cmd.Flags().Int64Var(&base, "base", -1, "version that the document is based on")
+	registerWait(cmd, &wait)
+	return cmd
+}
+
+func registerWait(cmd *cobra.Command, wait *time.Duration) {
+	cmd.Flags().DurationVar(wait, "wait", 0, "wait this long for the change to be in force in every process")
+}
+
+func (o *operatorFlags) publish(ctx context.Context, base uint64, text []byte) (publish.Result, error) {
+	p, err := o.publisher()
+	if err != nil {
+		return publish.Result{}, err
+	}
+	return p.Publish(ctx, base, text)
+}
+
+func newResolveCommand(o *operatorFlags) *cobra.Command {
+	var base uint64
+	var settle bool
+	cmd := &cobra.Command{
+		Use:   "resolve NONCE",
+		Short: "Tell what became of a change whose fate was unknown",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := o.publisher()
+			if err != nil {
+				return err
+			}
+			result, err := p.Resolve(cmd.Context(), base, args[0], settle)
+			if err != nil {
+				return err
+			}
+			return o.finish(cmd, result, 0)
+		},
+	}
+	cmd.Flags().Uint64Var(&base, "base", 0, "version that the change is based on")
+	cmd.Flags().BoolVar(&settle, "settle", false, "close a change that is still open, by publishing the current document once more")
+	cmd.MarkFlagRequired("base")
+	return cmd
+}
+
+// finish prints a result, waits until it is in force, and chooses the exit code.
+func (o *operatorFlags) finish(cmd *cobra.Command, r publish.Result, wait time.Duration) error {
+	if err := o.print(cmd, r, func(w io.Writer) { printResult(w, r) }); err != nil {
+		return err
+	}
+	switch {
+	case r.Status == publish.Unknown:
+		return exit(ExitUnknown, "the fate of the change is unknown")
+	case r.Status == publish.Accepted && wait > 0:
+		return o.waitInForce(cmd.Context(), int64(r.Offset), wait)
+	case r.Status == publish.Accepted:
+		return nil
+	case r.Code == api.ConfigInvalid:
+		return exit(ExitInvalid, "refused: %s", r.Code)
+	case r.Code == api.ConfigConflict:
+		return exit(ExitConflict, "refused: %s", r.Code)
+	}
+	return exit(ExitError, "refused: %s", r.Code)
+}
+
+func printResult(w io.Writer, r publish.Result) {
+	switch r.Status {
+	case publish.Accepted:
+		fmt.Fprintf(w, "accepted: version %d at offset %d\n", r.Version, r.Offset)
+	case publish.Unknown:
+		fmt.Fprintf(w, "unknown: %s\nto find out: marjorampitch config resolve %s --base %d\n", r.Detail, r.Nonce, r.Base)
+	default:
+		fmt.Fprintf(w, "refused: %s\n%s", r.Detail, r.Diff)
+	}
+	if len(r.Problems) > 0 {
+		fmt.Fprintln(w, r.Problems.Error())
+	}
+}
+
+// waitInForce looks at the processes until all have the document in force.
+func (o *operatorFlags) waitInForce(ctx context.Context, offset int64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		reports, err := o.ask(ctx)
+		if err == nil && len(reports) > 0 && inforce.Everywhere(reports, offset) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return exit(ExitDiffers, "accepted, and not in force everywhere within %s", wait)
+		case <-time.After(statusEvery):
+		}
+	}
+}
+
+// ask asks the live instances which document they have in force.
+func (o *operatorFlags) ask(ctx context.Context) ([]inforce.Report, error) {
+	if err := need(map[string]string{"instance-list": o.instanceList, "service": o.service}); err != nil {
+		return nil, err
+	}
+	instances, err := platform.NewInstanceListClient(o.instanceList).Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return inforce.Ask(ctx, o.service, instances), nil
+}
+
+// statusResult is the JSON output of "config status".
+type statusResult struct {
+	Version    uint64           `json:"version"` // current version by the log
+	Offset     int64            `json:"offset"`
+	Everywhere bool             `json:"everywhere"`
+	Processes  []inforce.Report `json:"processes"`
+}
+
+func newStatusCommand(o *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show which processes have the current document in force",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := o.current(cmd)
+			if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+				return err
+			}
+			reports, err := o.ask(cmd.Context())
+			if err != nil {
+				return err
+			}
+			result := newStatusResult(&r.Fold, reports)
+			if err := o.print(cmd, result, func(w io.Writer) { printStatus(w, result) }); err != nil {
+				return err
+			}
+			if !result.Everywhere {
+				return exit(ExitDiffers, "not in force everywhere")
+			}
+			return nil
+		},
+	}
+}
+
+func newStatusResult(f *logfold.Fold, reports []inforce.Report) statusResult {
+	return statusResult{
+		Version:    f.Version,
+		Offset:     int64(f.Offset),
+		Everywhere: inforce.Everywhere(reports, int64(f.Offset)),
+		Processes:  reports,
+	}
+}
+
+func printStatus(w io.Writer, s statusResult) {
+	fmt.Fprintf(w, "current by the log: version %d at offset %d\n", s.Version, s.Offset)
+	for _, r := range s.Processes {
+		if r.Error != "" {
+			fmt.Fprintf(w, "%-24s %-6s %-8s no answer: %s\n", r.Instance, r.Role, r.DataCentre, r.Error)
+			continue
+		}
+		fmt.Fprintf(w, "%-24s %-6s %-8s version %d at offset %d, current %t, leaving %t\n",
+			r.Instance, r.Role, r.DataCentre, r.Version, r.Offset, r.Current, r.Leaving)
+	}
+}
