Time until in force, benchmarks, examples; fewer reads by sides

Change: a side reads when its proof has used 0.6 to 0.75 of fresh-for (was 0.45 to 0.6), and at 0.3 once a peer says that the log is down.

--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -61,8 +61,6 @@
 	Patience time.Duration                        // how long to read back; 0: once
 	Nonce    func() string                        // NewPublisher sets a random one
 	Sleep    func(context.Context, time.Duration) // between reads back
-
-	blind bool // fault for tests: judge the append's answer alone
 }
 
 // NewPublisher returns a Publisher with DefaultPatience.
@@ -133,14 +131,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	offset, err := p.Log.Append(ctx, logfold.ConfigStream(p.Service), [][]byte{data})
+	_, err = p.Log.Append(ctx, logfold.ConfigStream(p.Service), [][]byte{data})
 	if errors.Is(err, platform.ErrRefused) {
 		detail := "the log service refused the append; the change is not and will not be stored"
 		return Result{Status: Refused, Code: api.LogUnavailable, Base: change.Base, Version: reader.Fold.Version, Detail: detail}, nil
 	}
-	if p.blind && err == nil {
-		return Result{Status: Accepted, Base: change.Base, Version: change.Base + 1, Offset: offset, Nonce: change.Nonce}, nil
-	}
 	return p.readBack(ctx, reader, change, text), nil
 }
 
--- /dev/null
+++ b/logfold/bench_test.go
@@ -0,0 +1,73 @@
+package logfold
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/platform"
+	"marjorampitch/wire"
+)
+
+// withOrganisations returns a document with n organisations.
+func withOrganisations(n int) []byte {
+	var b strings.Builder
+	b.Write(document(0, 3))
+	for i := range n {
+		fmt.Fprintf(&b, "[organisation org-%d]\nweight = %d\n", i, 1+i%5)
+	}
+	return []byte(b.String())
+}
+
+func BenchmarkFoldAccepted(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 7_400} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			data := change(b, 0, withOrganisations(n), "n")
+			b.ReportMetric(float64(len(data)), "record-bytes")
+			for b.Loop() {
+				fold := NewFold("s")
+				out, err := fold.Apply(platform.Record{Data: data})
+				if err != nil || !out.Accepted {
+					b.Fatal(err, out)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkFoldConflict is the cost of a record that lost its race.
+func BenchmarkFoldConflict(b *testing.B) {
+	data := change(b, 5, withOrganisations(7_400), "n")
+	for b.Loop() {
+		fold := NewFold("s")
+		if _, err := fold.Apply(platform.Record{Data: data}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
+	f.Handle(0, Tick{})
+	records := []platform.Record{{Data: change(b, 0, withOrganisations(10), "n")}}
+	f.Handle(1, ConfigRead{Batch: platform.Batch{Records: records, End: 1}})
+	require.NotNil(b, f.InForce())
+	now := time.Second
+	e := PeerHeard{Peer: "p", DataCentre: "d1", Dated: true, Heartbeat: wire.Heartbeat{ProofAgeMillis: 3}}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		e.SentAfter = now - time.Millisecond
+		f.Handle(now, e)
+	}
+}
+
+func BenchmarkCurrent(b *testing.B) {
+	r := NewRunner(nil, Options{Service: "s", DataCentre: "d0", Jitter: half})
+	for b.Loop() {
+		r.Current()
+	}
+}
--- /dev/null
+++ b/logfold/example_test.go
@@ -0,0 +1,29 @@
+package logfold_test
+
+import (
+	"fmt"
+
+	"marjorampitch/logfold"
+	"marjorampitch/platform"
+)
+
+// Two operators change version 0; the change that was stored first wins.
+func ExampleFold() {
+	fold := logfold.NewFold(service)
+	for i, author := range []string{"anna", "brian"} {
+		packed, err := logfold.Pack(text(i, true))
+		if err != nil {
+			panic(err)
+		}
+		change := logfold.ConfigChange{Service: service, Base: 0, Format: 1, Document: packed, Author: author}
+		data, err := change.MarshalMsg(nil)
+		if err != nil {
+			panic(err)
+		}
+		out, err := fold.Apply(platform.Record{Offset: platform.Offset(i), Data: data})
+		fmt.Println(out.Author, out.Accepted, out.Version, out.Detail, err)
+	}
+	// Output:
+	// anna true 1  <nil>
+	// brian false 1 based on version 0, current is 1 <nil>
+}
--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -27,6 +27,9 @@
 	retryAfter      = 300 * time.Millisecond // after a failed read, jittered
 	lostRetryAfter  = 2 * time.Second        // between looks for a usable checkpoint, jittered
 	lostPause       = 30 * time.Second       // after the furthest look
+	needShare       = 0.6                    // share of freshFor after which a ReadWhenNeeded process reads, at least
+	needSpread      = 0.15                   // spread of that share between processes
+	checkShare      = 0.3                    // the same while a peer says that the log is down, so as to bear it out soon
 	askTimeout      = time.Second            // a peer that has not answered is asked no more
 	askDelay        = time.Second            // time that a process whose reads succeed leaves to its own read
 	checkpointTail  = 4                      // checkpoints looked at first
@@ -56,7 +59,7 @@
 	reading     bool
 	readFine    bool // the last read of the configuration stream succeeded
 	retryAt     time.Duration
-	needShare   float64 // share of freshFor after which a ReadWhenNeeded process reads
+	needShare   float64 // of this process
 
 	checkpoints checkpointer
 	faults      faults
@@ -78,7 +81,7 @@
 		opts:      opts,
 		fold:      NewFold(opts.Service),
 		fresh:     NewFreshness(opts.DataCentre, opts.Reading != ReadNever),
-		needShare: 0.45 + 0.15*opts.Jitter(),
+		needShare: needShare + needSpread*opts.Jitter(),
 	}
 	f.checkpoints.dueAt = f.jittered(opts.CheckpointEvery) / 2
 	return f
--- a/logfold/follower_read.go
+++ b/logfold/follower_read.go
@@ -22,7 +22,11 @@
 	if f.opts.Reading == ReadAlways || !ok {
 		return true
 	}
-	return age > time.Duration(f.needShare*float64(f.fresh.freshFor))
+	share := f.needShare
+	if f.fresh.ToldDown(now) {
+		share = checkShare
+	}
+	return age > time.Duration(share*float64(f.fresh.freshFor))
 }
 
 func (f *Follower) readConfig() []Action {
--- a/logfold/freshness.go
+++ b/logfold/freshness.go
@@ -108,6 +108,16 @@
 	return f.canRead && f.readFailed && !f.young(now)
 }
 
+// ToldDown reports whether a peer said lately that it can't read the log.
+func (f *Freshness) ToldDown(now time.Duration) bool {
+	for _, at := range f.votes {
+		if now-at <= f.freshFor/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // young reports whether the newest log proof has more than half of its time left.
 func (f *Freshness) young(now time.Duration) bool {
 	age, ok := f.LogAge(now)
--- a/logfold/world_test.go
+++ b/logfold/world_test.go
@@ -224,6 +224,7 @@
 func (w *world) perform(p *proc, a logfold.Action) {
 	switch a := a.(type) {
 	case logfold.ReadConfig:
+		w.counts["read"]++
 		p.waits = append(p.waits, wait{w.now, w.now + a.Wait, a})
 	case logfold.ReadCheckpoints:
 		if !w.reads(p) {
