Quarantine and fair shares: proofs; subsets: balance and stability

Cause: a crashing request sent again through changing entries must not take down more servers than the limit, and a trial must come about on a busy server. Bound: CrashLimit + 1 servers for a caller that waits out the spread of news, plus one for each crash whose only witness was replaced before it could tell.

--- a/admit/coldstart.go
+++ b/admit/coldstart.go
@@ -17,6 +17,9 @@
 	stalledStep = 8.0
 	// coldRetry is the Retry-After of a refusal by the limit.
 	coldRetry = 500 * time.Millisecond
+	// trialReserve is how long a server takes no other requests after it had to
+	// refuse one that wants to run alone, so that it drains for the next try.
+	trialReserve = 5 * time.Second
 )
 
 // ColdConfig sets a ColdStart.
@@ -52,10 +55,11 @@
 	count       count         // the server's count that waits to be used
 	running     map[Ticket]flight
 	next        Ticket
-	alone       bool // a request is running alone
-	proofs      int  // requests completed at this limit
-	chills      int  // times it turned cold; requests admitted before prove nothing after
-	reached     bool // the limit was reached since it last grew
+	alone       bool          // a request is running alone
+	reserved    time.Duration // until then only a request that runs alone is admitted
+	proofs      int           // requests completed at this limit
+	chills      int           // times it turned cold; requests admitted before prove nothing after
+	reached     bool          // the limit was reached since it last grew
 	fastest     float64
 }
 
@@ -99,7 +103,10 @@
 	case c.alone && inFlight > 0:
 		return 0, c.refuse("a suspected request is running alone")
 	case alone && inFlight > 0:
+		c.reserved = now + trialReserve
 		return 0, c.refuse("other requests are in flight")
+	case !alone && now < c.reserved:
+		return 0, c.refuse("draining for a suspected request")
 	case inFlight >= c.limit:
 		c.reached = true
 		return 0, c.refuse("at the limit")
--- /dev/null
+++ b/route/subset_test.go
@@ -0,0 +1,87 @@
+package route_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/route"
+)
+
+const (
+	manyEntries = 440
+	poolSides   = 90 // 3,100 sides over 35 models
+	subsetSize  = 8
+	centres     = 6
+)
+
+func members(kind string, n int) []route.Member {
+	m := make([]route.Member, n)
+	for i := range m {
+		m[i] = route.Member{Name: fmt.Sprintf("%s-%d", kind, i), DataCentre: fmt.Sprintf("dc-%d", i%centres)}
+	}
+	return m
+}
+
+// linksOf returns "entry side" of every link.
+func linksOf(entries, sides []route.Member) map[string]bool {
+	links := map[string]bool{}
+	for _, e := range entries {
+		for _, s := range route.Subset(e.Name, entries, sides, subsetSize) {
+			links[e.Name+" "+sides[s].Name] = true
+		}
+	}
+	return links
+}
+
+func TestSubsetBalance(t *testing.T) {
+	entries, sides := members("entry", manyEntries), members("side", poolSides)
+	load := map[int]int{}
+	for _, e := range entries {
+		subset := route.Subset(e.Name, entries, sides, subsetSize)
+		require.GreaterOrEqual(t, len(subset), subsetSize)
+		require.LessOrEqual(t, len(subset), 2*subsetSize)
+		local := 0
+		for _, s := range subset {
+			load[s]++
+			if sides[s].DataCentre == e.DataCentre {
+				local++
+			}
+		}
+		require.GreaterOrEqual(t, local, subsetSize/2)
+		require.Less(t, local, len(subset), "some lie in other data centres")
+	}
+	mean := manyEntries * subsetSize / poolSides
+	for s := range sides {
+		require.GreaterOrEqual(t, load[s], mean/2, "side %d", s)
+		require.LessOrEqual(t, load[s], 2*mean, "side %d", s)
+	}
+}
+
+func TestSubsetStable(t *testing.T) {
+	entries, sides := members("entry", 60), members("side", poolSides)
+	before := linksOf(entries, sides)
+	moved := func(after map[string]bool) float64 {
+		n := 0
+		for link := range after {
+			if !before[link] {
+				n++
+			}
+		}
+		return float64(n) / float64(len(before))
+	}
+	side := moved(linksOf(entries, slices.Delete(slices.Clone(sides), 7, 8)))
+	entry := moved(linksOf(slices.Delete(slices.Clone(entries), 7, 8), sides))
+	t.Logf("links moved: one side gone %.3f, one entry gone %.3f", side, entry)
+	require.Less(t, side, 0.10)
+	require.Less(t, entry, 0.10)
+}
+
+func TestSubsetAll(t *testing.T) {
+	sides := members("side", 15)
+	require.Len(t, route.Subset("x", members("entry", 3), sides, 0), 15)
+	require.Len(t, route.Subset("x", members("entry", 3), sides, 15), 15)
+	require.GreaterOrEqual(t, len(route.Subset("unlisted", members("entry", 3), sides, 6)), 6)
+}
