--- /dev/null
+++ b/cmd/measure/routing.go
@@ -0,0 +1,7 @@
+package main
+
+import "marjorampitch/internal/measure"
+
+func init() {
+	register("routing", measure.Routing)
+}
