--- a/internal/scenario/daemon.go
+++ b/internal/scenario/daemon.go
@@ -65,7 +65,7 @@
 	Log, List, Weights, Backend                           string
 }
 
-func (d *daemon) writeSettings(w *World, logURL, backendURL string) error {
+func (d *daemon) writeSettings(logURL, listURL, weightsURL, backendURL string) error {
 	file, err := os.Create(d.settings)
 	if err != nil {
 		return err
@@ -80,8 +80,8 @@
 		Status:     d.status,
 		HTTP:       d.http,
 		Log:        logURL,
-		List:       w.listServer.url(),
-		Weights:    w.weights.url(),
+		List:       listURL,
+		Weights:    weightsURL,
 		Backend:    backendURL,
 	})
 }
--- a/internal/scenario/subject.go
+++ b/internal/scenario/subject.go
@@ -22,6 +22,9 @@
 			return l.counters(), nil
 		}
 	case "engine":
+		if name == "all" {
+			return w.engineSum(), nil
+		}
 		if b, ok := w.backends[name]; ok && b.engine != nil {
 			return engineCounters(b), nil
 		}
@@ -53,6 +56,17 @@
 	}
 }
 
+// engineSum adds the counters of all engines up.
+func (w *World) engineSum() counters {
+	sum := counters{}
+	for _, b := range w.backends {
+		if b.engine != nil {
+			sum = sum.add(engineCounters(b))
+		}
+	}
+	return sum
+}
+
 // plainCounters are those of one plain service, or of all when name is "all".
 func (w *World) plainCounters(name string) counters {
 	sum := counters{"executed": 0, "repeated": 0, "keys": 0}
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -33,6 +33,7 @@
 		"restart":       (*World).restartVerb,
 		"freeze":        (*World).freezeVerb,
 		"thaw":          (*World).thawVerb,
+		"turn-cold":     (*World).turnColdVerb,
 		"silence":       (*World).silenceVerb,
 		"cut":           (*World).cutVerb,
 		"heal":          (*World).healVerb,
@@ -213,22 +214,37 @@
 	return each(args, w.withDaemon(func(d *daemon) error { return d.signal(syscall.SIGCONT) }))
 }
 
-// withRelay looks up the relay before a daemon ("NAME"), or the one between a
-// daemon and the log service ("NAME.log").
-func (w *World) withRelay(do func(*relay)) func(string) error {
+// withRelays finds the relays that a word names: "NAME" for those that lead to
+// a daemon, "NAME.log" for the one from it to the log service, "zone:NAME" for
+// all that cross the border of a data centre.
+func (w *World) withRelays(do func(*relay)) func(string) error {
 	return func(name string) error {
-		r, ok := w.relays[name]
-		if !ok {
-			return fmt.Errorf("no relay %q", name)
+		var found []*relay
+		if zone, ok := strings.CutPrefix(name, "zone:"); ok {
+			found = w.border(zone)
+		} else if d, ok := w.daemons[name]; ok {
+			found = w.relaysOf(d)
+		} else if r, ok := w.relays[name]; ok {
+			found = []*relay{r}
+		}
+		if len(found) == 0 {
+			return fmt.Errorf("nothing leads to %q", name)
+		}
+		for _, r := range found {
+			do(r)
 		}
-		do(r)
 		return nil
 	}
 }
 
-func (w *World) silenceVerb(args []string) error { return each(args, w.withRelay((*relay).silence)) }
-func (w *World) cutVerb(args []string) error     { return each(args, w.withRelay((*relay).cut)) }
-func (w *World) healVerb(args []string) error    { return each(args, w.withRelay((*relay).heal)) }
+func (w *World) silenceVerb(args []string) error { return each(args, w.withRelays((*relay).silence)) }
+func (w *World) cutVerb(args []string) error     { return each(args, w.withRelays((*relay).cut)) }
+func (w *World) healVerb(args []string) error    { return each(args, w.withRelays((*relay).heal)) }
+
+// turnColdVerb makes engines cold without a word: turn-cold NAME...
+func (w *World) turnColdVerb(args []string) error {
+	return each(args, w.withBackend(func(b *backend) error { b.engine.TurnCold(); return nil }))
+}
 
 // publishVerb publishes the document: publish [NAME=STATE]...
 func (w *World) publishVerb(args []string) error {
@@ -249,13 +265,12 @@
 	if err := words(args, "NAME", "live|leaving|gone"); err != nil {
 		return err
 	}
-	if args[1] == "gone" {
-		w.list.Remove(args[0])
-		return nil
-	}
 	return w.withDaemon(func(d *daemon) error {
-		w.show(d, w.relays[d.name].address, platform.InstanceState(args[1]))
-		return nil
+		if args[1] == "gone" {
+			w.remove(d)
+			return nil
+		}
+		return w.show(d, platform.InstanceState(args[1]))
 	})(args[0])
 }
 
@@ -283,6 +298,7 @@
 	f.IntVar(&c.Tokens, "tokens", 40, "")
 	f.IntVar(&c.Leave, "leave", 0, "")
 	f.StringVar(&c.Key, "key", "", "")
+	f.StringVar(&c.Prompt, "prompt", "", "")
 	f.StringVar(&c.Body, "body", `{"amount":1}`, "")
 	f.StringVar(&c.Entry, "entry", "", "")
 	if err := f.Parse(args); err != nil {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -35,17 +35,16 @@
 	dir    string
 	binary string
 
-	log        *platformtest.Log
-	list       *platformtest.InstanceList
-	logServer  *server
-	listServer *server
-	weights    *server
-	backends   map[string]*backend
-	daemons    map[string]*daemon
-	relays     map[string]*relay
-	loads      map[string]*Load
-	document   document
-	published  uint64 // versions
+	log       *platformtest.Log
+	logServer *server
+	weights   *server
+	centres   map[string]*centre
+	backends  map[string]*backend
+	daemons   map[string]*daemon
+	relays    map[string]*relay
+	loads     map[string]*Load
+	document  document
+	published uint64 // versions
 
 	mu      sync.Mutex // guards what follows
 	entries []*daemon  // in order of their start
@@ -58,16 +57,15 @@
 		dir:      dir,
 		binary:   binary,
 		log:      platformtest.NewLog(),
-		list:     platformtest.NewInstanceList(),
+		centres:  make(map[string]*centre),
 		backends: make(map[string]*backend),
 		daemons:  make(map[string]*daemon),
 		relays:   make(map[string]*relay),
 		loads:    make(map[string]*Load),
 	}
 	w.logServer = newServer(w.log.Handler())
-	w.listServer = newServer(w.list.Handler())
 	w.weights = newServer(platformtest.NewWeightStore(weightRate, weightSize).Handler())
-	for _, s := range []*server{w.logServer, w.listServer, w.weights} {
+	for _, s := range []*server{w.logServer, w.weights} {
 		if err := s.start(); err != nil {
 			w.Close()
 			return nil, err
@@ -90,9 +88,11 @@
 	for _, b := range w.backends {
 		b.server.kill()
 	}
-	for _, s := range []*server{w.logServer, w.listServer, w.weights} {
-		s.kill()
+	for _, c := range w.centres {
+		c.server.kill()
 	}
+	w.logServer.kill()
+	w.weights.kill()
 }
 
 // Publish appends the document as the next version.
@@ -123,13 +123,6 @@
 // StartDaemon starts the process with this name: an entry, or the side
 // process of the backend server with its name.
 func (w *World) StartDaemon(role, name, dataCentre string) error {
-	if d := w.daemons[name]; d != nil {
-		return d.start()
-	}
-	logRelay, err := w.addRelay(name+".log", w.logServer.address)
-	if err != nil {
-		return err
-	}
 	d := &daemon{
 		name:       name,
 		role:       role,
@@ -140,10 +133,6 @@
 		listen:     newAddress(),
 		status:     newAddress(),
 	}
-	link, err := w.addRelay(name, d.listen)
-	if err != nil {
-		return err
-	}
 	backendURL := ""
 	if role == roleSide {
 		b, ok := w.backends[name]
@@ -155,28 +144,27 @@
 	} else {
 		d.http = newAddress()
 	}
-	if err := d.writeSettings(w, "http://"+logRelay.address, backendURL); err != nil {
+	logRelay, err := w.addRelay(name+".log", w.logServer.address)
+	if err != nil {
+		return err
+	}
+	c, err := w.centre(d.dataCentre)
+	if err != nil {
+		return err
+	}
+	if err := d.writeSettings("http://"+logRelay.address, c.server.url(), w.weights.url(), backendURL); err != nil {
 		return err
 	}
 	w.daemons[name] = d
-	w.show(d, link.address, platform.InstanceLive)
+	if err := w.show(d, platform.InstanceLive); err != nil {
+		return err
+	}
 	if role == roleEntry {
 		w.addEntry(d)
 	}
 	return d.start()
 }
 
-// show puts a daemon on the instance list.
-func (w *World) show(d *daemon, address string, state platform.InstanceState) {
-	w.list.Put(platform.Instance{
-		Name:       d.name,
-		Address:    address,
-		DataCentre: d.dataCentre,
-		Role:       d.role,
-		State:      state,
-	})
-}
-
 func (w *World) addRelay(name, target string) (*relay, error) {
 	r, err := newRelay(target)
 	if err != nil {
