Claims: at most once as pure state machines, fuzzed and searched

Cause: calls that may not repeat were refused ("claims are not wired"). Change: package claim with the key check, the records of the claim streams, the fold of one stream (Table), the side's table by key (KeyTable) and the entry's state machine of one call (Call); wire.KeyForgotten for a key older than what a side keeps. Red first: the fuzz's seed 50750 (before this commit's choice of moves) ran a key twice, since a late copy of the refusal of a call's first request was taken for the answer to its second. Replies now carry the claim's offset; the trace is kept as TestTeethLateRefusal. Ruled out by trial: treating a lost append as refused gave no violation in 20000 seeded cases, since nobody but the claimant sends; the wait for the fate stays because "not run" must not rest on that alone.

--- /dev/null
+++ b/claim/events.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"marjorampitch/api"
+	"marjorampitch/platform"
+	"marjorampitch/wire"
+)
+
+// Event is something that a Call learns. The types below implement it.
+type Event interface{ event() }
+
+// Start begins a call with what the log is known to say of its key.
+type Start struct {
+	View    View
+	End     platform.Offset // of the stream, as last seen
+	LogDown bool            // the log service does not answer
+}
+
+// ClaimRefused says that the log service refused the append of a claim.
+type ClaimRefused struct{ Nonce uint64 }
+
+// ClaimUnknown says that the answer to the append of a claim was lost.
+type ClaimUnknown struct{ Nonce uint64 }
+
+// Folded says that records were read. Verdict is set when a claim of this call
+// was among them.
+type Folded struct {
+	View    View
+	End     platform.Offset // next offset to be read
+	Verdict Verdict
+	Nonce   uint64          // of the claim judged
+	Offset  platform.Offset // of the claim judged
+}
+
+// Gap says that records were trimmed before they were read, so that a claim of
+// the call may have been among them.
+type Gap struct{}
+
+// Sent says what became of the request that was sent under the claim at
+// Offset; a late one for an earlier claim of the call counts for nothing.
+type Sent struct {
+	Offset platform.Offset
+	Fate   Fate
+	Answer wire.Answer // with FateReplied
+	Err    *api.Error  // with FateRefused and FateNotSent
+}
+
+// Fate is what became of a request.
+type Fate uint8
+
+// Fates of a request.
+const (
+	FateReplied Fate = iota + 1 // the whole answer came
+	FateRefused                 // the side refused it or failed
+	FateNotSent                 // nothing of it was written to any connection
+	FateLost                    // the connection failed after it was or may have been written
+)
+
+// KeyAnswered carries the answer to a Query.
+type KeyAnswered struct {
+	Offset platform.Offset // of the claim asked about
+	State  wire.KeyState
+	Answer wire.Answer // with wire.KeyFinished
+}
+
+// QueryFailed says that a Query was not answered.
+type QueryFailed struct{ Offset platform.Offset }
+
+// OutcomeDone says that the append of an outcome ended, in whatever way.
+type OutcomeDone struct{}
+
+// Fetched answers a Fetch; Outcome is nil when the record cannot be read now.
+type Fetched struct{ Outcome *Outcome }
+
+// LookedUp answers a LookUp. Found false settles nothing.
+type LookedUp struct {
+	Found  bool
+	Answer wire.Answer
+}
+
+// CallerGone says that nobody waits for the answer any more.
+type CallerGone struct{}
+
+// Tick says that the time of Call.NextWake has come.
+type Tick struct{}
+
+func (Start) event()        {}
+func (ClaimRefused) event() {}
+func (ClaimUnknown) event() {}
+func (Folded) event()       {}
+func (Gap) event()          {}
+func (Sent) event()         {}
+func (KeyAnswered) event()  {}
+func (QueryFailed) event()  {}
+func (OutcomeDone) event()  {}
+func (Fetched) event()      {}
+func (LookedUp) event()     {}
+func (CallerGone) event()   {}
+func (Tick) event()         {}
+
+// Action is something that the driver does for a Call. Appends keep their
+// order. The types below implement it.
+type Action interface{ action() }
+
+// AppendClaim appends a claim once.
+type AppendClaim struct{ Claim *Claim }
+
+// AppendRelease appends a release; it may be appended again.
+type AppendRelease struct{ Release *Release }
+
+// AppendOutcome appends an outcome; it may be appended again. OutcomeDone follows.
+type AppendOutcome struct{ Outcome *Outcome }
+
+// Pad appends records that count for nothing until the stream's end lies
+// beyond the offset; it may be repeated.
+type Pad struct{ Until platform.Offset }
+
+// Send sends the request once, to that incarnation of that side alone.
+// Sent follows.
+type Send struct {
+	Target Target
+	Offset platform.Offset // of the claim
+}
+
+// Query asks a side about a claim. KeyAnswered or QueryFailed follows.
+type Query struct {
+	Target Target
+	Offset platform.Offset
+	Seal   bool
+}
+
+// Fetch reads the Outcome record at an offset. Fetched follows.
+type Fetch struct{ Offset platform.Offset }
+
+// LookUp asks the service itself what became of the key. LookedUp follows.
+type LookUp struct{}
+
+// Reply answers the caller, with Err or with Answer. It occurs at most once.
+type Reply struct {
+	Answer   wire.Answer
+	Replayed bool // of a run under another call's claim
+	Err      *api.Error
+}
+
+func (AppendClaim) action()   {}
+func (AppendRelease) action() {}
+func (AppendOutcome) action() {}
+func (Pad) action()           {}
+func (Send) action()          {}
+func (Query) action()         {}
+func (Fetch) action()         {}
+func (LookUp) action()        {}
+func (Reply) action()         {}
--- /dev/null
+++ b/claim/fuzz_test.go
@@ -0,0 +1,125 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes rapid's seed and number of checks unless FUZZ=1.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("FUZZ") != "1" {
+		flag.Set("rapid.seed", "20261203")
+		flag.Set("rapid.checks", "5000")
+		flag.Set("rapid.nofailfile", "true")
+	}
+	os.Exit(m.Run())
+}
+
+// attempts returns pending attempts on three keys: fresh, with two contents,
+// and nearly too old.
+func simAttempts(w *world, n int) []*attempt {
+	nearlyOld := simKey(w.now.Add(-FoldAge+3*time.Second), 2)
+	keys := []Key{simKey(w.now, 1), simKey(w.now, 1), simKey(w.now, 1), nearlyOld}
+	var as []*attempt
+	for i := range n {
+		k := w.choose(len(keys))
+		content := uint64(7)
+		if w.choose(10) == 0 {
+			content = 8
+		}
+		as = append(as, &attempt{id: i, key: keys[k], content: content})
+	}
+	return as
+}
+
+// fuzzCase plays one random case and returns the world after it.
+func fuzzCase(t *rapid.T, without mechanism) *world {
+	choose := newChooser(rapid.Uint64().Draw(t, "choices"))
+	w := newWorld(3, 2, choose, t.Fatalf)
+	w.without = without
+	w.faults = rapid.IntRange(0, 8).Draw(t, "faults")
+	w.pending = simAttempts(w, rapid.IntRange(2, 6).Draw(t, "attempts"))
+	w.play(rapid.IntRange(60, 200).Draw(t, "moves"))
+	return w
+}
+
+func TestFuzzAtMostOnce(t *testing.T) {
+	cases, moves, execs := 0, 0, 0
+	faults := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := fuzzCase(t, nothing)
+		cases++
+		moves += len(w.trace)
+		execs += len(w.execs)
+		for kind, n := range w.count {
+			faults[kind] += n
+		}
+		w.calm()
+	})
+	t.Logf("cases=%d moves=%d executions=%d faults=%v", cases, moves, execs, faults)
+}
+
+// calm ends all faults and checks that a further attempt on each key gets an
+// answer that does not blame the deadline.
+func (w *world) calm() {
+	w.faults, w.away = 0, false
+	w.pending = nil
+	seen := map[Key]uint64{}
+	for _, a := range w.attempts {
+		if _, ok := seen[a.key]; !ok {
+			seen[a.key] = a.content
+		}
+	}
+	for key, content := range seen {
+		w.settle()
+		a := &attempt{id: 100 + len(w.attempts), key: key, content: content}
+		w.begin(a, w.entries[0], false)
+		w.settle()
+		if a.reply == nil {
+			w.fail("attempt %d has no answer", a.id)
+		}
+		if a.reply.Err != nil && a.reply.Err.Code.Info().Name == "deadline-exceeded" {
+			w.fail("attempt %d ran into its deadline", a.id)
+		}
+	}
+}
+
+// settle lets everything happen in order of readiness; timers come last.
+func (w *world) settle() {
+	const enough = 5000
+	for range enough {
+		m := w.calmMove()
+		if m == nil {
+			return
+		}
+		w.make(*m)
+	}
+	w.fail("does not settle")
+}
+
+func (w *world) calmMove() *move {
+	ms := w.moves()
+	for i := range ms {
+		if !ms[i].isTimer() {
+			return &ms[i]
+		}
+	}
+	var first *simCall
+	for _, e := range w.entries {
+		for _, c := range e.calls {
+			if !c.Done() && (first == nil || c.NextWake().Before(first.NextWake())) {
+				first = c
+			}
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return &move{label: fmt.Sprint("timer of ", first.att.id), run: func() { w.tick(first) }}
+}
