--- a/logfold/inforce_test.go
+++ b/logfold/inforce_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"gonum.org/v1/gonum/stat"
-	"slices"
 
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
