--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,6 +1,5 @@
-// Command demo drives the demonstration that scripts/demo.sh sets up: it
-// publishes the two example documents, makes a caller's requests through the
-// entries, and checks and prints every answer.
+// Command demo drives the demonstration that scripts/demo.sh sets up: it makes
+// a caller's requests through the entries, and checks and prints every answer.
 package main
 
 import (
@@ -29,7 +28,7 @@
 	var plain string
 	cmd := &cobra.Command{
 		Use:           "demo",
-		Short:         "Publish the example documents and make a caller's requests",
+		Short:         "Make a caller's requests and check the answers",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -55,7 +54,6 @@
 		name string
 		do   func(context.Context) error
 	}{
-		{"publish the two documents", d.publish},
 		{"wait until every entry and side is ready", d.awaitReady},
 		{"Bryllupslyd: a streamed draft for a planner on a live call", d.draft},
 		{"Bryllupslyd: an availability look-up", d.availability},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,9 +40,19 @@
   daemon "${d%%:*}" "${d##*:}"
 done
 
+export MARJORAMPITCH_LOG_SERVICE="http://$host:$log_port" MARJORAMPITCH_INSTANCE_LIST="http://$host:$list_port"
+echo "== publish the two documents"
+until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini; do sleep 0.1; done
+bin/marjorampitch config publish --base 0 --service caroni-watch examples/caroni-watch.ini
+
 bin/demo --host "$host" --log "http://$host:$log_port" --instances "http://$host:$list_port" \
   --plain "http://$host:18701,http://$host:18703,http://$host:18705,http://$host:18707" --traces "$out/traces.json"
 
+echo
+echo "== which processes have the documents in force"
+bin/marjorampitch config status --service bryllupslyd
+bin/marjorampitch config status --service caroni-watch
+echo
 echo "stopping every process gracefully"
 stop $daemons || { echo "a process did not stop cleanly; see $out"; exit 1; }
 echo "stopped"
