Restart of a lost history

Cause: once every process was down for longer than the log service keeps records, nobody could know the version any more, and no change could be accepted for ever: the service could not be started again (seen in TestLateCheckpointAfterCutRecords). Ruled out: an operator's checkpoint alone, since a process that still had the old state would judge later changes otherwise. A restart is a record of the configuration stream which everyone judges alike without history: valid only at the offset that it names, version offset + 1. A late one is void. It now looks every 2 s, at new checkpoints only.

--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -87,14 +87,9 @@
 // Publish proposes text as the version after base. The error is one of the
 // log service's, before anything was appended.
 func (p *Publisher) Publish(ctx context.Context, base uint64, text []byte) (Result, error) {
-	doc, err := config.ParseDocument("document", text)
-	var problems config.Problems
-	if errors.As(err, &problems) {
-		return Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Problems: problems}, nil
-	}
-	if doc.Service.Name != p.Service {
-		detail := fmt.Sprintf("the document is that of service %q, not %q", doc.Service.Name, p.Service)
-		return Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Detail: detail}, nil
+	doc, refusal := p.check(base, text)
+	if refusal != nil {
+		return *refusal, nil
 	}
 	reader := logfold.NewReader(p.Log, p.Service)
 	if err := reader.ReadToEnd(ctx); err != nil {
@@ -110,6 +105,20 @@
 	return p.append(ctx, reader, change, text)
 }
 
+// check parses text; refusal is nil when it may be published.
+func (p *Publisher) check(base uint64, text []byte) (doc *config.Document, refusal *Result) {
+	doc, err := config.ParseDocument("document", text)
+	if err != nil {
+		problems, _ := config.AsProblems(err)
+		return nil, &Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Problems: problems}
+	}
+	if doc.Service.Name != p.Service {
+		detail := fmt.Sprintf("the document is that of service %q, not %q", doc.Service.Name, p.Service)
+		return nil, &Result{Status: Refused, Code: api.ConfigInvalid, Base: base, Detail: detail}
+	}
+	return doc, nil
+}
+
 func (p *Publisher) newChange(base uint64, format int, text []byte) (*logfold.ConfigChange, error) {
 	packed, err := logfold.Pack(text)
 	if err != nil {
@@ -148,7 +157,7 @@
 			}
 		}
 		if waited >= p.Patience || ctx.Err() != nil {
-			detail := "the append was sent and its fate is not yet known"
+			detail := "the append was sent and its fate is not yet known; config resolve tells"
 			return Result{Status: Unknown, Code: api.ConfigUnknown, Base: change.Base, Nonce: change.Nonce, Detail: detail}
 		}
 		p.Sleep(ctx, readBackEvery)
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -19,6 +19,7 @@
 		newDiffCommand(o),
 		newPublishCommand(o),
 		newResolveCommand(o),
+		newRestartCommand(o),
 		newShowCommand(o),
 		newStatusCommand(o),
 		newHistoryCommand(o),
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -99,6 +99,37 @@
 	return cmd
 }
 
+func newRestartCommand(o *operatorFlags) *cobra.Command {
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use:   "restart FILE",
+		Short: "Begin the history anew when the current version is lost",
+		Long: "Begin the history anew with a document, when every process was down for longer than\n" +
+			"the log service keeps records. Refused as long as the current version can be known.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := config.CheckDocument(args[0], text, policies()); err != nil {
+				return o.printCheck(cmd, args[0], err)
+			}
+			p, err := o.publisher()
+			if err != nil {
+				return err
+			}
+			result, err := p.Restart(cmd.Context(), text)
+			if err != nil {
+				return err
+			}
+			return o.finish(cmd, result, wait)
+		},
+	}
+	registerWait(cmd, &wait)
+	return cmd
+}
+
 // finish prints a result, waits until it is in force, and chooses the exit code.
 func (o *operatorFlags) finish(cmd *cobra.Command, r publish.Result, wait time.Duration) error {
 	if err := o.print(cmd, r, func(w io.Writer) { printResult(w, r) }); err != nil {
@@ -124,7 +155,7 @@
 	case publish.Accepted:
 		fmt.Fprintf(w, "accepted: version %d at offset %d\n", r.Version, r.Offset)
 	case publish.Unknown:
-		fmt.Fprintf(w, "unknown: %s\nto find out: marjorampitch config resolve %s --base %d\n", r.Detail, r.Nonce, r.Base)
+		fmt.Fprintf(w, "unknown: %s\nnonce %s, base %d\n", r.Detail, r.Nonce, r.Base)
 	default:
 		fmt.Fprintf(w, "refused: %s\n%s", r.Detail, r.Diff)
 	}
--- a/logfold/bench_test.go
+++ b/logfold/bench_test.go
@@ -26,7 +26,6 @@
 	for _, n := range []int{10, 100, 1_000, 7_400} {
 		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
 			data := change(b, 0, withOrganisations(n), "n")
-			b.ReportMetric(float64(len(data)), "record-bytes")
 			for b.Loop() {
 				fold := NewFold("s")
 				out, err := fold.Apply(platform.Record{Data: data})
@@ -34,6 +33,7 @@
 					b.Fatal(err, out)
 				}
 			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
 		})
 	}
 }
--- a/logfold/fold.go
+++ b/logfold/fold.go
@@ -48,7 +48,8 @@
 }
 
 // Apply judges the next record. A change is accepted if its base is the
-// current version and its document passes the checks of its format.
+// current version, or it is a valid restart, and its document passes the
+// checks of its format.
 // Errors: ErrFormat, ErrGap; the state is then unchanged.
 func (f *Fold) Apply(rec platform.Record) (Outcome, error) {
 	if rec.Offset != f.ReadTo+1 {
@@ -60,7 +61,10 @@
 	switch {
 	case err != nil:
 		out.Code, out.Detail = api.ConfigInvalid, "the record cannot be decoded"
-	case change.Base != f.Version:
+	case change.Restart && change.At != int64(rec.Offset):
+		out.Code = api.ConfigConflict
+		out.Detail = fmt.Sprintf("a restart meant for offset %d", change.At)
+	case !change.Restart && change.Base != f.Version:
 		out.Code = api.ConfigConflict
 		out.Detail = fmt.Sprintf("based on version %d, current is %d", change.Base, f.Version)
 	case !slices.Contains(config.Formats(), change.Format):
@@ -83,6 +87,9 @@
 	}
 	out.Accepted = true
 	f.Version++
+	if change.Restart {
+		f.Version = uint64(at) + 1
+	}
 	f.Offset = at
 	f.Packed, f.Text, f.Doc = change.Document, text, doc
 }
--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -26,7 +26,6 @@
 	pollWait        = time.Second            // longest wait of a read at the end of the stream
 	retryAfter      = 300 * time.Millisecond // after a failed read, jittered
 	lostRetryAfter  = 2 * time.Second        // between looks for a usable checkpoint, jittered
-	lostPause       = 30 * time.Second       // after the furthest look
 	needShare       = 0.6                    // share of freshFor after which a ReadWhenNeeded process reads, at least
 	needSpread      = 0.15                   // spread of that share between processes
 	checkShare      = 0.3                    // the same while a peer says that the log is down, so as to bear it out soon
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -20,6 +20,7 @@
 type checkpointer struct {
 	step    checkpointStep
 	tail    platform.Offset // checkpoints to look at when the fold is lost
+	seenAll bool            // all before next are of no use to the lost fold; later ones may be
 	dueAt   time.Duration   // time of the next write
 	endSeen bool            // the end of the configuration stream was read in this run
 	next    platform.Offset // first checkpoint not yet seen; valid when known
@@ -32,6 +33,10 @@
 	if c.step != stepIdle {
 		return nil
 	}
+	if c.seenAll {
+		c.step = stepLoading
+		return []Action{ReadCheckpoints{From: c.next, Limit: checkpointTail}}
+	}
 	c.step = stepProbing
 	return []Action{ReadCheckpoints{From: 0, Limit: 1}}
 }
@@ -42,6 +47,9 @@
 	c.step = stepIdle
 	f.fresh.ReadAnswered(true)
 	c.next, c.known = e.Batch.End, true
+	if n := len(e.Batch.Records); n > 0 && step != stepProbing {
+		c.next = e.Batch.Records[n-1].Offset + 1
+	}
 	switch step {
 	case stepProbing:
 		if e.Batch.Start >= e.Batch.End {
@@ -53,6 +61,7 @@
 		from := max(e.Batch.Start, e.Batch.End-tail)
 		return []Action{ReadCheckpoints{From: from, Limit: int(tail)}}
 	case stepLoading:
+		c.seenAll = c.seenAll && !e.Trimmed
 		f.startFrom(now, e.Batch)
 	case stepLooking:
 		return f.writeUnlessWritten(now, e.Batch)
@@ -78,17 +87,15 @@
 	f.lookAgain(now)
 }
 
-// lookAgain looks further back next time, and after the furthest look waits
-// longer.
+// lookAgain looks further back next time, and after the furthest look only at
+// what is new.
 func (f *Follower) lookAgain(now time.Duration) {
 	c := &f.checkpoints
 	c.tail = max(c.tail, checkpointTail) * 4
-	wait := lostRetryAfter
 	if c.tail > checkpointsMost {
-		c.tail = checkpointTail
-		wait = lostPause
+		c.tail, c.seenAll = checkpointTail, true
 	}
-	f.retryAt = now + f.jittered(wait)
+	f.retryAt = now + f.jittered(lostRetryAfter)
 }
 
 // usableFrom returns the first retained offset of the configuration stream: a
--- a/logfold/follower_read.go
+++ b/logfold/follower_read.go
@@ -95,6 +95,7 @@
 func (f *Follower) loseWay(now time.Duration) {
 	f.lost = true
 	f.readFine = false
+	f.checkpoints.seenAll = false
 	f.retryAt = now
 }
 
--- a/logfold/record.go
+++ b/logfold/record.go
@@ -4,6 +4,12 @@
 
 // ConfigChange is a record of the configuration stream: one operator's wish
 // to replace the document.
+//
+// A Restart begins the history anew when nobody can know the current version
+// any more, since every process was down for longer than the log service
+// keeps records. Its judgement needs no history: it is accepted if it stands
+// at the offset At, so that one which lands late is void, and its version is
+// At+1, above every earlier one.
 type ConfigChange struct {
 	Service  string `msg:"svc"`
 	Base     uint64 `msg:"base"` // version that the author changed; 0 before the first
@@ -11,6 +17,8 @@
 	Document []byte `msg:"doc"`  // compressed by Pack
 	Author   string `msg:"by"`
 	Nonce    string `msg:"nonce"` // unique to one publishing; finds the record again
+	Restart  bool   `msg:"restart"`
+	At       int64  `msg:"at"` // for a restart: the only offset at which it is valid
 }
 
 // Checkpoint is a record of the checkpoint stream: the state of the fold
--- a/logfold/record_gen.go
+++ b/logfold/record_gen.go
@@ -263,6 +263,18 @@
 				err = msgp.WrapError(err, "Nonce")
 				return
 			}
+		case "restart":
+			z.Restart, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Restart")
+				return
+			}
+		case "at":
+			z.At, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -276,9 +288,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ConfigChange) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 8
 	// write "svc"
-	err = en.Append(0x86, 0xa3, 0x73, 0x76, 0x63)
+	err = en.Append(0x88, 0xa3, 0x73, 0x76, 0x63)
 	if err != nil {
 		return
 	}
@@ -337,15 +349,35 @@
 		err = msgp.WrapError(err, "Nonce")
 		return
 	}
+	// write "restart"
+	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Restart)
+	if err != nil {
+		err = msgp.WrapError(err, "Restart")
+		return
+	}
+	// write "at"
+	err = en.Append(0xa2, 0x61, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.At)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "svc"
-	o = append(o, 0x86, 0xa3, 0x73, 0x76, 0x63)
+	o = append(o, 0x88, 0xa3, 0x73, 0x76, 0x63)
 	o = msgp.AppendString(o, z.Service)
 	// string "base"
 	o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
@@ -362,6 +394,12 @@
 	// string "nonce"
 	o = append(o, 0xa5, 0x6e, 0x6f, 0x6e, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Nonce)
+	// string "restart"
+	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
+	o = msgp.AppendBool(o, z.Restart)
+	// string "at"
+	o = append(o, 0xa2, 0x61, 0x74)
+	o = msgp.AppendInt64(o, z.At)
 	return
 }
 
@@ -419,6 +457,18 @@
 				err = msgp.WrapError(err, "Nonce")
 				return
 			}
+		case "restart":
+			z.Restart, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Restart")
+				return
+			}
+		case "at":
+			z.At, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -433,6 +483,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigChange) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.Uint64Size + 4 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len(z.Document) + 3 + msgp.StringPrefixSize + len(z.Author) + 6 + msgp.StringPrefixSize + len(z.Nonce)
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.Uint64Size + 4 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len(z.Document) + 3 + msgp.StringPrefixSize + len(z.Author) + 6 + msgp.StringPrefixSize + len(z.Nonce) + 8 + msgp.BoolSize + 3 + msgp.Int64Size
 	return
 }
