--- a/claim/call.go
+++ b/claim/call.go
@@ -19,7 +19,8 @@
 	Window     int64         // offsets beyond the stream's end at which a claim still counts
 	Rounds     int           // claims that one call may make, one after another
 	PadAfter   time.Duration // wait for the fate of a lost append before padding the stream
-	Poll       time.Duration // between two queries of a side
+	Wait       time.Duration // longest wait for the answer to a query or read before it is repeated
+	Poll       time.Duration // from such an answer, if it settles nothing, to the next
 	Grace      time.Duration // wait for another call's claim before it is sealed
 	StoreWait  time.Duration // longest time that an answer waits for its outcome record
 	Background time.Duration // how long a call is carried on after its deadline
@@ -31,6 +32,7 @@
 		Window:     1024,
 		Rounds:     4,
 		PadAfter:   300 * time.Millisecond,
+		Wait:       3 * time.Second,
 		Poll:       100 * time.Millisecond,
 		Grace:      500 * time.Millisecond,
 		StoreWait:  250 * time.Millisecond,
--- a/claim/events.go
+++ b/claim/events.go
@@ -138,7 +138,8 @@
 // Reply answers the caller, with Err or with Answer. It occurs at most once.
 type Reply struct {
 	Answer   wire.Answer
-	Replayed bool // of a run under another call's claim
+	Replayed bool   // of a run under another call's claim
+	Side     string // that the answer came from, as far as known
 	Err      *api.Error
 }
 
--- a/claim/keytable.go
+++ b/claim/keytable.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// Abandon seals the claim of a call that Begin told to run and of which nothing
+// reached the backend server. It never runs under that claim.
+func (t *KeyTable) Abandon(k Key) {
+	s, ok := t.slots[k]
+	if ok && s.state == wire.KeyRunning {
+		s.state = wire.KeySealed
+	}
+}
+
 // dropAnswer gives up the oldest answer; that the call ran stays known.
 func (t *KeyTable) dropAnswer() {
 	k := t.finished[0]
--- a/claim/resolve.go
+++ b/claim/resolve.go
@@ -20,7 +20,7 @@
 // query asks once more. Another call's claim is sealed only after the grace
 // time, in which its own claimant sends it.
 func (c *Call) query() {
-	c.enter(phaseAsking, c.cfg.Tuning.Poll)
+	c.enter(phaseAsking, c.cfg.Tuning.Wait)
 	seal := c.subject.own || c.patienceOver()
 	c.emit(Query{Target: c.subject.target, Offset: c.subject.offset, Seal: seal})
 }
@@ -148,7 +148,11 @@
 		c.fail(err)
 		return
 	}
-	c.reply(Reply{Answer: a, Replayed: c.replayed})
+	side := c.subject.target.Side
+	if side == "" {
+		side = c.view.Side
+	}
+	c.reply(Reply{Answer: a, Replayed: c.replayed, Side: side})
 	c.enter(phaseDone, 0)
 }
 
@@ -158,12 +162,16 @@
 		c.enter(phaseDone, 0)
 		return
 	}
-	c.enter(phaseFetching, c.cfg.Tuning.Poll)
+	c.enter(phaseFetching, c.cfg.Tuning.Wait)
 	c.emit(Fetch{Offset: c.view.OutcomeOffset})
 }
 
 func (c *Call) onFetched(ev Fetched) {
-	if c.phase != phaseFetching || ev.Outcome == nil {
+	if c.phase != phaseFetching {
+		return
+	}
+	if ev.Outcome == nil {
+		c.next = c.now.Add(c.cfg.Tuning.Poll)
 		return
 	}
 	c.replayed = true
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -115,10 +115,10 @@
 
 func (w *world) tuning() Tuning {
 	if w.quick {
-		return Tuning{Window: 1, Rounds: 1, PadAfter: 4 * time.Second, Poll: 4 * time.Second, Grace: 4 * time.Second, StoreWait: 4 * time.Second}
+		return Tuning{Window: 1, Rounds: 1, PadAfter: 4 * time.Second, Wait: 4 * time.Second, Poll: 4 * time.Second, Grace: 4 * time.Second, StoreWait: 4 * time.Second}
 	}
 	return Tuning{
-		Window: 3, Rounds: 3, PadAfter: 300 * time.Millisecond, Poll: time.Second,
+		Window: 3, Rounds: 3, PadAfter: 300 * time.Millisecond, Wait: time.Second, Poll: time.Second,
 		Grace: 2 * time.Second, StoreWait: time.Second, Background: 20 * time.Second,
 	}
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -60,11 +60,6 @@
 	return nil
 }
 
-// serveOnce runs a call that may not repeat.
-func (s *Server) serveOnce(_ context.Context, _ *call, _ *answer) *api.Error {
-	return api.NewError(api.LogUnavailable, "claims are not wired")
-}
-
 // record writes the log line and the metrics of a request.
 func (s *Server) record(c *call, a *answer, e *api.Error, took time.Duration) {
 	code, ran, detail := api.OK, api.DidRun, ""
--- a/entry/link.go
+++ b/entry/link.go
@@ -210,11 +210,20 @@
 // open starts a stream and sends the message that build makes for it. When it
 // fails, nothing was sent.
 func (l *link) open(build func(stream uint64) wire.Message) (*exchange, *api.Error) {
+	return l.openTo("", build)
+}
+
+// openTo is open for one incarnation of the side process, or any if it is "".
+func (l *link) openTo(incarnation string, build func(stream uint64) wire.Message) (*exchange, *api.Error) {
 	l.mu.Lock()
 	if l.conn == nil {
 		l.mu.Unlock()
 		return nil, api.NewError(api.Unreachable, l.name)
 	}
+	if incarnation != "" && l.conn.Peer().Incarnation != incarnation {
+		l.mu.Unlock()
+		return nil, api.NewError(api.WrongIncarnation, l.name)
+	}
 	l.next++
 	x := &exchange{link: l, conn: l.conn, stream: l.next, inbox: newInbox()}
 	l.streams[x.stream] = x.inbox
--- a/entry/server.go
+++ b/entry/server.go
@@ -18,6 +18,7 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
+	"marjorampitch/claim"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
 	"marjorampitch/platform"
@@ -41,6 +42,7 @@
 	Hello     wire.Hello // names the process; Role is RoleEntry
 	Config    node.ConfigView
 	Instances platform.InstanceList
+	Claims    platform.Log // where calls that may not repeat are claimed
 	Log       *log.Logger
 	Metrics   *telemetry.EntryMetrics
 	Tracer    trace.Tracer
@@ -54,6 +56,8 @@
 	table *table
 	http  *http.Server
 
+	claims *claim.Client
+
 	refusals recent.Log
 
 	pickMu     sync.Mutex
@@ -74,6 +78,14 @@
 		table:  newTable(opt.Hello.Instance, n, opt.Log),
 		budget: admit.NewRetryBudget(0, retryBurst),
 	}
+	s.claims = claim.NewClient(claim.Options{
+		Service:   opt.Hello.Service,
+		Claimant:  opt.Hello.Incarnation,
+		Log:       opt.Claims,
+		Transport: sides{s},
+		Logger:    opt.Log,
+		Tuning:    claim.DefaultTuning(),
+	})
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: headerReadTimeout,
@@ -182,5 +194,8 @@
 	case <-ctx.Done():
 	case <-time.After(s.opt.DrainWait):
 	}
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return err
+	}
+	return s.claims.Close(ctx)
 }
--- a/side/peer.go
+++ b/side/peer.go
@@ -20,6 +20,8 @@
 		s.credit(c, m)
 	case *wire.Cancel:
 		s.cancel(c, m)
+	case *wire.KeyQuery:
+		c.Send(s.keys.query(m))
 	default:
 		s.opt.Log.Warn("message-not-served", "peer", c.Peer().Instance)
 	}
@@ -110,6 +112,9 @@
 	if e == nil {
 		alone, e = s.judge(m)
 	}
+	if !m.Idempotent {
+		e = s.keys.begin(m, e)
+	}
 	if e != nil {
 		s.refuse(c, m.Stream, m.Attempt, m.RequestID, e)
 		return
@@ -123,6 +128,9 @@
 func (s *Server) begin(m *wire.Request, alone bool) *attempt {
 	budget := time.Duration(m.BudgetMillis) * time.Millisecond
 	late := api.NewError(api.DeadlineExceeded, "at the backend server")
+	if !m.Idempotent {
+		budget += claimedExtra
+	}
 	ctx, stop := context.WithTimeoutCause(context.Background(), budget, late)
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := newAttempt(m, cancel)
--- a/side/run.go
+++ b/side/run.go
@@ -57,6 +57,9 @@
 
 // drop closes an attempt and forgets it once nobody can resume it.
 func (s *Server) drop(a *attempt, e *api.Error) {
+	if !a.req.Idempotent {
+		s.keys.end(a, e)
+	}
 	a.finish(e)
 	time.AfterFunc(resumeGrace, func() {
 		s.mu.Lock()
--- a/side/server.go
+++ b/side/server.go
@@ -28,6 +28,7 @@
 	maxAttempts   = 1024            // attempts at the backend server at once, whatever the limits say
 	pollInterval  = 200 * time.Millisecond
 	drainInterval = 20 * time.Millisecond
+	claimedExtra  = 30 * time.Second // a call that may not repeat runs on this long after its caller's deadline
 )
 
 // Options of a Server. All fields are needed.
@@ -40,13 +41,15 @@
 	Tracer  trace.Tracer
 }
 
-// Server is a side process. Lock order: mu before any attempt's mu.
+// Server is a side process. Lock order: mu before any attempt's mu; keys.mu is
+// taken alone.
 type Server struct {
 	opt     Options
 	node    *node.Node
 	backend *backend
 	engine  *platform.EngineClient
 	pool    pond.Pool
+	keys    *keys
 	limiter atomic.Pointer[limiter] // nil until a document names this backend server
 
 	refusals recent.Log
@@ -73,6 +76,7 @@
 		opt:      opt,
 		node:     node.New(opt.Hello, opt.Config),
 		backend:  newBackend(opt.Backend),
+		keys:     newKeys(opt.Hello.Incarnation),
 		engine:   platform.NewEngineClient(opt.Backend),
 		pool:     pond.NewPool(maxAttempts),
 		attempts: make(map[string]*attempt),
