--- a/entry/link.go
+++ b/entry/link.go
@@ -216,9 +216,14 @@
 // open starts a stream and sends the message that build makes for it. When it
 // fails, nothing was sent.
 func (l *link) open(build func(stream uint64) wire.Message) (*exchange, *api.Error) {
-	x := l.register()
-	if x == nil {
-		return nil, api.NewError(api.Unreachable, l.name)
+	return l.openTo("", build)
+}
+
+// openTo is open for one incarnation of the side process, or any if it is "".
+func (l *link) openTo(incarnation string, build func(stream uint64) wire.Message) (*exchange, *api.Error) {
+	x, e := l.register(incarnation)
+	if e != nil {
+		return nil, e
 	}
 	if err := x.conn.Send(build(x.stream)); err != nil {
 		x.close()
@@ -227,19 +232,22 @@
 	return x, nil
 }
 
-// register starts a stream on the connection in use; nil without one.
-func (l *link) register() *exchange {
+// register starts a stream on the connection in use.
+func (l *link) register(incarnation string) (*exchange, *api.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
-		return nil
+		return nil, api.NewError(api.Unreachable, l.name)
+	}
+	if incarnation != "" && l.conn.Peer().Incarnation != incarnation {
+		return nil, api.NewError(api.WrongIncarnation, l.name)
 	}
 	l.next++
 	x := &exchange{link: l, conn: l.conn, stream: l.next, inbox: newInbox()}
 	l.streams[x.stream] = receiver{conn: x.conn, inbox: x.inbox}
 	l.own++
 	l.since++
-	return x
+	return x, nil
 }
 
 // close ends the stream at this end; later messages for it are dropped.
--- a/side/run.go
+++ b/side/run.go
@@ -58,6 +58,9 @@
 // drop closes an attempt. A streamed one is kept for a while, since its end
 // may be lost with the connection; any other is forgotten once it is sent.
 func (s *Server) drop(a *attempt, e *api.Error) {
+	if !a.req.Idempotent {
+		s.keys.end(a, e)
+	}
 	a.finish(e)
 	if a.req.Streaming {
 		time.AfterFunc(resumeGrace, func() { s.forget(a) })
