--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/api"
+	"marjorampitch/claim"
 	"marjorampitch/logfold"
 	"marjorampitch/platform"
 	"marjorampitch/platform/platformtest"
@@ -232,16 +233,35 @@
 	return nil
 }
 
-// logRecords prints how many records the streams of the log hold.
+// logRecords prints what the streams of the log hold.
 func (d *demo) logRecords(ctx context.Context) error {
 	log := platform.NewLogClient(d.logURL)
 	for _, service := range []string{"bryllupslyd", "caroni-watch"} {
-		b, err := log.Read(ctx, logfold.ConfigStream(service), 0, 1, 0)
+		changes, err := log.Read(ctx, logfold.ConfigStream(service), 0, 1, 0)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("   %s: %d configuration changes\n", service, b.End)
+		fmt.Printf("   %s: %d configuration changes\n", service, changes.End)
+		for partition := range claim.Partitions {
+			if err := printClaims(ctx, log, claim.StreamName(service, partition)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// printClaims prints how many records a partition of the claims holds.
+func printClaims(ctx context.Context, log platform.Log, stream string) error {
+	b, err := log.Read(ctx, stream, 0, 64, 0)
+	if err != nil || b.End == 0 {
+		return err
+	}
+	bytes := 0
+	for _, r := range b.Records {
+		bytes += len(r.Data)
 	}
+	fmt.Printf("   %s: %d records of claims, outcomes and padding, %d bytes\n", stream, b.End, bytes)
 	return nil
 }
 
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -17,9 +17,9 @@
 	l := newLink("s1", "", "", node.New(wire.Hello{}, nil), log.New(io.Discard))
 	older, newer := new(wire.Conn), new(wire.Conn)
 	l.connected(older)
-	first := l.register()
+	first, _ := l.register("")
 	l.connected(newer)
-	second := l.register()
+	second, _ := l.register("")
 
 	l.deliver(newer, first.stream, &wire.Chunk{})
 	l.deliver(newer, second.stream, &wire.Chunk{})
@@ -31,5 +31,6 @@
 	got, lost = second.inbox.take()
 	require.Len(t, got, 1)
 	require.NoError(t, lost)
-	require.NotNil(t, l.register())
+	third, _ := l.register("")
+	require.NotNil(t, third)
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,7 +42,7 @@
 
 export MARJORAMPITCH_LOG_SERVICE="http://$host:$log_port" MARJORAMPITCH_INSTANCE_LIST="http://$host:$list_port"
 echo "== publish the two documents"
-until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini; do sleep 0.1; done
+until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini 2>/dev/null; do sleep 0.1; done
 bin/marjorampitch config publish --base 0 --service caroni-watch examples/caroni-watch.ini
 
 bin/demo --host "$host" --log "http://$host:$log_port" --instances "http://$host:$list_port" \
