--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 # build compiles the daemon, the stand-ins and the demonstration's client.
 build:
+	@mkdir -p out
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 generate:
@@ -26,9 +27,11 @@
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config revive.toml ./...
 
-# test runs every test from fixed seeds.
+# test runs every test from fixed seeds, and the operator's page as written.
 test: build
 	$(GO) test -race -timeout 9m ./...
+	scripts/operating.sh >out/operating.log 2>&1 || { tail -n 30 out/operating.log; exit 1; }
+	@tail -n 1 out/operating.log
 
 # measure runs every comparison from fixed seeds; ONLY=regexp picks some.
 measure:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,19 +40,30 @@
   daemon "${d%%:*}" "${d##*:}"
 done
 
-export MARJORAMPITCH_LOG_SERVICE="http://$host:$log_port" MARJORAMPITCH_INSTANCE_LIST="http://$host:$list_port"
-echo "== publish the two documents"
-until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini 2>/dev/null; do sleep 0.1; done
-bin/marjorampitch config publish --base 0 --service caroni-watch examples/caroni-watch.ini
+# demonstrate: publishes the documents and makes the calls.
+demonstrate() {
+  export MARJORAMPITCH_LOG_SERVICE="http://$host:$log_port" MARJORAMPITCH_INSTANCE_LIST="http://$host:$list_port"
+  echo "== publish the two documents"
+  until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini 2>/dev/null; do sleep 0.1; done
+  bin/marjorampitch config publish --base 0 --service caroni-watch examples/caroni-watch.ini
 
-bin/demo --host "$host" --log "http://$host:$log_port" --instances "http://$host:$list_port" \
-  --plain "http://$host:18701,http://$host:18703,http://$host:18705,http://$host:18707" --traces "$out/traces.json"
+  bin/demo --host "$host" --log "http://$host:$log_port" --instances "http://$host:$list_port" \
+    --plain "http://$host:18701,http://$host:18703,http://$host:18705,http://$host:18707" --traces "$out/traces.json"
 
-echo
-echo "== which processes have the documents in force"
-bin/marjorampitch config status --service bryllupslyd
-bin/marjorampitch config status --service caroni-watch
-echo
+  echo
+  echo "== which processes have the documents in force"
+  bin/marjorampitch config status --service bryllupslyd
+  bin/marjorampitch config status --service caroni-watch
+  echo
+}
+
+# STEPS, when set, is a command that is run in place of the demonstration.
+if [ -n "${STEPS:-}" ]; then
+  until curl -sf "http://$host:$list_port/instances" >/dev/null && curl -s "http://$host:18200/healthz" >/dev/null; do sleep 0.1; done
+  $STEPS
+else
+  demonstrate
+fi
 echo "stopping every process gracefully"
 stop $daemons || { echo "a process did not stop cleanly; see $out"; exit 1; }
 echo "stopped"
