--- a/claim/call.go
+++ b/claim/call.go
@@ -141,10 +141,10 @@
 	switch ev := ev.(type) {
 	case Start:
 		c.onStart(ev)
-	case ClaimRefused:
-		c.onClaimRefused(ev)
-	case ClaimUnknown:
-		c.onClaimUnknown(ev)
+	case AppendRefused:
+		c.onAppendRefused(ev)
+	case AppendUnknown:
+		c.onAppendUnknown(ev)
 	case Folded:
 		c.onFolded(ev)
 	case Gap:
@@ -283,13 +283,13 @@
 	c.emit(AppendRelease{Release: &Release{Key: c.cfg.Key, Offset: int64(offset)}})
 }
 
-func (c *Call) onClaimRefused(ev ClaimRefused) {
+func (c *Call) onAppendRefused(ev AppendRefused) {
 	if c.phase == phaseClaiming && ev.Nonce == c.claim.Nonce {
 		c.fail(logUnavailable())
 	}
 }
 
-func (c *Call) onClaimUnknown(ev ClaimUnknown) {
+func (c *Call) onAppendUnknown(ev AppendUnknown) {
 	if c.phase != phaseClaiming || ev.Nonce != c.claim.Nonce {
 		return
 	}
--- a/claim/events.go
+++ b/claim/events.go
@@ -16,11 +16,11 @@
 	LogDown bool            // the log service does not answer
 }
 
-// ClaimRefused says that the log service refused the append of a claim.
-type ClaimRefused struct{ Nonce uint64 }
+// AppendRefused says that the log service refused the append of a claim.
+type AppendRefused struct{ Nonce uint64 }
 
-// ClaimUnknown says that the answer to the append of a claim was lost.
-type ClaimUnknown struct{ Nonce uint64 }
+// AppendUnknown says that the answer to the append of a claim was lost.
+type AppendUnknown struct{ Nonce uint64 }
 
 // Folded says that records were read. Verdict is set when a claim of this call
 // was among them.
@@ -84,19 +84,19 @@
 // Tick says that the time of Call.NextWake has come.
 type Tick struct{}
 
-func (Start) event()        {}
-func (ClaimRefused) event() {}
-func (ClaimUnknown) event() {}
-func (Folded) event()       {}
-func (Gap) event()          {}
-func (Sent) event()         {}
-func (KeyAnswered) event()  {}
-func (QueryFailed) event()  {}
-func (OutcomeDone) event()  {}
-func (Fetched) event()      {}
-func (LookedUp) event()     {}
-func (CallerGone) event()   {}
-func (Tick) event()         {}
+func (Start) event()         {}
+func (AppendRefused) event() {}
+func (AppendUnknown) event() {}
+func (Folded) event()        {}
+func (Gap) event()           {}
+func (Sent) event()          {}
+func (KeyAnswered) event()   {}
+func (QueryFailed) event()   {}
+func (OutcomeDone) event()   {}
+func (Fetched) event()       {}
+func (LookedUp) event()      {}
+func (CallerGone) event()    {}
+func (Tick) event()          {}
 
 // Action is something that the driver does for a Call. Appends keep their
 // order. The types below implement it.
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -130,9 +130,9 @@
 		switch {
 		case err == nil:
 		case isRefused(err):
-			r.box.put(ClaimRefused{Nonce: c.Nonce})
+			r.box.put(AppendRefused{Nonce: c.Nonce})
 		default:
-			r.box.put(ClaimUnknown{Nonce: c.Nonce})
+			r.box.put(AppendUnknown{Nonce: c.Nonce})
 		}
 	}})
 }
