Measure: a data centre leaves and returns

Cause: the users' second and first measure of service. Change: comparison zone: out at 60 s of peak load (drained, drained with the log down, lost with all in flight), back after two minutes with cold engines and empty caches; sizes of both deployments, and one beyond what two data centres carry. Good: whole within 6 s and first token within 1.2 s. The log is modelled only by when a change is in force and can be published.

--- a/cmd/measure/routing.go
+++ b/cmd/measure/routing.go
@@ -4,4 +4,5 @@
 
 func init() {
 	register("routing", measure.Routing)
+	register("zone", measure.Zone)
 }
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -124,7 +124,10 @@
 	job      job // template of the attempts
 	began    time.Duration
 	deadline time.Duration
-	attempts int
+	attempts int           // of this request
+	tries    int           // requests sent again by the caller
+	ended    time.Duration // when the answer reached the caller
+	origin   time.Duration // when the caller first wanted it
 	tried    map[string]bool
 	first    time.Duration // until the first token; 0 before
 	gaps     func(time.Duration)
@@ -210,5 +213,8 @@
 }
 
 func (e *entry) answer(c *call, err *api.Error) {
-	e.fleet.clock.after(e.fleet.cfg.client, func() { c.done(c, err) })
+	e.fleet.clock.after(e.fleet.cfg.client, func() {
+		c.ended = e.fleet.clock.now
+		c.done(c, err)
+	})
 }
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -14,6 +14,7 @@
 	sharedPrompt = 600 // tokens of an organisation's leading prompt
 	turnPrompt   = 120 // tokens that a caller adds in the mean
 	meanOutput   = 90  // tokens of an answer in the mean
+	maxOutput    = 300 // tokens of an answer at most
 	hotPrefix    = 3   // id of the prefix that many sessions share
 	callTimeout  = 15 * time.Second
 )
@@ -30,7 +31,9 @@
 	outcome func(c *call, err *api.Error)
 	gaps    func(time.Duration)
 	tweak   func(c *call)
-	hot     float64 // share of the sessions that have one prefix
+	again   func(c *call, err *api.Error) (time.Duration, bool) // whether a caller tries again; nil for never
+	timeout time.Duration                                       // callers wait this long
+	hot     float64                                             // share of the sessions that have one prefix
 }
 
 // session is one caller's conversation.
@@ -71,7 +74,7 @@
 // turn sends one request of a session; the next follows its answer.
 func (l *load) turn(s *session) {
 	added := 20 + int(s.source.ExpFloat64()*turnPrompt)
-	output := 10 + int(s.source.ExpFloat64()*meanOutput)
+	output := min(maxOutput, 10+int(s.source.ExpFloat64()*meanOutput))
 	c := &call{
 		org:      s.org,
 		weight:   1,
@@ -83,14 +86,21 @@
 			prompt:    sharedPrompt + s.history + added,
 			output:    output,
 		},
-		deadline: l.fleet.clock.now + callTimeout,
+		deadline: l.fleet.clock.now + l.timeout,
 		gaps:     l.gaps,
 	}
 	if l.tweak != nil {
 		l.tweak(c)
 	}
 	s.history += added + output
+	c.origin = l.fleet.clock.now
 	c.done = func(c *call, err *api.Error) {
+		if err != nil && l.again != nil {
+			if wait, ok := l.again(c, err); ok {
+				l.resend(c, wait)
+				return
+			}
+		}
 		l.outcome(c, err)
 		s.left--
 		if s.left <= 0 || err != nil {
@@ -102,6 +112,30 @@
 	l.fleet.send(c)
 }
 
+// resend sends a call that failed once more, as a new request.
+func (l *load) resend(c *call, wait time.Duration) {
+	l.fleet.clock.after(wait, func() {
+		c.tries++
+		c.attempts = 0
+		c.deadline = l.fleet.clock.now + l.timeout
+		l.fleet.send(c)
+	})
+}
+
+// obedient callers come back after the time they were told, a few times.
+func obedient(tries int) func(*call, *api.Error) (time.Duration, bool) {
+	return func(c *call, err *api.Error) (time.Duration, bool) {
+		return max(err.RetryAfter, time.Second), c.tries < tries && err.RetryAfter > 0
+	}
+}
+
+// storm callers come back at once, many times.
+func storm(tries int) func(*call, *api.Error) (time.Duration, bool) {
+	return func(c *call, _ *api.Error) (time.Duration, bool) {
+		return 100 * time.Millisecond, c.tries < tries
+	}
+}
+
 // organisations draws among ten, of which the first two are large.
 func organisations(source *rand.Rand) (string, int) {
 	names := [...]string{"org-0", "org-1", "org-2", "org-3", "org-4", "org-5", "org-6", "org-7", "org-8", "org-9"}
