Configuration records are deltas against their base version

Ruled out: a wire format for single keys, which would need a second notion of a change. Change: a record counts only if its base is current, so its reader has the base text; zstd takes it as a dictionary. Restarts stay whole, since they are judged without history. After: 143 B a record at 3,100 backend servers; reading it takes 0.35 ms beside 90 ms of checks. Checkpoints and peers' offers stay whole.

--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -98,7 +98,7 @@
 	if reader.Fold.Version != base {
 		return p.conflict(&reader.Fold, base, text), nil
 	}
-	change, err := p.newChange(base, doc.Service.Format, text)
+	change, err := p.newChange(reader.Fold.Text, base, doc.Service.Format, text)
 	if err != nil {
 		return Result{}, err
 	}
@@ -119,19 +119,24 @@
 	return doc, nil
 }
 
-func (p *Publisher) newChange(base uint64, format int, text []byte) (*logfold.ConfigChange, error) {
-	packed, err := logfold.Pack(text)
-	if err != nil {
-		return nil, err
+// newChange makes the record of a change. It is a delta where there is a
+// document to make it against: the record counts only if that is still current.
+func (p *Publisher) newChange(current []byte, base uint64, format int, text []byte) (*logfold.ConfigChange, error) {
+	change := &logfold.ConfigChange{
+		Service: p.Service,
+		Base:    base,
+		Format:  format,
+		Delta:   current != nil,
+		Author:  p.Author,
+		Nonce:   p.Nonce(),
+	}
+	var err error
+	if change.Delta {
+		change.Document, err = logfold.PackDelta(current, text)
+	} else {
+		change.Document, err = logfold.Pack(text)
 	}
-	return &logfold.ConfigChange{
-		Service:  p.Service,
-		Base:     base,
-		Format:   format,
-		Document: packed,
-		Author:   p.Author,
-		Nonce:    p.Nonce(),
-	}, nil
+	return change, err
 }
 
 // append appends the change once and reads back what became of it.
@@ -226,7 +231,7 @@
 		open.Detail = "the change is not stored, and may be later"
 		return open, nil
 	}
-	seal, err := p.newChange(base, reader.Fold.Doc.Service.Format, reader.Fold.Text)
+	seal, err := p.newChange(reader.Fold.Text, base, reader.Fold.Doc.Service.Format, reader.Fold.Text)
 	if err != nil {
 		return Result{}, err
 	}
--- a/config/publish/restart.go
+++ b/config/publish/restart.go
@@ -31,7 +31,7 @@
 	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
 		return Result{}, err
 	}
-	change, err := p.newChange(0, doc.Service.Format, text)
+	change, err := p.newChange(nil, 0, doc.Service.Format, text)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/slopes/documents.go
+++ b/internal/slopes/documents.go
@@ -21,6 +21,8 @@
 		documentSlope("document-parse", "backend-server", "us", backendSizes, byBackends, parseTime),
 		documentSlope("document-parse", "organisation", "us", organisationSizes, byOrganisations, parseTime),
 		documentSlope("document-packed", "backend-server", "B", backendSizes, byBackends, packedSize),
+		documentSlope("document-delta", "backend-server", "B", backendSizes, byBackends, deltaSize),
+		documentSlope("document-delta-read", "backend-server", "us", backendSizes, byBackends, deltaTime),
 		documentSlope("document-packed", "organisation", "B", organisationSizes, byOrganisations, packedSize),
 		documentSlope("document-memory", "backend-server", "B", backendSizes, byBackends, documentMemory),
 		documentSlope("document-memory", "organisation", "B", organisationSizes, byOrganisations, documentMemory),
@@ -88,3 +90,23 @@
 	b.WriteString("[routing]\npolicy = bounded\nsubset = 4\n[placement]\npolicy = packed\n[limits]\ncold-start = 2\n")
 	return b.String()
 }
+
+// edited returns the text with one backend server taken out.
+func edited(text string) string {
+	return strings.Replace(text, "max-running = 64\nstate = in\n", "max-running = 64\nstate = leaving\n", 1)
+}
+
+func deltaSize(text string) (float64, error) {
+	delta, err := logfold.PackDelta([]byte(text), []byte(edited(text)))
+	return float64(len(delta)), err
+}
+
+func deltaTime(text string) (float64, error) {
+	base := []byte(text)
+	delta, err := logfold.PackDelta(base, []byte(edited(text)))
+	if err != nil {
+		return 0, err
+	}
+	cost := nanos(func() { _, err = logfold.UnpackDelta(base, delta) })
+	return cost / 1e3, err
+}
--- a/logfold/fold.go
+++ b/logfold/fold.go
@@ -31,13 +31,13 @@
 }
 
 // Fold is the state after the records of the configuration stream up to
-// ReadTo. It is a value; Doc, Text and Packed are never changed in place.
+// ReadTo. It is a value; Doc and Text are never changed in place.
 type Fold struct {
 	Service string
 	ReadTo  platform.Offset // last record judged
 	Version uint64          // number of accepted changes
 	Offset  platform.Offset // accepted record of that version
-	Packed  []byte          // its document, as in the record
+	packed  []byte          // its document, compressed by Pack; nil until it is asked for
 	Text    []byte          // its document
 	Doc     *config.Document
 }
@@ -80,7 +80,11 @@
 // judge checks the document of a change with the right base, and takes it
 // over when it passes.
 func (f *Fold) judge(at platform.Offset, change *ConfigChange, out *Outcome) {
-	text, doc, err := checkDocument(f.Service, change.Format, change.Document)
+	text, err := change.text(f.Text)
+	var doc *config.Document
+	if err == nil {
+		doc, err = checkDocument(f.Service, change.Format, text)
+	}
 	if err != nil {
 		out.Code, out.Detail = api.ConfigInvalid, err.Error()
 		return
@@ -91,26 +95,44 @@
 		f.Version = uint64(at) + 1
 	}
 	f.Offset = at
-	f.Packed, f.Text, f.Doc = change.Document, text, doc
+	f.packed, f.Text, f.Doc = nil, text, doc
+	if !change.Delta {
+		f.packed = change.Document
+	}
 }
 
-// checkDocument unpacks a document and judges it by the checks of format.
-func checkDocument(service string, format int, packed []byte) ([]byte, *config.Document, error) {
-	text, err := Unpack(packed)
-	if err != nil {
-		return nil, nil, err
+// text returns the document of a change whose base has the text base.
+func (c *ConfigChange) text(base []byte) ([]byte, error) {
+	if c.Delta && c.Restart {
+		return nil, errDelta // a restart is judged without history
 	}
+	if c.Delta {
+		return UnpackDelta(base, c.Document)
+	}
+	return Unpack(c.Document)
+}
+
+// Packed returns the document, compressed by Pack. It is nil when it cannot be.
+func (f *Fold) Packed() []byte {
+	if f.packed == nil {
+		f.packed, _ = Pack(f.Text)
+	}
+	return f.packed
+}
+
+// checkDocument judges a document by the checks of format.
+func checkDocument(service string, format int, text []byte) (*config.Document, error) {
 	doc, err := config.ParseDocument(service, text)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if doc.Service.Format != format {
-		return nil, nil, eris.Errorf("the record says format %d, the document %d", format, doc.Service.Format)
+		return nil, eris.Errorf("the record says format %d, the document %d", format, doc.Service.Format)
 	}
 	if doc.Service.Name != service {
-		return nil, nil, eris.Errorf("the document is that of service %q", doc.Service.Name)
+		return nil, eris.Errorf("the document is that of service %q", doc.Service.Name)
 	}
-	return text, doc, nil
+	return doc, nil
 }
 
 // Checkpoint returns the record that stands for f. It is nil before the
@@ -124,7 +146,7 @@
 		ReadTo:   int64(f.ReadTo),
 		Offset:   int64(f.Offset),
 		Version:  f.Version,
-		Document: f.Packed,
+		Document: f.Packed(),
 	}
 }
 
@@ -144,7 +166,7 @@
 		ReadTo:  platform.Offset(cp.ReadTo),
 		Version: cp.Version,
 		Offset:  platform.Offset(cp.Offset),
-		Packed:  cp.Document,
+		packed:  cp.Document,
 		Text:    text,
 		Doc:     doc,
 	}, true
--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -148,7 +148,7 @@
 		Offset:   int64(f.fold.Offset),
 		Version:  f.fold.Version,
 		ReadTo:   int64(f.fold.ReadTo),
-		Document: f.fold.Packed,
+		Document: f.fold.Packed(),
 	}
 }
 
--- a/logfold/follower_test.go
+++ b/logfold/follower_test.go
@@ -109,7 +109,7 @@
 		Heartbeat: wire.Heartbeat{ConfigOffset: 0, ProofAgeMillis: 200},
 	}
 	require.Equal(t, []Action{Ask{Peer: "p", Query: wire.ConfigQuery{ReadTo: -1}}}, f.Handle(time.Second, heard))
-	offer := wire.Config{Offset: 0, Version: 1, ReadTo: 0, Document: fold.Packed}
+	offer := wire.Config{Offset: 0, Version: 1, ReadTo: 0, Document: fold.Packed()}
 	require.Empty(t, f.Handle(time.Second, PeerOffered{Config: offer}), "offered, not proved")
 	heard.SentAfter = 2 * time.Second
 	actions := f.Handle(2*time.Second, heard)
--- a/logfold/record.go
+++ b/logfold/record.go
@@ -14,7 +14,8 @@
 	Service  string `msg:"svc"`
 	Base     uint64 `msg:"base"` // version that the author changed; 0 before the first
 	Format   int    `msg:"fmt"`  // set of checks that the document is judged by
-	Document []byte `msg:"doc"`  // compressed by Pack
+	Document []byte `msg:"doc"`  // compressed by Pack, or by PackDelta against the text of version Base
+	Delta    bool   `msg:"delta,omitempty"`
 	Author   string `msg:"by"`
 	Nonce    string `msg:"nonce"` // unique to one publishing; finds the record again
 	Restart  bool   `msg:"restart"`
--- a/logfold/record_gen.go
+++ b/logfold/record_gen.go
@@ -251,6 +251,12 @@
 				err = msgp.WrapError(err, "Document")
 				return
 			}
+		case "delta":
+			z.Delta, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
 		case "by":
 			z.Author, err = dc.ReadString()
 			if err != nil {
@@ -288,86 +294,114 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ConfigChange) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "svc"
-	err = en.Append(0x88, 0xa3, 0x73, 0x76, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Delta == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "base"
-	err = en.Append(0xa4, 0x62, 0x61, 0x73, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Base)
-	if err != nil {
-		err = msgp.WrapError(err, "Base")
-		return
-	}
-	// write "fmt"
-	err = en.Append(0xa3, 0x66, 0x6d, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Format)
-	if err != nil {
-		err = msgp.WrapError(err, "Format")
-		return
-	}
-	// write "doc"
-	err = en.Append(0xa3, 0x64, 0x6f, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Document)
-	if err != nil {
-		err = msgp.WrapError(err, "Document")
 		return
 	}
-	// write "by"
-	err = en.Append(0xa2, 0x62, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Author)
-	if err != nil {
-		err = msgp.WrapError(err, "Author")
-		return
-	}
-	// write "nonce"
-	err = en.Append(0xa5, 0x6e, 0x6f, 0x6e, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Nonce)
-	if err != nil {
-		err = msgp.WrapError(err, "Nonce")
-		return
-	}
-	// write "restart"
-	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Restart)
-	if err != nil {
-		err = msgp.WrapError(err, "Restart")
-		return
-	}
-	// write "at"
-	err = en.Append(0xa2, 0x61, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.At)
-	if err != nil {
-		err = msgp.WrapError(err, "At")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "svc"
+		err = en.Append(0xa3, 0x73, 0x76, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Service")
+			return
+		}
+		// write "base"
+		err = en.Append(0xa4, 0x62, 0x61, 0x73, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Base)
+		if err != nil {
+			err = msgp.WrapError(err, "Base")
+			return
+		}
+		// write "fmt"
+		err = en.Append(0xa3, 0x66, 0x6d, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Format)
+		if err != nil {
+			err = msgp.WrapError(err, "Format")
+			return
+		}
+		// write "doc"
+		err = en.Append(0xa3, 0x64, 0x6f, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Document)
+		if err != nil {
+			err = msgp.WrapError(err, "Document")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "delta"
+			err = en.Append(0xa5, 0x64, 0x65, 0x6c, 0x74, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		}
+		// write "by"
+		err = en.Append(0xa2, 0x62, 0x79)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Author)
+		if err != nil {
+			err = msgp.WrapError(err, "Author")
+			return
+		}
+		// write "nonce"
+		err = en.Append(0xa5, 0x6e, 0x6f, 0x6e, 0x63, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Nonce)
+		if err != nil {
+			err = msgp.WrapError(err, "Nonce")
+			return
+		}
+		// write "restart"
+		err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Restart)
+		if err != nil {
+			err = msgp.WrapError(err, "Restart")
+			return
+		}
+		// write "at"
+		err = en.Append(0xa2, 0x61, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.At)
+		if err != nil {
+			err = msgp.WrapError(err, "At")
+			return
+		}
 	}
 	return
 }
@@ -375,31 +409,49 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "svc"
-	o = append(o, 0x88, 0xa3, 0x73, 0x76, 0x63)
-	o = msgp.AppendString(o, z.Service)
-	// string "base"
-	o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
-	o = msgp.AppendUint64(o, z.Base)
-	// string "fmt"
-	o = append(o, 0xa3, 0x66, 0x6d, 0x74)
-	o = msgp.AppendInt(o, z.Format)
-	// string "doc"
-	o = append(o, 0xa3, 0x64, 0x6f, 0x63)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "by"
-	o = append(o, 0xa2, 0x62, 0x79)
-	o = msgp.AppendString(o, z.Author)
-	// string "nonce"
-	o = append(o, 0xa5, 0x6e, 0x6f, 0x6e, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Nonce)
-	// string "restart"
-	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
-	o = msgp.AppendBool(o, z.Restart)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.At)
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Delta == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "svc"
+		o = append(o, 0xa3, 0x73, 0x76, 0x63)
+		o = msgp.AppendString(o, z.Service)
+		// string "base"
+		o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
+		o = msgp.AppendUint64(o, z.Base)
+		// string "fmt"
+		o = append(o, 0xa3, 0x66, 0x6d, 0x74)
+		o = msgp.AppendInt(o, z.Format)
+		// string "doc"
+		o = append(o, 0xa3, 0x64, 0x6f, 0x63)
+		o = msgp.AppendBytes(o, z.Document)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "delta"
+			o = append(o, 0xa5, 0x64, 0x65, 0x6c, 0x74, 0x61)
+			o = msgp.AppendBool(o, z.Delta)
+		}
+		// string "by"
+		o = append(o, 0xa2, 0x62, 0x79)
+		o = msgp.AppendString(o, z.Author)
+		// string "nonce"
+		o = append(o, 0xa5, 0x6e, 0x6f, 0x6e, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Nonce)
+		// string "restart"
+		o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74)
+		o = msgp.AppendBool(o, z.Restart)
+		// string "at"
+		o = append(o, 0xa2, 0x61, 0x74)
+		o = msgp.AppendInt64(o, z.At)
+	}
 	return
 }
 
@@ -445,6 +497,12 @@
 				err = msgp.WrapError(err, "Document")
 				return
 			}
+		case "delta":
+			z.Delta, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
 		case "by":
 			z.Author, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -483,6 +541,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigChange) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.Uint64Size + 4 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len(z.Document) + 3 + msgp.StringPrefixSize + len(z.Author) + 6 + msgp.StringPrefixSize + len(z.Nonce) + 8 + msgp.BoolSize + 3 + msgp.Int64Size
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.Uint64Size + 4 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len(z.Document) + 6 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.Author) + 6 + msgp.StringPrefixSize + len(z.Nonce) + 8 + msgp.BoolSize + 3 + msgp.Int64Size
 	return
 }
