A peer that the log answers vetoes the quorum proof

A process on peers alone kept a quorum proof 10 s after the log was back. Ruled out: to call it a double fault: peers knew that the log answers. Lost processes look for new checkpoints every second.

--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -25,7 +25,7 @@
 const (
 	pollWait        = time.Second            // longest wait of a read at the end of the stream
 	retryAfter      = 300 * time.Millisecond // after a failed read, jittered
-	lostRetryAfter  = 2 * time.Second        // between looks for a usable checkpoint, jittered
+	lostRetryAfter  = time.Second            // between looks for a usable checkpoint, jittered
 	needShare       = 0.6                    // share of freshFor after which a ReadWhenNeeded process reads, at least
 	needSpread      = 0.15                   // spread of that share between processes
 	checkShare      = 0.3                    // the same while a peer says that the log is down, so as to bear it out soon
@@ -130,6 +130,7 @@
 	hb.ConfigOffset = int64(platform.None)
 	hb.ProofAgeMillis = -1
 	hb.LogDown = f.fresh.LogDown(now)
+	hb.LogUp = f.fresh.LogUp(now)
 	if f.enf == nil {
 		return
 	}
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -45,7 +45,7 @@
 	c := &f.checkpoints
 	step := c.step
 	c.step = stepIdle
-	f.fresh.ReadAnswered(true)
+	f.fresh.ReadAnswered(now, true)
 	c.next, c.known = e.Batch.End, true
 	if n := len(e.Batch.Records); n > 0 && step != stepProbing {
 		c.next = e.Batch.Records[n-1].Offset + 1
@@ -71,7 +71,7 @@
 
 func (f *Follower) checkpointsReadFailed(now time.Duration) {
 	f.checkpoints.step = stepIdle
-	f.fresh.ReadAnswered(false)
+	f.fresh.ReadAnswered(now, false)
 	f.retryAt = now + f.jittered(retryAfter)
 }
 
--- a/logfold/follower_peers.go
+++ b/logfold/follower_peers.go
@@ -31,6 +31,7 @@
 		Proof:      time.Duration(e.Heartbeat.ProofAgeMillis) * time.Millisecond,
 		SentAfter:  e.SentAfter,
 		LogDown:    e.Heartbeat.LogDown,
+		LogUp:      e.Heartbeat.LogUp,
 	}
 	f.fresh.Hear(h)
 }
--- a/logfold/follower_read.go
+++ b/logfold/follower_read.go
@@ -43,7 +43,7 @@
 func (f *Follower) configRead(now time.Duration, e ConfigRead) []Action {
 	f.reading = false
 	f.readFine = true
-	f.fresh.ReadAnswered(true)
+	f.fresh.ReadAnswered(now, true)
 	f.configStart = max(f.configStart, e.Batch.Start)
 	if f.fold.ReadTo+1 < e.Batch.Start {
 		f.loseWay(now)
@@ -78,7 +78,7 @@
 
 func (f *Follower) configReadFailed(now time.Duration, e ConfigReadFailed) {
 	f.reading = false
-	f.fresh.ReadAnswered(e.Trimmed)
+	f.fresh.ReadAnswered(now, e.Trimmed)
 	if !e.Trimmed {
 		f.readFine = false
 		f.retryAt = now + f.jittered(retryAfter)
--- a/logfold/follower_test.go
+++ b/logfold/follower_test.go
@@ -126,7 +126,7 @@
 	fresh := NewFreshness("d0", true)
 	fresh.Adopt(fold.Doc, 0)
 	fresh.ReadEnd(0)
-	fresh.ReadAnswered(false)
+	fresh.ReadAnswered(0, false)
 	at := 10 * time.Second
 	require.False(t, fresh.Current(at))
 	fresh.Hear(Heard{SentAfter: at, DataCentre: "d0", Offset: 0, Proof: -1, LogDown: true})
@@ -136,8 +136,13 @@
 	fresh.Hear(Heard{SentAfter: at, DataCentre: "d1", Offset: 0, Proof: -1, LogDown: true})
 	require.True(t, fresh.Current(at+time.Second))
 	require.False(t, fresh.Current(at+6*time.Second))
+	fresh.Hear(Heard{SentAfter: at - time.Second, DataCentre: "d2", Offset: 0, Proof: -1, LogUp: true})
+	require.False(t, fresh.Current(at+time.Second), "the log answers a peer")
+	later := at + 2*time.Second
+	fresh.Hear(Heard{SentAfter: later, DataCentre: "d1", Offset: 0, Proof: -1, LogDown: true})
+	require.True(t, fresh.Current(later+time.Second), "no longer")
 	fresh.Hear(Heard{SentAfter: at, DataCentre: "d2", Offset: 4, Proof: -1, LogDown: true})
-	require.False(t, fresh.Current(at+time.Second), "a peer has a newer document")
+	require.False(t, fresh.Current(later+time.Second), "a peer has a newer document")
 }
 
 // A process that lost its place while the log was down must not go on saying
--- a/logfold/freshness.go
+++ b/logfold/freshness.go
@@ -6,6 +6,7 @@
 
 	"marjorampitch/config"
 	"marjorampitch/platform"
+	"marjorampitch/wire"
 )
 
 // DefaultFreshFor applies until a process has its first document.
@@ -30,6 +31,10 @@
 	hasLog     bool
 	canRead    bool                     // the process reads the log itself
 	readFailed bool                     // the last own read failed
+	answeredAt time.Duration            // time of the last answer to an own read
+	answered   bool                     // there was one
+	upAt       time.Duration            // when a peer last said that the log answers
+	up         bool                     // one has said so
 	votes      map[string]time.Duration // per data centre: when a peer said that the log can't be read
 }
 
@@ -63,9 +68,14 @@
 	f.proved(sent)
 }
 
-// ReadAnswered records whether the log service answered a read, with
+// ReadAnswered records whether the log service answered a read now, with
 // whatever answer. As long as it does, there is no quorum proof.
-func (f *Freshness) ReadAnswered(ok bool) { f.readFailed = !ok }
+func (f *Freshness) ReadAnswered(now time.Duration, ok bool) {
+	f.readFailed = !ok
+	if ok {
+		f.answered, f.answeredAt = true, now
+	}
+}
 
 // Heard is what one heartbeat of a peer says.
 type Heard struct {
@@ -74,6 +84,7 @@
 	Proof      time.Duration   // age of the peer's log proof when it sent the heartbeat; negative for none
 	SentAfter  time.Duration   // the peer sent the heartbeat later than this
 	LogDown    bool
+	LogUp      bool
 }
 
 // Hear records a heartbeat of a peer.
@@ -82,6 +93,9 @@
 	if h.Proof >= 0 && h.Offset <= f.offset {
 		f.proved(h.SentAfter - h.Proof)
 	}
+	if h.LogUp && (!f.up || h.SentAfter > f.upAt) {
+		f.up, f.upAt = true, h.SentAfter
+	}
 	if h.LogDown && h.Offset == f.offset {
 		f.votes[h.DataCentre] = max(f.votes[h.DataCentre], h.SentAfter)
 	}
@@ -108,6 +122,12 @@
 	return f.canRead && f.readFailed && !f.young(now)
 }
 
+// LogUp reports whether the log service answered the last own read, just now.
+func (f *Freshness) LogUp(now time.Duration) bool {
+	recent := f.answered && now-f.answeredAt <= f.freshFor*3/10
+	return f.canRead && !f.readFailed && recent
+}
+
 // ToldDown reports whether a peer said lately that it can't read the log.
 func (f *Freshness) ToldDown(now time.Duration) bool {
 	for _, at := range f.votes {
@@ -141,9 +161,11 @@
 	}
 	var times []time.Duration
 	for _, dc := range f.centres {
+		at, voted := f.votes[dc]
 		if dc == f.ownCentre && down {
-			times = append(times, now)
-		} else if at, heard := f.votes[dc]; heard {
+			at, voted = now, true
+		}
+		if voted && (!f.up || at > f.upAt+f.quiet()) {
 			times = append(times, at)
 		}
 	}
@@ -155,6 +177,12 @@
 	return times[len(times)-needed], true
 }
 
+// quiet is how long after a peer's word that the log answers no vote counts:
+// longer than such a peer takes to say so again.
+func (f *Freshness) quiet() time.Duration {
+	return max(f.freshFor/4, wire.HeartbeatInterval*5/4)
+}
+
 // Current reports whether the proof is young enough for new work.
 func (f *Freshness) Current(now time.Duration) bool {
 	at, ok := f.Proof(now)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -45,7 +45,8 @@
 	Echo           uint64    `msg:"e"`           // highest Seq received from the peer; 0 for none
 	ConfigOffset   int64     `msg:"c"`           // offset of the document in force
 	ProofAgeMillis int64     `msg:"p"`           // age of the sender's proof that it is current; -1 for none
-	LogDown        bool      `msg:"d,omitempty"` // the sender cannot read the log now
+	LogDown        bool      `msg:"d,omitempty"` // the sender tried and cannot read the log now
+	LogUp          bool      `msg:"a,omitempty"` // the log answered the sender's last read just now
 	Leaving        bool      `msg:"l,omitempty"` // the sender takes no new work
 	Suspects       []Suspect `msg:"u,omitempty"` // news about requests seen in flight at a crash
 }
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -1845,6 +1845,12 @@
 				err = msgp.WrapError(err, "LogDown")
 				return
 			}
+		case "a":
+			z.LogUp, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "LogUp")
+				return
+			}
 		case "l":
 			z.Leaving, err = dc.ReadBool()
 			if err != nil {
@@ -1888,21 +1894,25 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.LogDown == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Leaving == false {
+	if z.LogUp == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Suspects == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Suspects == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1964,6 +1974,18 @@
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.LogUp)
+			if err != nil {
+				err = msgp.WrapError(err, "LogUp")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "l"
 			err = en.Append(0xa1, 0x6c)
 			if err != nil {
@@ -1975,7 +1997,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// write "u"
 			err = en.Append(0xa1, 0x75)
 			if err != nil {
@@ -2002,21 +2024,25 @@
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.LogDown == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Leaving == false {
+	if z.LogUp == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Suspects == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Suspects == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2040,11 +2066,16 @@
 			o = msgp.AppendBool(o, z.LogDown)
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendBool(o, z.LogUp)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendBool(o, z.Leaving)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "u"
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
@@ -2112,6 +2143,12 @@
 				err = msgp.WrapError(err, "LogDown")
 				return
 			}
+		case "a":
+			z.LogUp, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LogUp")
+				return
+			}
 		case "l":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -2155,7 +2192,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Suspects {
 		s += z.Suspects[za0001].Msgsize()
 	}
