--- a/entry/once.go
+++ b/entry/once.go
@@ -62,10 +62,15 @@
 	return api.NewError(api.Internal, err.Error())
 }
 
-// onceTargets returns the choice of a side for each claim of a call.
+// onceTargets returns the choice of a side for each claim of a call: one that
+// has not refused it.
 func (s *Server) onceTargets(c *call) func(last *api.Error) (claim.Target, *api.Error) {
 	tried := make(map[string]bool)
+	named := "" // by the latest claim
 	return func(last *api.Error) (claim.Target, *api.Error) {
+		if last != nil {
+			tried[named] = true
+		}
 		for {
 			l, ok := s.pick(c, tried)
 			if !ok && last != nil {
@@ -74,10 +79,11 @@
 			if !ok {
 				return claim.Target{}, api.NewError(api.NoBackend, c.route.Pool)
 			}
-			tried[l.name] = true
 			if incarnation := l.incarnation(); incarnation != "" {
+				named = l.name
 				return claim.Target{Side: l.name, Incarnation: incarnation}, nil
 			}
+			tried[l.name] = true
 		}
 	}
 }
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -39,6 +39,8 @@
 		"heal":          (*World).healVerb,
 		"list":          (*World).listVerb,
 		"outage":        (*World).outageVerb,
+		"plain-fault":   (*World).plainFaultVerb,
+		"append-fault":  (*World).appendFaultVerb,
 		"load":          (*World).loadVerb,
 		"finish":        (*World).finishVerb,
 		"await":         (*World).awaitVerb,
@@ -57,6 +59,7 @@
 			}
 		}
 	}
+	out["newkey"] = newKeyVerb
 	out["note"] = func(ts *testscript.TestScript, _ bool, args []string) { note(ts, world(ts), args) }
 	return out
 }
