--- a/claim/keytable.go
+++ b/claim/keytable.go
@@ -114,13 +114,21 @@
 	}
 	s.state = wire.KeyFinished
 	s.answer = answer
-	t.answers += answer.Msgsize()
+	t.answers += cost(answer)
 	t.finished = append(t.finished, k)
 	for t.answers > t.maxAnswers && len(t.finished) > 0 {
 		t.dropAnswer()
 	}
 }
 
+// cost returns the bytes that a kept answer counts for.
+func cost(a wire.Answer) int {
+	if a.Status == 0 {
+		return 0
+	}
+	return a.Msgsize()
+}
+
 // Abandon seals the claim of a call that Begin told to run and of which nothing
 // reached the backend server. It never runs under that claim.
 func (t *KeyTable) Abandon(k Key) {
@@ -138,7 +146,7 @@
 	if !ok || s.state != wire.KeyFinished {
 		return
 	}
-	t.answers -= s.answer.Msgsize()
+	t.answers -= cost(s.answer)
 	s.answer = wire.Answer{}
 }
 
@@ -229,7 +237,7 @@
 			continue
 		}
 		if s.state == wire.KeyFinished {
-			t.answers -= s.answer.Msgsize()
+			t.answers -= cost(s.answer)
 		}
 		delete(t.slots, k)
 	}
