Entry: bounded requests in flight; a write's deadline does not outlive its request

Cause: with keep-alive, the deadline of one answer's last write stood for the next request on the connection, whose 100-continue could then fail.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -89,6 +89,10 @@
 	return a.rc.Flush()
 }
 
+// release lifts the last write's deadline from the connection, which other
+// requests may use next.
+func (a *answer) release() { a.rc.SetWriteDeadline(time.Time{}) }
+
 // discard drops what an attempt that will not be continued left in the buffer.
 func (a *answer) discard() { a.buffered.Reset() }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,17 +12,31 @@
 	"marjorampitch/wire"
 )
 
+// maxInFlight bounds the requests that an entry serves at once, so that slow
+// callers cost it a bounded amount of memory.
+const maxInFlight = 4096
+
 // handle serves one caller's request.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	s.opt.Metrics.RequestBegun()
+	defer s.inFlight.Add(-1)
+	if s.inFlight.Add(1) > maxInFlight {
+		s.refuseEarly(w, r, api.Overloaded)
+		return
+	}
 	doc := s.opt.Config.Document()
-	if doc == nil || !s.opt.Config.Current() {
-		s.refuseEarly(w, r, doc == nil)
+	if doc == nil {
+		s.refuseEarly(w, r, api.NotReady)
+		return
+	}
+	if !s.opt.Config.Current() {
+		s.refuseEarly(w, r, api.NotCurrent)
 		return
 	}
 	c, e := parse(r, doc.Doc, doc.Offset, start)
 	a := newAnswer(w, c.id)
+	defer a.release()
 	if e == nil {
 		e = s.serve(telemetry.Extract(r.Context(), r.Header), c, a)
 	}
@@ -32,14 +46,12 @@
 	}
 }
 
-// refuseEarly answers when the entry has no document, or none that it may trust.
-func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, none bool) {
-	code := api.NotCurrent
-	if none {
-		code = api.NotReady
-	}
+// refuseEarly answers a request that is not looked at any further.
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, code api.Code) {
 	s.opt.Metrics.RequestDone(code, 0, 0)
-	newAnswer(w, requestID(r)).fail(api.NewError(code, ""))
+	a := newAnswer(w, requestID(r))
+	defer a.release()
+	a.fail(api.NewError(code, ""))
 }
 
 // serve runs the call within its deadline. The error is the caller's final answer.
--- a/entry/server.go
+++ b/entry/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -59,6 +60,7 @@
 	claims *claim.Client
 
 	refusals recent.Log
+	inFlight atomic.Int64 // requests being served
 
 	pickMu     sync.Mutex
 	picker     route.Picker
