Not run: two answers that were not true are mended

A side answered "not run" when net/http, after a reused connection had failed with the request on it, tried again and was refused. An entry answered "not run" when a resumed request was refused after its first connection had delivered part of the answer. Change: "not run" only if the request never had a connection; errors after a lost connection say "may have run". A claimed call that is suspected of crashing servers is refused by the side, which seals its claim, not by the entry, which can't know whether the key ran.

--- a/entry/once.go
+++ b/entry/once.go
@@ -21,11 +21,12 @@
 // errNoAnswer says that a side process did not answer a query.
 var errNoAnswer = eris.New("entry: no answer to the query")
 
-// serveOnce runs a call that may not repeat. The error is the caller's final answer.
+// serveOnce runs a call that may not repeat. The error is the caller's final
+// answer. A call suspected of crashing servers is not refused here but by the
+// side process: an earlier call with its key may have run, which only the log
+// and the sides can tell.
 func (s *Server) serveOnce(ctx context.Context, c *call, a *answer) *api.Error {
-	if s.node.Suspicion().Judge(c.fingerprint) == admit.Refuse {
-		return api.NewError(api.Quarantined, "")
-	}
+	c.alone = s.node.Suspicion().Judge(c.fingerprint) == admit.RunAlone
 	doc := s.opt.Config.Document().Doc
 	req := claim.Request{
 		Key:      c.key,
--- /dev/null
+++ b/entry/resume_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/internal/node"
+	"marjorampitch/logfold"
+	"marjorampitch/wire"
+)
+
+// breaking is a side process that breaks off the first answer and refuses its resume.
+type breaking struct{}
+
+func (breaking) Handle(c *wire.Conn, m wire.Message) {
+	req, ok := m.(*wire.Request)
+	if !ok {
+		return
+	}
+	if req.ResumeFrom > 0 {
+		c.Send(&wire.Refusal{Stream: req.Stream, Attempt: req.Attempt, Code: int(api.Leaving), Ran: uint8(api.NotRun)})
+		return
+	}
+	c.Send(&wire.Head{Stream: req.Stream, Attempt: req.Attempt, Status: 200})
+	c.Send(&wire.Chunk{Stream: req.Stream, Attempt: req.Attempt, Data: []byte("half")})
+	c.CloseAfterFlush()
+}
+
+func (breaking) Closed(*wire.Conn, error) {}
+
+func (breaking) Beat(*wire.Conn) wire.Heartbeat { return wire.Heartbeat{} }
+
+// noConfig is the view of a process without a document.
+type noConfig struct{ node.ConfigView }
+
+func (noConfig) Document() *logfold.InForce { return nil }
+
+func (noConfig) FillHeartbeat(*wire.Heartbeat) {}
+
+func (noConfig) HeardFrom(string, string, *wire.Heartbeat, time.Time) *wire.ConfigQuery {
+	return nil
+}
+
+// A request whose answer broke off has run, whatever is said of its resume.
+func TestRefusedResumeIsNotNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wire.Accept(nc, wire.Hello{Role: wire.RoleSide, Instance: "s1", Incarnation: "i1"}, breaking{}, breaking{})
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	l := newLink("s1", ln.Addr().String(), "", node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{}), log.New(io.Discard))
+	go l.run(ctx)
+	require.Eventually(t, func() bool { return l.incarnation() != "" }, 10*time.Second, time.Millisecond)
+	r := &run{
+		call:   &call{route: &config.Route{Idempotent: true}, deadline: time.Now().Add(10 * time.Second)},
+		answer: newAnswer(httptest.NewRecorder(), "id"),
+		parts:  newAssembler(),
+		number: 1,
+	}
+	out := r.attempt(ctx, l)
+	require.NotNil(t, out.err)
+	require.Equal(t, api.MayHaveRun, out.err.Ran, out.err.Error())
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -134,6 +134,7 @@
 // attempt sends the request to l and follows the answer across lost connections.
 func (r *run) attempt(ctx context.Context, l *link) outcome {
 	req := r.call.request(ctx, r.number, time.Now())
+	lost := false
 	for {
 		req.Window = windowBytes
 		x, e := l.open(func(stream uint64) wire.Message {
@@ -141,13 +142,15 @@
 			return req
 		})
 		if e != nil {
-			return outcome{err: e}
+			return outcome{err: afterSending(e, lost)}
 		}
 		out := follow(ctx, x, r.parts, r.answer)
 		x.close()
+		out.err = afterSending(out.err, lost)
 		if !out.lost || !r.parts.resumable() || !l.await(ctx, x.conn) {
 			return out
 		}
+		lost = true
 		next := *req
 		r.number++
 		next.Attempt = r.number
@@ -157,6 +160,17 @@
 	}
 }
 
+// afterSending corrects an error that says "not run" of a resume: the request
+// itself was sent before on a connection that was lost.
+func afterSending(e *api.Error, lost bool) *api.Error {
+	if e == nil || !lost || e.Ran != api.NotRun {
+		return e
+	}
+	corrected := *e
+	corrected.Ran = api.MayHaveRun
+	return &corrected
+}
+
 // another reports whether a further attempt can help.
 func (r *run) another(ctx context.Context) bool {
 	switch r.last.Code {
--- a/side/backend.go
+++ b/side/backend.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,9 +83,10 @@
 	if err != nil {
 		return api.NewError(api.BadRequest, err.Error())
 	}
-	resp, err := b.do(req, a.req.Idempotent)
+	var connected atomic.Bool
+	resp, err := b.do(watchConnections(req, &connected), a.req.Idempotent)
 	if err != nil {
-		return callError(ctx, err)
+		return callError(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
 	answered()
@@ -117,12 +120,22 @@
 	return req, nil
 }
 
+// watchConnections sets connected once the request has any connection:
+// net/http tries again after one that was reused has failed, so the last error
+// alone doesn't say that nothing was sent.
+func watchConnections(req *http.Request, connected *atomic.Bool) *http.Request {
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+}
+
 // callError classifies a failure before the answer's head.
-func callError(ctx context.Context, err error) *api.Error {
+func callError(ctx context.Context, err error, connected bool) *api.Error {
 	if cause := context.Cause(ctx); cause != nil {
 		return causeError(cause)
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
 		e := api.NewError(api.BackendFailed, err.Error())
 		e.Ran = api.NotRun
 		return e
--- /dev/null
+++ b/side/backend_test.go
@@ -0,0 +1,48 @@
+package side
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/api"
+	"marjorampitch/wire"
+)
+
+// A backend server dies while it runs a request on a reused connection.
+// net/http tries again on a new one, which is refused: the request ran, so
+// the answer must not be "not run".
+func TestReusedConnectionThenRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var ran atomic.Int32
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ran.Add(1) == 1 {
+			w.Write([]byte("first"))
+			return
+		}
+		ln.Close()
+		nc, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			nc.Close()
+		}
+	})}
+	go server.Serve(ln)
+	defer server.Close()
+	b := newBackend("http://" + ln.Addr().String())
+	call := func() *api.Error {
+		req := &wire.Request{Method: http.MethodGet, Path: "/availability", Idempotent: true}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		return b.run(ctx, newAttempt(req, cancel), func() {})
+	}
+	require.Nil(t, call())
+	e := call()
+	require.EqualValues(t, 2, ran.Load())
+	require.Equal(t, api.MayHaveRun, e.Ran, e.Error())
+	e = call()
+	require.Equal(t, api.NotRun, e.Ran, "nothing listens: not run")
+}
