Group: one expert map per step, as two pure machines

Coordinator and Rank switch a group's expert map in rounds that every rank answers: seal, stage, arm from step S, commit. An armed rank does not begin S before the commit. A new coordinator claims on the log, seals all ranks with the claim's offset, commits if any rank has committed and else aborts. A group with a restarted engine goes on at a step number that no rank has begun.

Found by the fuzz on the way, and mended: (1) a side that read a higher claim stayed sealed; (2) a group in which the rank asked for its map had lost it restarted for ever; (3) a rank with a committed map that can never come into force refused to stage, so the group could not restart: ranks now hold first. Ruled out: one map per step by commit records on the log; an outage between arm and commit would then hold the group for as long as it lasts.

--- a/api/code.go
+++ b/api/code.go
@@ -54,6 +54,8 @@
 	BadFrame        Code = 402
 	StaleFence      Code = 403
 	UnknownMessage  Code = 404
+	OrderRefused    Code = 405
+	NotSealed       Code = 406
 
 	ConfigInvalid  Code = 501
 	ConfigConflict Code = 502
@@ -114,6 +116,9 @@
 	StaleFence:      {"stale-fence", http.StatusConflict, NotRun, 0, "an order carries an old fencing number"},
 	UnknownMessage:  {"unknown-message", http.StatusBadGateway, NotRun, 0, "a message of a type that the receiver does not serve"},
 
+	OrderRefused: {"order-refused", http.StatusConflict, NotRun, 0, "the rank cannot carry out the order in its state"},
+	NotSealed:    {"not-sealed", http.StatusConflict, NotRun, 0, "the side process has not been sealed by the coordinator since it started"},
+
 	ConfigInvalid:  {"config-invalid", http.StatusBadRequest, NotRun, 0, "the document fails the checks of its format"},
 	ConfigConflict: {"config-conflict", http.StatusConflict, NotRun, 0, "the document was changed since the version it is based on"},
 	ConfigUnknown:  {"config-unknown", http.StatusBadGateway, MayHaveRun, 0, "the append was sent and its fate is not yet known; read it back"},
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -215,7 +215,7 @@
 
 // Order carries one order for the rank of a group behind a side.
 type Order struct {
-	Seq     uint64 `msg:"q"` // unique within the connection
+	Seq     uint64 `msg:"q"` // rises with each round of orders under one fencing number
 	Group   string `msg:"g"`
 	Rank    int    `msg:"r"`
 	Kind    uint8  `msg:"k"`     // group.OrderKind
@@ -240,6 +240,9 @@
 	ArmedStep int64  `msg:"astep"` // step at which the armed map takes effect
 	Committed bool   `msg:"com"`   // the armed epoch is committed
 	Step      int64  `msg:"step"`  // last completed step
+	Next      int64  `msg:"next"`  // first step not begun
+	Holding   bool   `msg:"hold"`  // the engine begins no step from ArmedStep on
+	Map       []byte `msg:"map"`   // encoded map, answering fetch orders
 }
 
 // StatusQuery asks any process for the configuration it has in force.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -52,7 +52,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -240,7 +240,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1388,7 +1388,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1592,7 +1592,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -1863,7 +1863,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = z.Suspects[:zb0002]
+				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -2073,7 +2073,7 @@
 				return
 			}
 			if cap(z.Suspects) >= int(zb0002) {
-				z.Suspects = z.Suspects[:zb0002]
+				z.Suspects = (z.Suspects)[:zb0002]
 			} else {
 				z.Suspects = make([]Suspect, zb0002)
 			}
@@ -3334,6 +3334,27 @@
 				err = msgp.WrapError(err, "Step")
 				return
 			}
+		case "next":
+			z.Next, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "hold":
+			z.Holding, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Holding")
+				return
+			}
+		case "map":
+			z.Map, err = dc.ReadBytesLimit(z.Map, z2c18a699limitArrays)
+			if err == nil && z.Map == nil {
+				z.Map = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Map")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3347,9 +3368,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *OrderAck) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 15
 	// write "q"
-	err = en.Append(0x8c, 0xa1, 0x71)
+	err = en.Append(0x8f, 0xa1, 0x71)
 	if err != nil {
 		return
 	}
@@ -3468,15 +3489,45 @@
 		err = msgp.WrapError(err, "Step")
 		return
 	}
+	// write "next"
+	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Next)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	// write "hold"
+	err = en.Append(0xa4, 0x68, 0x6f, 0x6c, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Holding)
+	if err != nil {
+		err = msgp.WrapError(err, "Holding")
+		return
+	}
+	// write "map"
+	err = en.Append(0xa3, 0x6d, 0x61, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Map)
+	if err != nil {
+		err = msgp.WrapError(err, "Map")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 15
 	// string "q"
-	o = append(o, 0x8c, 0xa1, 0x71)
+	o = append(o, 0x8f, 0xa1, 0x71)
 	o = msgp.AppendUint64(o, z.Seq)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -3511,6 +3562,15 @@
 	// string "step"
 	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
 	o = msgp.AppendInt64(o, z.Step)
+	// string "next"
+	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "hold"
+	o = append(o, 0xa4, 0x68, 0x6f, 0x6c, 0x64)
+	o = msgp.AppendBool(o, z.Holding)
+	// string "map"
+	o = append(o, 0xa3, 0x6d, 0x61, 0x70)
+	o = msgp.AppendBytes(o, z.Map)
 	return
 }
 
@@ -3608,6 +3668,40 @@
 				err = msgp.WrapError(err, "Step")
 				return
 			}
+		case "next":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "hold":
+			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holding")
+				return
+			}
+		case "map":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Map")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Map == nil || uint32(cap(z.Map)) < zb0002 {
+				z.Map = make([]byte, zb0002)
+			} else {
+				z.Map = z.Map[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Map, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3622,7 +3716,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OrderAck) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.Int64Size + 4 + msgp.BoolSize + 5 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.Int64Size + 4 + msgp.BoolSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.Map)
 	return
 }
 
@@ -4322,7 +4416,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
@@ -4909,7 +5003,7 @@
 				return
 			}
 			if cap(z.Headers) >= int(zb0002) {
-				z.Headers = z.Headers[:zb0002]
+				z.Headers = (z.Headers)[:zb0002]
 			} else {
 				z.Headers = make([]Header, zb0002)
 			}
