--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,6 @@
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
 BIN   := bin
-# How long `make fuzz` runs each property.
-FUZZTIME ?= 10m
-
 .PHONY: all build generate fmt lint test demo fuzz measure slopes bench
 
 all: build
@@ -48,3 +45,7 @@
 # bench compares an engine called directly with one called through the system.
 bench: build
 	scripts/bench.sh
+
+# fuzz runs the stateful fuzz tests with fresh seeds for FUZZSECONDS (600).
+fuzz:
+	scripts/fuzz.sh
