--- a/entry/server.go
+++ b/entry/server.go
@@ -141,6 +141,7 @@
 func (s *Server) apply(ctx context.Context, instances []platform.Instance) {
 	doc := s.opt.Config.Document()
 	if doc == nil {
+		s.table.bootstrap(ctx, instances)
 		return
 	}
 	s.setPicker(doc.Doc.Routing.Policy)
--- a/internal/scenario/subject.go
+++ b/internal/scenario/subject.go
@@ -41,7 +41,7 @@
 }
 
 func engineCounters(b *backend) counters {
-	s, r := b.engine.Stats(), b.engine.Report()
+	s := b.engine.Stats()
 	return counters{
 		"started":       s.Started,
 		"finished":      s.Finished,
@@ -51,8 +51,8 @@
 		"falls":         s.Falls,
 		"max-cold-load": s.MaxColdLoad,
 		"max-load":      s.MaxLoad,
-		"running":       r.Running + r.Waiting,
-		"cold":          number(r.Cold),
+		"running":       s.Running,
+		"cold":          number(s.Cold),
 	}
 }
 
