--- a/route/bounded/bounded.go
+++ b/route/bounded/bounded.go
@@ -33,6 +33,8 @@
 	maxHomes = 15
 	// coldPenalty multiplies the cost of a cold backend server.
 	coldPenalty = 4.0
+	// coldOdds: one in this many requests of a prefix whose home is cold goes to it.
+	coldOdds = 16
 	// fullPenalty multiplies the cost of a backend server at its limit.
 	fullPenalty = 16.0
 	// unknownStep stands in for the step time before the first report, in milliseconds.
@@ -64,7 +66,7 @@
 	if v.usable == 0 {
 		return 0, false
 	}
-	if i, ok := v.cheapest(candidates, homes); ok {
+	if i, ok := p.cheapest(&v, candidates, homes); ok {
 		return i, true
 	}
 	return p.two(candidates, v.usable), true
@@ -124,14 +126,14 @@
 
 // cheapest returns the cheapest home within the bound, else the candidate
 // after the homes if it is.
-func (v *view) cheapest(candidates []route.Candidate, homes int) (int, bool) {
+func (p *picker) cheapest(v *view, candidates []route.Candidate, homes int) (int, bool) {
 	best, found := 0, false
 	for k, i := range v.order[:v.n] {
 		if k >= homes && found {
 			break
 		}
 		c := &candidates[i]
-		if !v.within(c) {
+		if c.Cold && (c.Full() || p.source.IntN(coldOdds) > 0) || !v.within(c) {
 			continue
 		}
 		if !found || penalised(c) < penalised(&candidates[best]) {
@@ -143,9 +145,6 @@
 
 // within reports whether c may be picked for its prefix in spite of its load.
 func (v *view) within(c *route.Candidate) bool {
-	if c.Cold && c.Full() {
-		return false
-	}
 	if c.Limit > 0 && float64(c.Load()) >= overLimit*float64(c.Limit) {
 		return false
 	}
