Fair shares: budgets and lines of returns by organisation; live calls displace the rest

Cause: small organisations paid for the large ones' spent retries and places in the line; a large organisation's own batch kept its live calls out.

--- a/admit/budget.go
+++ b/admit/budget.go
@@ -38,3 +38,29 @@
 
 // Left returns the retries that could be made now.
 func (b *RetryBudget) Left() int { return b.tokens / oneRetry }
+
+// RetryBudgets keeps one RetryBudget for each organisation, so that the
+// failures of one do not spend the retries of another. It is not safe for
+// concurrent use.
+type RetryBudgets struct {
+	ratio         float64
+	burst         int
+	organisations map[string]*RetryBudget
+}
+
+// NewRetryBudgets returns budgets that are each set as by NewRetryBudget. The
+// number of names that it is asked for must be bounded, as that of the
+// document's organisations is.
+func NewRetryBudgets(ratio float64, burst int) *RetryBudgets {
+	return &RetryBudgets{ratio: ratio, burst: burst, organisations: map[string]*RetryBudget{}}
+}
+
+// Of returns the organisation's budget.
+func (b *RetryBudgets) Of(organisation string) *RetryBudget {
+	budget, ok := b.organisations[organisation]
+	if !ok {
+		budget = NewRetryBudget(b.ratio, b.burst)
+		b.organisations[organisation] = budget
+	}
+	return budget
+}
--- a/admit/fairshare.go
+++ b/admit/fairshare.go
@@ -50,6 +50,7 @@
 	virtual float64 // virtual time: the least start tag that was waiting
 	service time.Duration
 	returns returns
+	evicted []Refusal // to be returned by Next
 }
 
 // share is the state of one organisation that has jobs.
@@ -73,7 +74,7 @@
 		orgs:    map[string]*share{},
 		running: map[uint64]started{},
 		service: firstService,
-		returns: returns{source: source},
+		returns: newReturns(source),
 	}
 }
 
@@ -83,7 +84,7 @@
 func (f *FairShare) Offer(now time.Duration, job Job, limit int) *api.Error {
 	s := f.join(job)
 	if err := f.check(now, s, job, limit); err != nil {
-		err.RetryAfter = f.returns.book(now, f.rate(limit))
+		err.RetryAfter = f.returns.book(now, s.name, f.rate(s, limit))
 		f.leave(s)
 		return err
 	}
@@ -133,7 +134,7 @@
 func (f *FairShare) check(now time.Duration, s *share, job Job, limit int) *api.Error {
 	part := float64(s.weight) / float64(f.weight)
 	free := limit - len(f.running) - f.queued
-	if free <= 0 && s.queued >= max(1, int(queueFactor*float64(limit)*part)) {
+	if free <= 0 && s.queued >= max(1, int(queueFactor*float64(limit)*part)) && !f.evict(now, s, job.Priority, limit) {
 		if f.weight > s.weight {
 			return api.NewError(api.ShareExceeded, "the organisation's part of the queue is full")
 		}
@@ -149,6 +150,24 @@
 	return nil
 }
 
+// evict refuses the organisation's last queued job of a lower priority than p
+// to make room; false when there is none.
+func (f *FairShare) evict(now time.Duration, s *share, p api.Priority, limit int) bool {
+	for q := api.NumPriorities - 1; q > p; q-- {
+		last := len(s.queues[q]) - 1
+		if last < 0 {
+			continue
+		}
+		err := api.NewError(api.ShareExceeded, "a call of higher priority took the place in the queue")
+		err.RetryAfter = f.returns.book(now, s.name, f.rate(s, limit))
+		f.evicted = append(f.evicted, Refusal{ID: s.queues[q][last].ID, Err: err})
+		s.queues[q] = s.queues[q][:last]
+		f.shrink(s)
+		return true
+	}
+	return false
+}
+
 // wait predicts how long a job would be queued.
 func (f *FairShare) wait(s *share, p api.Priority, part float64, limit int) time.Duration {
 	ahead := 0
@@ -160,21 +179,24 @@
 	return time.Duration(min(byShare, byQueue) / max(1, float64(limit)) * float64(f.service))
 }
 
-// rate is the number of jobs a second that limit slots finish.
-func (f *FairShare) rate(limit int) float64 {
-	return max(1, float64(limit)) / f.service.Seconds()
+// rate is the number of the organisation's jobs that its part of limit slots
+// finishes in a second.
+func (f *FairShare) rate(s *share, limit int) float64 {
+	part := float64(s.weight) / float64(max(f.weight, s.weight))
+	return part * max(1, float64(limit)) / f.service.Seconds()
 }
 
-// Next returns the jobs to start now, in order, and those that can no longer
-// make their deadline. Call it after Offer, after Finish, and whenever the
+// Next returns the jobs to start now, in order, and those that lost their
+// place or can no longer make their deadline. Call it after Offer, after Finish, and whenever the
 // limit has changed.
 func (f *FairShare) Next(now time.Duration, limit int) (start []Job, refused []Refusal) {
+	refused, f.evicted = f.evicted, nil
 	for f.queued > 0 && len(f.running) < limit {
 		s := f.choose()
 		job := f.take(s)
 		if now+f.service/2 > job.Deadline {
 			err := api.NewError(api.DeadlineTooShort, "waited longer than predicted")
-			err.RetryAfter = f.returns.book(now, f.rate(limit))
+			err.RetryAfter = f.returns.book(now, s.name, f.rate(s, limit))
 			refused = append(refused, Refusal{ID: job.ID, Err: err})
 			f.leave(s)
 			continue
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -54,7 +54,7 @@
 	dataCentre string
 	table      *route.Table
 	picker     route.Picker
-	budget     *admit.RetryBudget
+	budget     *admit.RetryBudgets
 }
 
 func newFleet(cfg fleetConfig) *fleet {
@@ -89,7 +89,7 @@
 		dataCentre: centre(i % f.cfg.centres),
 		table:      route.NewTable(),
 		picker:     picker,
-		budget:     admit.NewRetryBudget(retryRatio, retryBurst),
+		budget:     admit.NewRetryBudgets(retryRatio, retryBurst),
 	}
 	for _, s := range f.sides {
 		e.table.Put(s.name, s.dataCentre, f.distance(e.dataCentre, s.dataCentre), false)
@@ -140,7 +140,7 @@
 	c.tried = map[string]bool{}
 	e := f.entries[f.source.IntN(len(f.entries))]
 	f.clock.after(f.cfg.client, func() {
-		e.budget.First()
+		e.budget.Of(c.org).First()
 		e.attempt(c)
 	})
 }
@@ -205,7 +205,7 @@
 		e.answer(c, err)
 		return
 	}
-	if e.fleet.cfg.budget && !e.budget.Retry() {
+	if e.fleet.cfg.budget && !e.budget.Of(c.org).Retry() {
 		e.answer(c, err)
 		return
 	}
