--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -22,8 +22,8 @@
     echo "service = $3"
     echo "data-centre = $4"
     echo "listen = $host:$5"
-    echo "status = $host:$(($5 + 100))"
-    if [ "$2" = entry ]; then echo "http = $host:$(($5 + 200))"; fi
+    echo "status = $host:$(($5 + ${status_above:-100}))"
+    if [ "$2" = entry ]; then echo "http = $host:$(($5 + ${http_above:-200}))"; fi
     echo "drain-wait = 300ms"
     echo "[platform]"
     echo "log-service = http://$host:$log_port"
