Reports ride on heartbeats

Cause: each link carried a lone report a second beside its heartbeat: two more wake-ups and system calls at both ends.

--- a/entry/link.go
+++ b/entry/link.go
@@ -128,8 +128,6 @@
 		return
 	}
 	switch m := m.(type) {
-	case *wire.Report:
-		l.setReport(m)
 	case *wire.Head:
 		l.deliver(c, m.Stream, m)
 	case *wire.Chunk:
@@ -154,6 +152,9 @@
 	if fresh {
 		l.connected(c)
 	}
+	if hb.Report != nil {
+		l.setReport(hb.Report)
+	}
 }
 
 // Closed implements wire.Handler: the streams on c are lost. A newer connection
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	config   ConfigView
 	suspects *Suspicion
 	leaving  atomic.Bool
+	report   func() wire.Report // of a side; nil for an entry
 }
 
 // New returns a Node; hello names the process.
@@ -44,6 +45,10 @@
 	return &Node{hello: hello, config: config, suspects: newSuspicion()}
 }
 
+// ReportBy makes every heartbeat carry what report returns. It is called once,
+// before the first connection; report must not block.
+func (n *Node) ReportBy(report func() wire.Report) { n.report = report }
+
 // Hello returns the hello to send on a new connection.
 func (n *Node) Hello() wire.Hello {
 	hello := n.hello
@@ -88,6 +93,10 @@
 		Suspects: n.suspects.news(c),
 	}
 	n.config.FillHeartbeat(&hb)
+	if n.report != nil {
+		r := n.report()
+		hb.Report = &r
+	}
 	return hb
 }
 
--- a/side/load.go
+++ b/side/load.go
@@ -14,11 +14,8 @@
 	"marjorampitch/wire"
 )
 
-// Timing of reports and probes.
-const (
-	probeTimeout   = 300 * time.Millisecond // to learn whether a backend server went down
-	reportInterval = time.Second            // a connection without a report for this long gets one alone
-)
+// probeTimeout bounds the look at whether a backend server went down.
+const probeTimeout = 300 * time.Millisecond
 
 // Run follows the document and the backend server's load until ctx ends.
 func (s *Server) Run(ctx context.Context) {
@@ -27,7 +24,6 @@
 	for {
 		s.configure()
 		s.poll(ctx)
-		s.publish()
 		select {
 		case <-ctx.Done():
 			return
@@ -146,27 +142,6 @@
 	return out
 }
 
-// publish sends a report to each entry that has received none for a while.
-func (s *Server) publish() {
-	now := time.Now()
-	var due []*wire.Conn
-	s.mu.Lock()
-	for c, reported := range s.conns {
-		if now.Sub(reported) >= reportInterval {
-			due = append(due, c)
-			s.conns[c] = now
-		}
-	}
-	s.mu.Unlock()
-	if len(due) == 0 || s.limiter.Load() == nil {
-		return
-	}
-	report := s.report()
-	for _, c := range due {
-		c.Send(&report)
-	}
-}
-
 // report describes the backend server for entries.
 func (s *Server) report() wire.Report {
 	var r wire.Report
--- a/side/pump.go
+++ b/side/pump.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"marjorampitch/api"
 	"marjorampitch/wire"
@@ -53,7 +52,7 @@
 		Stream:  sub.stream,
 		Attempt: sub.attempt,
 		Count:   st.count,
-		Report:  s.reportTo(sub.conn),
+		Report:  s.report(),
 	})
 }
 
@@ -73,16 +72,6 @@
 		Ran:              uint8(e.Ran),
 		RetryAfterMillis: e.RetryAfter.Milliseconds(),
 		Detail:           e.Detail,
-		Report:           s.reportTo(c),
+		Report:           s.report(),
 	})
 }
-
-// reportTo returns a report and notes that c received one.
-func (s *Server) reportTo(c *wire.Conn) wire.Report {
-	s.mu.Lock()
-	if _, open := s.conns[c]; open {
-		s.conns[c] = time.Now()
-	}
-	s.mu.Unlock()
-	return s.report()
-}
--- a/side/server.go
+++ b/side/server.go
@@ -57,7 +57,7 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt         // running or kept, by request id
 	streams  map[streamKey]*subscription // by connection and stream
-	conns    map[*wire.Conn]time.Time    // when each last received a report
+	conns    map[*wire.Conn]bool
 }
 
 type streamKey struct {
@@ -72,7 +72,7 @@
 
 // New returns a Server that is not yet listening.
 func New(opt Options) *Server {
-	return &Server{
+	s := &Server{
 		opt:      opt,
 		node:     node.New(opt.Hello, opt.Config),
 		backend:  newBackend(opt.Backend),
@@ -81,8 +81,10 @@
 		pool:     pond.NewPool(maxAttempts),
 		attempts: make(map[string]*attempt),
 		streams:  make(map[streamKey]*subscription),
-		conns:    make(map[*wire.Conn]time.Time),
+		conns:    make(map[*wire.Conn]bool),
 	}
+	s.node.ReportBy(s.report)
+	return s
 }
 
 // Serve accepts connections of entries until ln is closed.
@@ -103,7 +105,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.conns[c] = time.Time{}
+	s.conns[c] = true
 	s.mu.Unlock()
 	s.opt.Log.Info("peer-connected", "peer", c.Peer().Instance)
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -22,7 +22,6 @@
 	KindRefusal
 	KindCancel
 	KindCredit
-	KindReport
 	KindKeyQuery
 	KindKeyAnswer
 	KindOrder
@@ -64,7 +63,6 @@
 func (*Refusal) kind() Kind     { return KindRefusal }
 func (*Cancel) kind() Kind      { return KindCancel }
 func (*Credit) kind() Kind      { return KindCredit }
-func (*Report) kind() Kind      { return KindReport }
 func (*KeyQuery) kind() Kind    { return KindKeyQuery }
 func (*KeyAnswer) kind() Kind   { return KindKeyAnswer }
 func (*Order) kind() Kind       { return KindOrder }
@@ -96,8 +94,6 @@
 		return new(Cancel)
 	case KindCredit:
 		return new(Credit)
-	case KindReport:
-		return new(Report)
 	case KindKeyQuery:
 		return new(KeyQuery)
 	case KindKeyAnswer:
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -52,6 +52,9 @@
 		for i := range f.Len() {
 			drawField(t, f.Index(i))
 		}
+	case reflect.Pointer:
+		f.Set(reflect.New(f.Type().Elem()))
+		drawField(t, f.Elem())
 	case reflect.Struct:
 		for i := range f.NumField() {
 			drawField(t, f.Field(i))
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -49,6 +49,7 @@
 	LogUp          bool      `msg:"a,omitempty"` // the log answered the sender's last read just now
 	Leaving        bool      `msg:"l,omitempty"` // the sender takes no new work
 	Suspects       []Suspect `msg:"u,omitempty"` // news about requests seen in flight at a crash
+	Report         *Report   `msg:"r,omitempty"` // of a side
 }
 
 // Suspect is one piece of evidence about a request that may crash backend
@@ -159,8 +160,7 @@
 	Bytes  uint32 `msg:"n"`
 }
 
-// Report is a side's view of its backend server; it rides on answers and is
-// sent alone when nothing else was sent for a while.
+// Report is a side's view of its backend server; it rides on answers and heartbeats.
 type Report struct {
 	Seq        uint64  `msg:"q"`           // rises with each report of one incarnation of the side; 0 for no report
 	Cold       bool    `msg:"c,omitempty"` // in cold start
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -1880,6 +1880,24 @@
 					return
 				}
 			}
+		case "r":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Report")
+					return
+				}
+				z.Report = nil
+			} else {
+				if z.Report == nil {
+					z.Report = new(Report)
+				}
+				err = z.Report.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Report")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1894,8 +1912,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.LogDown == false {
 		zb0001Len--
@@ -1913,6 +1931,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Report == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -2016,6 +2038,25 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			if z.Report == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Report.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Report")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2024,8 +2065,8 @@
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.LogDown == false {
 		zb0001Len--
@@ -2043,6 +2084,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Report == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2087,6 +2132,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			if z.Report == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Report.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Report")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2178,6 +2236,23 @@
 					return
 				}
 			}
+		case "r":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Report = nil
+			} else {
+				if z.Report == nil {
+					z.Report = new(Report)
+				}
+				bts, err = z.Report.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Report")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2196,6 +2271,12 @@
 	for za0001 := range z.Suspects {
 		s += z.Suspects[za0001].Msgsize()
 	}
+	s += 2
+	if z.Report == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Report.Msgsize()
+	}
 	return
 }
 
