--- a/logfold/fuzz_test.go
+++ b/logfold/fuzz_test.go
@@ -62,6 +62,7 @@
 	publish func(m *model, t *rapid.T, op *operator, text []byte)
 	bad     string // first violation
 	mayFail bool   // a violation ends the run without failing the test
+	noProof bool   // mechanism taken out: processes take new work without proof
 	seq     []truth
 	judged  int    // records of the stream that seq covers
 	version uint64 // after them
@@ -125,7 +126,8 @@
 			m.fail("process %d went back from offset %d to %d", p.id, p.top, doc.Offset)
 		}
 		p.top = doc.Offset
-		stale := !p.paused && p.follower.Current(p.local(m.now)) && doc.Offset < due
+		current := m.noProof || p.follower.Current(p.local(m.now))
+		stale := !p.paused && current && doc.Offset < due
 		if stale && !m.doubleFault() {
 			m.fail("process %d takes new work by offset %d, %d is older than fresh-for", p.id, doc.Offset, due)
 		}
@@ -260,6 +262,14 @@
 			m.marks++
 			m.publish(m, t, op, text(m.marks, true))
 		},
+		"race next append": func(t *rapid.T) {
+			op := anyOp(t)
+			m.race = func() {
+				m.look(op)
+				m.marks++
+				m.publish(m, t, op, text(m.marks, true))
+			}
+		},
 		"invalid record": func(t *rapid.T) {
 			packed, _ := logfold.Pack(text(1, false))
 			c := logfold.ConfigChange{Service: service, Base: anyOp(t).seen, Format: 1, Document: packed}
@@ -466,6 +476,10 @@
 	finds(t, "had not seen", func(m *model) { m.publish = publishLast })
 }
 
+func TestWithoutProof(t *testing.T) {
+	finds(t, "takes new work by", func(m *model) { m.noProof = true })
+}
+
 // publishTwice takes a lost answer for a failure, and appends the document
 // again on what is then the current version.
 func publishTwice(m *model, _ *rapid.T, op *operator, body []byte) {
--- a/logfold/world_test.go
+++ b/logfold/world_test.go
@@ -81,6 +81,7 @@
 	logDown bool // nobody can read
 	fate    fate // of the next append
 	lateBy  time.Duration
+	race    func() // runs just before the next append
 	procs   []*proc
 	cut     map[[2]int]bool // pairs of processes without a connection
 	events  []event
@@ -179,6 +180,10 @@
 
 // Append implements platform.Log; the fate applies once.
 func (w *world) Append(_ context.Context, name string, records [][]byte) (platform.Offset, error) {
+	if race := w.race; race != nil {
+		w.race = nil
+		race()
+	}
 	f := w.fate
 	w.fate = stores
 	w.counts[fmt.Sprintf("append fate %d", f)]++
