--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,94 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"marjorampitch/route"
+)
+
+func pool(n int) []route.Candidate {
+	candidates := make([]route.Candidate, n)
+	for i := range candidates {
+		name := fmt.Sprintf("engine-%d", i)
+		candidates[i] = route.Candidate{
+			Name: name, Hash: route.HashName(name), Limit: 16, Running: i % 12, StepMillis: 12, Leaving: i%10 == 9,
+		}
+	}
+	return candidates
+}
+
+// BenchmarkPick shows the slope of a pick over the candidates; a subset keeps
+// an entry at a few tens whatever the size of the fleet.
+func BenchmarkPick(b *testing.B) {
+	for _, name := range route.Names() {
+		for _, n := range []int{10, 32, 100, 1000, 3100} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				picker, err := route.Build(name, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				candidates := pool(n)
+				req := route.Request{Session: "s"}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					req.Prefix = route.Mix(uint64(i%5000), 1)
+					picker.Pick(&req, candidates)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSubset is the cost of one entry's links into one pool.
+func BenchmarkSubset(b *testing.B) {
+	entries, sides := members("entry", 440), members("side", poolSides)
+	b.ReportAllocs()
+	for b.Loop() {
+		route.Subset("entry-7", entries, sides, subsetSize)
+	}
+}
+
+// TestFuzzPick checks of every policy: a usable candidate is picked if there
+// is one, and none else; equal seeds give equal picks.
+func TestFuzzPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom(route.Names()).Draw(t, "policy")
+		seed := rapid.Uint64().Draw(t, "seed")
+		a, _ := route.Build(name, seed)
+		b, _ := route.Build(name, seed)
+		for range rapid.IntRange(1, 30).Draw(t, "picks") {
+			candidates := rapid.SliceOfN(rapid.Custom(drawCandidate), 0, 8).Draw(t, "candidates")
+			req := route.Request{Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix")}
+			i, ok := a.Pick(&req, candidates)
+			j, again := b.Pick(&req, candidates)
+			if i != j || ok != again {
+				t.Fatalf("%s: picks %d and %d from one seed", name, i, j)
+			}
+			usable := false
+			for k := range candidates {
+				usable = usable || candidates[k].Usable()
+			}
+			if ok != usable || ok && !candidates[i].Usable() {
+				t.Fatalf("%s: picked %d, %v of %+v", name, i, ok, candidates)
+			}
+		}
+	})
+}
+
+func drawCandidate(t *rapid.T) route.Candidate {
+	return route.Candidate{
+		Hash:       rapid.Uint64().Draw(t, "hash"),
+		Leaving:    rapid.Bool().Draw(t, "leaving"),
+		Excluded:   rapid.Bool().Draw(t, "excluded"),
+		Cold:       rapid.Bool().Draw(t, "cold"),
+		Limit:      rapid.IntRange(0, 4).Draw(t, "limit"),
+		Running:    rapid.IntRange(0, 9).Draw(t, "running"),
+		Waiting:    rapid.IntRange(0, 9).Draw(t, "waiting"),
+		Own:        rapid.IntRange(0, 9).Draw(t, "own"),
+		Since:      rapid.IntRange(-9, 9).Draw(t, "since"),
+		StepMillis: rapid.Float64Range(0, 100).Draw(t, "step"),
+	}
+}
