A backend server that is down is passed over until it answers again

Cause: a crashed backend server fails requests within milliseconds, so it looks idle, and entries kept sending first attempts to it; each counted as 'may have run'. Change: the side refuses new work ('not run') from a crash on until the server answers a question asked afterwards, and says so in its reports at once; entries pass it over. New field Report.Down.

--- a/entry/link.go
+++ b/entry/link.go
@@ -289,6 +289,7 @@
 		return
 	}
 	c.Age = now.Sub(l.reported)
+	c.Excluded = c.Excluded || l.report.Down
 	c.Cold = l.report.Cold
 	c.Limit = l.report.Limit
 	c.Running = l.report.Running
--- a/side/gate.go
+++ b/side/gate.go
@@ -21,9 +21,13 @@
 // was paused.
 func (s *Server) inService() (*config.Document, *api.Error) {
 	inForce := s.opt.Config.Document()
-	if inForce == nil || s.limiter.Load() == nil {
+	l := s.limiter.Load()
+	if inForce == nil || l == nil {
 		return nil, api.NewError(api.NotReady, "no document with this backend server")
 	}
+	if l.isDown() {
+		return nil, api.NewError(api.Unreachable, "backend server is down")
+	}
 	if !s.opt.Config.Current() {
 		return nil, api.NewError(api.NotCurrent, "")
 	}
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -49,6 +49,7 @@
 	crashes int
 	downOf  string        // incarnation of the last crash
 	downAt  time.Duration // when it was noted; 0 for never
+	down    bool          // it has not answered since a crash
 }
 
 func newLimiter(be *config.Backend, limits config.Limits) *limiter {
@@ -173,6 +174,7 @@
 	l.mu.Lock()
 	l.cold.Observe(l.now(), asked, r)
 	l.last = *r
+	l.down = l.down && asked < l.downAt
 	l.mu.Unlock()
 	l.pump()
 }
@@ -192,6 +194,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	l.cold.Crash(now)
+	l.down = true
 	if l.downAt != 0 && incarnation == l.downOf && now-l.downAt < crashSpacing {
 		return nil, false, 0
 	}
@@ -221,6 +224,7 @@
 	return wire.Report{
 		Seq:        l.seq,
 		Cold:       l.cold.Cold(now),
+		Down:       l.down,
 		Limit:      l.cold.Limit(now),
 		Running:    l.shares.Running(),
 		Waiting:    l.shares.Queued(),
@@ -229,6 +233,20 @@
 	}
 }
 
+// isDown reports whether the backend server crashed and has not answered since.
+func (l *limiter) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+// answers notes that a backend server without reports accepts connections.
+func (l *limiter) answers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+}
+
 // busy reports whether any request waits or runs.
 func (l *limiter) busy() bool {
 	l.mu.Lock()
--- a/side/load.go
+++ b/side/load.go
@@ -61,6 +61,9 @@
 		return
 	}
 	if s.kind() != config.KindEngine {
+		if l.isDown() && !s.down("") {
+			l.answers()
+		}
 		l.pump()
 		return
 	}
@@ -133,6 +136,8 @@
 	s.opt.Log.Warn("backend-crashed", "incarnation", incarnation, "in-flight", len(fingerprints), "trial", trial)
 	for _, c := range s.peers() {
 		c.BeatNow(s.node)
+		report := s.reportTo(c)
+		c.Send(&report)
 	}
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -165,6 +165,7 @@
 	Seq        uint64  `msg:"q"`           // rises with each report of one incarnation of the side; 0 for no report
 	Cold       bool    `msg:"c,omitempty"` // in cold start
 	Leaving    bool    `msg:"l,omitempty"` // takes no new work
+	Down       bool    `msg:"d,omitempty"` // the backend server crashed and has not answered since
 	Limit      int     `msg:"m,omitempty"` // requests that the side admits at once
 	Running    int     `msg:"r,omitempty"`
 	Waiting    int     `msg:"w,omitempty"`
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -4119,6 +4119,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "d":
+			z.Down, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Down")
+				return
+			}
 		case "m":
 			z.Limit, err = dc.ReadInt()
 			if err != nil {
@@ -4163,8 +4169,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Cold == false {
 		zb0001Len--
@@ -4174,26 +4180,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Limit == 0 {
+	if z.Down == false {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Running == 0 {
+	if z.Limit == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Waiting == 0 {
+	if z.Running == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.StepMillis == 0 {
+	if z.Waiting == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.CacheUsed == 0 {
+	if z.StepMillis == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.CacheUsed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -4237,6 +4247,18 @@
 			}
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Down)
+			if err != nil {
+				err = msgp.WrapError(err, "Down")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// write "m"
 			err = en.Append(0xa1, 0x6d)
 			if err != nil {
@@ -4248,7 +4270,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// write "r"
 			err = en.Append(0xa1, 0x72)
 			if err != nil {
@@ -4260,7 +4282,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "w"
 			err = en.Append(0xa1, 0x77)
 			if err != nil {
@@ -4272,7 +4294,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// write "t"
 			err = en.Append(0xa1, 0x74)
 			if err != nil {
@@ -4284,7 +4306,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// write "k"
 			err = en.Append(0xa1, 0x6b)
 			if err != nil {
@@ -4304,8 +4326,8 @@
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Cold == false {
 		zb0001Len--
@@ -4315,26 +4337,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Limit == 0 {
+	if z.Down == false {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Running == 0 {
+	if z.Limit == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Waiting == 0 {
+	if z.Running == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.StepMillis == 0 {
+	if z.Waiting == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.CacheUsed == 0 {
+	if z.StepMillis == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.CacheUsed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -4354,26 +4380,31 @@
 			o = msgp.AppendBool(o, z.Leaving)
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBool(o, z.Down)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "m"
 			o = append(o, 0xa1, 0x6d)
 			o = msgp.AppendInt(o, z.Limit)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendInt(o, z.Running)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			o = msgp.AppendInt(o, z.Waiting)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "t"
 			o = append(o, 0xa1, 0x74)
 			o = msgp.AppendFloat32(o, z.StepMillis)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "k"
 			o = append(o, 0xa1, 0x6b)
 			o = msgp.AppendFloat32(o, z.CacheUsed)
@@ -4422,6 +4453,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "d":
+			z.Down, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Down")
+				return
+			}
 		case "m":
 			z.Limit, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4466,7 +4503,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.Float32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.Float32Size
 	return
 }
 
