--- a/config/inforce/inforce.go
+++ b/config/inforce/inforce.go
@@ -33,6 +33,8 @@
 	Leaving    bool   `json:"leaving"`         // the process is shutting down
 	Error      string `json:"error,omitempty"` // why there is no answer
 
+	Comparison *wire.Comparison `json:"comparison,omitempty"` // of an entry with a candidate policy
+
 	foreign bool // the process belongs to another service
 }
 
@@ -92,6 +94,7 @@
 	}
 	r.Offset, r.Version = st.ConfigOffset, st.ConfigVersion
 	r.Current, r.Leaving = st.Current, st.Leaving
+	r.Comparison = st.Comparison
 	return r
 }
 
--- /dev/null
+++ b/entry/policies.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/config"
+	"marjorampitch/route"
+	_ "marjorampitch/route/policies" // registers the policies
+	"marjorampitch/wire"
+)
+
+// policies holds the routing policy that the document names, and the
+// experiment with a candidate policy where there is one.
+//
+// mu guards the fields below it; no other lock but the experiment's own is
+// taken while it is held.
+type policies struct {
+	log *log.Logger
+
+	mu         sync.Mutex
+	routing    config.Routing // that the fields below were made from
+	picker     route.Picker
+	experiment *route.Experiment // nil without a candidate policy
+}
+
+func newPolicies(logger *log.Logger) *policies {
+	return &policies{log: logger}
+}
+
+// set takes the routing section of a document.
+func (p *policies) set(routing config.Routing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.picker != nil && routing == p.routing {
+		return
+	}
+	if p.experiment != nil {
+		p.experiment.Close()
+		p.experiment = nil
+	}
+	p.routing = routing
+	p.picker = p.build(routing.Policy)
+	if routing.Candidate == "" || routing.Mode == config.ModeOff {
+		return
+	}
+	candidate, err := route.Build(routing.Candidate, rand.Uint64())
+	if err != nil {
+		p.log.Error("policy-unknown", "candidate", routing.Candidate, "used", "none")
+		return
+	}
+	p.experiment = route.NewExperiment(p.picker, candidate, route.ExperimentConfig{
+		Shadow:    routing.Mode == config.ModeShadow,
+		Share:     routing.Share,
+		MaxErrors: routing.MaxErrors,
+		MaxSlower: routing.MaxSlower,
+	})
+	p.picker = p.experiment
+}
+
+// build makes the named policy, or the default one when it is unknown.
+func (p *policies) build(name string) route.Picker {
+	picker, err := route.Build(name, rand.Uint64())
+	if err == nil {
+		return picker
+	}
+	p.log.Error("policy-unknown", "policy", name, "used", route.Default)
+	picker, _ = route.Build(route.Default, rand.Uint64())
+	return picker
+}
+
+// pick chooses among candidates; ok is false when none may be picked.
+func (p *policies) pick(req *route.Request, candidates []route.Candidate) (index int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.picker == nil {
+		return 0, false
+	}
+	return p.picker.Pick(req, candidates)
+}
+
+// done tells the policy how an attempt ended.
+func (p *policies) done(f route.Feedback) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.picker != nil {
+		p.picker.Done(f)
+	}
+}
+
+// name returns the name of the active policy.
+func (p *policies) name() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.routing.Policy
+}
+
+// comparison returns the counts of the experiment, or nil without one.
+func (p *policies) comparison() *wire.Comparison {
+	p.mu.Lock()
+	routing, experiment := p.routing, p.experiment
+	p.mu.Unlock()
+	if experiment == nil {
+		return nil
+	}
+	r := experiment.Report()
+	return &wire.Comparison{
+		Active:         routing.Policy,
+		Candidate:      routing.Candidate,
+		Mode:           string(routing.Mode),
+		Picks:          r.Picks,
+		Compared:       r.Compared,
+		Same:           r.Same,
+		Load:           r.Load,
+		Served:         r.Served,
+		Failed:         r.Failed,
+		FirstP95Micros: micros(r.FirstP95),
+		Invalid:        r.Invalid,
+		Late:           r.Late,
+		Panics:         r.Panics,
+		Skipped:        r.Skipped,
+		Tripped:        r.Tripped,
+	}
+}
+
+func micros(d [2]time.Duration) [2]int64 {
+	return [2]int64{d[0].Microseconds(), d[1].Microseconds()}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -205,9 +205,7 @@
 		Model:        c.model,
 		Budget:       time.Until(c.deadline),
 	}
-	s.pickMu.Lock()
-	defer s.pickMu.Unlock()
-	i, ok := s.picker.Pick(&req, candidates)
+	i, ok := s.policies.pick(&req, candidates)
 	if !ok {
 		return nil, false
 	}
@@ -224,9 +222,7 @@
 	if out.firstChunk > 0 && c.streaming {
 		s.opt.Metrics.FirstToken(out.firstChunk)
 	}
-	s.pickMu.Lock()
-	defer s.pickMu.Unlock()
-	s.picker.Done(route.Feedback{
+	s.policies.done(route.Feedback{
 		Candidate:  name,
 		Session:    c.session,
 		Code:       code,
--- a/entry/server.go
+++ b/entry/server.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,8 +22,6 @@
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
 	"marjorampitch/platform"
-	"marjorampitch/route"
-	_ "marjorampitch/route/policies" // registers the policies
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -50,7 +47,7 @@
 	DrainWait time.Duration // from readiness off until new connections are refused
 }
 
-// Server is an entry. Lock order: pickMu and budgetMu are taken alone.
+// Server is an entry. Its locks are taken alone.
 type Server struct {
 	opt   Options
 	node  *node.Node
@@ -62,9 +59,7 @@
 	refusals recent.Log
 	inFlight atomic.Int64 // requests being served
 
-	pickMu     sync.Mutex
-	picker     route.Picker
-	pickerName string
+	policies *policies
 
 	budgetMu sync.Mutex
 	budget   *admit.RetryBudget
@@ -75,11 +70,13 @@
 func New(opt Options) *Server {
 	n := node.New(opt.Hello, opt.Config)
 	s := &Server{
-		opt:    opt,
-		node:   n,
-		table:  newTable(opt.Hello.Instance, n, opt.Log),
-		budget: admit.NewRetryBudget(0, retryBurst),
+		opt:      opt,
+		node:     n,
+		table:    newTable(opt.Hello.Instance, n, opt.Log),
+		policies: newPolicies(opt.Log),
+		budget:   admit.NewRetryBudget(0, retryBurst),
 	}
+	n.CompareBy(s.policies.comparison)
 	s.claims = claim.NewClient(claim.Options{
 		Service:   opt.Hello.Service,
 		Claimant:  opt.Hello.Incarnation,
@@ -144,27 +141,11 @@
 		s.table.bootstrap(ctx, instances)
 		return
 	}
-	s.setPicker(doc.Doc.Routing.Policy)
+	s.policies.set(doc.Doc.Routing)
 	s.setBudget(doc.Doc.Limits.RetryBudget)
 	s.table.update(ctx, doc, instances)
 }
 
-// setPicker replaces the picker when the document names another policy.
-func (s *Server) setPicker(name string) {
-	s.pickMu.Lock()
-	defer s.pickMu.Unlock()
-	if name == s.pickerName && s.picker != nil {
-		return
-	}
-	picker, err := route.Build(name, rand.Uint64())
-	if err != nil {
-		s.opt.Log.Error("policy-unknown", "policy", name, "used", route.Default)
-		picker, _ = route.Build(route.Default, rand.Uint64())
-	}
-	s.picker = picker
-	s.pickerName = name
-}
-
 func (s *Server) setBudget(ratio float64) {
 	s.budgetMu.Lock()
 	defer s.budgetMu.Unlock()
--- a/entry/status.go
+++ b/entry/status.go
@@ -10,6 +10,7 @@
 
 	"marjorampitch/internal/recent"
 	"marjorampitch/route"
+	"marjorampitch/wire"
 )
 
 // Status is what an entry believes now, for its status page.
@@ -23,6 +24,7 @@
 	Current       bool             `json:"current"`
 	Leaving       bool             `json:"leaving"`
 	Policy        string           `json:"policy"`
+	Comparison    *wire.Comparison `json:"comparison,omitempty"` // with a candidate policy
 	Sides         []SideStatus     `json:"sides"`
 	Refusals      []recent.Refusal `json:"refusals"`
 }
@@ -53,7 +55,8 @@
 		ConfigOffset: -1,
 		Current:      s.opt.Config.Current(),
 		Leaving:      s.node.Leaving(),
-		Policy:       s.policy(),
+		Policy:       s.policies.name(),
+		Comparison:   s.policies.comparison(),
 		Sides:        s.table.status(),
 		Refusals:     s.refusals.Last(),
 	}
@@ -64,12 +67,6 @@
 	return st
 }
 
-func (s *Server) policy() string {
-	s.pickMu.Lock()
-	defer s.pickMu.Unlock()
-	return s.pickerName
-}
-
 // status describes every link, in order of name.
 func (t *table) status() []SideStatus {
 	now := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,8 @@
 	config   ConfigView
 	suspects *Suspicion
 	leaving  atomic.Bool
-	report   func() wire.Report // of a side; nil for an entry
+	report   func() wire.Report      // of a side; nil for an entry
+	compare  func() *wire.Comparison // of an entry; nil for a side
 }
 
 // New returns a Node; hello names the process.
@@ -49,6 +50,10 @@
 // before the first connection; report must not block.
 func (n *Node) ReportBy(report func() wire.Report) { n.report = report }
 
+// CompareBy makes every status carry what compare returns. It is called once,
+// before the first connection; compare must not block.
+func (n *Node) CompareBy(compare func() *wire.Comparison) { n.compare = compare }
+
 // Hello returns the hello to send on a new connection.
 func (n *Node) Hello() wire.Hello {
 	hello := n.hello
@@ -156,5 +161,8 @@
 		st.ConfigOffset = doc.Offset
 		st.ConfigVersion = doc.Version
 	}
+	if n.compare != nil {
+		st.Comparison = n.compare()
+	}
 	return st
 }
--- a/side/load.go
+++ b/side/load.go
@@ -132,8 +132,6 @@
 	s.opt.Log.Warn("backend-crashed", "incarnation", incarnation, "in-flight", len(fingerprints), "trial", trial)
 	for _, c := range s.peers() {
 		c.BeatNow(s.node)
-		report := s.reportTo(c)
-		c.Send(&report)
 	}
 }
 
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -52,6 +52,10 @@
 		for i := range f.Len() {
 			drawField(t, f.Index(i))
 		}
+	case reflect.Array:
+		for i := range f.Len() {
+			drawField(t, f.Index(i))
+		}
 	case reflect.Pointer:
 		f.Set(reflect.New(f.Type().Elem()))
 		drawField(t, f.Elem())
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -260,4 +260,26 @@
 	ConfigVersion uint64 `msg:"ver"`
 	Current       bool   `msg:"cur"`
 	Leaving       bool   `msg:"leav"`
+
+	Comparison *Comparison `msg:"cmp,omitempty"` // of an entry whose document names a candidate policy
+}
+
+// Comparison is what an entry counted of a candidate routing policy beside
+// the active one. Of fields with two values, the first is the active policy's.
+type Comparison struct {
+	Active         string   `msg:"act"`
+	Candidate      string   `msg:"cand"`
+	Mode           string   `msg:"mode"` // shadow or share
+	Picks          int64    `msg:"n"`    // picks while the comparison ran
+	Compared       int64    `msg:"cmp"`  // picks that both decided, in shadow
+	Same           int64    `msg:"same"` // compared picks in which both chose the same
+	Load           [2]int64 `msg:"load"` // sum over compared picks of the chosen backend servers' believed loads
+	Served         [2]int64 `msg:"srv"`  // attempts finished
+	Failed         [2]int64 `msg:"fail"` // attempts that failed for a reason that the pick may have caused
+	FirstP95Micros [2]int64 `msg:"p95"`  // 95th percentile of the time to the first token
+	Invalid        int64    `msg:"inv"`  // candidate's picks of no usable backend server
+	Late           int64    `msg:"late"` // candidate's picks not made in time
+	Panics         int64    `msg:"pan"`
+	Skipped        int64    `msg:"skip"` // calls not given to the candidate because it was at work
+	Tripped        string   `msg:"trip"` // guard that ended the share; empty while none has
 }
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -669,6 +669,603 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Comparison) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "act":
+			z.Active, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+		case "cand":
+			z.Candidate, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Candidate")
+				return
+			}
+		case "mode":
+			z.Mode, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Mode")
+				return
+			}
+		case "n":
+			z.Picks, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Picks")
+				return
+			}
+		case "cmp":
+			z.Compared, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Compared")
+				return
+			}
+		case "same":
+			z.Same, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Same")
+				return
+			}
+		case "load":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+			if zb0002 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0002}
+				return
+			}
+			for za0001 := range z.Load {
+				z.Load[za0001], err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0001)
+					return
+				}
+			}
+		case "srv":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Served")
+				return
+			}
+			if zb0003 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0003}
+				return
+			}
+			for za0002 := range z.Served {
+				z.Served[za0002], err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Served", za0002)
+					return
+				}
+			}
+		case "fail":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+			if zb0004 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0004}
+				return
+			}
+			for za0003 := range z.Failed {
+				z.Failed[za0003], err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Failed", za0003)
+					return
+				}
+			}
+		case "p95":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "FirstP95Micros")
+				return
+			}
+			if zb0005 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0005}
+				return
+			}
+			for za0004 := range z.FirstP95Micros {
+				z.FirstP95Micros[za0004], err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "FirstP95Micros", za0004)
+					return
+				}
+			}
+		case "inv":
+			z.Invalid, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Invalid")
+				return
+			}
+		case "late":
+			z.Late, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		case "pan":
+			z.Panics, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Panics")
+				return
+			}
+		case "skip":
+			z.Skipped, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Skipped")
+				return
+			}
+		case "trip":
+			z.Tripped, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tripped")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Comparison) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 15
+	// write "act"
+	err = en.Append(0x8f, 0xa3, 0x61, 0x63, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Active)
+	if err != nil {
+		err = msgp.WrapError(err, "Active")
+		return
+	}
+	// write "cand"
+	err = en.Append(0xa4, 0x63, 0x61, 0x6e, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Candidate)
+	if err != nil {
+		err = msgp.WrapError(err, "Candidate")
+		return
+	}
+	// write "mode"
+	err = en.Append(0xa4, 0x6d, 0x6f, 0x64, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Mode)
+	if err != nil {
+		err = msgp.WrapError(err, "Mode")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Picks)
+	if err != nil {
+		err = msgp.WrapError(err, "Picks")
+		return
+	}
+	// write "cmp"
+	err = en.Append(0xa3, 0x63, 0x6d, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Compared)
+	if err != nil {
+		err = msgp.WrapError(err, "Compared")
+		return
+	}
+	// write "same"
+	err = en.Append(0xa4, 0x73, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Same)
+	if err != nil {
+		err = msgp.WrapError(err, "Same")
+		return
+	}
+	// write "load"
+	err = en.Append(0xa4, 0x6c, 0x6f, 0x61, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(2))
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
+	for za0001 := range z.Load {
+		err = en.WriteInt64(z.Load[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Load", za0001)
+			return
+		}
+	}
+	// write "srv"
+	err = en.Append(0xa3, 0x73, 0x72, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(2))
+	if err != nil {
+		err = msgp.WrapError(err, "Served")
+		return
+	}
+	for za0002 := range z.Served {
+		err = en.WriteInt64(z.Served[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Served", za0002)
+			return
+		}
+	}
+	// write "fail"
+	err = en.Append(0xa4, 0x66, 0x61, 0x69, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(2))
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
+	for za0003 := range z.Failed {
+		err = en.WriteInt64(z.Failed[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Failed", za0003)
+			return
+		}
+	}
+	// write "p95"
+	err = en.Append(0xa3, 0x70, 0x39, 0x35)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(2))
+	if err != nil {
+		err = msgp.WrapError(err, "FirstP95Micros")
+		return
+	}
+	for za0004 := range z.FirstP95Micros {
+		err = en.WriteInt64(z.FirstP95Micros[za0004])
+		if err != nil {
+			err = msgp.WrapError(err, "FirstP95Micros", za0004)
+			return
+		}
+	}
+	// write "inv"
+	err = en.Append(0xa3, 0x69, 0x6e, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Invalid)
+	if err != nil {
+		err = msgp.WrapError(err, "Invalid")
+		return
+	}
+	// write "late"
+	err = en.Append(0xa4, 0x6c, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Late)
+	if err != nil {
+		err = msgp.WrapError(err, "Late")
+		return
+	}
+	// write "pan"
+	err = en.Append(0xa3, 0x70, 0x61, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Panics)
+	if err != nil {
+		err = msgp.WrapError(err, "Panics")
+		return
+	}
+	// write "skip"
+	err = en.Append(0xa4, 0x73, 0x6b, 0x69, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Skipped)
+	if err != nil {
+		err = msgp.WrapError(err, "Skipped")
+		return
+	}
+	// write "trip"
+	err = en.Append(0xa4, 0x74, 0x72, 0x69, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tripped)
+	if err != nil {
+		err = msgp.WrapError(err, "Tripped")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Comparison) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 15
+	// string "act"
+	o = append(o, 0x8f, 0xa3, 0x61, 0x63, 0x74)
+	o = msgp.AppendString(o, z.Active)
+	// string "cand"
+	o = append(o, 0xa4, 0x63, 0x61, 0x6e, 0x64)
+	o = msgp.AppendString(o, z.Candidate)
+	// string "mode"
+	o = append(o, 0xa4, 0x6d, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Mode)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Picks)
+	// string "cmp"
+	o = append(o, 0xa3, 0x63, 0x6d, 0x70)
+	o = msgp.AppendInt64(o, z.Compared)
+	// string "same"
+	o = append(o, 0xa4, 0x73, 0x61, 0x6d, 0x65)
+	o = msgp.AppendInt64(o, z.Same)
+	// string "load"
+	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(2))
+	for za0001 := range z.Load {
+		o = msgp.AppendInt64(o, z.Load[za0001])
+	}
+	// string "srv"
+	o = append(o, 0xa3, 0x73, 0x72, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(2))
+	for za0002 := range z.Served {
+		o = msgp.AppendInt64(o, z.Served[za0002])
+	}
+	// string "fail"
+	o = append(o, 0xa4, 0x66, 0x61, 0x69, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(2))
+	for za0003 := range z.Failed {
+		o = msgp.AppendInt64(o, z.Failed[za0003])
+	}
+	// string "p95"
+	o = append(o, 0xa3, 0x70, 0x39, 0x35)
+	o = msgp.AppendArrayHeader(o, uint32(2))
+	for za0004 := range z.FirstP95Micros {
+		o = msgp.AppendInt64(o, z.FirstP95Micros[za0004])
+	}
+	// string "inv"
+	o = append(o, 0xa3, 0x69, 0x6e, 0x76)
+	o = msgp.AppendInt64(o, z.Invalid)
+	// string "late"
+	o = append(o, 0xa4, 0x6c, 0x61, 0x74, 0x65)
+	o = msgp.AppendInt64(o, z.Late)
+	// string "pan"
+	o = append(o, 0xa3, 0x70, 0x61, 0x6e)
+	o = msgp.AppendInt64(o, z.Panics)
+	// string "skip"
+	o = append(o, 0xa4, 0x73, 0x6b, 0x69, 0x70)
+	o = msgp.AppendInt64(o, z.Skipped)
+	// string "trip"
+	o = append(o, 0xa4, 0x74, 0x72, 0x69, 0x70)
+	o = msgp.AppendString(o, z.Tripped)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Comparison) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "act":
+			z.Active, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+		case "cand":
+			z.Candidate, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Candidate")
+				return
+			}
+		case "mode":
+			z.Mode, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Mode")
+				return
+			}
+		case "n":
+			z.Picks, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Picks")
+				return
+			}
+		case "cmp":
+			z.Compared, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Compared")
+				return
+			}
+		case "same":
+			z.Same, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Same")
+				return
+			}
+		case "load":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+			if zb0002 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0002}
+				return
+			}
+			for za0001 := range z.Load {
+				z.Load[za0001], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0001)
+					return
+				}
+			}
+		case "srv":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Served")
+				return
+			}
+			if zb0003 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0003}
+				return
+			}
+			for za0002 := range z.Served {
+				z.Served[za0002], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Served", za0002)
+					return
+				}
+			}
+		case "fail":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+			if zb0004 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0004}
+				return
+			}
+			for za0003 := range z.Failed {
+				z.Failed[za0003], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Failed", za0003)
+					return
+				}
+			}
+		case "p95":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstP95Micros")
+				return
+			}
+			if zb0005 != uint32(2) {
+				err = msgp.ArrayError{Wanted: uint32(2), Got: zb0005}
+				return
+			}
+			for za0004 := range z.FirstP95Micros {
+				z.FirstP95Micros[za0004], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FirstP95Micros", za0004)
+					return
+				}
+			}
+		case "inv":
+			z.Invalid, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Invalid")
+				return
+			}
+		case "late":
+			z.Late, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		case "pan":
+			z.Panics, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Panics")
+				return
+			}
+		case "skip":
+			z.Skipped, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Skipped")
+				return
+			}
+		case "trip":
+			z.Tripped, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tripped")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Comparison) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Active) + 5 + msgp.StringPrefixSize + len(z.Candidate) + 5 + msgp.StringPrefixSize + len(z.Mode) + 2 + msgp.Int64Size + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize + (2 * (msgp.Int64Size)) + 4 + msgp.ArrayHeaderSize + (2 * (msgp.Int64Size)) + 5 + msgp.ArrayHeaderSize + (2 * (msgp.Int64Size)) + 4 + msgp.ArrayHeaderSize + (2 * (msgp.Int64Size)) + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Tripped)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Config) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -5555,6 +6152,24 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "cmp":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Comparison")
+					return
+				}
+				z.Comparison = nil
+			} else {
+				if z.Comparison == nil {
+					z.Comparison = new(Comparison)
+				}
+				err = z.Comparison.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Comparison")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5568,86 +6183,121 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Status) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "q"
-	err = en.Append(0x88, 0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "inst"
-	err = en.Append(0xa4, 0x69, 0x6e, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Instance)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	// write "dc"
-	err = en.Append(0xa2, 0x64, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.DataCentre)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
-	}
-	// write "role"
-	err = en.Append(0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(uint8(z.Role))
-	if err != nil {
-		err = msgp.WrapError(err, "Role")
-		return
-	}
-	// write "cfg"
-	err = en.Append(0xa3, 0x63, 0x66, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ConfigOffset)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
-		return
-	}
-	// write "ver"
-	err = en.Append(0xa3, 0x76, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ConfigVersion)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigVersion")
-		return
-	}
-	// write "cur"
-	err = en.Append(0xa3, 0x63, 0x75, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Current)
-	if err != nil {
-		err = msgp.WrapError(err, "Current")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Comparison == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	// write "leav"
-	err = en.Append(0xa4, 0x6c, 0x65, 0x61, 0x76)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Seq")
+			return
+		}
+		// write "inst"
+		err = en.Append(0xa4, 0x69, 0x6e, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Instance)
+		if err != nil {
+			err = msgp.WrapError(err, "Instance")
+			return
+		}
+		// write "dc"
+		err = en.Append(0xa2, 0x64, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.DataCentre)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentre")
+			return
+		}
+		// write "role"
+		err = en.Append(0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(uint8(z.Role))
+		if err != nil {
+			err = msgp.WrapError(err, "Role")
+			return
+		}
+		// write "cfg"
+		err = en.Append(0xa3, 0x63, 0x66, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ConfigOffset)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigOffset")
+			return
+		}
+		// write "ver"
+		err = en.Append(0xa3, 0x76, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.ConfigVersion)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigVersion")
+			return
+		}
+		// write "cur"
+		err = en.Append(0xa3, 0x63, 0x75, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Current)
+		if err != nil {
+			err = msgp.WrapError(err, "Current")
+			return
+		}
+		// write "leav"
+		err = en.Append(0xa4, 0x6c, 0x65, 0x61, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Leaving)
+		if err != nil {
+			err = msgp.WrapError(err, "Leaving")
+			return
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "cmp"
+			err = en.Append(0xa3, 0x63, 0x6d, 0x70)
+			if err != nil {
+				return
+			}
+			if z.Comparison == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Comparison.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Comparison")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -5655,31 +6305,57 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "q"
-	o = append(o, 0x88, 0xa1, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "inst"
-	o = append(o, 0xa4, 0x69, 0x6e, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Instance)
-	// string "dc"
-	o = append(o, 0xa2, 0x64, 0x63)
-	o = msgp.AppendString(o, z.DataCentre)
-	// string "role"
-	o = append(o, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendUint8(o, uint8(z.Role))
-	// string "cfg"
-	o = append(o, 0xa3, 0x63, 0x66, 0x67)
-	o = msgp.AppendInt64(o, z.ConfigOffset)
-	// string "ver"
-	o = append(o, 0xa3, 0x76, 0x65, 0x72)
-	o = msgp.AppendUint64(o, z.ConfigVersion)
-	// string "cur"
-	o = append(o, 0xa3, 0x63, 0x75, 0x72)
-	o = msgp.AppendBool(o, z.Current)
-	// string "leav"
-	o = append(o, 0xa4, 0x6c, 0x65, 0x61, 0x76)
-	o = msgp.AppendBool(o, z.Leaving)
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Comparison == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "inst"
+		o = append(o, 0xa4, 0x69, 0x6e, 0x73, 0x74)
+		o = msgp.AppendString(o, z.Instance)
+		// string "dc"
+		o = append(o, 0xa2, 0x64, 0x63)
+		o = msgp.AppendString(o, z.DataCentre)
+		// string "role"
+		o = append(o, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		o = msgp.AppendUint8(o, uint8(z.Role))
+		// string "cfg"
+		o = append(o, 0xa3, 0x63, 0x66, 0x67)
+		o = msgp.AppendInt64(o, z.ConfigOffset)
+		// string "ver"
+		o = append(o, 0xa3, 0x76, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.ConfigVersion)
+		// string "cur"
+		o = append(o, 0xa3, 0x63, 0x75, 0x72)
+		o = msgp.AppendBool(o, z.Current)
+		// string "leav"
+		o = append(o, 0xa4, 0x6c, 0x65, 0x61, 0x76)
+		o = msgp.AppendBool(o, z.Leaving)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "cmp"
+			o = append(o, 0xa3, 0x63, 0x6d, 0x70)
+			if z.Comparison == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Comparison.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Comparison")
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
@@ -5757,6 +6433,23 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "cmp":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Comparison = nil
+			} else {
+				if z.Comparison == nil {
+					z.Comparison = new(Comparison)
+				}
+				bts, err = z.Comparison.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Comparison")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5771,7 +6464,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Status) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Instance) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 5 + msgp.Uint8Size + 4 + msgp.Int64Size + 4 + msgp.Uint64Size + 4 + msgp.BoolSize + 5 + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Instance) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 5 + msgp.Uint8Size + 4 + msgp.Int64Size + 4 + msgp.Uint64Size + 4 + msgp.BoolSize + 5 + msgp.BoolSize + 4
+	if z.Comparison == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Comparison.Msgsize()
+	}
 	return
 }
 
