--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -12,6 +12,7 @@
 	Callers int
 	Count   int  // calls of each caller; 0: endless
 	Again   bool // a refused call is made again and doesn't count
+	Resend  bool // a call that isn't whole is sent again with its key, up to maxSends times
 	Call    Call // made by all; Key "new" stands for a new key each time
 }
 
@@ -31,9 +32,13 @@
 	ended   int
 	bad     []Result // the first ones that are neither whole nor refused
 	results []Result // the first ones
+	refused []string // keys that were sent once and answered "not run"
 }
 
-const maxKeptResults = 64
+const (
+	maxKeptResults = 64
+	maxSends       = 30
+)
 
 // StartLoad starts callers.
 func (w *World) StartLoad(name string, opts LoadOptions) *Load {
@@ -48,6 +53,7 @@
 
 // run makes one caller's calls.
 func (l *Load) run(ctx context.Context, caller int) {
+	key, sends := "", 0
 	for turn, made := caller, 0; l.opts.Count == 0 || made < l.opts.Count; turn++ {
 		select {
 		case <-l.stop:
@@ -57,11 +63,22 @@
 		c := l.opts.Call
 		c.Turn = turn
 		if c.Key == "new" {
-			c.Key = newKey()
+			if key == "" {
+				key = newKey()
+			}
+			c.Key = key
 		}
 		l.begin()
 		result := l.world.Do(ctx, c)
 		l.end(result)
+		if result.Outcome == Refused && !l.opts.Resend {
+			l.refuse(c.Key)
+		}
+		sends++
+		if l.opts.Resend && result.Outcome != Whole && sends < maxSends {
+			continue
+		}
+		key, sends = "", 0
 		if result.Outcome != Refused || !l.opts.Again {
 			made++
 		}
@@ -90,6 +107,24 @@
 	}
 }
 
+// refuse notes the key of a call that was answered "not run" and isn't sent again.
+func (l *Load) refuse(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = append(l.refused, key)
+}
+
+// refusedRan returns how many of the calls that were answered "not run" ran.
+func (l *Load) refusedRan(byKey map[string]int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ran := 0
+	for _, key := range l.refused {
+		ran += byKey[key]
+	}
+	return ran
+}
+
 // finish makes no new calls and waits for those in flight.
 func (l *Load) finish() {
 	l.once.Do(func() { close(l.stop) })
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -298,6 +298,7 @@
 	f.IntVar(&opts.Callers, "callers", 1, "")
 	f.IntVar(&opts.Count, "count", 0, "")
 	f.BoolVar(&opts.Again, "again", false, "")
+	f.BoolVar(&opts.Resend, "resend", false, "")
 	f.IntVar(&c.Tokens, "tokens", 40, "")
 	f.IntVar(&c.Leave, "leave", 0, "")
 	f.StringVar(&c.Key, "key", "", "")
