Claims: any entry can ask about any claim; answers are kept without a receiver

An entry without a link to the side that a claim names could only answer may have run at its deadline, and an answer above 256 KiB whose receiver was gone blocked until the run's time limit. TestLinkOnDemand tests new code.

--- a/entry/once.go
+++ b/entry/once.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/claim"
+	"marjorampitch/platform"
 	"marjorampitch/wire"
 )
 
@@ -179,10 +181,23 @@
 	}
 }
 
-// link returns the link to a side process, or nil.
+// link returns the link to a side process. One that is not among this entry's
+// own is dialled, so that any entry can ask about any claim; it lasts until the
+// document or the instance list changes. The result is nil for a name that is
+// not on the list.
 func (t *table) link(name string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if l := t.links[name]; l != nil {
+		return l
+	}
+	i := slices.IndexFunc(t.instances, func(in platform.Instance) bool {
+		return in.Name == name && in.Role == listRoleSide
+	})
+	if i < 0 {
+		return nil
+	}
+	t.start(t.ctx, t.instances[i])
 	return t.links[name]
 }
 
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -15,6 +15,7 @@
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
+	"marjorampitch/platform"
 	"marjorampitch/wire"
 )
 
@@ -50,11 +51,11 @@
 	return nil
 }
 
-// A request whose answer broke off has run, whatever is said of its resume.
-func TestRefusedResumeIsNotNotRun(t *testing.T) {
+// breakingSide starts one and returns its address.
+func breakingSide(t *testing.T) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
+	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
 			nc, err := ln.Accept()
@@ -64,9 +65,29 @@
 			wire.Accept(nc, wire.Hello{Role: wire.RoleSide, Instance: "s1", Incarnation: "i1"}, breaking{}, breaking{})
 		}
 	}()
+	return ln.Addr().String()
+}
+
+// A claim may name a side process that this entry has no link to.
+func TestLinkOnDemand(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	table := newTable("n1", node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{}), log.New(io.Discard))
+	list := []platform.Instance{{Name: "s1", Address: breakingSide(t), Role: listRoleSide}}
+	table.update(ctx, &logfold.InForce{Doc: &config.Document{}}, list)
+	require.Empty(t, table.links)
+	require.Nil(t, table.link("s2"))
+	l := table.link("s1")
+	require.NotNil(t, l)
+	require.Eventually(t, func() bool { return l.incarnation() == "i1" }, 10*time.Second, time.Millisecond)
+	require.Same(t, l, table.link("s1"))
+}
+
+// A request whose answer broke off has run, whatever is said of its resume.
+func TestRefusedResumeIsNotNotRun(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	l := newLink("s1", ln.Addr().String(), "", node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{}), log.New(io.Discard))
+	l := newLink("s1", breakingSide(t), "", node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{}), log.New(io.Discard))
 	go l.run(ctx)
 	require.Eventually(t, func() bool { return l.incarnation() != "" }, 10*time.Second, time.Millisecond)
 	r := &run{
--- a/entry/table.go
+++ b/entry/table.go
@@ -37,6 +37,7 @@
 	log  *log.Logger
 
 	mu        sync.Mutex
+	ctx       context.Context // of the links
 	links     map[string]*link
 	instances []platform.Instance
 	doc       *logfold.InForce
@@ -73,6 +74,7 @@
 	if doc == nil || (doc == t.doc && slices.Equal(instances, t.instances)) {
 		return
 	}
+	t.ctx = ctx
 	t.doc = doc
 	t.instances = instances
 	wanted := t.wanted(doc.Doc, instances)
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -69,7 +69,7 @@
 func (a *attempt) add(ctx context.Context, data []byte) error {
 	for {
 		a.mu.Lock()
-		if a.unsent < maxUnsentBytes {
+		if a.unsent < a.maxUnsent() {
 			a.append(data)
 			a.mu.Unlock()
 			return nil
@@ -84,6 +84,15 @@
 	}
 }
 
+// maxUnsent bounds the unsent answer. That of a call that may not repeat is
+// read to its end without a receiver, since it is kept for its key.
+func (a *attempt) maxUnsent() int {
+	if a.req.Idempotent {
+		return maxUnsentBytes
+	}
+	return maxKeptBytes
+}
+
 // append stores a chunk and forgets the oldest sent ones. The caller holds mu.
 func (a *attempt) append(data []byte) {
 	a.chunks = append(a.chunks, data)
