--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -1,14 +1,19 @@
 package claim
 
 import (
+	"context"
+	"io"
 	"runtime"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
 	"marjorampitch/platform"
+	"marjorampitch/platform/platformtest"
 	"marjorampitch/wire"
 )
 
@@ -132,3 +137,32 @@
 }
 
 func benchPick(*api.Error) (Target, *api.Error) { return Target{Side: "s", Incarnation: "i"}, nil }
+
+// BenchmarkDo makes whole calls through one Client against a log in memory
+// that refuses nothing, many at once.
+func BenchmarkDo(b *testing.B) {
+	service := platformtest.NewLog(platformtest.WithAppendRate(0))
+	c := NewClient(Options{
+		Service: "svc", Claimant: "e", Log: service, Transport: &wires{plant: newPlant()},
+		Logger: log.New(io.Discard), Tuning: DefaultTuning(),
+	})
+	defer c.Close(context.Background())
+	time.Sleep(100 * time.Millisecond)
+	plant := c.opt.Transport.(*wires).plant
+	b.SetParallelism(100)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, err := c.Do(context.Background(), Request{
+				Key: uuid.Must(uuid.NewV7()).String(), Message: wire.Request{Fingerprint: 7},
+				Deadline: time.Now().Add(time.Minute), MaxAge: time.Hour,
+				Pick: func(*api.Error) (Target, *api.Error) { return plant.target("s0"), nil },
+			})
+			if err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(service.Appends())/float64(b.N), "appends/op")
+}
