--- a/claim/exhaustive_test.go
+++ b/claim/exhaustive_test.go
@@ -125,27 +125,38 @@
 		num(-3)
 		b = append(b, data...)
 	}
+	b = append(b, w.entryStates()...)
+	for _, s := range w.sides {
+		num(-6, int64(s.life))
+		for _, slot := range s.keys.slots {
+			num(int64(slot.state), slot.offset)
+		}
+	}
+	return string(append(b, w.labels()...))
+}
+
+// entryStates describes the entries and their calls.
+func (w *world) entryStates() []byte {
+	var b []byte
 	for _, e := range w.entries {
-		num(-4, int64(e.life), int64(e.table.End()), int64(e.nonce))
+		b = fmt.Append(b, "|", e.life, e.table.End(), e.nonce)
 		for _, q := range e.queue {
 			b = append(b, q.data...)
 		}
 		for _, c := range e.calls {
-			num(-5, int64(c.att.id))
-			b = append(b, callState(c.Call)...)
+			b = fmt.Append(b, "|", c.att.id, callState(c.Call))
 		}
 	}
-	for _, s := range w.sides {
-		num(-6, int64(s.life))
-		for _, slot := range s.keys.slots {
-			num(int64(slot.state), slot.offset)
-		}
-	}
-	var labels [][]byte
+	return b
+}
+
+// labels describes what is in flight.
+func (w *world) labels() []byte {
+	var list [][]byte
 	for _, it := range w.bag {
-		labels = append(labels, []byte(it.label))
+		list = append(list, []byte(it.label))
 	}
-	return string(append(b, bytes.Join(sorted(labels), nil)...))
+	return bytes.Join(sorted(list), nil)
 }
 
 func sorted(list [][]byte) [][]byte {
