Claims: outcomes are owed for ten minutes, and flushed by a graceful stop

Cause: an outage longer than ten seconds lost the outcome record, and a stop dropped what was queued; later tries then depended on the side's memory.

--- a/claim/client.go
+++ b/claim/client.go
@@ -23,6 +23,7 @@
 	appendsPerSec = 40   // appends a second of one entry, over all partitions
 	appendBurst   = 20   // appends at once after a pause
 	queryTimeout  = 2 * time.Second
+	flushLimit    = 5 * time.Second // for records still owed when a Client is closed
 	maxKeySkew    = time.Minute
 )
 
@@ -80,6 +81,7 @@
 	cancel  context.CancelFunc
 	closed  atomic.Bool
 	running sync.WaitGroup // calls under way
+	owed    sync.WaitGroup // outcomes and releases that are not stored yet
 }
 
 // NewClient returns a Client that reads the claim streams until Close.
@@ -100,18 +102,32 @@
 	return c
 }
 
-// Close refuses new calls, waits until those under way are done, or ctx ends,
-// and stops reading.
+// Close refuses new calls, waits until those under way are done and, at most
+// flushLimit, until their outcomes and releases are recorded, or ctx ends; then
+// it stops reading. Error: that of ctx.
 func (c *Client) Close(ctx context.Context) error {
 	defer c.cancel()
 	c.closed.Store(true)
-	idle := make(chan struct{})
+	if err := wait(ctx, &c.running); err != nil {
+		return err
+	}
+	flush, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	if wait(flush, &c.owed) != nil {
+		c.opt.Logger.Warn("claim-records-not-stored")
+	}
+	return ctx.Err()
+}
+
+// wait waits for group or the end of ctx, whose error it then returns.
+func wait(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
 	go func() {
-		c.running.Wait()
-		close(idle)
+		group.Wait()
+		close(done)
 	}()
 	select {
-	case <-idle:
+	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -227,6 +227,27 @@
 	})
 }
 
+// An entry that stops gracefully records the outcomes it still owes.
+func TestClientCloseRecordsOutcomes(t *testing.T) {
+	inBench(t, func(b *bench) {
+		w := &wires{plant: b.plant, send: func(to Target, m *wire.Request) Sent {
+			b.log.SetFaults(platformtest.LogFaults{Outage: platformtest.OutageRefuse})
+			return b.plant.run(to, m)
+		}}
+		c := b.client("e1", w)
+		key := newKey()
+		_, err := b.call(c, key)
+		require.Nil(t, err)
+		time.AfterFunc(2*time.Second, func() { b.log.SetFaults(platformtest.LogFaults{}) })
+		require.NoError(t, c.Close(context.Background()))
+		b.plant.restart("s0")
+		time.Sleep(2 * time.Second)
+		res, err := b.call(b.plain("e2"), key)
+		require.Nil(t, err)
+		require.True(t, res.Replayed)
+	})
+}
+
 // A claimant pauses for longer than every timeout before it sends; a retry
 // through another entry runs the call; then the claimant goes on.
 func TestClientPausedClaimant(t *testing.T) {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -20,8 +20,8 @@
 	batchDelay   = 2 * time.Millisecond   // time in which appends of several calls gather
 	batchRecords = 2048                   // records in one append
 	maxPending   = 8192                   // records waiting to be appended
-	recordTries  = 20                     // appends of a record that may be repeated
-	appendRetry  = 500 * time.Millisecond // before such a record is appended again
+	recordTries  = 600                    // appends of a record that may be repeated
+	appendRetry  = time.Second            // before such a record is appended again
 	appendLimit  = 5 * time.Second        // for one append
 )
 
@@ -30,9 +30,13 @@
 	data  []byte
 	tries int             // appends left; 1 for a record that must not be repeated
 	done  func(err error) // nil, or called once at the end; it must not block
+	owed  *sync.WaitGroup // nil, or counts the record until its end
 }
 
 func (p *pending) finish(err error) {
+	if p.owed != nil {
+		p.owed.Done()
+	}
 	if p.done != nil {
 		p.done(err)
 	}
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -106,10 +106,9 @@
 	case AppendClaim:
 		r.appendClaim(a.Claim)
 	case AppendRelease:
-		r.part.append(&pending{data: encode(a.Release), tries: recordTries})
+		r.owe(a.Release, nil)
 	case AppendOutcome:
-		done := func(error) { r.box.put(OutcomeDone{}) }
-		r.part.append(&pending{data: encode(a.Outcome), tries: recordTries, done: done})
+		r.owe(a.Outcome, func(error) { r.box.put(OutcomeDone{}) })
 	case Pad:
 		r.part.pad(a.Until)
 	case Send:
@@ -125,6 +124,13 @@
 	}
 }
 
+// owe appends a record that may be repeated, as often as it takes.
+func (r *runner) owe(rec record, done func(error)) {
+	owed := &r.client.owed
+	owed.Add(1)
+	r.part.append(&pending{data: encode(rec), tries: recordTries, done: done, owed: owed})
+}
+
 func (r *runner) appendClaim(c *Claim) {
 	r.part.append(&pending{data: encode(c), tries: 1, done: func(err error) {
 		switch {
