Fair shares: a job that has waited 250 ms keeps its place

Cause: displaced calls were refused after up to seconds; refusals are to come at once. Tried: 50, 100, 250 ms and no bound.

--- a/admit/fairshare.go
+++ b/admit/fairshare.go
@@ -14,6 +14,8 @@
 	// burstAllowance is how far, in jobs, an organisation may run ahead of its
 	// share and still have its live calls served before the rest.
 	burstAllowance = 4.0
+	// maxHeld is the longest time that a job has waited when a live call takes its place.
+	maxHeld = 250 * time.Millisecond
 	// smoothing is the weight of a new sample in the mean service time.
 	smoothing = 0.1
 	// firstService stands in for the mean service time until a job has finished.
@@ -27,6 +29,8 @@
 	Weight       int // Organisation.Weight; at least 1
 	Priority     api.Priority
 	Deadline     time.Duration // when the whole answer must be there
+
+	offered time.Duration
 }
 
 // Refusal is the final answer to a job that does not run.
@@ -92,6 +96,7 @@
 		f.waiting = append(f.waiting, s)
 		s.tag = max(s.tag, f.virtual)
 	}
+	job.offered = now
 	p := min(job.Priority, api.NumPriorities-1)
 	s.queues[p] = append(s.queues[p], job)
 	s.queued++
@@ -151,11 +156,11 @@
 }
 
 // evict refuses the organisation's last queued job of a lower priority than p
-// to make room; false when there is none.
+// to make room, if it has not waited long; false when there is none.
 func (f *FairShare) evict(now time.Duration, s *share, p api.Priority, limit int) bool {
 	for q := api.NumPriorities - 1; q > p; q-- {
 		last := len(s.queues[q]) - 1
-		if last < 0 {
+		if last < 0 || now-s.queues[q][last].offered > maxHeld {
 			continue
 		}
 		err := api.NewError(api.ShareExceeded, "a call of higher priority took the place in the queue")
