--- a/admit/quarantine_test.go
+++ b/admit/quarantine_test.go
@@ -14,6 +14,7 @@
 
 const (
 	crashSteps     = 3000
+	crashPatience  = 100 // steps between looks at whether the callers have their answers
 	crashInnocents = 24
 )
 
@@ -29,6 +30,9 @@
 	w.calm = true
 	clear(w.served)
 	w.run(crashSteps / 2)
+	for steps := 0; w.refused < callers && steps < crashSteps; steps += crashPatience {
+		w.run(crashPatience)
+	}
 }
 
 // check is the oracle: crashed servers against the bound, and innocents served.
