Entry: a request that is to run alone goes to its one server

Cause: attempts of a suspected request were picked like any other, so entries tried it at several servers. Change: Server.pick uses route.Trial for it, and makes no further attempt at another server.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -194,8 +194,17 @@
 	return &e
 }
 
-// pick chooses a backend server that is not in tried.
+// pick chooses a backend server that is not in tried. A request that is to run
+// alone has one server, which all entries name alike.
 func (s *Server) pick(c *call, tried map[string]bool) (*link, bool) {
+	if c.alone {
+		candidates, rows := s.table.candidates(c, nil)
+		i, ok := route.Trial(c.fingerprint, candidates)
+		if !ok || tried[candidates[i].Name] {
+			return nil, false
+		}
+		return rows[i].link, true
+	}
 	candidates, rows := s.table.candidates(c, tried)
 	req := route.Request{
 		Organisation: c.organisation,
