ColdStart: a plain service grows out of cold start; changed limits in the fuzz

Cause: the side applies the document at every poll, and Reconfigure reset the limit while cold, which a service without reports is until it has grown: such a service stayed at cold-start for ever (TestPlainServiceGrows red: 2, wanted 16).

--- a/admit/coldstart.go
+++ b/admit/coldstart.go
@@ -291,7 +291,7 @@
 		return
 	}
 	c.limit = min(c.cfg.Warm, max(c.limit+1, int(float64(c.limit)*growth)))
-	c.cold = c.cold && c.limit < c.cfg.Warm
+	c.cold = false
 	c.proofs = 0
 	c.reached = false
 }
--- a/admit/coldstart_test.go
+++ b/admit/coldstart_test.go
@@ -34,7 +34,7 @@
 		w.calm = true
 		w.engine.cold = false
 		require.NoError(t, w.run(coldSteps))
-		require.Equal(t, worldWarm, w.side.Limit(w.now), "the limit grows again: %+v", w.side)
+		require.Equal(t, w.cfg.Warm, w.side.Limit(w.now), "the limit grows again: %+v", w.side)
 	})
 	t.Log("faults", faults, "steps per case", 2*coldSteps)
 }
@@ -63,7 +63,7 @@
 	}
 	for name, mutant := range mutants {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(400) {
+			for seed := range uint64(4000) {
 				w := newColdWorld(rand.New(rand.NewPCG(seed, 2)).IntN)
 				mutant(w)
 				if err := w.run(coldSteps); err != nil {
@@ -79,3 +79,27 @@
 		require.NoError(t, w.run(coldSteps), "seed %d", seed)
 	}
 }
+
+// TestPlainServiceGrows checks that a service without reports leaves cold start
+// on its completed requests, also while the same document is applied again.
+func TestPlainServiceGrows(t *testing.T) {
+	c := NewColdStart(ColdConfig{Cold: 2, Warm: 16, Settle: time.Second}, 0)
+	now := 2 * time.Second
+	for range 50 {
+		var running []Ticket
+		for ticket, err := c.Admit(now, false); err == nil; ticket, err = c.Admit(now, false) {
+			running = append(running, ticket)
+		}
+		for _, ticket := range running {
+			c.Finish(ticket, now, true)
+		}
+		now += 100 * time.Millisecond
+		c.Reconfigure(2, 16)
+	}
+	require.Equal(t, 16, c.Limit(now))
+	require.False(t, c.Cold(now))
+	c.Reconfigure(1, 8)
+	require.Equal(t, 8, c.Limit(now))
+	c.Crash(now)
+	require.Equal(t, 1, c.Limit(now))
+}
--- a/admit/coldworld_test.go
+++ b/admit/coldworld_test.go
@@ -38,25 +38,28 @@
 // coldWorld is one engine, its side process, eight entries at full load, and
 // an adversary that draws every delay and fault.
 type coldWorld struct {
-	draw   func(n int) int // 0..n-1
-	mutate func(c *ColdStart, now time.Duration)
-	blind  bool // mutant: reports never say cold
-	mute   bool // the engine never says that it is cold; it warms up by completing requests
-	rarity int  // one step in this many times 60 has a given fault
-	deaf   bool // mutant: a new incarnation goes unnoticed
-	now    time.Duration
-	events []event
-	engine coldEngine
-	side   *ColdStart
-	life   int // incarnation of the side process
-	nextID int
-	live   map[int]Ticket // in flight as the side believes
-	faults map[string]int
-	calm   bool
-	idle   bool          // the entries send nothing for a while
-	asked  time.Duration // when the engine was last asked for its report
-	silent time.Duration // until then no report arrives
-	failed error
+	draw    func(n int) int // 0..n-1
+	mutate  func(c *ColdStart, now time.Duration)
+	blind   bool // mutant: reports never say cold
+	mute    bool // the engine never says that it is cold; it warms up by completing requests
+	rarity  int  // one step in this many times 60 has a given fault
+	deaf    bool // mutant: a new incarnation goes unnoticed
+	now     time.Duration
+	events  []event
+	engine  coldEngine
+	side    *ColdStart
+	life    int // incarnation of the side process
+	nextID  int
+	live    map[int]Ticket // in flight as the side believes
+	faults  map[string]int
+	calm    bool
+	idle    bool          // the entries send nothing for a while
+	cfg     ColdConfig    // in force
+	before  ColdConfig    // in force until changed
+	changed time.Duration // when the document last changed
+	asked   time.Duration // when the engine was last asked for its report
+	silent  time.Duration // until then no report arrives
+	failed  error
 }
 
 type event struct {
@@ -69,7 +72,8 @@
 	w.mute = draw(4) == 0
 	w.rarity = []int{1, 4, 12}[draw(3)]
 	w.engine = coldEngine{cold: true, restarted: true, running: map[int]bool{}}
-	w.side = NewColdStart(worldConfig(), 0)
+	w.cfg = worldConfig()
+	w.side = NewColdStart(w.cfg, 0)
 	return w
 }
 
@@ -101,7 +105,11 @@
 	e.running[id] = true
 	n := len(e.running)
 	bound := e.cold && (e.restarted || w.now > e.since+worldWindow)
-	if bound && n > worldCold || n > worldWarm {
+	cold, warm := w.cfg.Cold, w.cfg.Warm
+	if w.now <= w.changed+worldSettle {
+		cold, warm = max(cold, w.before.Cold), max(warm, w.before.Warm)
+	}
+	if bound && n > cold || n > warm {
 		w.failed = fmt.Errorf("at %v the engine runs %d (cold %v since %v)", w.now, n, e.cold, e.since)
 	}
 	return true
@@ -141,7 +149,7 @@
 // completed warms an engine up that does not tell.
 func (w *coldWorld) completed() {
 	w.engine.completed++
-	if w.mute && w.engine.completed >= worldCold {
+	if w.mute && w.engine.completed >= w.cfg.Cold {
 		w.engine.cold = false
 	}
 }
@@ -213,7 +221,7 @@
 	w.faults["side restarted"]++
 	w.life++
 	w.live = map[int]Ticket{}
-	w.side = NewColdStart(worldConfig(), w.now)
+	w.side = NewColdStart(w.cfg, w.now)
 }
 
 // abandon gives up one request; the engine goes on with it for a while.
@@ -245,6 +253,8 @@
 		w.silent = w.now + time.Duration(w.draw(10000))*time.Millisecond
 	case 6, 7:
 		w.idle = !w.idle
+	case 8:
+		w.reconfigure()
 	}
 	if !w.mute && w.engine.cold && w.draw(15*w.rarity) == 0 {
 		w.engine.cold = false
@@ -276,6 +286,19 @@
 	}
 }
 
+// reconfigure publishes other limits. Lower ones let what runs end, and admit
+// no more meanwhile.
+func (w *coldWorld) reconfigure() {
+	if w.now <= w.changed+worldSettle || len(w.live) > 0 {
+		return
+	}
+	w.faults["limits changed"]++
+	w.before, w.changed = w.cfg, w.now
+	w.cfg.Cold = 1 + w.draw(worldCold)
+	w.cfg.Warm = worldCold + w.draw(worldWarm-worldCold+1)
+	w.side.Reconfigure(w.cfg.Cold, w.cfg.Warm)
+}
+
 func (w *coldWorld) record() {
 	e := &w.engine
 	w.engine.history = append(e.history, snapshot{w.now, platform.EngineReport{
