--- a/placement/pack/bench_test.go
+++ b/placement/pack/bench_test.go
@@ -42,12 +42,13 @@
 	}
 	data, _ := m.MarshalMsg(nil)
 	b.ReportAllocs()
-	b.ReportMetric(float64(len(data)), "map-B/layer")
 	for b.Loop() {
 		if _, err := (packed.Policy{}).Decide(in); err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(len(data)), "map-B/layer")
+	b.ReportMetric(float64(4*len(m.Expert)), "memory-B/layer")
 }
 
 // BenchmarkLoadReport is the cost of one load report of one layer.
