Side: an attempt is abandoned whichever sees the closed connection first

Cause: since chunks wait for room, sending on a closed connection is an error that ends the pump, and the pump then forgot the stream before Closed ran. Ruled out: the heartbeat's new interval; the log shows the loss noted at once. Change: a pump that could not finish abandons its attempt itself, unless Closed or a cancel took the stream first.

--- a/side/peer.go
+++ b/side/peer.go
@@ -192,13 +192,25 @@
 	s.streams[key] = &subscription{attempt: a, sub: sub}
 	s.mu.Unlock()
 	go func() {
-		defer stop()
-		if s.pump(ctx, a, sub) && !a.req.Streaming {
-			s.forget(a)
-		}
-		s.mu.Lock()
-		delete(s.streams, key)
-		s.mu.Unlock()
+		s.deliver(ctx, key, a, sub)
+		stop()
 	}()
 	return true
 }
+
+// deliver sends the answer of a to sub. When it cannot, because the connection
+// is closed or another receiver came, the attempt is abandoned: either this or
+// Closed may be the first to see that the connection is gone.
+func (s *Server) deliver(ctx context.Context, key streamKey, a *attempt, sub *subscriber) {
+	whole := s.pump(ctx, a, sub)
+	s.mu.Lock()
+	sn := s.streams[key]
+	delete(s.streams, key)
+	s.mu.Unlock()
+	switch {
+	case whole && !a.req.Streaming:
+		s.forget(a)
+	case !whole && sn != nil:
+		s.abandon(sn)
+	}
+}
