A request whose connection was lost is resumed also before its first chunk

Ruled out: a shorter grace at the side, which would give up streams that can be resumed. Change: Resume asks for the attempt whatever was taken of it; a side that has none says so (307), which costs no other server's turn.

--- a/api/code.go
+++ b/api/code.go
@@ -49,6 +49,7 @@
 	InProgress       Code = 304
 	Cancelled        Code = 305
 	BackendFailed    Code = 306
+	NotResumable     Code = 307
 
 	VersionMismatch Code = 401
 	BadFrame        Code = 402
@@ -110,6 +111,7 @@
 	InProgress:       {"in-progress", http.StatusConflict, MayHaveRun, 1 * time.Second, "an earlier call with this key is still running"},
 	Cancelled:        {"cancelled", 499, MayHaveRun, 0, "the caller went away"},
 	BackendFailed:    {"backend-failed", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the backend server failed while it ran the request"},
+	NotResumable:     {"not-resumable", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the side process is not at the request, or no longer keeps the wanted part of its answer"},
 
 	VersionMismatch: {"version-mismatch", http.StatusBadGateway, NotRun, 0, "two processes share no version of the inner protocol"},
 	BadFrame:        {"bad-frame", http.StatusBadGateway, NotRun, 0, "a frame of the inner protocol could not be read"},
--- a/entry/assembler.go
+++ b/entry/assembler.go
@@ -43,8 +43,7 @@
 func (a *assembler) restartable() bool { return !a.forgot && !a.diverged }
 
 // resumable reports whether the answer can go on after the last chunk taken.
-// An attempt of which nothing was taken is begun anew instead.
-func (a *assembler) resumable() bool { return a.next > 0 && !a.diverged }
+func (a *assembler) resumable() bool { return !a.diverged }
 
 // resume makes number the current attempt; it continues after the last delivered chunk.
 func (a *assembler) resume(number uint32) uint64 {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -102,8 +102,8 @@
 	if out.err == nil {
 		return true
 	}
-	r.lost = out.lost
-	r.tried[l.name] = !out.lost // a lost connection says nothing about the server
+	r.lost = out.lost || out.err.Code == api.NotResumable
+	r.tried[l.name] = !r.lost // a lost connection says nothing about the server
 	r.last = out.err
 	r.ran = max(r.ran, out.err.Ran)
 	return false
@@ -154,6 +154,7 @@
 		next := *req
 		r.number++
 		next.Attempt = r.number
+		next.Resume = true
 		next.ResumeFrom = r.parts.resume(r.number)
 		next.BudgetMillis = time.Until(r.call.deadline).Milliseconds()
 		req = &next
--- a/side/peer.go
+++ b/side/peer.go
@@ -104,7 +104,7 @@
 
 // request starts or resumes an attempt, or refuses it.
 func (s *Server) request(c *wire.Conn, m *wire.Request) {
-	if m.ResumeFrom > 0 {
+	if m.Resume {
 		s.resume(c, m)
 		return
 	}
@@ -166,7 +166,7 @@
 	a := s.attempts[m.RequestID]
 	s.mu.Unlock()
 	if a == nil || a.req.Fingerprint != m.Fingerprint || !s.subscribe(c, m, a) {
-		e := api.NewError(api.StreamBroken, "nothing to resume")
+		e := api.NewError(api.NotResumable, "")
 		s.refuse(c, m.Stream, m.Attempt, m.RequestID, e)
 	}
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -108,8 +108,9 @@
 	Incarnation string `msg:"inc"`   // side incarnation that the claim names; empty for idempotent requests
 	Alone       bool   `msg:"alone"` // suspected of crashing servers: run with nothing else in flight
 
-	ResumeFrom uint64 `msg:"from"` // first chunk wanted, when an earlier attempt is resumed on the same server
-	Window     uint32 `msg:"win"`  // bytes of answer that may be sent before a Credit arrives
+	Resume     bool   `msg:"res,omitempty"`  // go on with the attempt of this request that the side is at
+	ResumeFrom uint64 `msg:"from,omitempty"` // with Resume: first chunk wanted
+	Window     uint32 `msg:"win"`            // bytes of answer that may be sent before a Credit arrives
 }
 
 // Head is the start of an answer: status and headers.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -5392,6 +5392,12 @@
 				err = msgp.WrapError(err, "Alone")
 				return
 			}
+		case "res":
+			z.Resume, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Resume")
+				return
+			}
 		case "from":
 			z.ResumeFrom, err = dc.ReadUint64()
 			if err != nil {
@@ -5417,269 +5423,303 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Request) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 24
-	// write "s"
-	err = en.Append(0xde, 0x0, 0x18, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stream)
-	if err != nil {
-		err = msgp.WrapError(err, "Stream")
-		return
-	}
-	// write "id"
-	err = en.Append(0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.RequestID)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	// write "att"
-	err = en.Append(0xa3, 0x61, 0x74, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Attempt)
-	if err != nil {
-		err = msgp.WrapError(err, "Attempt")
-		return
-	}
-	// write "tp"
-	err = en.Append(0xa2, 0x74, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.TraceParent)
-	if err != nil {
-		err = msgp.WrapError(err, "TraceParent")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Method)
-	if err != nil {
-		err = msgp.WrapError(err, "Method")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Path)
-	if err != nil {
-		err = msgp.WrapError(err, "Path")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(25)
+	var zb0001Mask uint32 /* 25 bits */
+	_ = zb0001Mask
+	if z.Resume == false {
+		zb0001Len--
+		zb0001Mask |= 0x400000
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
+	if z.ResumeFrom == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800000
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Headers)))
+	// variable map header, size zb0001Len
+	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
-		err = msgp.WrapError(err, "Headers")
 		return
 	}
-	for za0001 := range z.Headers {
-		// map header, size 2
-		// write "n"
-		err = en.Append(0x82, 0xa1, 0x6e)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "s"
+		err = en.Append(0xa1, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Headers[za0001].Name)
+		err = en.WriteUint64(z.Stream)
 		if err != nil {
-			err = msgp.WrapError(err, "Headers", za0001, "Name")
+			err = msgp.WrapError(err, "Stream")
 			return
 		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Headers[za0001].Value)
+		err = en.WriteString(z.RequestID)
 		if err != nil {
-			err = msgp.WrapError(err, "Headers", za0001, "Value")
+			err = msgp.WrapError(err, "RequestID")
+			return
+		}
+		// write "att"
+		err = en.Append(0xa3, 0x61, 0x74, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Attempt)
+		if err != nil {
+			err = msgp.WrapError(err, "Attempt")
+			return
+		}
+		// write "tp"
+		err = en.Append(0xa2, 0x74, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.TraceParent)
+		if err != nil {
+			err = msgp.WrapError(err, "TraceParent")
+			return
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Method)
+		if err != nil {
+			err = msgp.WrapError(err, "Method")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Path)
+		if err != nil {
+			err = msgp.WrapError(err, "Path")
+			return
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Headers)))
+		if err != nil {
+			err = msgp.WrapError(err, "Headers")
+			return
+		}
+		for za0001 := range z.Headers {
+			// map header, size 2
+			// write "n"
+			err = en.Append(0x82, 0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Headers[za0001].Name)
+			if err != nil {
+				err = msgp.WrapError(err, "Headers", za0001, "Name")
+				return
+			}
+			// write "v"
+			err = en.Append(0xa1, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Headers[za0001].Value)
+			if err != nil {
+				err = msgp.WrapError(err, "Headers", za0001, "Value")
+				return
+			}
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Body)
+		if err != nil {
+			err = msgp.WrapError(err, "Body")
+			return
+		}
+		// write "str"
+		err = en.Append(0xa3, 0x73, 0x74, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Streaming)
+		if err != nil {
+			err = msgp.WrapError(err, "Streaming")
+			return
+		}
+		// write "org"
+		err = en.Append(0xa3, 0x6f, 0x72, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Organisation)
+		if err != nil {
+			err = msgp.WrapError(err, "Organisation")
+			return
+		}
+		// write "ses"
+		err = en.Append(0xa3, 0x73, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Session)
+		if err != nil {
+			err = msgp.WrapError(err, "Session")
+			return
+		}
+		// write "pri"
+		err = en.Append(0xa3, 0x70, 0x72, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(z.Priority)
+		if err != nil {
+			err = msgp.WrapError(err, "Priority")
+			return
+		}
+		// write "mod"
+		err = en.Append(0xa3, 0x6d, 0x6f, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Model)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+		// write "ttl"
+		err = en.Append(0xa3, 0x74, 0x74, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.BudgetMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "BudgetMillis")
+			return
+		}
+		// write "fp"
+		err = en.Append(0xa2, 0x66, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Fingerprint)
+		if err != nil {
+			err = msgp.WrapError(err, "Fingerprint")
+			return
+		}
+		// write "cfg"
+		err = en.Append(0xa3, 0x63, 0x66, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ConfigOffset)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigOffset")
+			return
+		}
+		// write "idem"
+		err = en.Append(0xa4, 0x69, 0x64, 0x65, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Idempotent)
+		if err != nil {
+			err = msgp.WrapError(err, "Idempotent")
+			return
+		}
+		// write "key"
+		err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Key)
+		if err != nil {
+			err = msgp.WrapError(err, "Key")
+			return
+		}
+		// write "claim"
+		err = en.Append(0xa5, 0x63, 0x6c, 0x61, 0x69, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ClaimOffset)
+		if err != nil {
+			err = msgp.WrapError(err, "ClaimOffset")
+			return
+		}
+		// write "cstr"
+		err = en.Append(0xa4, 0x63, 0x73, 0x74, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.ClaimStream)
+		if err != nil {
+			err = msgp.WrapError(err, "ClaimStream")
+			return
+		}
+		// write "inc"
+		err = en.Append(0xa3, 0x69, 0x6e, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Incarnation)
+		if err != nil {
+			err = msgp.WrapError(err, "Incarnation")
+			return
+		}
+		// write "alone"
+		err = en.Append(0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Alone)
+		if err != nil {
+			err = msgp.WrapError(err, "Alone")
+			return
+		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// write "res"
+			err = en.Append(0xa3, 0x72, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Resume)
+			if err != nil {
+				err = msgp.WrapError(err, "Resume")
+				return
+			}
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// write "from"
+			err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.ResumeFrom)
+			if err != nil {
+				err = msgp.WrapError(err, "ResumeFrom")
+				return
+			}
+		}
+		// write "win"
+		err = en.Append(0xa3, 0x77, 0x69, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Window)
+		if err != nil {
+			err = msgp.WrapError(err, "Window")
 			return
 		}
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	// write "str"
-	err = en.Append(0xa3, 0x73, 0x74, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Streaming)
-	if err != nil {
-		err = msgp.WrapError(err, "Streaming")
-		return
-	}
-	// write "org"
-	err = en.Append(0xa3, 0x6f, 0x72, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Organisation)
-	if err != nil {
-		err = msgp.WrapError(err, "Organisation")
-		return
-	}
-	// write "ses"
-	err = en.Append(0xa3, 0x73, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Session)
-	if err != nil {
-		err = msgp.WrapError(err, "Session")
-		return
-	}
-	// write "pri"
-	err = en.Append(0xa3, 0x70, 0x72, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(z.Priority)
-	if err != nil {
-		err = msgp.WrapError(err, "Priority")
-		return
-	}
-	// write "mod"
-	err = en.Append(0xa3, 0x6d, 0x6f, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Model)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "ttl"
-	err = en.Append(0xa3, 0x74, 0x74, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.BudgetMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "BudgetMillis")
-		return
-	}
-	// write "fp"
-	err = en.Append(0xa2, 0x66, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Fingerprint)
-	if err != nil {
-		err = msgp.WrapError(err, "Fingerprint")
-		return
-	}
-	// write "cfg"
-	err = en.Append(0xa3, 0x63, 0x66, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ConfigOffset)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
-		return
-	}
-	// write "idem"
-	err = en.Append(0xa4, 0x69, 0x64, 0x65, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Idempotent)
-	if err != nil {
-		err = msgp.WrapError(err, "Idempotent")
-		return
-	}
-	// write "key"
-	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "claim"
-	err = en.Append(0xa5, 0x63, 0x6c, 0x61, 0x69, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ClaimOffset)
-	if err != nil {
-		err = msgp.WrapError(err, "ClaimOffset")
-		return
-	}
-	// write "cstr"
-	err = en.Append(0xa4, 0x63, 0x73, 0x74, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ClaimStream)
-	if err != nil {
-		err = msgp.WrapError(err, "ClaimStream")
-		return
-	}
-	// write "inc"
-	err = en.Append(0xa3, 0x69, 0x6e, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Incarnation)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	// write "alone"
-	err = en.Append(0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Alone)
-	if err != nil {
-		err = msgp.WrapError(err, "Alone")
-		return
-	}
-	// write "from"
-	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ResumeFrom)
-	if err != nil {
-		err = msgp.WrapError(err, "ResumeFrom")
-		return
-	}
-	// write "win"
-	err = en.Append(0xa3, 0x77, 0x69, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Window)
-	if err != nil {
-		err = msgp.WrapError(err, "Window")
-		return
 	}
 	return
 }
@@ -5687,88 +5727,112 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 24
-	// string "s"
-	o = append(o, 0xde, 0x0, 0x18, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Stream)
-	// string "id"
-	o = append(o, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.RequestID)
-	// string "att"
-	o = append(o, 0xa3, 0x61, 0x74, 0x74)
-	o = msgp.AppendUint32(o, z.Attempt)
-	// string "tp"
-	o = append(o, 0xa2, 0x74, 0x70)
-	o = msgp.AppendString(o, z.TraceParent)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Method)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, z.Path)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
-	for za0001 := range z.Headers {
-		// map header, size 2
-		// string "n"
-		o = append(o, 0x82, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Headers[za0001].Name)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendString(o, z.Headers[za0001].Value)
+	// check for omitted fields
+	zb0001Len := uint32(25)
+	var zb0001Mask uint32 /* 25 bits */
+	_ = zb0001Mask
+	if z.Resume == false {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.ResumeFrom == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Stream)
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.RequestID)
+		// string "att"
+		o = append(o, 0xa3, 0x61, 0x74, 0x74)
+		o = msgp.AppendUint32(o, z.Attempt)
+		// string "tp"
+		o = append(o, 0xa2, 0x74, 0x70)
+		o = msgp.AppendString(o, z.TraceParent)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Method)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Path)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
+		for za0001 := range z.Headers {
+			// map header, size 2
+			// string "n"
+			o = append(o, 0x82, 0xa1, 0x6e)
+			o = msgp.AppendString(o, z.Headers[za0001].Name)
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendString(o, z.Headers[za0001].Value)
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		// string "str"
+		o = append(o, 0xa3, 0x73, 0x74, 0x72)
+		o = msgp.AppendBool(o, z.Streaming)
+		// string "org"
+		o = append(o, 0xa3, 0x6f, 0x72, 0x67)
+		o = msgp.AppendString(o, z.Organisation)
+		// string "ses"
+		o = append(o, 0xa3, 0x73, 0x65, 0x73)
+		o = msgp.AppendString(o, z.Session)
+		// string "pri"
+		o = append(o, 0xa3, 0x70, 0x72, 0x69)
+		o = msgp.AppendUint8(o, z.Priority)
+		// string "mod"
+		o = append(o, 0xa3, 0x6d, 0x6f, 0x64)
+		o = msgp.AppendString(o, z.Model)
+		// string "ttl"
+		o = append(o, 0xa3, 0x74, 0x74, 0x6c)
+		o = msgp.AppendInt64(o, z.BudgetMillis)
+		// string "fp"
+		o = append(o, 0xa2, 0x66, 0x70)
+		o = msgp.AppendUint64(o, z.Fingerprint)
+		// string "cfg"
+		o = append(o, 0xa3, 0x63, 0x66, 0x67)
+		o = msgp.AppendInt64(o, z.ConfigOffset)
+		// string "idem"
+		o = append(o, 0xa4, 0x69, 0x64, 0x65, 0x6d)
+		o = msgp.AppendBool(o, z.Idempotent)
+		// string "key"
+		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "claim"
+		o = append(o, 0xa5, 0x63, 0x6c, 0x61, 0x69, 0x6d)
+		o = msgp.AppendInt64(o, z.ClaimOffset)
+		// string "cstr"
+		o = append(o, 0xa4, 0x63, 0x73, 0x74, 0x72)
+		o = msgp.AppendString(o, z.ClaimStream)
+		// string "inc"
+		o = append(o, 0xa3, 0x69, 0x6e, 0x63)
+		o = msgp.AppendString(o, z.Incarnation)
+		// string "alone"
+		o = append(o, 0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendBool(o, z.Alone)
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "res"
+			o = append(o, 0xa3, 0x72, 0x65, 0x73)
+			o = msgp.AppendBool(o, z.Resume)
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "from"
+			o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+			o = msgp.AppendUint64(o, z.ResumeFrom)
+		}
+		// string "win"
+		o = append(o, 0xa3, 0x77, 0x69, 0x6e)
+		o = msgp.AppendUint32(o, z.Window)
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "str"
-	o = append(o, 0xa3, 0x73, 0x74, 0x72)
-	o = msgp.AppendBool(o, z.Streaming)
-	// string "org"
-	o = append(o, 0xa3, 0x6f, 0x72, 0x67)
-	o = msgp.AppendString(o, z.Organisation)
-	// string "ses"
-	o = append(o, 0xa3, 0x73, 0x65, 0x73)
-	o = msgp.AppendString(o, z.Session)
-	// string "pri"
-	o = append(o, 0xa3, 0x70, 0x72, 0x69)
-	o = msgp.AppendUint8(o, z.Priority)
-	// string "mod"
-	o = append(o, 0xa3, 0x6d, 0x6f, 0x64)
-	o = msgp.AppendString(o, z.Model)
-	// string "ttl"
-	o = append(o, 0xa3, 0x74, 0x74, 0x6c)
-	o = msgp.AppendInt64(o, z.BudgetMillis)
-	// string "fp"
-	o = append(o, 0xa2, 0x66, 0x70)
-	o = msgp.AppendUint64(o, z.Fingerprint)
-	// string "cfg"
-	o = append(o, 0xa3, 0x63, 0x66, 0x67)
-	o = msgp.AppendInt64(o, z.ConfigOffset)
-	// string "idem"
-	o = append(o, 0xa4, 0x69, 0x64, 0x65, 0x6d)
-	o = msgp.AppendBool(o, z.Idempotent)
-	// string "key"
-	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "claim"
-	o = append(o, 0xa5, 0x63, 0x6c, 0x61, 0x69, 0x6d)
-	o = msgp.AppendInt64(o, z.ClaimOffset)
-	// string "cstr"
-	o = append(o, 0xa4, 0x63, 0x73, 0x74, 0x72)
-	o = msgp.AppendString(o, z.ClaimStream)
-	// string "inc"
-	o = append(o, 0xa3, 0x69, 0x6e, 0x63)
-	o = msgp.AppendString(o, z.Incarnation)
-	// string "alone"
-	o = append(o, 0xa5, 0x61, 0x6c, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendBool(o, z.Alone)
-	// string "from"
-	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendUint64(o, z.ResumeFrom)
-	// string "win"
-	o = append(o, 0xa3, 0x77, 0x69, 0x6e)
-	o = msgp.AppendUint32(o, z.Window)
 	return
 }
 
@@ -5992,6 +6056,12 @@
 				err = msgp.WrapError(err, "Alone")
 				return
 			}
+		case "res":
+			z.Resume, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resume")
+				return
+			}
 		case "from":
 			z.ResumeFrom, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -6022,7 +6092,7 @@
 	for za0001 := range z.Headers {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 4 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Organisation) + 4 + msgp.StringPrefixSize + len(z.Session) + 4 + msgp.Uint8Size + 4 + msgp.StringPrefixSize + len(z.Model) + 4 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Int64Size + 5 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.ClaimStream) + 4 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 5 + msgp.Uint64Size + 4 + msgp.Uint32Size
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 4 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Organisation) + 4 + msgp.StringPrefixSize + len(z.Session) + 4 + msgp.Uint8Size + 4 + msgp.StringPrefixSize + len(z.Model) + 4 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Int64Size + 5 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.ClaimStream) + 4 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 4 + msgp.BoolSize + 5 + msgp.Uint64Size + 4 + msgp.Uint32Size
 	return
 }
 
