Entries witness the loss of a side process with its backend server

Cause: the quarantine's bound assumes a witness; a side that dies with its server is none. Ruled out: condemning at once, since a cut network looks the same.

--- a/entry/link.go
+++ b/entry/link.go
@@ -39,6 +39,7 @@
 	leaving  bool
 	next     uint64 // number of the last stream
 	streams  map[uint64]receiver
+	trial    trial
 	report   wire.Report
 	reported time.Time // zero before the first report
 	own      int       // own requests in flight
@@ -151,6 +152,7 @@
 	l.mu.Unlock()
 	if fresh {
 		l.connected(c)
+		l.judgeTrial(c)
 	}
 	if hb.Report != nil {
 		l.setReport(hb.Report)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -147,7 +147,11 @@
 		out := follow(ctx, x, r.parts, r.answer)
 		x.close()
 		out.err = afterSending(out.err, lost)
-		if !out.lost || !r.parts.resumable() || !l.await(ctx, x.conn) {
+		if !out.lost || !r.parts.resumable() {
+			return out
+		}
+		if !l.await(ctx, x.conn) {
+			l.witness(x.conn, r.call)
 			return out
 		}
 		lost = true
