Side: a restarted engine is not reached on the word of its last report

Cause: an idle engine that restarts between two looks at its load is cold, and a burst admitted as for a warm one reached it: the proof of cold start assumed that this cannot happen. Ruled out: looking more often, which only narrows the window. Change: each new connection to an engine is asked for its incarnation before its first use; another one than known makes the limiter cold and the request is refused, not run.

--- a/side/backend.go
+++ b/side/backend.go
@@ -40,20 +40,22 @@
 	once   *http.Client
 }
 
-func newBackend(base string) *backend {
+// newBackend returns the client of the backend server at base. verify looks at
+// each new connection before its first use; nil looks at none.
+func newBackend(base string, verify func(net.Conn) *api.Error) *backend {
+	d := &dialer{net: net.Dialer{Timeout: dialTimeout}, verify: verify}
 	return &backend{
 		base:   strings.TrimSuffix(base, "/"),
-		client: newClient(false),
-		once:   newClient(true),
+		client: newClient(d, false),
+		once:   newClient(d, true),
 	}
 }
 
 // newClient returns a client without a timeout of its own: contexts bound the calls.
-func newClient(freshConnections bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newClient(d *dialer, freshConnections bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         d.dial,
 			MaxIdleConns:        idleBackend,
 			MaxIdleConnsPerHost: idleBackend,
 			IdleConnTimeout:     backendIdleFor,
@@ -135,6 +137,10 @@
 	if cause := context.Cause(ctx); cause != nil {
 		return causeError(cause)
 	}
+	var refused *api.Error
+	if !connected && errors.As(err, &refused) {
+		return refused
+	}
 	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
 		e := api.NewError(api.BackendFailed, err.Error())
 		e.Ran = api.NotRun
--- a/side/backend_test.go
+++ b/side/backend_test.go
@@ -33,7 +33,7 @@
 	})}
 	go server.Serve(ln)
 	defer server.Close()
-	b := newBackend("http://" + ln.Addr().String())
+	b := newBackend("http://"+ln.Addr().String(), nil)
 	call := func() *api.Error {
 		req := &wire.Request{Method: http.MethodGet, Path: "/availability", Idempotent: true}
 		ctx, cancel := context.WithCancelCause(context.Background())
--- a/side/server.go
+++ b/side/server.go
@@ -75,7 +75,6 @@
 	s := &Server{
 		opt:      opt,
 		node:     node.New(opt.Hello, opt.Config),
-		backend:  newBackend(opt.Backend),
 		keys:     newKeys(opt.Hello.Incarnation),
 		engine:   platform.NewEngineClient(opt.Backend),
 		pool:     pond.NewPool(maxAttempts),
@@ -83,6 +82,7 @@
 		streams:  make(map[streamKey]*subscription),
 		conns:    make(map[*wire.Conn]bool),
 	}
+	s.backend = newBackend(opt.Backend, s.verify)
 	s.node.ReportBy(s.report)
 	return s
 }
--- /dev/null
+++ b/side/verify.go
@@ -0,0 +1,84 @@
+package side
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"marjorampitch/api"
+	"marjorampitch/config"
+	"marjorampitch/platform"
+)
+
+// dialer opens connections to the backend server and has each one verified
+// before its first use. An engine that was restarted since its last report is
+// cold, and a request that was admitted before that shows must not reach it; a
+// connection that stays open leads to the incarnation that it was opened to.
+type dialer struct {
+	net    net.Dialer
+	verify func(c net.Conn) *api.Error // nil for no verification
+}
+
+// dial implements http.Transport.DialContext. The error of a connection that
+// is refused by verify is the *api.Error, "not run".
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.net.DialContext(ctx, network, address)
+	if err != nil || d.verify == nil {
+		return c, err
+	}
+	if e := d.verify(c); e != nil {
+		c.Close()
+		return nil, e
+	}
+	return c, nil
+}
+
+// verify asks the engine over a new connection which incarnation it is.
+func (s *Server) verify(c net.Conn) *api.Error {
+	l := s.limiter.Load()
+	if l == nil || s.kind() != config.KindEngine {
+		return nil
+	}
+	asked := l.now()
+	report, err := loadOver(c, s.opt.Backend)
+	if err != nil {
+		e := api.NewError(api.BackendFailed, "load report: "+err.Error())
+		e.Ran = api.NotRun
+		return e
+	}
+	known := l.incarnation()
+	if report.Incarnation == known {
+		return nil
+	}
+	s.crash(l, known)
+	l.observe(asked, report)
+	return api.NewError(api.ColdLimit, "the engine was restarted")
+}
+
+// loadOver asks for the load report over an open connection, and leaves it
+// ready for another request.
+func loadOver(c net.Conn, base string) (*platform.EngineReport, error) {
+	if err := c.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(http.MethodGet, base+"/load", nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := req.Write(c); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var report platform.EngineReport
+	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+		return nil, err
+	}
+	return &report, c.SetDeadline(time.Time{})
+}
