--- a/claim/records.go
+++ b/claim/records.go
@@ -118,3 +118,6 @@
 	}
 	return o
 }
+
+// Record returns the stored form of c, as a claim stream holds it.
+func (c *Claim) Record() []byte { return encode(c) }
--- /dev/null
+++ b/internal/slopes/coordination.go
@@ -0,0 +1,116 @@
+package slopes
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"time"
+
+	"github.com/google/uuid"
+
+	"marjorampitch/claim"
+	"marjorampitch/placement"
+	"marjorampitch/placement/pack"
+	"marjorampitch/placement/packed"
+	"marjorampitch/platform"
+)
+
+// claims measures the fold of a partition of claims.
+func claims() []Slope {
+	sizes := []int{1_000, 4_000, 16_000, 64_000}
+	return []Slope{
+		{Name: "claim-fold", Per: "claim", Unit: "us", Sizes: sizes, Measure: func(n int) (float64, error) {
+			records := claimRecords(n)
+			start := time.Now()
+			foldClaims(records)
+			return float64(time.Since(start).Microseconds()), nil
+		}},
+		{Name: "claim-memory", Per: "claim", Unit: "B", Sizes: sizes, Measure: func(n int) (float64, error) {
+			records := claimRecords(n)
+			before := heldBytes()
+			t := foldClaims(records)
+			held := heldBytes() - before
+			runtime.KeepAlive(records)
+			if t.Len() != n {
+				return 0, fmt.Errorf("%d keys kept of %d", t.Len(), n)
+			}
+			return held, nil
+		}},
+		{Name: "claim-bytes", Per: "claim", Unit: "B", Sizes: sizes, Measure: func(n int) (float64, error) {
+			bytes := 0
+			for _, r := range claimRecords(n) {
+				bytes += len(r.Data)
+			}
+			return float64(bytes), nil
+		}},
+	}
+}
+
+func claimRecords(n int) []platform.Record {
+	claimant, side := uuid.NewString(), uuid.NewString()
+	records := make([]platform.Record, n)
+	for i := range records {
+		c := claim.Claim{
+			Key:             claim.Key(uuid.Must(uuid.NewV7())),
+			Fingerprint:     uint64(i) * 0x9e3779b97f4a7c15,
+			Claimant:        claimant,
+			Nonce:           uint64(i),
+			Side:            "dk1-booking-1",
+			SideIncarnation: side,
+			ValidUntil:      int64(i) + 1_024,
+		}
+		records[i] = platform.Record{Offset: platform.Offset(i), Data: c.Record()}
+	}
+	return records
+}
+
+func foldClaims(records []platform.Record) *claim.Table {
+	t := claim.NewTable(0)
+	for _, r := range records {
+		t.Apply(r)
+	}
+	return t
+}
+
+// groups measures decisions and maps of groups of 256 experts a layer.
+func groups() []Slope {
+	ranks := []int{8, 16, 32, 64}
+	return []Slope{
+		{Name: "placement-decide", Per: "rank", Unit: "us", Sizes: ranks, Measure: func(n int) (float64, error) {
+			in := drifted(n, 256)
+			var failed error
+			cost := nanos(func() { _, failed = packed.Policy{}.Decide(in) })
+			return cost / 1e3, failed
+		}},
+		{Name: "placement-decide", Per: "expert", Unit: "us", Sizes: []int{64, 128, 192, 256}, Measure: func(n int) (float64, error) {
+			in := drifted(64, n)
+			var failed error
+			cost := nanos(func() { _, failed = packed.Policy{}.Decide(in) })
+			return cost / 1e3, failed
+		}},
+		{Name: "map-bytes", Per: "rank", Unit: "B", Sizes: ranks, Measure: func(n int) (float64, error) {
+			data, err := drifted(n, 256).Map.MarshalMsg(nil)
+			return float64(len(data)), err
+		}},
+	}
+}
+
+// drifted is a decision on one layer whose load has drifted by a tenth since it was packed.
+func drifted(ranks, experts int) placement.Input {
+	shape := placement.Shape{Layers: 1, Ranks: ranks, Experts: experts, Slots: experts/ranks + 1}
+	loads := placement.NewLoads(shape)
+	speeds := placement.NewSpeeds(ranks).Values()
+	for e := range loads.Counts {
+		loads.Counts[e] = 1e6 * math.Pow(float64(e+1), -0.9)
+	}
+	empty, _ := placement.NewMap(shape)
+	m, _ := placement.NewMap(shape)
+	pack.Full(empty, m, 0, loads.Layer(0), speeds)
+	for e := range loads.Counts {
+		loads.Counts[e] *= 1 + 0.1*math.Sin(float64(e*e))
+	}
+	return placement.Input{
+		Map: m, Loads: loads, Speeds: speeds, Horizon: 20 * time.Minute, Margin: 2,
+		Costs: placement.Costs{ExpertBytes: 44 << 20, BytesPerSecond: 35e6, Step: 50 * time.Millisecond},
+	}
+}
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -38,6 +38,8 @@
 		subsets(),
 		picks(),
 		admission(),
+		claims(),
+		groups(),
 	} {
 		out = append(out, part...)
 	}
--- a/side/verify_test.go
+++ b/side/verify_test.go
@@ -67,7 +67,7 @@
 	s := New(Options{
 		Hello:   wire.Hello{Instance: "e1", Incarnation: "i1"},
 		Backend: base,
-		Config:  oneEngine{doc: &logfold.InForce{Doc: &config.Document{
+		Config: oneEngine{doc: &logfold.InForce{Doc: &config.Document{
 			Backends: []config.Backend{{Name: "e1", Kind: config.KindEngine, MaxRunning: 8}},
 		}}},
 		Log: log.New(io.Discard),
