Side: a request reaches only the engine incarnation on whose word it was admitted

Ruled out: comparing in a trace hook, which cannot stop the write. Change: clients by incarnation, chosen by the ticket; every look over a connection is observed.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -190,3 +190,12 @@
 	defer a.mu.Unlock()
 	return a.sub == nil
 }
+
+// incarnation returns that of the engine on whose word the attempt was
+// admitted; empty for a plain service.
+func (a *attempt) incarnation() string {
+	if a.ticket == nil {
+		return ""
+	}
+	return a.ticket.incarnation
+}
--- a/side/backend.go
+++ b/side/backend.go
@@ -34,21 +34,46 @@
 // the call idempotent, which an Idempotency-Key header is enough for. Calls
 // that may not repeat therefore never use a reused connection: once has
 // keep-alive switched off.
+//
+// Each incarnation of an engine has clients of its own; see dialer.
 type backend struct {
-	base   string // http://IP:port
-	client *http.Client
-	once   *http.Client
+	base   string                                          // http://IP:port
+	verify func(c net.Conn, incarnation string) *api.Error // nil for no verification
+
+	mu      sync.Mutex // guards what follows; taken alone
+	clients *clients   // of the latest incarnation
+}
+
+// clients call one incarnation of the backend server.
+type clients struct {
+	incarnation string // empty for a plain service
+	reused      *http.Client
+	once        *http.Client
 }
 
 // newBackend returns the client of the backend server at base. verify looks at
 // each new connection before its first use; nil looks at none.
-func newBackend(base string, verify func(net.Conn) *api.Error) *backend {
-	d := &dialer{net: net.Dialer{Timeout: dialTimeout}, verify: verify}
-	return &backend{
-		base:   strings.TrimSuffix(base, "/"),
-		client: newClient(d, false),
-		once:   newClient(d, true),
+func newBackend(base string, verify func(net.Conn, string) *api.Error) *backend {
+	return &backend{base: strings.TrimSuffix(base, "/"), verify: verify}
+}
+
+// of returns the clients for an incarnation. Those of an earlier one are made
+// for the last requests that still ask for it, and not kept.
+func (b *backend) of(incarnation string) *clients {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.clients != nil && b.clients.incarnation == incarnation {
+		return b.clients
+	}
+	d := &dialer{net: net.Dialer{Timeout: dialTimeout}}
+	if b.verify != nil && incarnation != "" {
+		d.verify = func(c net.Conn) *api.Error { return b.verify(c, incarnation) }
+	}
+	if b.clients != nil {
+		b.clients.reused.CloseIdleConnections()
 	}
+	b.clients = &clients{incarnation: incarnation, reused: newClient(d, false), once: newClient(d, true)}
+	return b.clients
 }
 
 // newClient returns a client without a timeout of its own: contexts bound the calls.
@@ -69,11 +94,11 @@
 }
 
 // do sends the request with the client that its kind needs.
-func (b *backend) do(req *http.Request, idempotent bool) (*http.Response, error) {
+func (c *clients) do(req *http.Request, idempotent bool) (*http.Response, error) {
 	if idempotent {
-		return b.client.Do(req)
+		return c.reused.Do(req)
 	}
-	return b.once.Do(req)
+	return c.once.Do(req)
 }
 
 // run performs the request of a and feeds the answer to it. The returned
@@ -86,7 +111,7 @@
 		return api.NewError(api.BadRequest, err.Error())
 	}
 	var connected atomic.Bool
-	resp, err := b.do(watchConnections(req, &connected), a.req.Idempotent)
+	resp, err := b.of(a.incarnation()).do(watchConnections(req, &connected), a.req.Idempotent)
 	if err != nil {
 		return callError(ctx, err, connected.Load())
 	}
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -28,6 +28,7 @@
 	start        func()           // called once when the request may run
 	refuse       func(*api.Error) // called once instead when it may not
 	slot         admit.Ticket     // set while it runs
+	incarnation  string           // of the engine, when it was admitted
 }
 
 // limiter decides when requests run at the backend server: weighted shares
@@ -131,6 +132,7 @@
 		return func() { t.refuse(e) }
 	}
 	t.slot = slot
+	t.incarnation = l.last.Incarnation
 	l.running[t.id] = t
 	return t.start
 }
--- a/side/verify.go
+++ b/side/verify.go
@@ -9,14 +9,14 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/config"
 	"marjorampitch/platform"
 )
 
 // dialer opens connections to the backend server and has each one verified
-// before its first use. An engine that was restarted since its last report is
-// cold, and a request that was admitted before that shows must not reach it; a
-// connection that stays open leads to the incarnation that it was opened to.
+// before its first use. It belongs to one incarnation of an engine: a request
+// that was admitted on that incarnation's word reaches no other one. An engine
+// that was restarted is cold, and the limit that the request was admitted
+// under does not hold for it.
 type dialer struct {
 	net    net.Dialer
 	verify func(c net.Conn) *api.Error // nil for no verification
@@ -36,12 +36,10 @@
 	return c, nil
 }
 
-// verify asks the engine over a new connection which incarnation it is.
-func (s *Server) verify(c net.Conn) *api.Error {
+// verify asks the engine over a new connection whether it is the incarnation
+// that is wanted.
+func (s *Server) verify(c net.Conn, wanted string) *api.Error {
 	l := s.limiter.Load()
-	if l == nil || s.kind() != config.KindEngine {
-		return nil
-	}
 	asked := l.now()
 	report, err := loadOver(c, s.opt.Backend)
 	if err != nil {
@@ -49,12 +47,13 @@
 		e.Ran = api.NotRun
 		return e
 	}
-	known := l.incarnation()
-	if report.Incarnation == known {
-		return nil
+	if known := l.incarnation(); report.Incarnation != known {
+		s.crash(l, known)
 	}
-	s.crash(l, known)
 	l.observe(asked, report)
+	if report.Incarnation == wanted {
+		return nil
+	}
 	return api.NewError(api.ColdLimit, "the engine was restarted")
 }
 
--- a/side/verify_test.go
+++ b/side/verify_test.go
@@ -41,6 +41,7 @@
 		s.limiter.Load().observe(0, &platform.EngineReport{Incarnation: "a"})
 		ctx, cancel := context.WithCancelCause(context.Background())
 		a := newAttempt(&wire.Request{Method: http.MethodPost, Path: "/chat", Idempotent: true}, cancel)
+		a.ticket = &ticket{incarnation: "a"}
 		e := s.backend.run(ctx, a, func() {})
 		require.Equal(t, want, reached.Load())
 		if want > 0 {
