--- a/entry/status.go
+++ b/entry/status.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
 	"marjorampitch/route"
 	"marjorampitch/wire"
@@ -15,18 +16,11 @@
 
 // Status is what an entry believes now, for its status page.
 type Status struct {
-	Instance      string           `json:"instance"`
-	DataCentre    string           `json:"data_centre"`
-	Service       string           `json:"service"`
-	Incarnation   string           `json:"incarnation"`
-	ConfigOffset  int64            `json:"config_offset"`
-	ConfigVersion uint64           `json:"config_version"`
-	Current       bool             `json:"current"`
-	Leaving       bool             `json:"leaving"`
-	Policy        string           `json:"policy"`
-	Comparison    *wire.Comparison `json:"comparison,omitempty"` // with a candidate policy
-	Sides         []SideStatus     `json:"sides"`
-	Refusals      []recent.Refusal `json:"refusals"`
+	node.Page
+	Policy     string           `json:"policy"`
+	Comparison *wire.Comparison `json:"comparison,omitempty"` // with a candidate policy
+	Sides      []SideStatus     `json:"sides"`
+	Refusals   []recent.Refusal `json:"refusals"`
 }
 
 // SideStatus is what an entry believes of one backend server.
@@ -46,25 +40,13 @@
 
 // Status returns what the entry believes now.
 func (s *Server) Status() Status {
-	hello := s.opt.Hello
-	st := Status{
-		Instance:     hello.Instance,
-		DataCentre:   hello.DataCentre,
-		Service:      hello.Service,
-		Incarnation:  hello.Incarnation,
-		ConfigOffset: -1,
-		Current:      s.opt.Config.Current(),
-		Leaving:      s.node.Leaving(),
-		Policy:       s.policies.name(),
-		Comparison:   s.policies.comparison(),
-		Sides:        s.table.status(),
-		Refusals:     s.refusals.Last(),
+	return Status{
+		Page:       s.node.Page(),
+		Policy:     s.policies.name(),
+		Comparison: s.policies.comparison(),
+		Sides:      s.table.status(),
+		Refusals:   s.refusals.Last(),
 	}
-	if doc := s.opt.Config.Document(); doc != nil {
-		st.ConfigOffset = doc.Offset
-		st.ConfigVersion = doc.Version
-	}
-	return st
 }
 
 // status describes every link, in order of name.
@@ -100,9 +82,8 @@
 // WriteText writes the status as plain text.
 func (st Status) WriteText(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(tw, "entry\t%s\t%s\t%s\n", st.Instance, st.DataCentre, st.Service)
-	fmt.Fprintf(tw, "config\tversion %d\toffset %d\tcurrent %t\n", st.ConfigVersion, st.ConfigOffset, st.Current)
-	fmt.Fprintf(tw, "policy\t%s\tleaving %t\n\n", st.Policy, st.Leaving)
+	st.Page.WriteText(tw, "entry")
+	fmt.Fprintf(tw, "policy\t%s\n\n", st.Policy)
 	fmt.Fprintln(tw, "SIDE\tDATA CENTRE\tCONNECTED\tLEAVING\tCOLD\tLIMIT\tRUNNING\tOWN\tSTEP MS\tREPORT AGE MS")
 	for _, s := range st.Sides {
 		fmt.Fprintf(tw, "%s\t%s\t%t\t%t\t%t\t%d\t%d\t%d\t%.1f\t%d\n", s.Name, s.DataCentre,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,18 +148,16 @@
 }
 
 func (n *Node) status(seq uint64) *wire.Status {
+	p := n.Page()
 	st := &wire.Status{
-		Seq:          seq,
-		Instance:     n.hello.Instance,
-		DataCentre:   n.hello.DataCentre,
-		Role:         n.hello.Role,
-		ConfigOffset: -1,
-		Current:      n.config.Current(),
-		Leaving:      n.Leaving(),
-	}
-	if doc := n.config.Document(); doc != nil {
-		st.ConfigOffset = doc.Offset
-		st.ConfigVersion = doc.Version
+		Seq:           seq,
+		Instance:      p.Instance,
+		DataCentre:    p.DataCentre,
+		Role:          n.hello.Role,
+		ConfigOffset:  p.ConfigOffset,
+		ConfigVersion: p.ConfigVersion,
+		Current:       p.Current,
+		Leaving:       p.Leaving,
 	}
 	if n.compare != nil {
 		st.Comparison = n.compare()
--- a/side/server.go
+++ b/side/server.go
@@ -107,6 +107,11 @@
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
+	select {
+	case <-c.Done(): // Closed may have run before the connection was added
+		s.Closed(c, wire.ErrClosed)
+	default:
+	}
 	s.opt.Log.Info("peer-connected", "peer", c.Peer().Instance)
 }
 
