Side: the news of a crash goes before anything that could send its request elsewhere

Two ways past the news: a second goroutine that saw the same crash answered its request before the first had told the entries; a refusal said that the server was down before the news was queued. Change: recording and telling a crash is one step for all who see it; reports say 'down' after it.

--- a/side/down_test.go
+++ b/side/down_test.go
@@ -18,6 +18,8 @@
 	require.False(t, l.isDown())
 	time.Sleep(time.Millisecond)
 	l.crashed("a")
+	require.False(t, l.report().Down, "entries would pass it over before they know why")
+	l.announced()
 	require.True(t, l.report().Down)
 	l.observe(before, &platform.EngineReport{Incarnation: "a"})
 	require.True(t, l.isDown(), "the answer was asked for before the crash")
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -48,6 +48,7 @@
 	seq     uint64 // of the last report made
 	last    platform.EngineReport
 	crashes int
+	told    bool          // entries were told what was in flight at the last crash
 	downOf  string        // incarnation of the last crash
 	downAt  time.Duration // when it was noted; 0 for never
 	down    bool          // it has not answered since a crash
@@ -203,6 +204,7 @@
 	l.downAt = now
 	l.downOf = incarnation
 	l.crashes++
+	l.told = false
 	for _, t := range l.running {
 		fingerprints = append(fingerprints, t.fingerprint)
 		trial = trial || t.alone
@@ -226,7 +228,7 @@
 	return wire.Report{
 		Seq:        l.seq,
 		Cold:       l.cold.Cold(now),
-		Down:       l.down,
+		Down:       l.down && l.told,
 		Limit:      l.cold.Limit(now),
 		Running:    l.shares.Running(),
 		Waiting:    l.shares.Queued(),
@@ -235,6 +237,15 @@
 	}
 }
 
+// announced notes that entries know what was in flight at the last crash. From
+// then on reports say that the backend server is down: an entry that passed it
+// over without that news would take the request that crashed it elsewhere.
+func (l *limiter) announced() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = true
+}
+
 // isDown reports whether the backend server crashed and has not answered since.
 func (l *limiter) isDown() bool {
 	l.mu.Lock()
--- a/side/load.go
+++ b/side/load.go
@@ -121,8 +121,13 @@
 	return false
 }
 
-// crash records that the incarnation of the backend server went down, once.
+// crash records that the incarnation of the backend server went down, once. It
+// returns when every entry's connection has the news in its queue, also when
+// another goroutine records the same crash: what is sent after it arrives
+// after the news.
 func (s *Server) crash(l *limiter, incarnation string) {
+	s.crashMu.Lock()
+	defer s.crashMu.Unlock()
 	fingerprints, trial, number := l.crashed(incarnation)
 	if number == 0 {
 		return
@@ -133,6 +138,10 @@
 	for _, c := range s.peers() {
 		c.BeatNow(s.node)
 	}
+	l.announced()
+	for _, c := range s.peers() {
+		c.BeatNow(s.node)
+	}
 }
 
 func (s *Server) peers() []*wire.Conn {
--- a/side/server.go
+++ b/side/server.go
@@ -54,6 +54,8 @@
 
 	refusals recent.Log
 
+	crashMu sync.Mutex // held while a crash is recorded and told; taken before any other lock
+
 	mu       sync.Mutex
 	attempts map[string]*attempt         // running or kept, by request id
 	streams  map[streamKey]*subscription // by connection and stream
