Group: a map fetched for a restart is not lost to later answers

Cause: the codec delivers an absent map as an empty one, not as nil. A coordinator that restarted a group took the map of every later answer for the one it had fetched, and staged an empty map at the ranks that had none: two maps under one epoch. Seen with real processes, after an engine's crash. The fuzz had passed messages in memory, with nil, and compared epochs only. Change: only the answers to a fetch count, and only one that has a map. The fuzz delivers maps as the codec does; the oracle also compares what an epoch names.

--- a/group/coordinator.go
+++ b/group/coordinator.go
@@ -194,7 +194,7 @@
 	}
 	c.round.left = 0
 	c.measure()
-	if a.Map != nil {
+	if c.phase == phaseFetching && len(a.Map) > 0 {
 		c.data = a.Map
 	}
 	return c.completed()
--- a/group/exhaustive_test.go
+++ b/group/exhaustive_test.go
@@ -93,7 +93,7 @@
 		}
 		c.coords = append(c.coords, k)
 	}
-	c.net, c.used = slices.Clone(w.net), maps.Clone(w.used)
+	c.net, c.used, c.content = slices.Clone(w.net), maps.Clone(w.used), maps.Clone(w.content)
 	return &c
 }
 
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -154,8 +154,9 @@
 	slow    []message // delayed for long
 	late    []lateCommand
 	draws   uint64
-	limit   int64            // first step that no rank begins, in the exhaustive search
-	used    map[int64]uint64 // the oracle's: map of each step
+	limit   int64             // first step that no rank begins, in the exhaustive search
+	used    map[int64]uint64  // the oracle's: map of each step
+	content map[uint64]string // the oracle's: what each map is
 	fault   string
 	broken  mechanisms
 }
@@ -167,7 +168,7 @@
 }
 
 func newWorld(ranks int, checks, switchesAt func(rank int) bool, broken mechanisms) *world {
-	w := &world{used: make(map[int64]uint64), broken: broken}
+	w := &world{used: make(map[int64]uint64), content: make(map[uint64]string), broken: broken}
 	for r := range ranks {
 		e := &engine{checks: checks(r), switchesAt: switchesAt(r)}
 		e.restart()
@@ -257,15 +258,25 @@
 	}
 	if m.order != nil {
 		o := *m.order
+		o.Map = decoded(o.Map)
 		w.rankActions(o.Rank, m.from, w.sides[o.Rank].rank.Order(&o))
 		return
 	}
 	if w.coords[m.from] != nil {
 		a := *m.ack
+		a.Map = decoded(a.Map)
 		w.coordActions(m.from, w.coords[m.from].machine.Ack(&a, 0))
 	}
 }
 
+// decoded is a map as the codec delivers it: an absent one is empty, not nil.
+func decoded(data []byte) []byte {
+	if data == nil {
+		return []byte{}
+	}
+	return data
+}
+
 // rankActions performs the actions of a side; answers go to every
 // coordinator, since each ignores what is not for its fencing number.
 func (w *world) rankActions(r, to int, actions []Action) {
@@ -324,9 +335,20 @@
 		w.fault = fmt.Sprintf("step %d: rank %d uses map %d, another used %d", step, r, e.Epoch, first)
 	}
 	w.used[step] = e.Epoch
+	w.checkContent(r)
 	return true
 }
 
+// checkContent sees to it that an epoch names one map only.
+func (w *world) checkContent(r int) {
+	e := w.engines[r]
+	first, ok := w.content[e.Epoch]
+	if ok && first != string(e.current) {
+		w.fault = fmt.Sprintf("rank %d: map %d is %q, elsewhere %q", r, e.Epoch, e.current, first)
+	}
+	w.content[e.Epoch] = string(e.current)
+}
+
 // settle runs without faults until a coordinator is idle, or gives up.
 func (w *world) settle(i int) bool {
 	for range 400 {
