Side: runs the machine of its rank and drives the engine for it

Cause: group.Rank was proved, but no side process ran it. Change: for a backend server with a group the side keeps a rank: it reads the end of the group stream before it obeys, answers orders, and passes commands to the engine. The answer carries the hash of the map in force.

--- a/logfold/doc.go
+++ b/logfold/doc.go
@@ -14,3 +14,6 @@
 
 // CheckpointStream returns the stream that holds a service's checkpoints.
 func CheckpointStream(service string) string { return service + ".checkpoints" }
+
+// GroupStream returns the stream that holds the claims of a service's rank groups.
+func GroupStream(service string) string { return service + ".groups" }
--- a/logfold/record.go
+++ b/logfold/record.go
@@ -32,3 +32,11 @@
 	Version  uint64 `msg:"ver"`
 	Document []byte `msg:"doc"` // compressed by Pack
 }
+
+// GroupClaim is a record of the group stream: a coordinator takes a group
+// over. Its offset is the coordinator's fencing number; a later one supersedes it.
+type GroupClaim struct {
+	Service  string `msg:"svc"`
+	Group    string `msg:"grp"`
+	Claimant string `msg:"by"` // incarnation of the claiming process
+}
--- a/logfold/record_gen.go
+++ b/logfold/record_gen.go
@@ -544,3 +544,156 @@
 	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.Uint64Size + 4 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len(z.Document) + 6 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.Author) + 6 + msgp.StringPrefixSize + len(z.Nonce) + 8 + msgp.BoolSize + 3 + msgp.Int64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *GroupClaim) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "svc":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "grp":
+			z.Group, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "by":
+			z.Claimant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Claimant")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z GroupClaim) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "svc"
+	err = en.Append(0x83, 0xa3, 0x73, 0x76, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "grp"
+	err = en.Append(0xa3, 0x67, 0x72, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	// write "by"
+	err = en.Append(0xa2, 0x62, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Claimant)
+	if err != nil {
+		err = msgp.WrapError(err, "Claimant")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z GroupClaim) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "svc"
+	o = append(o, 0x83, 0xa3, 0x73, 0x76, 0x63)
+	o = msgp.AppendString(o, z.Service)
+	// string "grp"
+	o = append(o, 0xa3, 0x67, 0x72, 0x70)
+	o = msgp.AppendString(o, z.Group)
+	// string "by"
+	o = append(o, 0xa2, 0x62, 0x79)
+	o = msgp.AppendString(o, z.Claimant)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GroupClaim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "svc":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "grp":
+			z.Group, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "by":
+			z.Claimant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claimant")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z GroupClaim) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Service) + 4 + msgp.StringPrefixSize + len(z.Group) + 3 + msgp.StringPrefixSize + len(z.Claimant)
+	return
+}
--- a/side/load.go
+++ b/side/load.go
@@ -23,6 +23,7 @@
 	defer ticker.Stop()
 	for {
 		s.configure()
+		s.configureRank(ctx)
 		s.poll(ctx)
 		select {
 		case <-ctx.Done():
--- a/side/peer.go
+++ b/side/peer.go
@@ -22,6 +22,8 @@
 		s.cancel(c, m)
 	case *wire.KeyQuery:
 		c.Send(s.keys.query(m))
+	case *wire.Order:
+		s.order(c, m)
 	default:
 		s.opt.Log.Warn("message-not-served", "peer", c.Peer().Instance)
 	}
--- a/side/server.go
+++ b/side/server.go
@@ -36,6 +36,7 @@
 	Hello   wire.Hello // names the process; Role is RoleSide
 	Backend string     // base URL of the backend server
 	Config  node.ConfigView
+	Claims  platform.Log // where the coordinators of rank groups claim them
 	Log     *log.Logger
 	Metrics *telemetry.SideMetrics
 	Tracer  trace.Tracer
@@ -52,6 +53,9 @@
 	keys    *keys
 	limiter atomic.Pointer[limiter] // nil until a document names this backend server
 
+	rank     atomic.Pointer[rank] // nil unless the document makes the backend server a rank
+	stopRank context.CancelFunc   // of the rank; belongs to Run's goroutine
+
 	refusals recent.Log
 
 	mu       sync.Mutex
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -224,7 +224,7 @@
 	Epoch   uint64 `msg:"ep"`    // number of the expert map
 	Step    int64  `msg:"step"`  // first step that uses the map
 	MapHash string `msg:"mh"`
-	Map     []byte `msg:"map,limit=4194304"` // encoded group.Map, with stage orders
+	Map     []byte `msg:"map,limit=4194304"` // encoded placement.Map, with stage orders
 }
 
 // OrderAck answers an Order.
@@ -244,6 +244,7 @@
 	Next      int64  `msg:"next"`  // first step not begun
 	Holding   bool   `msg:"hold"`  // the engine begins no step from ArmedStep on
 	Map       []byte `msg:"map"`   // encoded map, answering fetch orders
+	MapHash   string `msg:"mh"`    // hash of the map in force
 }
 
 // StatusQuery asks any process for the configuration it has in force.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -4127,6 +4127,12 @@
 				err = msgp.WrapError(err, "Map")
 				return
 			}
+		case "mh":
+			z.MapHash, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "MapHash")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4140,9 +4146,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *OrderAck) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 15
+	// map header, size 16
 	// write "q"
-	err = en.Append(0x8f, 0xa1, 0x71)
+	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x71)
 	if err != nil {
 		return
 	}
@@ -4291,15 +4297,25 @@
 		err = msgp.WrapError(err, "Map")
 		return
 	}
+	// write "mh"
+	err = en.Append(0xa2, 0x6d, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.MapHash)
+	if err != nil {
+		err = msgp.WrapError(err, "MapHash")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "q"
-	o = append(o, 0x8f, 0xa1, 0x71)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x71)
 	o = msgp.AppendUint64(o, z.Seq)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -4343,6 +4359,9 @@
 	// string "map"
 	o = append(o, 0xa3, 0x6d, 0x61, 0x70)
 	o = msgp.AppendBytes(o, z.Map)
+	// string "mh"
+	o = append(o, 0xa2, 0x6d, 0x68)
+	o = msgp.AppendString(o, z.MapHash)
 	return
 }
 
@@ -4474,6 +4493,12 @@
 			}
 			copy(z.Map, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "mh":
+			z.MapHash, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MapHash")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4488,7 +4513,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OrderAck) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.Int64Size + 4 + msgp.BoolSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.Map)
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.Int64Size + 3 + msgp.Uint64Size + 4 + msgp.Uint64Size + 4 + msgp.Uint64Size + 6 + msgp.Int64Size + 4 + msgp.BoolSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.Map) + 3 + msgp.StringPrefixSize + len(z.MapHash)
 	return
 }
 
