Entry: coordinates the rank groups that it leads

Cause: nothing ran group.Coordinator. Change: the first live entry in a group's rendezvous order claims it on <service>.groups and puts the map that the document's sizes call for in force, by orders over the links to the sides. Without reported loads that is a map for equal loads. Ruled out: leadership by a lease; two entries that both lead supersede each other, and the later claim wins.

--- a/entry/link.go
+++ b/entry/link.go
@@ -33,6 +33,7 @@
 	node       *node.Node
 	log        *log.Logger
 	stop       context.CancelFunc
+	acks       func(*wire.OrderAck) // takes answers of ranks; nil for none
 
 	mu       sync.Mutex
 	conn     *wire.Conn
@@ -141,6 +142,10 @@
 		l.deliver(c, m.Stream, m)
 	case *wire.KeyAnswer:
 		l.deliver(c, m.Stream, m)
+	case *wire.OrderAck:
+		if l.acks != nil {
+			l.acks(m)
+		}
 	}
 }
 
@@ -197,6 +202,16 @@
 	l.since = 0
 }
 
+// order sends an order; it is lost while the link is down.
+func (l *link) order(o *wire.Order) {
+	l.mu.Lock()
+	c := l.conn
+	l.mu.Unlock()
+	if c != nil {
+		c.Send(o)
+	}
+}
+
 // deliver passes m on to its stream, unless that runs on another connection.
 func (l *link) deliver(c *wire.Conn, stream uint64, m wire.Message) {
 	l.mu.Lock()
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,7 +40,7 @@
 	Hello     wire.Hello // names the process; Role is RoleEntry
 	Config    node.ConfigView
 	Instances platform.InstanceList
-	Claims    platform.Log // where calls that may not repeat are claimed
+	Claims    platform.Log // where calls that may not repeat and rank groups are claimed
 	Log       *log.Logger
 	Metrics   *telemetry.EntryMetrics
 	Tracer    trace.Tracer
@@ -60,6 +60,7 @@
 	inFlight atomic.Int64 // requests being served
 
 	policies *policies
+	groups   *groups
 
 	budgetMu sync.Mutex
 	budget   *admit.RetryBudget
@@ -77,6 +78,8 @@
 		budget:   admit.NewRetryBudget(0, retryBurst),
 	}
 	n.CompareBy(s.policies.comparison)
+	s.groups = newGroups(&opt, s.table)
+	s.table.acks = s.groups.ack
 	s.claims = claim.NewClient(claim.Options{
 		Service:   opt.Hello.Service,
 		Claimant:  opt.Hello.Incarnation,
@@ -144,6 +147,7 @@
 	s.policies.set(doc.Doc.Routing)
 	s.setBudget(doc.Doc.Limits.RetryBudget)
 	s.table.update(ctx, doc, instances)
+	s.groups.follow(ctx, doc.Doc, instances)
 }
 
 func (s *Server) setBudget(ratio float64) {
--- a/entry/table.go
+++ b/entry/table.go
@@ -13,6 +13,7 @@
 	"marjorampitch/logfold"
 	"marjorampitch/platform"
 	"marjorampitch/route"
+	"marjorampitch/wire"
 )
 
 // Distances between an entry and the sides, for pickers.
@@ -35,6 +36,7 @@
 	self string
 	node *node.Node
 	log  *log.Logger
+	acks func(*wire.OrderAck) // takes answers of ranks
 
 	mu        sync.Mutex
 	ctx       context.Context // of the links
@@ -121,11 +123,22 @@
 	t.pools[key] = append(t.pools[key], r)
 }
 
+// order sends an order to the side process with this name, if it is connected.
+func (t *table) order(side string, o *wire.Order) {
+	t.mu.Lock()
+	l := t.links[side]
+	t.mu.Unlock()
+	if l != nil {
+		l.order(o)
+	}
+}
+
 // start opens a link. The caller holds mu.
 func (t *table) start(ctx context.Context, in platform.Instance) {
 	ctx, stop := context.WithCancel(ctx)
 	l := newLink(in.Name, in.Address, in.DataCentre, t.node, t.log)
 	l.stop = stop
+	l.acks = t.acks
 	t.links[in.Name] = l
 	go l.run(ctx)
 }
--- /dev/null
+++ b/placement/pack/initial_test.go
@@ -0,0 +1,30 @@
+package pack_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/placement"
+	"marjorampitch/placement/pack"
+)
+
+func TestInitialMapIsValidAndBalanced(t *testing.T) {
+	shape := placement.Shape{Layers: 2, Ranks: 4, Experts: 8, Slots: 3}
+	m, err := pack.Initial(shape)
+	require.NoError(t, err)
+	require.NoError(t, m.Check())
+	loads := placement.NewLoads(shape)
+	for i := range loads.Counts {
+		loads.Counts[i] = 1
+	}
+	require.InDelta(t, 1, pack.Predict(m, loads, []float64{1, 1, 1, 1}), 1e-3)
+	again, err := pack.Initial(shape)
+	require.NoError(t, err)
+	require.Equal(t, m, again)
+}
+
+func TestInitialMapOfABadShape(t *testing.T) {
+	_, err := pack.Initial(placement.Shape{Layers: 1, Ranks: 1, Experts: 3, Slots: 2})
+	require.ErrorIs(t, err, placement.ErrShape)
+}
