Scenario: a switch of a group whose coordinator's entry is killed

Real processes: a group gets its map, a switch begins and stands since one rank can't be reached, steps go on, the leading entry is killed, the other one finishes; then an engine dies and joins again. The oracle compares the engines' own records of the steps they began.

--- a/internal/scenario/document.go
+++ b/internal/scenario/document.go
@@ -88,7 +88,7 @@
 `
 
 // text returns the document for the backend servers.
-func (d *document) text(backends map[string]*backend) string {
+func (d *document) text(backends map[string]*backend, groups map[string]*rankGroup) string {
 	var b strings.Builder
 	b.WriteString(documentHead)
 	centres := make(map[string]bool)
@@ -100,6 +100,9 @@
 		plain = plain || be.plain != nil
 		b.WriteString(d.backend(be))
 	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		b.WriteString(groups[name].section())
+	}
 	if engines {
 		b.WriteString(chatRoute)
 	}
@@ -117,6 +120,9 @@
 	if be.engine != nil {
 		kind, pool, models = "engine", "engines", "models = "+model+"\n"
 	}
+	if be.group != nil {
+		models += fmt.Sprintf("group = %s\nrank = %d\n", be.group.name, be.rank)
+	}
 	return fmt.Sprintf("\n[backend-server %s]\ndata-centre = %s\nkind = %s\npool = %s\n%smax-running = %d\nstate = %s\n",
 		be.name, be.dataCentre, kind, pool, models, be.maxRunning, state(d.leaving[be.name], "leaving"))
 }
--- a/internal/scenario/server.go
+++ b/internal/scenario/server.go
@@ -99,6 +99,8 @@
 	engine     *platformtest.Engine
 	plain      *platformtest.Plain
 	maxRunning int
+	group      *rankGroup // nil for one that is no rank
+	rank       int
 	server     *server
 }
 
--- a/internal/scenario/subject.go
+++ b/internal/scenario/subject.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"context"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -8,13 +9,15 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"marjorampitch/logfold"
 )
 
 // expectLimit is how long a script waits for a condition.
 const expectLimit = 60 * time.Second
 
 // subject returns the numbers of a load, a backend server or a daemon: "load
-// NAME", "engine NAME", "plain" (all together), "daemon NAME".
+// NAME", "engine NAME", "group NAME", "plain" (all together), "daemon NAME".
 func (w *World) subject(kind, name string) (counters, error) {
 	switch kind {
 	case "load":
@@ -30,6 +33,13 @@
 		if b, ok := w.backends[name]; ok && b.engine != nil {
 			return engineCounters(b), nil
 		}
+	case "group":
+		if g, ok := w.groups[name]; ok {
+			c := g.counters()
+			claims, err := w.log.Read(context.Background(), logfold.GroupStream(service), 0, 1, 0)
+			c["claims"] = int(claims.End)
+			return c, err
+		}
 	case "plain":
 		return w.plainCounters(name), nil
 	case "log":
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -22,6 +22,8 @@
 	verbs := map[string]func(*World, []string) error{
 		"engine":        (*World).engineVerb,
 		"plain":         (*World).plainVerb,
+		"group":         (*World).groupVerb,
+		"slots":         (*World).slotsVerb,
 		"entry":         (*World).entryVerb,
 		"side":          (*World).sideVerb,
 		"publish":       (*World).publishVerb,
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -40,6 +40,7 @@
 	weights   *server
 	centres   map[string]*centre
 	backends  map[string]*backend
+	groups    map[string]*rankGroup
 	daemons   map[string]*daemon
 	relays    map[string]*relay
 	loads     map[string]*Load
@@ -59,6 +60,7 @@
 		log:      platformtest.NewLog(),
 		centres:  make(map[string]*centre),
 		backends: make(map[string]*backend),
+		groups:   make(map[string]*rankGroup),
 		daemons:  make(map[string]*daemon),
 		relays:   make(map[string]*relay),
 		loads:    make(map[string]*Load),
@@ -86,6 +88,9 @@
 		r.close()
 	}
 	for _, b := range w.backends {
+		if b.group != nil {
+			b.engine.Crash() // ends its steps
+		}
 		b.server.kill()
 	}
 	for _, c := range w.centres {
@@ -97,7 +102,7 @@
 
 // Publish appends the document as the next version.
 func (w *World) Publish() error {
-	packed, err := logfold.Pack([]byte(w.document.text(w.backends)))
+	packed, err := logfold.Pack([]byte(w.document.text(w.backends, w.groups)))
 	if err != nil {
 		return err
 	}
