Group: a takeover does not restart a group that goes on in steps

Cause: answers of one round are of different moments. A new coordinator that reached one rank late took the steps for too far apart and restarted the group. Seen in the scenario of a switch. Change: ranks that seem apart are asked again, up to three times; a rank without a map still restarts at once. With no look TestTakeoverOfAGroupInMotion is red (step numbers of life 2, want 1).

--- a/group/coordinator.go
+++ b/group/coordinator.go
@@ -55,6 +55,7 @@
 	target uint64 // map to be in force at the end of what is underway
 	data   []byte // encoded map target
 	next   []byte // proposed map, not begun; nil for none
+	looks  int    // how often ranks were asked again, since their steps seemed apart
 	reform bool   // restart the group: an order was refused that should not have been
 
 	now     time.Duration
@@ -83,6 +84,7 @@
 	}
 	c.fence = offset
 	c.seq = 0
+	c.looks = 0
 	c.epoch = firstEpoch(offset)
 	return c.begin(phaseSealing, wire.Order{Kind: uint8(Seal)}, nil)
 }
--- a/group/rounds.go
+++ b/group/rounds.go
@@ -38,7 +38,14 @@
 			c.target = max(c.target, a.Armed)
 		}
 	}
-	if c.reform || c.scattered() {
+	if c.reform || c.mapless() {
+		return c.fetch()
+	}
+	if c.scattered() {
+		if c.looks < maxLooks {
+			c.looks++
+			return c.begin(phaseSealing, wire.Order{Kind: uint8(Query)}, nil)
+		}
 		return c.fetch()
 	}
 	for _, a := range c.acks {
@@ -49,14 +56,26 @@
 	return c.release()
 }
 
-// scattered says that the ranks cannot go on together: one has no map since
-// its engine restarted, or their steps are further apart than lock-step allows.
-func (c *Coordinator) scattered() bool {
-	low, high := c.acks[0].Next, c.acks[0].Next
+// maxLooks is how often ranks whose steps seem apart are asked again. Answers
+// of one round are of different moments, so a group that goes on seems apart
+// when one of them came late.
+const maxLooks = 3
+
+// mapless says that a rank has no map since its engine restarted.
+func (c *Coordinator) mapless() bool {
 	for _, a := range c.acks {
 		if a.Epoch == 0 {
 			return true
 		}
+	}
+	return false
+}
+
+// scattered says that the steps that the ranks told are further apart than
+// lock-step allows.
+func (c *Coordinator) scattered() bool {
+	low, high := c.acks[0].Next, c.acks[0].Next
+	for _, a := range c.acks {
 		low = min(low, a.Next)
 		high = max(high, a.Next)
 	}
--- a/group/timed_test.go
+++ b/group/timed_test.go
@@ -50,6 +50,7 @@
 	held    time.Duration // sum of the holds
 	bytes   int           // frames of orders and answers
 	frames  int
+	cut     bool // orders to rank 0 are lost
 }
 
 func (s *timed) after(d time.Duration, do func()) { heap.Push(&s.queue, timer{s.now + d, do}) }
@@ -57,6 +58,9 @@
 // spread schedules what the machines have just asked for.
 func (s *timed) spread() {
 	for _, m := range s.net {
+		if s.cut && m.order != nil && m.order.Rank == 0 {
+			continue
+		}
 		var out wire.Message = m.ack
 		if m.order != nil {
 			out = m.order
@@ -143,7 +147,9 @@
 }
 
 func (s *timed) ticks() {
-	s.coordActions(0, s.coords[0].machine.Tick(s.now))
+	for i, c := range s.coords {
+		s.coordActions(i, c.machine.Tick(s.now))
+	}
 	s.spread()
 	s.after(tickTime, s.ticks)
 }
@@ -226,3 +232,24 @@
 		fmt.Printf("switch: ranks %d: %d frames, %d bytes\n", ranks, s.frames/10, s.bytes/10)
 	}
 }
+
+// A new coordinator that reaches one rank later than the others takes a group
+// over that goes on in steps, without restarting it.
+func TestTakeoverOfAGroupInMotion(t *testing.T) {
+	s := newTimed(8, true, 1500*time.Microsecond)
+	s.switches(t, 1)
+	s.cut = true
+	s.addCoordinator()
+	s.appendClaim(1)
+	s.answerClaim(1)
+	s.spread()
+	began := s.engines[0].Next
+	require.True(t, s.until(time.Minute, func() bool { return s.engines[0].Next > began+20 }))
+	s.cut = false
+	require.True(t, s.until(time.Minute, s.coords[1].machine.Idle))
+	require.Equal(t, began>>stepBits, s.engines[0].Next>>stepBits, "restarted")
+	s.propose(1)
+	s.spread()
+	require.True(t, s.until(time.Minute, func() bool { return s.engines[0].Epoch > firstEpoch(1) }))
+	require.Empty(t, s.fault)
+}
