Side: tests of the rank's loop

With the end of the group stream not read (-1 in its place) TestRankRefusesCoordinatorsBeforeTheLastClaim is red (code 0, want that of an old fencing number).

--- a/side/rank.go
+++ b/side/rank.go
@@ -19,9 +19,12 @@
 	rankQueue  = 64 // orders waiting; coordinators send again what finds no room
 )
 
+// orderer is a connection to the sender of orders; wire.Conn implements it.
+type orderer interface{ Send(m wire.Message) error }
+
 // rankOrder is an order with the connection that its answer goes to.
 type rankOrder struct {
-	conn  *wire.Conn
+	conn  orderer
 	order *wire.Order
 }
 
@@ -45,7 +48,7 @@
 	hash    string // of the map in force
 	fence   chan int64
 	done    chan rankDone
-	waiting map[uint8]*wire.Conn // by kind of order: who waits for an answer
+	waiting map[uint8]orderer // by kind of order: who waits for an answer
 }
 
 func newRank(opt *Options, client *platform.EngineClient, groupName string, number int) *rank {
@@ -57,12 +60,12 @@
 		orders:  make(chan rankOrder, rankQueue),
 		fence:   make(chan int64),
 		done:    make(chan rankDone),
-		waiting: make(map[uint8]*wire.Conn),
+		waiting: make(map[uint8]orderer),
 	}
 }
 
 // order hands an order over; one that finds no room is dropped.
-func (r *rank) order(c *wire.Conn, o *wire.Order) {
+func (r *rank) order(c orderer, o *wire.Order) {
 	if o.Group != r.engine.group || o.Rank != r.engine.rank {
 		return
 	}
@@ -139,7 +142,7 @@
 
 // perform carries out the machine's actions; c gets the answers, or, when it
 // is nil, whoever sent the order last.
-func (r *rank) perform(ctx context.Context, c *wire.Conn, actions []group.Action) {
+func (r *rank) perform(ctx context.Context, c orderer, actions []group.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case group.ReadFence:
@@ -153,7 +156,7 @@
 	}
 }
 
-func (r *rank) answer(c *wire.Conn, ack wire.OrderAck) {
+func (r *rank) answer(c orderer, ack wire.OrderAck) {
 	if c == nil {
 		c = r.waiting[ack.Kind]
 	}
--- /dev/null
+++ b/side/rank_test.go
@@ -0,0 +1,128 @@
+package side
+
+import (
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/api"
+	"marjorampitch/group"
+	"marjorampitch/logfold"
+	"marjorampitch/platform"
+	"marjorampitch/platform/platformtest"
+	"marjorampitch/wire"
+)
+
+const rankTestLimit = 20 * time.Second
+
+// acks takes the answers of a rank.
+type acks chan *wire.OrderAck
+
+func (a acks) Send(m wire.Message) error {
+	a <- m.(*wire.OrderAck)
+	return nil
+}
+
+// startRank runs rank 0 of group g beside an engine, with a log that
+// holds some claims.
+func startRank(t *testing.T, engine *platformtest.Engine, claims int) *rank {
+	srv := httptest.NewServer(engine.Handler())
+	t.Cleanup(srv.Close)
+	store := platformtest.NewLog()
+	for range claims {
+		_, err := store.Append(t.Context(), logfold.GroupStream("s"), [][]byte{[]byte("claim")})
+		require.NoError(t, err)
+	}
+	opt := Options{Hello: wire.Hello{Service: "s"}, Claims: store, Log: log.New(io.Discard)}
+	r := newRank(&opt, platform.NewEngineClient(srv.URL), "g", 0)
+	go r.run(t.Context())
+	return r
+}
+
+// obeyed sends an order until the rank is ready for it and returns the answer.
+func obeyed(t *testing.T, r *rank, o wire.Order) *wire.OrderAck {
+	answers := make(acks, rankQueue)
+	deadline := time.After(rankTestLimit)
+	for {
+		order := o
+		r.order(answers, &order)
+		select {
+		case a := <-answers:
+			if api.Code(a.Code) != api.NotReady {
+				return a
+			}
+		case <-time.After(rankPoll):
+		case <-deadline:
+			require.Fail(t, "no answer")
+		}
+	}
+}
+
+// groupOfTwo returns the engines of a group.
+func groupOfTwo(t *testing.T) (first, second *platformtest.Engine) {
+	opts := platformtest.DefaultEngineOptions()
+	opts.Lockstep = platformtest.NewLockstep(2)
+	first = platformtest.NewEngine(opts)
+	opts.Rank = 1
+	second = platformtest.NewEngine(opts)
+	t.Cleanup(first.Crash)
+	t.Cleanup(second.Crash)
+	return first, second
+}
+
+// A side process that was just started knows of the claims on the log, and
+// passes no order of an earlier coordinator on.
+func TestRankRefusesCoordinatorsBeforeTheLastClaim(t *testing.T) {
+	e, _ := groupOfTwo(t)
+	r := startRank(t, e, 3)
+	a := obeyed(t, r, wire.Order{Group: "g", Kind: uint8(group.Seal), Fence: 1, Seq: 1})
+	require.Equal(t, int(api.StaleFence), a.Code)
+	require.Equal(t, int64(2), a.Fence)
+	require.Empty(t, e.Stats().Orders)
+	a = obeyed(t, r, wire.Order{Group: "g", Kind: uint8(group.Stage), Fence: 2, Seq: 1, Map: []byte("m"), Epoch: 9})
+	require.Equal(t, int(api.NotSealed), a.Code)
+	a = obeyed(t, r, wire.Order{Group: "g", Kind: uint8(group.Seal), Fence: 2, Seq: 1})
+	require.Equal(t, int(api.OK), a.Code)
+	require.Len(t, e.Stats().Orders, 1)
+}
+
+// A rank joins with a map and switches to the next one at its step. The other
+// rank joins last, so no step is begun before the commit.
+func TestRankSwitchesItsEngine(t *testing.T) {
+	e, other := groupOfTwo(t)
+	r := startRank(t, e, 0)
+	first, second := []byte("first"), []byte("second")
+	const far = 1 << 32
+	for i, o := range []wire.Order{
+		{Kind: uint8(group.Seal)},
+		{Kind: uint8(group.Stage), Epoch: 1, Map: first},
+		{Kind: uint8(group.Join), Epoch: 1, Step: far},
+		{Kind: uint8(group.Release)},
+		{Kind: uint8(group.Stage), Epoch: 2, Map: second},
+		{Kind: uint8(group.Arm), Epoch: 2, Step: far + 3},
+		{Kind: uint8(group.Commit), Epoch: 2},
+	} {
+		o.Group, o.Seq = "g", uint64(i+1)
+		a := obeyed(t, r, o)
+		require.Equal(t, int(api.OK), a.Code, "order %d", i)
+	}
+	for _, o := range []platform.EngineOrder{
+		{Kind: platform.OrderStage, Epoch: 1},
+		{Kind: platform.OrderJoin, Epoch: 1, Step: far},
+		{Kind: platform.OrderDrop},
+	} {
+		_, err := other.Order(o)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return e.RankState().Step > far+3 }, rankTestLimit, time.Millisecond)
+	a := obeyed(t, r, wire.Order{Group: "g", Kind: uint8(group.Query), Seq: 100})
+	require.Equal(t, mapHash(second), a.MapHash)
+	spans := e.Stats().Steps
+	require.Len(t, spans, 2)
+	require.Equal(t, int64(far+3), spans[1].First)
+	require.Equal(t, mapHash(first), spans[0].MapHash)
+}
