--- a/group/exhaustive_test.go
+++ b/group/exhaustive_test.go
@@ -103,6 +103,7 @@
 	b = binary.LittleEndian.AppendUint64(b, uint64(p.w.claims))
 	for r, e := range p.w.engines {
 		b = e.EngineState.key(append(b, flags(e.running, p.w.sides[r].ready)...))
+		b = append(append(append(b, e.current...), '.'), e.staged...)
 		b = p.w.sides[r].key(b)
 	}
 	for _, c := range p.w.coords {
@@ -167,7 +168,7 @@
 	m := c.machine
 	b = append(b, flags(c.claiming, m.reform, m.next != nil)...)
 	b = append(b, flags(m.round.wants...)...)
-	b = numbers(b, c.claim, int64(m.phase), m.fence, int64(m.seq), int64(m.epoch), int64(m.target), m.missed)
+	b = numbers(b, c.claim, int64(m.phase), m.fence, int64(m.seq), int64(m.epoch), int64(m.target), m.missed, int64(m.looks))
 	b = appendMessage(b, &m.round.order, nil)
 	for i := range m.acks {
 		b = appendMessage(b, nil, &m.acks[i])
