--- a/admit/main_test.go
+++ b/admit/main_test.go
@@ -1,20 +1,12 @@
 package admit
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 // TestMain fixes the seed and the number of cases unless FUZZ=1 is set.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") != "1" {
-		for name, value := range map[string]string{"rapid.seed": "20260701", "rapid.checks": "40"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 20260701, Checks: 40})
 }
--- a/claim/fuzz_test.go
+++ b/claim/fuzz_test.go
@@ -1,29 +1,19 @@
 package claim
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 // TestMain fixes rapid's seed and number of checks. With FUZZ=1 the seed is
 // fresh, unless one is given, and printed.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.nofailfile", "true")
-	if os.Getenv("FUZZ") != "1" {
-		flag.Set("rapid.seed", "20261203")
-		flag.Set("rapid.checks", "5000")
-	} else if flag.Lookup("rapid.seed").Value.String() == "0" {
-		flag.Set("rapid.seed", strconv.FormatInt(time.Now().UnixNano(), 10))
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 20261203, Checks: 5000})
 }
 
 // attempts returns pending attempts on three keys: fresh, with two contents,
--- a/entry/assembler_test.go
+++ b/entry/assembler_test.go
@@ -1,25 +1,21 @@
 package entry
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"marjorampitch/wire"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 // TestMain fixes the seed, so that every run of the tests is the same one;
 // with FUZZ=1 the seed is fresh.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") == "" {
-		flag.Set("rapid.seed", "20261203")
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 20261203, Checks: 100})
 }
 
 // event is the n-th event of an answer; answers of two variants differ from event 3 on.
--- a/group/fuzz_test.go
+++ b/group/fuzz_test.go
@@ -1,23 +1,18 @@
 package group
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") != "1" {
-		_ = flag.Set("rapid.seed", "11")
-		_ = flag.Set("rapid.checks", "400")
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 11, Checks: 400})
 }
 
 // eventsARun is the length of a run, without the calm end.
--- a/internal/slopes/coordination.go
+++ b/internal/slopes/coordination.go
@@ -2,16 +2,14 @@
 
 import (
 	"fmt"
-	"math"
 	"runtime"
 	"time"
 
 	"github.com/google/uuid"
 
 	"marjorampitch/claim"
-	"marjorampitch/placement"
-	"marjorampitch/placement/pack"
 	"marjorampitch/placement/packed"
+	"marjorampitch/placement/placementtest"
 	"marjorampitch/platform"
 )
 
@@ -77,40 +75,20 @@
 	ranks := []int{8, 16, 32, 64}
 	return []Slope{
 		{Name: "placement-decide", Per: "rank", Unit: "us", Sizes: ranks, Measure: func(n int) (float64, error) {
-			in := drifted(n, 256)
+			in := placementtest.Drifted(n, 256)
 			var failed error
 			cost := nanos(func() { _, failed = packed.Policy{}.Decide(in) })
 			return cost / 1e3, failed
 		}},
 		{Name: "placement-decide", Per: "expert", Unit: "us", Sizes: []int{64, 128, 192, 256}, Measure: func(n int) (float64, error) {
-			in := drifted(64, n)
+			in := placementtest.Drifted(64, n)
 			var failed error
 			cost := nanos(func() { _, failed = packed.Policy{}.Decide(in) })
 			return cost / 1e3, failed
 		}},
 		{Name: "map-bytes", Per: "rank", Unit: "B", Sizes: ranks, Measure: func(n int) (float64, error) {
-			data, err := drifted(n, 256).Map.MarshalMsg(nil)
+			data, err := placementtest.Drifted(n, 256).Map.MarshalMsg(nil)
 			return float64(len(data)), err
 		}},
 	}
 }
-
-// drifted is a decision on one layer whose load has drifted by a tenth since it was packed.
-func drifted(ranks, experts int) placement.Input {
-	shape := placement.Shape{Layers: 1, Ranks: ranks, Experts: experts, Slots: experts/ranks + 1}
-	loads := placement.NewLoads(shape)
-	speeds := placement.NewSpeeds(ranks).Values()
-	for e := range loads.Counts {
-		loads.Counts[e] = 1e6 * math.Pow(float64(e+1), -0.9)
-	}
-	empty, _ := placement.NewMap(shape)
-	m, _ := placement.NewMap(shape)
-	pack.Full(empty, m, 0, loads.Layer(0), speeds)
-	for e := range loads.Counts {
-		loads.Counts[e] *= 1 + 0.1*math.Sin(float64(e*e))
-	}
-	return placement.Input{
-		Map: m, Loads: loads, Speeds: speeds, Horizon: 20 * time.Minute, Margin: 2,
-		Costs: placement.Costs{ExpertBytes: 44 << 20, BytesPerSecond: 35e6, Step: 50 * time.Millisecond},
-	}
-}
--- a/logfold/fuzz_test.go
+++ b/logfold/fuzz_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,16 +11,12 @@
 
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") != "1" {
-		flag.Set("rapid.seed", "4")
-		flag.Set("rapid.checks", "40")
-		flag.Set("rapid.steps", "100")
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 4, Checks: 40, Steps: 100})
 }
 
 const quietBound = 10 * time.Second // an accepted document is in force everywhere this long after the last fault
--- a/placement/pack/bench_test.go
+++ b/placement/pack/bench_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
-	"time"
 
 	"marjorampitch/placement"
-	"marjorampitch/placement/pack"
 	"marjorampitch/placement/packed"
+	"marjorampitch/placement/placementtest"
 )
 
 // BenchmarkDecide is one decision on one layer whose load has drifted by a
@@ -24,22 +22,8 @@
 }
 
 func benchDecide(b *testing.B, ranks, experts int) {
-	shape := placement.Shape{Layers: 1, Ranks: ranks, Experts: experts, Slots: experts/ranks + 1}
-	loads := placement.NewLoads(shape)
-	speeds := placement.NewSpeeds(ranks).Values()
-	for e := range loads.Counts {
-		loads.Counts[e] = 1e6 * math.Pow(float64(e+1), -0.9)
-	}
-	empty, _ := placement.NewMap(shape)
-	m, _ := placement.NewMap(shape)
-	pack.Full(empty, m, 0, loads.Layer(0), speeds)
-	for e := range loads.Counts {
-		loads.Counts[e] *= 1 + 0.1*math.Sin(float64(e*e))
-	}
-	in := placement.Input{
-		Map: m, Loads: loads, Speeds: speeds, Horizon: 20 * time.Minute, Margin: 2,
-		Costs: placement.Costs{ExpertBytes: 44 << 20, BytesPerSecond: 35e6, Step: 50 * time.Millisecond},
-	}
+	in := placementtest.Drifted(ranks, experts)
+	m := in.Map
 	data, _ := m.MarshalMsg(nil)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/placement/pack/pack_test.go
+++ b/placement/pack/pack_test.go
@@ -1,8 +1,6 @@
 package pack_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -13,15 +11,12 @@
 	"marjorampitch/placement/fullrepack"
 	"marjorampitch/placement/pack"
 	"marjorampitch/placement/packed"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") != "1" {
-		_ = flag.Set("rapid.seed", "5")
-		_ = flag.Set("rapid.checks", "60")
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 5, Checks: 60})
 }
 
 // skew is the oracle: the longest rank time over that of perfect balance.
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -2,20 +2,15 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"marjorampitch/internal/fuzztest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("FUZZ") != "1" {
-		flag.Set("rapid.seed", "20261203")
-		flag.Set("rapid.checks", "2000")
-	}
-	os.Exit(m.Run())
+	fuzztest.Main(m, fuzztest.Fixed{Seed: 20261203, Checks: 2000})
 }
 
 func TestFrameRoundTrip(t *testing.T) {
