Metrics that were registered and never set are set; two without a source are gone

Change: set where the state is; no hedges and void claims are counted, since nothing makes or tells them.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -48,11 +48,13 @@
 	attempts  int
 	replayed  bool
 
-	first    *wire.Head // head of the first attempt that had one
-	stream   bool       // pass on at once
-	sent     bool       // the HTTP header has left
-	buffered bytes.Buffer
-	extendAt time.Time // when the write deadline is moved next
+	first     *wire.Head // head of the first attempt that had one
+	stream    bool       // pass on at once
+	sent      bool       // the HTTP header has left
+	buffered  bytes.Buffer
+	extendAt  time.Time           // when the write deadline is moved next
+	writtenAt time.Time           // when a part of a stream last left
+	between   func(time.Duration) // takes the time between two parts of a stream; nil for none
 }
 
 func newAnswer(w http.ResponseWriter, requestID string) *answer {
@@ -79,9 +81,20 @@
 		a.buffered.Reset()
 	}
 	a.sendHeader()
+	if d, ok := a.sinceLast(time.Now()); ok && a.between != nil {
+		a.between(d)
+	}
 	return a.flush(data)
 }
 
+// sinceLast returns the time since a part of a stream last left, and notes
+// that one leaves now; ok is false for the first.
+func (a *answer) sinceLast(now time.Time) (d time.Duration, ok bool) {
+	last := a.writtenAt
+	a.writtenAt = now
+	return now.Sub(last), !last.IsZero()
+}
+
 // flush passes bytes on to the caller, who must accept them in time.
 func (a *answer) flush(data []byte) error {
 	if err := a.extendDeadline(time.Now()); err != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -36,6 +36,7 @@
 	}
 	c, e := parse(r, doc.Doc, doc.Offset, start)
 	a := newAnswer(w, c.id)
+	a.between = s.opt.Metrics.BetweenTokens
 	defer a.release()
 	if e == nil {
 		e = s.serve(telemetry.Extract(r.Context(), r.Header), c, a)
--- a/entry/link.go
+++ b/entry/link.go
@@ -109,9 +109,9 @@
 	return len(l.streams) == 0
 }
 
-// connected makes c usable. That is after its first heartbeat, which brings
+// use makes c usable. That is after its first heartbeat, which brings
 // what the side process knows of requests that crash backend servers.
-func (l *link) connected(c *wire.Conn) {
+func (l *link) use(c *wire.Conn) {
 	l.log.Info("side-connected", "side", l.name, "incarnation", c.Peer().Incarnation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,7 +156,7 @@
 	fresh := l.conn != c
 	l.mu.Unlock()
 	if fresh {
-		l.connected(c)
+		l.use(c)
 		l.judgeTrial(c)
 	}
 	if hb.Report != nil {
@@ -337,3 +337,10 @@
 		}
 	}
 }
+
+// connected reports whether the link can be used.
+func (l *link) connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil
+}
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -16,9 +16,9 @@
 func TestLinkTellsStreamsOfTheirConnectionsLoss(t *testing.T) {
 	l := newLink("s1", "", "", node.New(wire.Hello{}, nil), log.New(io.Discard))
 	older, newer := new(wire.Conn), new(wire.Conn)
-	l.connected(older)
+	l.use(older)
 	first, _ := l.register("")
-	l.connected(newer)
+	l.use(newer)
 	second, _ := l.register("")
 
 	l.deliver(newer, first.stream, &wire.Chunk{})
--- a/entry/once.go
+++ b/entry/once.go
@@ -14,6 +14,7 @@
 	"marjorampitch/api"
 	"marjorampitch/claim"
 	"marjorampitch/platform"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -41,6 +42,7 @@
 		req.LookUp = func(ctx context.Context) (wire.Answer, bool) { return s.lookUp(ctx, c) }
 	}
 	res, err := s.claims.Do(ctx, req)
+	s.opt.Metrics.Claimed(claimResult(&res, err))
 	a.servedBy = res.Side
 	a.attempts = res.Claims
 	if err != nil {
@@ -57,6 +59,20 @@
 	return nil
 }
 
+// claimResult is the fate of a call's claims, for the metrics.
+func claimResult(res *claim.Result, err error) telemetry.ClaimResult {
+	var e *api.Error
+	switch {
+	case err == nil && res.Replayed:
+		return telemetry.ClaimLost
+	case err == nil:
+		return telemetry.ClaimWon
+	case asError(err, &e) && e.Ran == api.NotRun:
+		return telemetry.ClaimRefused
+	}
+	return telemetry.ClaimUnknown
+}
+
 func onceError(err error) *api.Error {
 	var e *api.Error
 	if asError(err, &e) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -73,7 +73,11 @@
 	if r.last.Ran == api.NotRun {
 		return true
 	}
-	return r.server.takeRetry()
+	if !r.server.takeRetry() {
+		return false
+	}
+	r.server.opt.Metrics.Retried()
+	return true
 }
 
 // try makes one attempt, resumed as often as its connection is lost and comes
--- a/entry/server.go
+++ b/entry/server.go
@@ -147,6 +147,8 @@
 	s.policies.set(doc.Doc.Routing)
 	s.setBudget(doc.Doc.Limits.RetryBudget)
 	s.table.update(ctx, doc, instances)
+	s.opt.Metrics.SetConfig(doc.Offset, s.opt.Config.Current())
+	s.opt.Metrics.SetConnections(s.table.connections())
 	s.groups.follow(ctx, doc.Doc, instances)
 }
 
--- a/entry/table.go
+++ b/entry/table.go
@@ -206,3 +206,16 @@
 	}
 	return otherRegions
 }
+
+// connections returns the number of links that are connected.
+func (t *table) connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, l := range t.links {
+		if l.connected() {
+			n++
+		}
+	}
+	return n
+}
--- a/side/keys.go
+++ b/side/keys.go
@@ -97,6 +97,13 @@
 	return k.table.Query(q)
 }
 
+// len returns the number of keys kept.
+func (k *keys) len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Len()
+}
+
 // advance forgets old keys now and then. The caller holds mu.
 func (k *keys) advance(now time.Time) {
 	if now.Sub(k.advanced) < keysInterval {
--- a/side/load.go
+++ b/side/load.go
@@ -23,6 +23,7 @@
 	defer ticker.Stop()
 	for {
 		s.configure()
+		s.measure()
 		s.configureRank(ctx)
 		s.poll(ctx)
 		select {
@@ -33,6 +34,16 @@
 	}
 }
 
+// measure shows the process's state in its metrics.
+func (s *Server) measure() {
+	r := s.report()
+	s.opt.Metrics.SetLimit(r.Limit, r.Cold)
+	s.opt.Metrics.SetKeys(s.keys.len())
+	if doc := s.opt.Config.Document(); doc != nil {
+		s.opt.Metrics.SetConfig(doc.Offset, s.opt.Config.Current())
+	}
+}
+
 // configure makes the limiter once there is a document, and keeps it in line with it.
 func (s *Server) configure() {
 	inForce := s.opt.Config.Document()
@@ -135,6 +146,7 @@
 	}
 	id := xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", s.opt.Hello.Instance, s.opt.Hello.Incarnation, number))
 	s.node.Suspicion().Crash(id, fingerprints, trial)
+	s.opt.Metrics.Crashed()
 	s.opt.Log.Warn("backend-crashed", "incarnation", incarnation, "in-flight", len(fingerprints), "trial", trial)
 	for _, c := range s.peers() {
 		c.BeatNow(s.node)
--- a/side/peer.go
+++ b/side/peer.go
@@ -21,7 +21,7 @@
 	case *wire.Cancel:
 		s.cancel(c, m)
 	case *wire.KeyQuery:
-		c.Send(s.keys.query(m))
+		s.query(c, m)
 	case *wire.Order:
 		s.order(c, m)
 	default:
@@ -216,3 +216,12 @@
 		s.abandon(sn)
 	}
 }
+
+// query answers an entry that asks what became of a claim.
+func (s *Server) query(c *wire.Conn, m *wire.KeyQuery) {
+	answer := s.keys.query(m)
+	if m.Seal && answer.State == wire.KeySealed {
+		s.opt.Metrics.Sealed()
+	}
+	c.Send(answer)
+}
--- a/side/rank.go
+++ b/side/rank.go
@@ -6,9 +6,11 @@
 
 	"github.com/charmbracelet/log"
 
+	"marjorampitch/api"
 	"marjorampitch/group"
 	"marjorampitch/logfold"
 	"marjorampitch/platform"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -41,6 +43,7 @@
 	service string
 	engine  rankEngine
 	log     *log.Logger
+	metrics *telemetry.SideMetrics // nil for none
 	fences  platform.Log
 	orders  chan rankOrder
 
@@ -56,6 +59,7 @@
 		service: opt.Hello.Service,
 		engine:  rankEngine{client: client, group: groupName, rank: number},
 		log:     opt.Log,
+		metrics: opt.Metrics,
 		fences:  opt.Claims,
 		orders:  make(chan rankOrder, rankQueue),
 		fence:   make(chan int64),
@@ -164,6 +168,9 @@
 		return
 	}
 	ack.MapHash = r.hash
+	if r.metrics != nil {
+		r.metrics.OrderDone(api.Code(ack.Code))
+	}
 	c.Send(&ack)
 }
 
--- a/side/verify_test.go
+++ b/side/verify_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
@@ -17,6 +18,7 @@
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
 	"marjorampitch/platform"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -71,7 +73,8 @@
 		Config: oneEngine{doc: &logfold.InForce{Doc: &config.Document{
 			Backends: []config.Backend{{Name: "e1", Kind: config.KindEngine, MaxRunning: 8}},
 		}}},
-		Log: log.New(io.Discard),
+		Log:     log.New(io.Discard),
+		Metrics: telemetry.NewSideMetrics(prometheus.NewRegistry()),
 	})
 	be := s.self()
 	require.NotNil(t, be)
--- a/telemetry/entry.go
+++ b/telemetry/entry.go
@@ -16,11 +16,10 @@
 	ClaimWon     ClaimResult = "won"
 	ClaimLost    ClaimResult = "lost"    // another claim of the key was first
 	ClaimRefused ClaimResult = "refused" // the log service did not take it
-	ClaimVoid    ClaimResult = "void"    // it landed too late to be valid
 	ClaimUnknown ClaimResult = "unknown" // its append was given up with its fate unknown
 )
 
-var claimResults = []ClaimResult{ClaimWon, ClaimLost, ClaimRefused, ClaimVoid, ClaimUnknown}
+var claimResults = []ClaimResult{ClaimWon, ClaimLost, ClaimRefused, ClaimUnknown}
 
 // EntryMetrics are the metrics of an entry. Methods may be called by any goroutine.
 type EntryMetrics struct {
@@ -31,7 +30,6 @@
 	between      prometheus.Histogram
 	perRequest   prometheus.Histogram
 	retries      prometheus.Counter
-	hedges       prometheus.Counter
 	unresolved   prometheus.Counter
 	inFlight     prometheus.Gauge
 	connections  prometheus.Gauge
@@ -51,7 +49,6 @@
 		between:      b.histogram("between_tokens_seconds", "Time between parts of a streamed answer.", betweenBuckets),
 		perRequest:   b.histogram("request_attempts", "Attempts made for a request.", attemptBuckets),
 		retries:      b.counter("retries_total", "Attempts made after a failed one."),
-		hedges:       b.counter("hedges_total", "Attempts made beside a slow one."),
 		unresolved:   b.counter("unresolved_total", "Calls answered with 'may have run'."),
 		inFlight:     b.gauge("in_flight", "Requests being served."),
 		connections:  b.gauge("side_connections", "Open connections to side processes."),
@@ -97,9 +94,6 @@
 // Retried counts an attempt that follows a failed one.
 func (m *EntryMetrics) Retried() { m.retries.Inc() }
 
-// Hedged counts an attempt that is made beside a slow one.
-func (m *EntryMetrics) Hedged() { m.hedges.Inc() }
-
 // FirstToken records the time from the request to the first part of a streamed answer.
 func (m *EntryMetrics) FirstToken(d time.Duration) { observe(m.firstToken, d) }
 
