--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -265,17 +265,20 @@
 	return nil
 }
 
+// wantHops are the spans of a request that is served at the first attempt.
+var wantHops = []string{"entry.request", "entry.admit", "entry.pick", "entry.attempt", "side.admit", "side.backend"}
+
 // spans prints the hops of the draft's trace.
 func (d *demo) spans(context.Context) error {
 	hops := map[string]bool{}
 	deadline := time.Now().Add(15 * time.Second)
-	for time.Now().Before(deadline) && !(hops["entry.request"] && hops["entry.attempt"] && hops["side.backend"]) {
+	for time.Now().Before(deadline) && len(hops) < len(wantHops) {
 		time.Sleep(pollEvery)
 		if err := d.readSpans(hops); err != nil {
 			return err
 		}
 	}
-	for _, name := range []string{"entry.request", "entry.attempt", "side.backend"} {
+	for _, name := range wantHops {
 		if !hops[name] {
 			return eris.Errorf("no span %s in trace %s", name, d.traceID)
 		}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -39,7 +39,7 @@
 	a.between = s.opt.Metrics.BetweenTokens
 	defer a.release()
 	if e == nil {
-		e = s.serve(telemetry.Extract(r.Context(), r.Header), c, a)
+		e = s.serve(telemetry.Extract(r.Context(), r.Header), c, a, start)
 	}
 	s.record(c, a, e, time.Since(start))
 	if e != nil {
@@ -56,11 +56,13 @@
 }
 
 // serve runs the call within its deadline. The error is the caller's final answer.
-func (s *Server) serve(ctx context.Context, c *call, a *answer) *api.Error {
+// start is when the request arrived.
+func (s *Server) serve(ctx context.Context, c *call, a *answer, start time.Time) *api.Error {
 	ctx, stop := context.WithDeadline(ctx, c.deadline)
 	defer stop()
 	ctx, span := s.startRequest(ctx, c)
 	defer span.End()
+	s.traceAdmit(ctx, start)
 	if !c.route.Idempotent {
 		return s.serveOnce(ctx, c, a)
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -83,7 +83,9 @@
 // try makes one attempt, resumed as often as its connection is lost and comes
 // back. It reports whether the answer is whole.
 func (r *run) try(ctx context.Context) bool {
+	span := r.server.startPick(ctx)
 	l, ok := r.pick(ctx)
+	span.End()
 	if !ok {
 		if r.last == nil {
 			r.last = api.NewError(api.NoBackend, r.call.route.Pool)
@@ -99,7 +101,7 @@
 	r.answer.servedBy = l.name
 	r.answer.attempts = int(r.number)
 	start := time.Now()
-	ctx, span := r.server.startAttempt(ctx, l.name, r.number)
+	ctx, span = r.server.startAttempt(ctx, l.name, r.number)
 	out := r.attempt(ctx, l)
 	endSpan(span, out.err)
 	r.server.feedback(r.call, l.name, out, time.Since(start))
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -18,6 +19,19 @@
 	))
 }
 
+// traceAdmit records what was done from start, when the request arrived, to now:
+// its headers and body read and checked.
+func (s *Server) traceAdmit(ctx context.Context, start time.Time) {
+	_, span := s.opt.Tracer.Start(ctx, "entry.admit", trace.WithTimestamp(start))
+	span.End()
+}
+
+// startPick begins the span of one choice of a backend server.
+func (s *Server) startPick(ctx context.Context) trace.Span {
+	_, span := s.opt.Tracer.Start(ctx, "entry.pick")
+	return span
+}
+
 // startAttempt begins the span of one attempt at a backend server.
 func (s *Server) startAttempt(ctx context.Context, side string, number uint32) (context.Context, trace.Span) {
 	return s.opt.Tracer.Start(ctx, "entry.attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
--- a/side/peer.go
+++ b/side/peer.go
@@ -140,17 +140,20 @@
 	ctx, stop := context.WithTimeoutCause(context.Background(), budget, late)
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := newAttempt(m, cancel)
+	span := s.startAdmit(m)
 	a.ticket = &ticket{
 		organisation: m.Organisation,
 		fingerprint:  m.Fingerprint,
 		alone:        alone,
 		start: func() {
+			endSpan(span, nil)
 			s.pool.Go(func() {
 				defer stop()
 				s.run(ctx, a)
 			})
 		},
 		refuse: func(e *api.Error) {
+			endSpan(span, e)
 			stop()
 			s.refusals.Add(m.RequestID, e)
 			s.drop(a, e)
--- a/side/trace.go
+++ b/side/trace.go
@@ -12,6 +12,16 @@
 	"marjorampitch/wire"
 )
 
+// startAdmit begins the span of a request's wait for its turn.
+func (s *Server) startAdmit(m *wire.Request) trace.Span {
+	ctx := telemetry.WithTraceParent(context.Background(), m.TraceParent)
+	_, span := s.opt.Tracer.Start(ctx, "side.admit", trace.WithAttributes(
+		attribute.String("request.id", m.RequestID),
+		attribute.Int("attempt", int(m.Attempt)),
+	))
+	return span
+}
+
 // startAttempt begins the span of one attempt at the backend server.
 func (s *Server) startAttempt(ctx context.Context, m *wire.Request) (context.Context, trace.Span) {
 	ctx = telemetry.WithTraceParent(ctx, m.TraceParent)
