Group: a rank without a map is not armed, and its group is restarted

A seal sent twice made a rank obey again whose engine had restarted; it was staged and armed without a map, and an armed engine refuses to stage, so each restart of the group began another. Safety held: no step had two maps. Ruled out: a late claim, since the coordinator kept claiming. Change: such a rank refuses to be armed, and a coordinator that sees one restarts the group.

--- a/group/rank.go
+++ b/group/rank.go
@@ -146,11 +146,13 @@
 	return r.state.Staged == epoch || r.state.Epoch == epoch
 }
 
+// arm holds the engine at a step. A rank without a map has none to go on with
+// until then: it joins first, and what is armed would keep it from staging.
 func (r *Rank) arm(o *wire.Order) []Action {
 	if r.state.Armed == o.Epoch && r.state.HoldAt == o.Step {
 		return r.answer(o, api.OK, nil)
 	}
-	if r.state.HoldAt != 0 || r.state.Staged != o.Epoch || r.state.Next > o.Step {
+	if r.state.Epoch == 0 || r.state.HoldAt != 0 || r.state.Staged != o.Epoch || r.state.Next > o.Step {
 		return r.answer(o, api.OrderRefused, nil)
 	}
 	return r.run(o, Command{Kind: CmdHold, Step: o.Step})
--- a/group/rounds.go
+++ b/group/rounds.go
@@ -133,6 +133,9 @@
 // settle ends a switch once its map is in force at every rank and begins the
 // next one.
 func (c *Coordinator) settle() []Action {
+	if c.mapless() {
+		return c.Lead() // its engine was restarted: the group is too
+	}
 	for _, a := range c.acks {
 		if a.Epoch != c.acks[0].Epoch || a.Holding {
 			if c.phase == phaseIdle {
