Side: one place takes an engine's report

Cause: the last read of the whole change: the poll and the look over a new connection each compared incarnations, recorded the crash and observed the report.

--- a/side/load.go
+++ b/side/load.go
@@ -11,6 +11,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
+	"marjorampitch/platform"
 	"marjorampitch/wire"
 )
 
@@ -84,10 +85,16 @@
 		l.pump()
 		return
 	}
+	s.observe(l, asked, &report)
+}
+
+// observe takes a report of the engine, asked for at asked: another
+// incarnation than the last one means that the engine went down in between.
+func (s *Server) observe(l *limiter, asked time.Duration, report *platform.EngineReport) {
 	if known := l.incarnation(); known != "" && known != report.Incarnation {
 		s.crash(l, known)
 	}
-	l.observe(asked, &report)
+	l.observe(asked, report)
 }
 
 func (s *Server) kind() config.Kind {
--- a/side/verify.go
+++ b/side/verify.go
@@ -47,10 +47,7 @@
 		e.Ran = api.NotRun
 		return e
 	}
-	if known := l.incarnation(); report.Incarnation != known {
-		s.crash(l, known)
-	}
-	l.observe(asked, report)
+	s.observe(l, asked, report)
 	if report.Incarnation == wanted {
 		return nil
 	}
