--- a/admit/bench_test.go
+++ b/admit/bench_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 func BenchmarkColdStart(b *testing.B) {
 	c := NewColdStart(ColdConfig{Cold: 4, Warm: 64, Reports: true, FreshFor: time.Hour}, 0)
-	c.Observe(1, 1, &platform.EngineReport{Incarnation: "a"})
+	c.Observe(1, 1, &backing.EngineReport{Incarnation: "a"})
 	b.ReportAllocs()
 	for b.Loop() {
 		t, _ := c.Admit(2, false)
--- a/admit/coldstart.go
+++ b/admit/coldstart.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Settings of the growth of a ColdStart limit.
@@ -181,7 +181,7 @@
 
 // Observe takes the backend server's report. asked is when the side sent the
 // question that r answers, so the report was true at asked-r.AgeMillis or later.
-func (c *ColdStart) Observe(now, asked time.Duration, r *platform.EngineReport) {
+func (c *ColdStart) Observe(now, asked time.Duration, r *backing.EngineReport) {
 	c.age(now)
 	evidence := asked - time.Duration(r.AgeMillis)*time.Millisecond
 	if r.Incarnation != c.incarnation {
--- a/admit/coldworld_test.go
+++ b/admit/coldworld_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 type snapshot struct {
 	at     time.Duration
-	report platform.EngineReport
+	report backing.EngineReport
 }
 
 // coldWorld is one engine, its side process, eight entries at full load, and
@@ -301,7 +301,7 @@
 
 func (w *coldWorld) record() {
 	e := &w.engine
-	w.engine.history = append(e.history, snapshot{w.now, platform.EngineReport{
+	w.engine.history = append(e.history, snapshot{w.now, backing.EngineReport{
 		Incarnation: fmt.Sprint(e.incarnation), Cold: e.cold && !w.mute, Running: len(e.running), StepMillis: 20,
 	}})
 }
--- a/admit/example_test.go
+++ b/admit/example_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marjorampitch/admit"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 func ExampleColdStart() {
@@ -14,7 +14,7 @@
 	fmt.Println(err)
 
 	now := 10 * time.Millisecond
-	cold.Observe(now, now, &platform.EngineReport{Incarnation: "a", Cold: true})
+	cold.Observe(now, now, &backing.EngineReport{Incarnation: "a", Cold: true})
 	for range 3 {
 		_, err = cold.Admit(now, false)
 	}
--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,8 +1,8 @@
-// Package platform holds the interfaces of the outside systems that the
+// Package backing holds the interfaces of the outside systems that the
 // platform provides: the log service, the instance list, the weight store and
 // the backend servers' load reports. HTTP clients for them live in this
-// package too; stand-ins with faults are in platformtest.
-package platform
+// package too; stand-ins with faults are in backingtest.
+package backing
 
 import (
 	"context"
@@ -33,13 +33,13 @@
 // Errors of the log service.
 var (
 	// ErrRefused says that the log service refused the append: no record of it was or will be stored.
-	ErrRefused = errors.New("platform: append refused")
+	ErrRefused = errors.New("backing: append refused")
 	// ErrUnknown says that the fate of the append is unknown: it may be stored, now or later.
-	ErrUnknown = errors.New("platform: fate of append unknown")
+	ErrUnknown = errors.New("backing: fate of append unknown")
 	// ErrUnavailable says that a read failed; retry later.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("backing: unavailable")
 	// ErrTrimmed says that the wanted offset is before the first retained record.
-	ErrTrimmed = errors.New("platform: offset no longer retained")
+	ErrTrimmed = errors.New("backing: offset no longer retained")
 )
 
 // Log is the platform's append-only log service.
--- a/platform/platformtest/answer.go
+++ b/backing/backingtest/answer.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"fmt"
--- a/platform/platformtest/engine.go
+++ b/backing/backingtest/engine.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"strings"
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // CrashMarker in a prompt crashes the engine that runs it.
@@ -78,7 +78,7 @@
 	stepping  bool // a goroutine makes steps
 	stepTime  time.Duration
 	prefixes  *simplelru.LRU[string, struct{}]
-	report    platform.EngineReport
+	report    backing.EngineReport
 	reportAt  time.Time
 	rank      rankState
 	stats     EngineStats
@@ -233,7 +233,7 @@
 }
 
 // Report returns the report that GET /load shows.
-func (e *Engine) Report() platform.EngineReport {
+func (e *Engine) Report() backing.EngineReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Since(e.reportAt) > time.Duration(e.faults.ReportEvery) || e.reportAt.IsZero() {
@@ -247,8 +247,8 @@
 	return e.report
 }
 
-func (e *Engine) freshReport() platform.EngineReport {
-	return platform.EngineReport{
+func (e *Engine) freshReport() backing.EngineReport {
+	return backing.EngineReport{
 		Incarnation:   e.start.incarnation,
 		Cold:          e.cold,
 		Running:       len(e.running),
--- a/platform/platformtest/engine_http.go
+++ b/backing/backingtest/engine_http.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"strings"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 const (
@@ -119,7 +119,7 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	e.alive(r)
-	var o platform.EngineOrder
+	var o backing.EngineOrder
 	if !readJSON(w, r, &o) {
 		return
 	}
--- a/platform/platformtest/engine_rank.go
+++ b/backing/backingtest/engine_rank.go
@@ -1,10 +1,10 @@
-package platformtest
+package backingtest
 
-import "marjorampitch/platform"
+import "marjorampitch/backing"
 
 // rankState is the part of an engine that obeys orders on expert maps.
 type rankState struct {
-	state     platform.EngineState // Next, Waiting and Incarnation are filled in by report
+	state     backing.EngineState // Next, Waiting and Incarnation are filled in by report
 	stagedMap string               // hash of the staged map
 	begun     bool                 // step Step+1 is being made
 	spans     []RankSpan
@@ -91,28 +91,28 @@
 }
 
 // obey applies an order and says whether the state allowed it.
-func (r *rankState) obey(o platform.EngineOrder) bool {
+func (r *rankState) obey(o backing.EngineOrder) bool {
 	switch o.Kind {
-	case platform.OrderStage:
+	case backing.OrderStage:
 		return r.stage(o)
-	case platform.OrderArm:
+	case backing.OrderArm:
 		return r.arm(o)
-	case platform.OrderCommit:
+	case backing.OrderCommit:
 		return r.commit(o)
-	case platform.OrderSwitch:
+	case backing.OrderSwitch:
 		return r.switchNow(o)
-	case platform.OrderDrop:
+	case backing.OrderDrop:
 		return r.drop(o)
-	case platform.OrderJoin:
+	case backing.OrderJoin:
 		return r.join(o)
-	case platform.OrderAbort:
+	case backing.OrderAbort:
 		r.forget()
-	case platform.OrderSeal, platform.OrderLoad:
+	case backing.OrderSeal, backing.OrderLoad:
 	}
 	return true
 }
 
-func (r *rankState) stage(o platform.EngineOrder) bool {
+func (r *rankState) stage(o backing.EngineOrder) bool {
 	if r.state.Armed != 0 {
 		return false
 	}
@@ -121,7 +121,7 @@
 	return true
 }
 
-func (r *rankState) arm(o platform.EngineOrder) bool {
+func (r *rankState) arm(o backing.EngineOrder) bool {
 	if r.state.Staged != o.Epoch || r.state.ArmedStep != 0 || r.next() > o.Step {
 		return false
 	}
@@ -129,7 +129,7 @@
 	return true
 }
 
-func (r *rankState) commit(o platform.EngineOrder) bool {
+func (r *rankState) commit(o backing.EngineOrder) bool {
 	if o.Epoch == 0 || r.state.Armed != o.Epoch {
 		return false
 	}
@@ -137,7 +137,7 @@
 	return true
 }
 
-func (r *rankState) switchNow(o platform.EngineOrder) bool {
+func (r *rankState) switchNow(o backing.EngineOrder) bool {
 	if o.Epoch == 0 || r.state.Armed != o.Epoch || !r.waiting() {
 		return false
 	}
@@ -145,7 +145,7 @@
 	return true
 }
 
-func (r *rankState) drop(o platform.EngineOrder) bool {
+func (r *rankState) drop(o backing.EngineOrder) bool {
 	if r.state.Armed != o.Epoch || r.state.Committed {
 		return false
 	}
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (r *rankState) join(o platform.EngineOrder) bool {
+func (r *rankState) join(o backing.EngineOrder) bool {
 	if o.Epoch == 0 || r.state.Staged != o.Epoch && r.state.Epoch != o.Epoch {
 		return false
 	}
@@ -165,7 +165,7 @@
 }
 
 // rankReport is the state that orders are answered with; e.mu is held.
-func (e *Engine) rankReport() platform.EngineState {
+func (e *Engine) rankReport() backing.EngineState {
 	s := e.rank.state
 	s.Next = e.rank.next()
 	s.Waiting = e.rank.waiting()
@@ -174,21 +174,21 @@
 }
 
 // RankState returns the state of the engine's rank.
-func (e *Engine) RankState() platform.EngineState {
+func (e *Engine) RankState() backing.EngineState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.rankReport()
 }
 
 // Order applies an order and returns the state after it. Error:
-// platform.ErrStaleFence, when the engine checks fencing numbers.
-func (e *Engine) Order(o platform.EngineOrder) (platform.EngineState, error) {
+// backing.ErrStaleFence, when the engine checks fencing numbers.
+func (e *Engine) Order(o backing.EngineOrder) (backing.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stale := e.opts.ChecksFences && o.Fence < e.rank.state.HighestFence
 	e.stats.addOrder(EngineOrderRun{Order: o, Refused: stale})
 	if stale {
-		return e.rankReport(), platform.ErrStaleFence
+		return e.rankReport(), backing.ErrStaleFence
 	}
 	if e.opts.ChecksFences {
 		e.rank.state.HighestFence = o.Fence
--- a/platform/platformtest/engine_stats.go
+++ b/backing/backingtest/engine_stats.go
@@ -1,10 +1,10 @@
-package platformtest
+package backingtest
 
 import (
 	"maps"
 	"slices"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // EngineRun is the record of one request that an engine took in.
@@ -19,7 +19,7 @@
 
 // EngineOrderRun is the record of one order.
 type EngineOrderRun struct {
-	Order   platform.EngineOrder `json:"order"`
+	Order   backing.EngineOrder `json:"order"`
 	Refused bool                 `json:"refused"`
 }
 
--- a/platform/platformtest/engine_test.go
+++ b/backing/backingtest/engine_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package backingtest_test
 
 import (
 	"bufio"
@@ -14,28 +14,28 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
-func fastOptions() platformtest.EngineOptions {
-	opts := platformtest.DefaultEngineOptions()
+func fastOptions() backingtest.EngineOptions {
+	opts := backingtest.DefaultEngineOptions()
 	opts.StepTime = 100 * time.Microsecond
 	opts.RestartTime = 0
 	return opts
 }
 
-func serveEngine(t *testing.T, opts platformtest.EngineOptions) (*platformtest.Engine, string) {
-	e := platformtest.NewEngine(opts)
+func serveEngine(t *testing.T, opts backingtest.EngineOptions) (*backingtest.Engine, string) {
+	e := backingtest.NewEngine(opts)
 	srv := httptest.NewServer(e.Handler())
 	t.Cleanup(srv.Close)
 	return e, srv.URL
 }
 
 func chat(t *testing.T, base, prompt string, stream bool, headers ...string) (*http.Response, error) {
-	body, err := json.Marshal(platformtest.ChatRequest{
+	body, err := json.Marshal(backingtest.ChatRequest{
 		Model:     "m",
-		Messages:  []platformtest.ChatMessage{{Role: "user", Content: prompt}},
+		Messages:  []backingtest.ChatMessage{{Role: "user", Content: prompt}},
 		Stream:    stream,
 		MaxTokens: 5,
 	})
@@ -59,7 +59,7 @@
 		if data == "[DONE]" {
 			return text, true
 		}
-		var part platformtest.ChatAnswer
+		var part backingtest.ChatAnswer
 		require.NoError(t, json.Unmarshal([]byte(data), &part))
 		text += part.Choices[0].Delta.Content
 	}
@@ -73,18 +73,18 @@
 	defer resp.Body.Close()
 	text, whole := readStream(t, resp.Body)
 	require.True(t, whole)
-	require.Equal(t, platformtest.AnswerText("hello", 5), text)
+	require.Equal(t, backingtest.AnswerText("hello", 5), text)
 	require.Equal(t, "r1", e.Stats().Runs[0].RequestID)
 }
 
 func TestEngineResume(t *testing.T) {
 	_, base := serveEngine(t, fastOptions())
-	resp, err := chat(t, base, "hello", true, platformtest.HeaderResumeFrom, "3")
+	resp, err := chat(t, base, "hello", true, backingtest.HeaderResumeFrom, "3")
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	text, whole := readStream(t, resp.Body)
 	require.True(t, whole)
-	require.Equal(t, platformtest.Token("hello", 3)+platformtest.Token("hello", 4), text)
+	require.Equal(t, backingtest.Token("hello", 3)+backingtest.Token("hello", 4), text)
 }
 
 func TestEngineWholeAnswer(t *testing.T) {
@@ -92,9 +92,9 @@
 	resp, err := chat(t, base, "hello", false)
 	require.NoError(t, err)
 	defer resp.Body.Close()
-	var answer platformtest.ChatAnswer
+	var answer backingtest.ChatAnswer
 	require.NoError(t, json.NewDecoder(resp.Body).Decode(&answer))
-	require.Equal(t, platformtest.AnswerText("hello", 5), answer.Choices[0].Message.Content)
+	require.Equal(t, backingtest.AnswerText("hello", 5), answer.Choices[0].Message.Content)
 }
 
 func TestEngineFallsOverWhenCold(t *testing.T) {
@@ -102,7 +102,7 @@
 	opts.ColdBound = 1
 	opts.WarmAfter = 1
 	e, base := serveEngine(t, opts)
-	e.SetFaults(platformtest.EngineFaults{Slow: 1e7}) // no step ends during the test
+	e.SetFaults(backingtest.EngineFaults{Slow: 1e7}) // no step ends during the test
 	cut := make(chan error, 2)
 	for range 2 {
 		go func() {
@@ -125,7 +125,7 @@
 	opts.ColdBound = 1
 	opts.WarmAfter = 1
 	e, base := serveEngine(t, opts)
-	c := platform.NewEngineClient(base)
+	c := backing.NewEngineClient(base)
 	report, err := c.Load(t.Context())
 	require.NoError(t, err)
 	require.True(t, report.Cold)
@@ -138,7 +138,7 @@
 func TestEngineCrashMarker(t *testing.T) {
 	e, base := serveEngine(t, fastOptions())
 	before := e.Report().Incarnation
-	_, err := chat(t, base, "now "+platformtest.CrashMarker, true)
+	_, err := chat(t, base, "now "+backingtest.CrashMarker, true)
 	require.Error(t, err)
 	require.NotEqual(t, before, e.Report().Incarnation)
 	require.Equal(t, 1, e.Stats().Crashes)
@@ -148,25 +148,25 @@
 	opts := fastOptions()
 	opts.ChecksFences = true
 	_, base := serveEngine(t, opts)
-	c := platform.NewEngineClient(base)
-	state, err := c.Order(t.Context(), platform.EngineOrder{Kind: platform.OrderStage, Fence: 5, Epoch: 2, MapHash: "h"})
+	c := backing.NewEngineClient(base)
+	state, err := c.Order(t.Context(), backing.EngineOrder{Kind: backing.OrderStage, Fence: 5, Epoch: 2, MapHash: "h"})
 	require.NoError(t, err)
 	require.Equal(t, uint64(2), state.Staged)
-	state, err = c.Order(t.Context(), platform.EngineOrder{Kind: platform.OrderAbort, Fence: 4})
-	require.ErrorIs(t, err, platform.ErrStaleFence)
+	state, err = c.Order(t.Context(), backing.EngineOrder{Kind: backing.OrderAbort, Fence: 4})
+	require.ErrorIs(t, err, backing.ErrStaleFence)
 	require.Equal(t, int64(5), state.HighestFence)
 }
 
 func TestEngineHoldsAtArmedStep(t *testing.T) {
-	e := platformtest.NewEngine(fastOptions())
+	e := backingtest.NewEngine(fastOptions())
 	srv := httptest.NewServer(e.Handler())
 	defer srv.Close()
-	order := func(kind platform.OrderKind) {
-		_, err := e.Order(platform.EngineOrder{Kind: kind, Epoch: 1, Step: 3, MapHash: "h"})
+	order := func(kind backing.OrderKind) {
+		_, err := e.Order(backing.EngineOrder{Kind: kind, Epoch: 1, Step: 3, MapHash: "h"})
 		require.NoError(t, err)
 	}
-	order(platform.OrderStage)
-	order(platform.OrderArm)
+	order(backing.OrderStage)
+	order(backing.OrderArm)
 	resp, err := chat(t, srv.URL, "hello", true)
 	require.NoError(t, err)
 	defer resp.Body.Close()
@@ -178,7 +178,7 @@
 		require.NoError(t, err)
 	}
 	require.Equal(t, int64(2), e.Report().Step)
-	order(platform.OrderCommit)
+	order(backing.OrderCommit)
 	_, whole := readStream(t, r)
 	require.True(t, whole)
 	require.Equal(t, "h", e.Report().ExpertMapHash)
--- a/platform/platformtest/faults.go
+++ b/backing/backingtest/faults.go
@@ -1,8 +1,8 @@
-// Package platformtest holds stand-ins for the outside systems: the log
+// Package backingtest holds stand-ins for the outside systems: the log
 // service, the instance list, the weight store, model engines and plain
 // services. Each can be used from Go and served over HTTP, and each has faults
 // that are set from Go (SetFaults) or by POST /faults.
-package platformtest
+package backingtest
 
 import (
 	"encoding/json"
--- a/platform/platformtest/instances.go
+++ b/backing/backingtest/instances.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // InstanceFaults are the faults of an InstanceList. The zero value has none.
@@ -32,25 +32,25 @@
 // listing is the list as it was set at one time.
 type listing struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []backing.Instance
 }
 
-var _ platform.InstanceList = (*InstanceList)(nil)
+var _ backing.InstanceList = (*InstanceList)(nil)
 
 // NewInstanceList returns a list that shows the given instances.
-func NewInstanceList(instances ...platform.Instance) *InstanceList {
+func NewInstanceList(instances ...backing.Instance) *InstanceList {
 	return &InstanceList{history: []listing{{instances: slices.Clone(instances)}}}
 }
 
 // Set replaces the list.
-func (l *InstanceList) Set(instances ...platform.Instance) {
+func (l *InstanceList) Set(instances ...backing.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.history = append(l.history, listing{at: time.Now(), instances: slices.Clone(instances)})
 }
 
 // Put adds an instance, or replaces the one with its name.
-func (l *InstanceList) Put(in platform.Instance) {
+func (l *InstanceList) Put(in backing.Instance) {
 	l.change(in.Name, &in)
 }
 
@@ -59,11 +59,11 @@
 	l.change(name, nil)
 }
 
-func (l *InstanceList) change(name string, in *platform.Instance) {
+func (l *InstanceList) change(name string, in *backing.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := l.history[len(l.history)-1].instances
-	next := slices.DeleteFunc(slices.Clone(last), func(i platform.Instance) bool { return i.Name == name })
+	next := slices.DeleteFunc(slices.Clone(last), func(i backing.Instance) bool { return i.Name == name })
 	if in != nil {
 		next = append(next, *in)
 	}
@@ -84,12 +84,12 @@
 	return l.faults
 }
 
-// Instances implements platform.InstanceList.
-func (l *InstanceList) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements backing.InstanceList.
+func (l *InstanceList) Instances(context.Context) ([]backing.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Outage {
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	}
 	seen := time.Now().Add(-time.Duration(l.faults.Lag))
 	i := len(l.history) - 1
@@ -105,14 +105,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", l.serveGet)
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
-		var body platform.InstancesBody
+		var body backing.InstancesBody
 		if readJSON(w, r, &body) {
 			l.Set(body.Instances...)
 			w.WriteHeader(http.StatusNoContent)
 		}
 	})
 	mux.HandleFunc("PUT /instances/{name}", func(w http.ResponseWriter, r *http.Request) {
-		var in platform.Instance
+		var in backing.Instance
 		if readJSON(w, r, &in) {
 			in.Name = r.PathValue("name")
 			l.Put(in)
@@ -133,7 +133,7 @@
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 		return
 	}
-	text, err := json.Marshal(platform.InstancesBody{Instances: instances})
+	text, err := json.Marshal(backing.InstancesBody{Instances: instances})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/platform/platformtest/lockstep_test.go
+++ b/backing/backingtest/lockstep_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package backingtest_test
 
 import (
 	"testing"
@@ -6,23 +6,23 @@
 
 	"github.com/stretchr/testify/require"
 
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 const pollLimit = 20 * time.Second
 
 // ranks returns the engines of a group and a function that gives all an order.
-func ranks(t *testing.T, n int) ([]*platformtest.Engine, func(platform.EngineOrder)) {
-	lockstep := platformtest.NewLockstep(n)
-	var engines []*platformtest.Engine
+func ranks(t *testing.T, n int) ([]*backingtest.Engine, func(backing.EngineOrder)) {
+	lockstep := backingtest.NewLockstep(n)
+	var engines []*backingtest.Engine
 	for rank := range n {
 		opts := fastOptions()
 		opts.Lockstep, opts.Rank = lockstep, rank
-		engines = append(engines, platformtest.NewEngine(opts))
+		engines = append(engines, backingtest.NewEngine(opts))
 		t.Cleanup(engines[rank].Crash)
 	}
-	return engines, func(o platform.EngineOrder) {
+	return engines, func(o backing.EngineOrder) {
 		for _, e := range engines {
 			state, err := e.Order(o)
 			require.NoError(t, err)
@@ -33,15 +33,15 @@
 
 func TestRanksStepInLockstep(t *testing.T) {
 	engines, all := ranks(t, 3)
-	all(platform.EngineOrder{Kind: platform.OrderStage, Epoch: 1, MapHash: "a"})
-	all(platform.EngineOrder{Kind: platform.OrderJoin, Epoch: 1, Step: 100})
+	all(backing.EngineOrder{Kind: backing.OrderStage, Epoch: 1, MapHash: "a"})
+	all(backing.EngineOrder{Kind: backing.OrderJoin, Epoch: 1, Step: 100})
 	require.True(t, engines[0].RankState().Waiting)
-	_, err := engines[0].Order(platform.EngineOrder{Kind: platform.OrderDrop})
+	_, err := engines[0].Order(backing.EngineOrder{Kind: backing.OrderDrop})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return engines[0].RankState().Next == 101 }, pollLimit, time.Millisecond)
 	require.Equal(t, int64(100), engines[1].RankState().Next)
 	for _, e := range engines[1:] {
-		_, err := e.Order(platform.EngineOrder{Kind: platform.OrderDrop})
+		_, err := e.Order(backing.EngineOrder{Kind: backing.OrderDrop})
 		require.NoError(t, err)
 	}
 	require.Eventually(t, func() bool { return engines[2].RankState().Step > 110 }, pollLimit, time.Millisecond)
@@ -54,12 +54,12 @@
 }
 
 func TestRankRefusesWhatItsStateDoesNotAllow(t *testing.T) {
-	e := platformtest.NewEngine(fastOptions())
-	for _, o := range []platform.EngineOrder{
-		{Kind: platform.OrderArm, Epoch: 1, Step: 5},
-		{Kind: platform.OrderCommit, Epoch: 1},
-		{Kind: platform.OrderSwitch, Epoch: 1},
-		{Kind: platform.OrderJoin, Epoch: 1, Step: 5},
+	e := backingtest.NewEngine(fastOptions())
+	for _, o := range []backing.EngineOrder{
+		{Kind: backing.OrderArm, Epoch: 1, Step: 5},
+		{Kind: backing.OrderCommit, Epoch: 1},
+		{Kind: backing.OrderSwitch, Epoch: 1},
+		{Kind: backing.OrderJoin, Epoch: 1, Step: 5},
 	} {
 		state, err := e.Order(o)
 		require.NoError(t, err)
@@ -69,7 +69,7 @@
 
 func TestEngineStateOverHTTP(t *testing.T) {
 	e, base := serveEngine(t, fastOptions())
-	state, err := platform.NewEngineClient(base).State(t.Context())
+	state, err := backing.NewEngineClient(base).State(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, e.RankState(), state)
 	require.NotEmpty(t, state.Incarnation)
--- a/platform/platformtest/log.go
+++ b/backing/backingtest/log.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 const (
@@ -43,16 +43,16 @@
 
 // stream is one stream: records from offset start on.
 type stream struct {
-	start    platform.Offset
+	start    backing.Offset
 	records  [][]byte
 	appended chan struct{} // closed at the next append
 }
 
-func (s *stream) end() platform.Offset {
-	return s.start + platform.Offset(len(s.records))
+func (s *stream) end() backing.Offset {
+	return s.start + backing.Offset(len(s.records))
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ backing.Log = (*Log)(nil)
 
 // LogOption sets an option of a Log.
 type LogOption func(*Log)
@@ -106,13 +106,13 @@
 }
 
 // Trim drops the records of a stream before an offset.
-func (l *Log) Trim(name string, before platform.Offset) {
+func (l *Log) Trim(name string, before backing.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stream(name).trim(before)
 }
 
-func (s *stream) trim(before platform.Offset) {
+func (s *stream) trim(before backing.Offset) {
 	before = min(before, s.end())
 	if before <= s.start {
 		return
@@ -131,25 +131,25 @@
 	return s
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name string, records [][]byte) (platform.Offset, error) {
+// Append implements backing.Log.
+func (l *Log) Append(ctx context.Context, name string, records [][]byte) (backing.Offset, error) {
 	if len(records) == 0 || !l.admit() {
-		return platform.None, platform.ErrRefused
+		return backing.None, backing.ErrRefused
 	}
 	if err := l.pass(ctx); err != nil {
 		if errors.Is(err, errRefuse) {
-			return platform.None, platform.ErrRefused
+			return backing.None, backing.ErrRefused
 		}
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	}
 	fate := l.takeFate()
 	if fate.late {
 		time.AfterFunc(fate.lateBy, func() { l.store(name, records) })
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	}
 	first := l.store(name, records)
 	if !sleep(ctx, fate.answerDelay) || fate.lost {
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	}
 	return first, nil
 }
@@ -194,7 +194,7 @@
 }
 
 // store appends records and wakes the readers that wait for them.
-func (l *Log) store(name string, records [][]byte) platform.Offset {
+func (l *Log) store(name string, records [][]byte) backing.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -203,7 +203,7 @@
 		s.records = append(s.records, slices.Clone(r))
 	}
 	if l.retain > 0 {
-		s.trim(s.end() - platform.Offset(l.retain))
+		s.trim(s.end() - backing.Offset(l.retain))
 	}
 	l.appends++
 	close(s.appended)
@@ -211,10 +211,10 @@
 	return first
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements backing.Log.
+func (l *Log) Read(ctx context.Context, name string, from backing.Offset, limit int, wait time.Duration) (backing.Batch, error) {
 	if err := l.pass(ctx); err != nil {
-		return platform.Batch{}, platform.ErrUnavailable
+		return backing.Batch{}, backing.ErrUnavailable
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -228,25 +228,25 @@
 		case <-timeout.C:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, platform.ErrUnavailable
+			return backing.Batch{}, backing.ErrUnavailable
 		}
 	}
 }
 
 // read returns what is there now, and a channel closed at the next append.
-func (l *Log) read(name string, from platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) read(name string, from backing.Offset, limit int) (backing.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Outage != OutageNone {
-		return platform.Batch{}, nil, platform.ErrUnavailable
+		return backing.Batch{}, nil, backing.ErrUnavailable
 	}
 	s := l.stream(name)
-	batch := platform.Batch{Start: s.start, End: s.end()}
+	batch := backing.Batch{Start: s.start, End: s.end()}
 	if from < s.start {
-		return batch, nil, platform.ErrTrimmed
+		return batch, nil, backing.ErrTrimmed
 	}
 	for at := from; at < s.end() && len(batch.Records) < limit; at++ {
-		batch.Records = append(batch.Records, platform.Record{Offset: at, Data: slices.Clone(s.records[at-s.start])})
+		batch.Records = append(batch.Records, backing.Record{Offset: at, Data: slices.Clone(s.records[at-s.start])})
 	}
 	return batch, s.appended, nil
 }
--- a/platform/platformtest/log_http.go
+++ b/backing/backingtest/log_http.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Bounds of a read over HTTP.
@@ -17,7 +17,7 @@
 
 // TrimRequest is the body of POST /streams/{stream}/trim.
 type TrimRequest struct {
-	Before platform.Offset `json:"before"` // records before it are dropped
+	Before backing.Offset `json:"before"` // records before it are dropped
 }
 
 // LogStats is the body of GET /stats of the log service.
@@ -39,21 +39,21 @@
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var body platform.AppendRequest
-	w.Header().Set(platform.HeaderNotAppended, "true")
+	var body backing.AppendRequest
+	w.Header().Set(backing.HeaderNotAppended, "true")
 	if !readJSON(w, r, &body) {
 		return
 	}
 	first, err := l.Append(r.Context(), r.PathValue("stream"), body.Records)
-	if errors.Is(err, platform.ErrRefused) {
+	if errors.Is(err, backing.ErrRefused) {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
 	if err != nil {
 		abort()
 	}
-	w.Header().Del(platform.HeaderNotAppended)
-	writeJSON(w, http.StatusOK, platform.AppendAnswer{First: &first})
+	w.Header().Del(backing.HeaderNotAppended)
+	writeJSON(w, http.StatusOK, backing.AppendAnswer{First: &first})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -73,19 +73,19 @@
 		http.Error(w, "wait: want a duration up to 1m", http.StatusBadRequest)
 		return
 	}
-	batch, err := l.Read(r.Context(), r.PathValue("stream"), platform.Offset(from), limit, wait)
+	batch, err := l.Read(r.Context(), r.PathValue("stream"), backing.Offset(from), limit, wait)
 	writeRead(w, batch, err)
 }
 
-func writeRead(w http.ResponseWriter, batch platform.Batch, err error) {
-	answer := platform.ReadAnswer{Start: batch.Start, End: batch.End}
+func writeRead(w http.ResponseWriter, batch backing.Batch, err error) {
+	answer := backing.ReadAnswer{Start: batch.Start, End: batch.End}
 	for _, r := range batch.Records {
-		answer.Records = append(answer.Records, platform.RecordBody(r))
+		answer.Records = append(answer.Records, backing.RecordBody(r))
 	}
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, answer)
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, backing.ErrTrimmed):
 		writeJSON(w, http.StatusGone, answer)
 	default:
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
--- a/platform/platformtest/outage.go
+++ b/backing/backingtest/outage.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 // Outcomes of a call that an outage stopped. Neither has any effect.
 var (
-	errRefuse = errors.New("platformtest: refused")
-	errBreak  = errors.New("platformtest: broken off")
+	errRefuse = errors.New("backingtest: refused")
+	errBreak  = errors.New("backingtest: broken off")
 )
 
 // pass waits for the delay and the outage that are set for the log.
--- a/platform/platformtest/plain_test.go
+++ b/backing/backingtest/plain_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package backingtest_test
 
 import (
 	"net/http"
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 func post(t *testing.T, address, key, body string) (*http.Response, error) {
@@ -32,20 +32,20 @@
 }
 
 func TestPlainCountsExecutions(t *testing.T) {
-	p := platformtest.NewPlain()
+	p := backingtest.NewPlain()
 	srv := httptest.NewServer(p.Handler())
 	defer srv.Close()
 	resp, err := post(t, srv.URL+"/deposits", "k1", `{"amount":1}`)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusCreated, resp.StatusCode)
 
-	p.SetFaults(platformtest.PlainFaults{BreakAfter: 1})
+	p.SetFaults(backingtest.PlainFaults{BreakAfter: 1})
 	_, err = post(t, srv.URL+"/deposits", "k1", `{"amount":1}`)
 	require.Error(t, err)
 	require.Equal(t, 2, p.Stats().ByKey["k1"])
 	require.Equal(t, []string{"k1"}, p.Stats().Repeated)
 
-	p.SetFaults(platformtest.PlainFaults{BreakBefore: 1})
+	p.SetFaults(backingtest.PlainFaults{BreakBefore: 1})
 	_, err = post(t, srv.URL+"/dispatches", "k2", "")
 	require.Error(t, err)
 	require.Zero(t, p.Stats().ByKey["k2"])
@@ -56,37 +56,37 @@
 }
 
 func TestInstanceList(t *testing.T) {
-	l := platformtest.NewInstanceList(platform.Instance{Name: "a", State: platform.InstanceLive})
+	l := backingtest.NewInstanceList(backing.Instance{Name: "a", State: backing.InstanceLive})
 	srv := httptest.NewServer(l.Handler())
 	defer srv.Close()
-	c := platform.NewInstanceListClient(srv.URL)
-	l.Put(platform.Instance{Name: "a", State: platform.InstanceLeaving})
+	c := backing.NewInstanceListClient(srv.URL)
+	l.Put(backing.Instance{Name: "a", State: backing.InstanceLeaving})
 	got, err := c.Instances(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, []platform.Instance{{Name: "a", State: platform.InstanceLeaving}}, got)
+	require.Equal(t, []backing.Instance{{Name: "a", State: backing.InstanceLeaving}}, got)
 
-	l.SetFaults(platformtest.InstanceFaults{Lag: platformtest.Duration(1 << 40)})
+	l.SetFaults(backingtest.InstanceFaults{Lag: backingtest.Duration(1 << 40)})
 	got, err = c.Instances(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, platform.InstanceLive, got[0].State)
+	require.Equal(t, backing.InstanceLive, got[0].State)
 
-	l.SetFaults(platformtest.InstanceFaults{Outage: true})
+	l.SetFaults(backingtest.InstanceFaults{Outage: true})
 	_, err = c.Instances(t.Context())
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, backing.ErrUnavailable)
 }
 
 func TestWeightStore(t *testing.T) {
-	s := platformtest.NewWeightStore(1<<30, 1000)
+	s := backingtest.NewWeightStore(1<<30, 1000)
 	s.SetSize("expert/1", 200_000)
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
-	c := platform.NewWeightStoreClient(srv.URL)
+	c := backing.NewWeightStoreClient(srv.URL)
 	for name, size := range map[string]int64{"expert/1": 200_000, "other": 1000} {
 		n, err := c.Fetch(t.Context(), name)
 		require.NoError(t, err)
 		require.Equal(t, size, n)
 	}
-	s.SetFaults(platformtest.WeightFaults{Outage: true})
+	s.SetFaults(backingtest.WeightFaults{Outage: true})
 	_, err := c.Fetch(t.Context(), "other")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, backing.ErrUnavailable)
 }
--- a/platform/platformtest/weights.go
+++ b/backing/backingtest/weights.go
@@ -1,4 +1,4 @@
-package platformtest
+package backingtest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 const weightPiece = 64 << 10 // bytes sent at once
@@ -30,7 +30,7 @@
 	bytes  int64
 }
 
-var _ platform.WeightStore = (*WeightStore)(nil)
+var _ backing.WeightStore = (*WeightStore)(nil)
 
 // NewWeightStore returns a store that delivers bytesPerSecond, in which every
 // name has a size in bytes unless SetSize gives another.
@@ -70,7 +70,7 @@
 	return s.bytes
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements backing.WeightStore.
 func (s *WeightStore) Fetch(ctx context.Context, name string) (int64, error) {
 	return s.deliver(ctx, name, func([]byte) error { return nil })
 }
@@ -91,10 +91,10 @@
 	for done := int64(0); done < size; {
 		n := min(weightPiece, size-done)
 		if s.Faults().Outage || s.limit.WaitN(ctx, int(n)) != nil {
-			return done, platform.ErrUnavailable
+			return done, backing.ErrUnavailable
 		}
 		if err := put(piece[:n]); err != nil {
-			return done, platform.ErrUnavailable
+			return done, backing.ErrUnavailable
 		}
 		done += n
 		s.count(n)
--- a/platform/engine_client.go
+++ b/backing/engine_client.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 )
 
 // ErrStaleFence says that an engine refused an order with an old fencing number.
-var ErrStaleFence = errors.New("platform: order with an old fencing number")
+var ErrStaleFence = errors.New("backing: order with an old fencing number")
 
 // OrderKind says what an order asks of an engine.
 type OrderKind string
--- a/platform/http.go
+++ b/backing/http.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
--- a/platform/list_client_test.go
+++ b/backing/list_client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"context"
@@ -7,26 +7,26 @@
 
 	"github.com/stretchr/testify/require"
 
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 func TestInstanceListIsFetchedOncePerChange(t *testing.T) {
-	one := platform.Instance{Name: "dk1-entry", Role: "entry", State: platform.InstanceLive}
-	two := platform.Instance{Name: "dk2-entry", Role: "entry", State: platform.InstanceLeaving}
-	list := platformtest.NewInstanceList(one)
+	one := backing.Instance{Name: "dk1-entry", Role: "entry", State: backing.InstanceLive}
+	two := backing.Instance{Name: "dk2-entry", Role: "entry", State: backing.InstanceLeaving}
+	list := backingtest.NewInstanceList(one)
 	srv := httptest.NewServer(list.Handler())
 	defer srv.Close()
-	client := platform.NewInstanceListClient(srv.URL)
+	client := backing.NewInstanceListClient(srv.URL)
 
 	first, err := client.Instances(context.Background())
 	require.NoError(t, err)
-	require.Equal(t, []platform.Instance{one}, first)
+	require.Equal(t, []backing.Instance{one}, first)
 	again, err := client.Instances(context.Background())
 	require.NoError(t, err)
 	require.Same(t, &first[0], &again[0])
 	list.Put(two)
 	changed, err := client.Instances(context.Background())
 	require.NoError(t, err)
-	require.ElementsMatch(t, []platform.Instance{one, two}, changed)
+	require.ElementsMatch(t, []backing.Instance{one, two}, changed)
 }
--- a/claim/adversary_test.go
+++ b/claim/adversary_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // move is one thing that may happen next.
@@ -111,17 +111,17 @@
 		}})
 	}
 	if w.away {
-		add("append refused", false, false, false, platform.ErrRefused)
+		add("append refused", false, false, false, backing.ErrRefused)
 		return ms
 	}
 	add("append", false, true, false, nil)
 	if w.faults == 0 {
 		return ms
 	}
-	add("append refused", true, false, false, platform.ErrRefused)
-	add("append answer lost, stored", true, true, false, platform.ErrUnknown)
-	add("append answer lost, late", true, false, true, platform.ErrUnknown)
-	add("append answer lost, never", true, false, false, platform.ErrUnknown)
+	add("append refused", true, false, false, backing.ErrRefused)
+	add("append answer lost, stored", true, true, false, backing.ErrUnknown)
+	add("append answer lost, late", true, false, true, backing.ErrUnknown)
+	add("append answer lost, never", true, false, false, backing.ErrUnknown)
 	return ms
 }
 
@@ -140,7 +140,7 @@
 // read folds one record in and tells the entry's calls.
 func (w *world) read(e *simEntry) {
 	if int(e.table.End()) < w.start {
-		e.table = NewTable(platform.Offset(w.start))
+		e.table = NewTable(backing.Offset(w.start))
 		if w.without != trimming {
 			w.tell(e, Gap{})
 		}
@@ -151,7 +151,7 @@
 	if w.without == commonValidity && e == w.entries[0] {
 		data = forever(data)
 	}
-	j := e.table.Apply(platform.Record{Offset: at, Data: data})
+	j := e.table.Apply(backing.Record{Offset: at, Data: data})
 	for _, c := range slices.Clone(e.calls) {
 		ev := Folded{View: e.table.Look(c.att.key), End: e.table.End()}
 		if j.Verdict != VerdictNone && j.Claimant == c.cfg.Claimant {
@@ -202,7 +202,7 @@
 	e.life++
 	e.calls = nil
 	e.queue = nil
-	e.table = NewTable(platform.Offset(w.start))
+	e.table = NewTable(backing.Offset(w.start))
 }
 
 // pass lets more than the retention time go by and trims the log.
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/wire"
 )
 
@@ -51,8 +51,8 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for n := range b.N {
-		t.Apply(platform.Record{Offset: platform.Offset(n * 2), Data: claims[n]})
-		t.Apply(platform.Record{Offset: platform.Offset(n*2 + 1), Data: outcomes[n]})
+		t.Apply(backing.Record{Offset: backing.Offset(n * 2), Data: claims[n]})
+		t.Apply(backing.Record{Offset: backing.Offset(n*2 + 1), Data: outcomes[n]})
 	}
 }
 
@@ -111,7 +111,7 @@
 		fold := NewTable(0)
 		before := heap()
 		for i := range n {
-			fold.Apply(platform.Record{Offset: platform.Offset(i), Data: encode(benchClaim(i))})
+			fold.Apply(backing.Record{Offset: backing.Offset(i), Data: encode(benchClaim(i))})
 		}
 		folded := heap() - before
 		require.Equal(t, n, fold.Len())
@@ -141,7 +141,7 @@
 // BenchmarkDo makes whole calls through one Client against a log in memory
 // that refuses nothing, many at once.
 func BenchmarkDo(b *testing.B) {
-	service := platformtest.NewLog(platformtest.WithAppendRate(0))
+	service := backingtest.NewLog(backingtest.WithAppendRate(0))
 	c := NewClient(Options{
 		Service: "svc", Claimant: "e", Log: service, Transport: &wires{plant: newPlant()},
 		Logger: log.New(io.Discard), Tuning: DefaultTuning(),
--- a/claim/call.go
+++ b/claim/call.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -73,7 +73,7 @@
 // subject is a claim whose fate is being learnt.
 type subject struct {
 	target Target
-	offset platform.Offset
+	offset backing.Offset
 	own    bool // claimed by this call
 }
 
@@ -87,12 +87,12 @@
 	answered bool // the caller has its answer or has gone
 
 	view View
-	end  platform.Offset
+	end  backing.Offset
 
 	rounds  int
 	claim   *Claim
 	unknown bool            // the append's answer was lost and its fate is not read
-	closed  platform.Offset // own claim that never ran and never will
+	closed  backing.Offset // own claim that never ran and never will
 	subject subject
 	since   time.Time // when asking began
 	next    time.Time // timer of the present phase; zero for none
@@ -106,7 +106,7 @@
 
 // NewCall returns a call that waits for Start.
 func NewCall(cfg CallConfig) *Call {
-	return &Call{cfg: cfg, closed: platform.None}
+	return &Call{cfg: cfg, closed: backing.None}
 }
 
 // Done reports whether the call needs no more events.
@@ -226,7 +226,7 @@
 	switch c.phase {
 	case phaseClaiming:
 		c.next = c.now.Add(c.cfg.Tuning.PadAfter)
-		c.emit(Pad{Until: platform.Offset(c.claim.ValidUntil)})
+		c.emit(Pad{Until: backing.Offset(c.claim.ValidUntil)})
 	case phaseAsking:
 		c.query()
 	case phaseFetching:
--- a/claim/claiming.go
+++ b/claim/claiming.go
@@ -2,7 +2,7 @@
 
 import (
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // logUnavailable speaks for this attempt only: an earlier one with the same
@@ -74,7 +74,7 @@
 }
 
 // release opens the key again after a claim that will never run.
-func (c *Call) release(offset platform.Offset) {
+func (c *Call) release(offset backing.Offset) {
 	c.emit(AppendRelease{Release: &Release{Key: c.cfg.Key, Offset: int64(offset)}})
 }
 
@@ -124,7 +124,7 @@
 }
 
 // judged goes on from the log's verdict on the call's claim.
-func (c *Call) judged(v Verdict, offset platform.Offset) {
+func (c *Call) judged(v Verdict, offset backing.Offset) {
 	switch v {
 	case VerdictWon:
 		c.won(offset)
@@ -139,7 +139,7 @@
 
 // won sends the request, unless the claim was closed meanwhile, nobody waits
 // any more, or the key grew too old during a pause.
-func (c *Call) won(offset platform.Offset) {
+func (c *Call) won(offset backing.Offset) {
 	if c.view.Phase != KeyHeld || c.view.Offset != offset {
 		c.decide(nil)
 		return
--- a/claim/client.go
+++ b/claim/client.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -40,7 +40,7 @@
 type Options struct {
 	Service   string
 	Claimant  string // incarnation of this process
-	Log       platform.Log
+	Log       backing.Log
 	Transport Transport
 	Logger    *log.Logger
 	Tuning    Tuning
--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/wire"
 )
 
@@ -104,16 +104,16 @@
 type bench struct {
 	t     *testing.T
 	plant *plant
-	log   *platformtest.Log
+	log   *backingtest.Log
 	made  []*Client
 }
 
 // inBench runs f in virtual time.
 func inBench(t *testing.T, f func(b *bench)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{t: t, plant: newPlant(), log: platformtest.NewLog(platformtest.WithAppendRate(0))}
+		b := &bench{t: t, plant: newPlant(), log: backingtest.NewLog(backingtest.WithAppendRate(0))}
 		f(b)
-		b.log.SetFaults(platformtest.LogFaults{})
+		b.log.SetFaults(backingtest.LogFaults{})
 		for _, c := range b.made {
 			c.Close(context.Background())
 		}
@@ -168,11 +168,11 @@
 }
 
 func TestClientAppendAnswers(t *testing.T) {
-	for name, faults := range map[string]platformtest.LogFaults{
+	for name, faults := range map[string]backingtest.LogFaults{
 		"none":                {},
 		"stored, answer lost": {LoseAnswers: 1},
-		"lands late":          {LateAppends: 1, LateBy: platformtest.Duration(2 * time.Second)},
-		"slow":                {Delay: platformtest.Duration(300 * time.Millisecond)},
+		"lands late":          {LateAppends: 1, LateBy: backingtest.Duration(2 * time.Second)},
+		"slow":                {Delay: backingtest.Duration(300 * time.Millisecond)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBench(t, func(b *bench) {
@@ -194,7 +194,7 @@
 }
 
 func TestClientLogAway(t *testing.T) {
-	outage := platformtest.LogFaults{Outage: platformtest.OutageRefuse}
+	outage := backingtest.LogFaults{Outage: backingtest.OutageRefuse}
 	inBench(t, func(b *bench) {
 		c := b.plain("e1")
 		b.log.SetFaults(outage)
@@ -217,7 +217,7 @@
 		_, err := b.call(b.client("e1", w), key)
 		require.Nil(t, err, "an answer does not wait for the log for long")
 		time.Sleep(2 * time.Second)
-		b.log.SetFaults(platformtest.LogFaults{})
+		b.log.SetFaults(backingtest.LogFaults{})
 		time.Sleep(2 * time.Second)
 		b.plant.restart("s0")
 		res, err := b.call(b.plain("e2"), key)
@@ -231,14 +231,14 @@
 func TestClientCloseRecordsOutcomes(t *testing.T) {
 	inBench(t, func(b *bench) {
 		w := &wires{plant: b.plant, send: func(to Target, m *wire.Request) Sent {
-			b.log.SetFaults(platformtest.LogFaults{Outage: platformtest.OutageRefuse})
+			b.log.SetFaults(backingtest.LogFaults{Outage: backingtest.OutageRefuse})
 			return b.plant.run(to, m)
 		}}
 		c := b.client("e1", w)
 		key := newKey()
 		_, err := b.call(c, key)
 		require.Nil(t, err)
-		time.AfterFunc(2*time.Second, func() { b.log.SetFaults(platformtest.LogFaults{}) })
+		time.AfterFunc(2*time.Second, func() { b.log.SetFaults(backingtest.LogFaults{}) })
 		require.NoError(t, c.Close(context.Background()))
 		b.plant.restart("s0")
 		time.Sleep(2 * time.Second)
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -8,6 +8,6 @@
 // what it ran, so that any entry can later ask what became of a claim.
 //
 // Table, KeyTable and Call are state machines without I/O, clock or
-// goroutines. Client is the loop that drives them against a platform.Log and
+// goroutines. Client is the loop that drives them against a backing.Log and
 // a Transport.
 package claim
--- a/claim/events.go
+++ b/claim/events.go
@@ -2,7 +2,7 @@
 
 import (
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -12,7 +12,7 @@
 // Start begins a call with what the log is known to say of its key.
 type Start struct {
 	View    View
-	End     platform.Offset // of the stream, as last seen
+	End     backing.Offset // of the stream, as last seen
 	LogDown bool            // the log service does not answer
 }
 
@@ -26,10 +26,10 @@
 // was among them.
 type Folded struct {
 	View    View
-	End     platform.Offset // next offset to be read
+	End     backing.Offset // next offset to be read
 	Verdict Verdict
 	Nonce   uint64          // of the claim judged
-	Offset  platform.Offset // of the claim judged
+	Offset  backing.Offset // of the claim judged
 }
 
 // Gap says that records were trimmed before they were read, so that a claim of
@@ -39,7 +39,7 @@
 // Sent says what became of the request that was sent under the claim at
 // Offset; a late one for an earlier claim of the call counts for nothing.
 type Sent struct {
-	Offset platform.Offset
+	Offset backing.Offset
 	Fate   Fate
 	Answer wire.Answer // with FateReplied
 	Err    *api.Error  // with FateRefused and FateNotSent
@@ -58,13 +58,13 @@
 
 // KeyAnswered carries the answer to a Query.
 type KeyAnswered struct {
-	Offset platform.Offset // of the claim asked about
+	Offset backing.Offset // of the claim asked about
 	State  wire.KeyState
 	Answer wire.Answer // with wire.KeyFinished
 }
 
 // QueryFailed says that a Query was not answered.
-type QueryFailed struct{ Offset platform.Offset }
+type QueryFailed struct{ Offset backing.Offset }
 
 // OutcomeDone says that the append of an outcome ended, in whatever way.
 type OutcomeDone struct{}
@@ -113,24 +113,24 @@
 
 // Pad appends records that count for nothing until the stream's end lies
 // beyond the offset; it may be repeated.
-type Pad struct{ Until platform.Offset }
+type Pad struct{ Until backing.Offset }
 
 // Send sends the request once, to that incarnation of that side alone.
 // Sent follows.
 type Send struct {
 	Target Target
-	Offset platform.Offset // of the claim
+	Offset backing.Offset // of the claim
 }
 
 // Query asks a side about a claim. KeyAnswered or QueryFailed follows.
 type Query struct {
 	Target Target
-	Offset platform.Offset
+	Offset backing.Offset
 	Seal   bool
 }
 
 // Fetch reads the Outcome record at an offset. Fetched follows.
-type Fetch struct{ Offset platform.Offset }
+type Fetch struct{ Offset backing.Offset }
 
 // LookUp asks the service itself what became of the key. LookedUp follows.
 type LookUp struct{}
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -6,7 +6,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/claim"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -34,7 +34,7 @@
 		fmt.Printf("%T\n", a)
 	}
 	held := claim.View{Phase: claim.KeyHeld, Known: true, Fingerprint: 7, Offset: 40}
-	won := claim.Folded{View: held, End: platform.Offset(41), Verdict: claim.VerdictWon, Nonce: 1, Offset: 40}
+	won := claim.Folded{View: held, End: backing.Offset(41), Verdict: claim.VerdictWon, Nonce: 1, Offset: 40}
 	for _, a := range c.Step(now, won) {
 		fmt.Printf("%T\n", a)
 	}
--- a/claim/keytable.go
+++ b/claim/keytable.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -260,7 +260,7 @@
 	}
 	b := k.Birth() / bucketMillis
 	t.buckets[b] = append(t.buckets[b], k)
-	s = &sideSlot{state: wire.KeySealed, offset: int64(platform.None)}
+	s = &sideSlot{state: wire.KeySealed, offset: int64(backing.None)}
 	t.slots[k] = s
 	return s, true
 }
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -9,7 +9,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Timing and bounds of a partition's loops.
@@ -42,28 +42,28 @@
 	}
 }
 
-func isRefused(err error) bool { return errors.Is(err, platform.ErrRefused) }
+func isRefused(err error) bool { return errors.Is(err, backing.ErrRefused) }
 
 // partition reads and writes one claim stream.
 //
 // mu guards the fields below it. Lock order: mu, then mailbox.mu.
 type partition struct {
 	stream  string
-	service platform.Log
+	service backing.Log
 	limiter *rate.Limiter
 	log     *log.Logger
 	wake    chan struct{} // holds a token when something waits to be appended
 
 	mu      sync.Mutex
 	table   *Table
-	end     platform.Offset // of the stream, as last seen
+	end     backing.Offset // of the stream, as last seen
 	down    bool            // the last read failed, or none was made
 	runners map[*runner]struct{}
 	queue   []*pending
-	padded  platform.Offset // the stream is being padded up to here
+	padded  backing.Offset // the stream is being padded up to here
 }
 
-func newPartition(stream string, service platform.Log, limiter *rate.Limiter, logger *log.Logger) *partition {
+func newPartition(stream string, service backing.Log, limiter *rate.Limiter, logger *log.Logger) *partition {
 	return &partition{
 		stream:  stream,
 		service: service,
@@ -73,7 +73,7 @@
 		table:   NewTable(0),
 		down:    true,
 		runners: make(map[*runner]struct{}),
-		padded:  platform.None,
+		padded:  backing.None,
 	}
 }
 
@@ -100,7 +100,7 @@
 	}
 	p.mu.Unlock()
 	if full {
-		rec.finish(platform.ErrRefused)
+		rec.finish(backing.ErrRefused)
 		return
 	}
 	p.signal()
@@ -115,7 +115,7 @@
 
 // pad queues records that count for nothing until the stream's end lies beyond
 // until, unless that is under way.
-func (p *partition) pad(until platform.Offset) {
+func (p *partition) pad(until backing.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.padded >= until {
@@ -187,7 +187,7 @@
 func (p *partition) unpad() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.padded = platform.None
+	p.padded = backing.None
 }
 
 // tail folds the stream in until ctx ends.
@@ -196,7 +196,7 @@
 	for ctx.Err() == nil {
 		batch, err := p.service.Read(ctx, p.stream, p.table.End(), readLimit, wait)
 		switch {
-		case errors.Is(err, platform.ErrTrimmed):
+		case errors.Is(err, backing.ErrTrimmed):
 			p.restart(batch.Start)
 		case err != nil:
 			p.setDown()
@@ -223,7 +223,7 @@
 }
 
 // restart begins anew after records were trimmed that had not been read.
-func (p *partition) restart(from platform.Offset) {
+func (p *partition) restart(from backing.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := p.table.End() == 0
@@ -239,7 +239,7 @@
 }
 
 // fold applies a batch and tells the calls of this partition.
-func (p *partition) fold(batch platform.Batch) {
+func (p *partition) fold(batch backing.Batch) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.down = false
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -218,6 +218,6 @@
 }
 
 // joined is what a partition knows when a call joins it.
-func joined(t *Table, end platform.Offset, k Key, down bool) Start {
+func joined(t *Table, end backing.Offset, k Key, down bool) Start {
 	return Start{View: t.Look(k), End: max(end, t.End()), LogDown: down}
 }
--- a/claim/table.go
+++ b/claim/table.go
@@ -4,7 +4,7 @@
 	"time"
 	"unique"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // FoldAge is how much older than the newest key of its partition a key may be
@@ -30,8 +30,8 @@
 	Phase           KeyPhase
 	Known           bool   // the fields below are set
 	Fingerprint     uint64 // of the first claim; stays after a release
-	Offset          platform.Offset
-	OutcomeOffset   platform.Offset // of the Outcome record, in phase KeyEnded
+	Offset          backing.Offset
+	OutcomeOffset   backing.Offset // of the Outcome record, in phase KeyEnded
 	Side            string          // named by the claim
 	SideIncarnation string
 	TooOld          bool // the key is older than FoldAge: no claim of it counts
@@ -52,7 +52,7 @@
 
 // Judged is the result of applying one record.
 type Judged struct {
-	Offset   platform.Offset
+	Offset   backing.Offset
 	Key      Key
 	Verdict  Verdict
 	Claimant string // of a claim record
@@ -73,7 +73,7 @@
 // records agree; nothing but the records enters. It is not safe for
 // concurrent use.
 type Table struct {
-	end     platform.Offset // next offset to apply
+	end     backing.Offset // next offset to apply
 	newest  int64           // newest birth of a valid claim's key, in Unix milliseconds
 	slots   map[Key]slot
 	buckets map[int64][]Key // keys by birth / bucketMillis
@@ -82,7 +82,7 @@
 
 // NewTable returns the fold of a stream from the offset on, which must be the
 // first retained one.
-func NewTable(from platform.Offset) *Table {
+func NewTable(from backing.Offset) *Table {
 	return &Table{
 		end:     from,
 		slots:   make(map[Key]slot),
@@ -91,7 +91,7 @@
 }
 
 // End returns the offset of the next record to apply.
-func (t *Table) End() platform.Offset { return t.end }
+func (t *Table) End() backing.Offset { return t.end }
 
 // Len returns the number of keys kept.
 func (t *Table) Len() int { return len(t.slots) }
@@ -109,8 +109,8 @@
 	v.Phase = s.phase
 	v.Known = true
 	v.Fingerprint = s.fingerprint
-	v.Offset = platform.Offset(s.offset)
-	v.OutcomeOffset = platform.Offset(s.outcome)
+	v.Offset = backing.Offset(s.offset)
+	v.OutcomeOffset = backing.Offset(s.outcome)
 	v.Side = s.side.Value()
 	v.SideIncarnation = s.incarnation.Value()
 	return v
@@ -118,7 +118,7 @@
 
 // Apply folds the next record in. Records that cannot be decoded and kinds
 // that are not known count for nothing.
-func (t *Table) Apply(rec platform.Record) Judged {
+func (t *Table) Apply(rec backing.Record) Judged {
 	t.end = rec.Offset + 1
 	j := Judged{Offset: rec.Offset}
 	r, err := decode(rec.Data)
@@ -140,7 +140,7 @@
 }
 
 // claim judges a claim record and lets it hold the key when it wins.
-func (t *Table) claim(at platform.Offset, c *Claim) Verdict {
+func (t *Table) claim(at backing.Offset, c *Claim) Verdict {
 	if int64(at) > c.ValidUntil {
 		return VerdictLate
 	}
@@ -160,7 +160,7 @@
 	t.slots[c.Key] = slot{
 		fingerprint: c.Fingerprint,
 		offset:      int64(at),
-		outcome:     int64(platform.None),
+		outcome:     int64(backing.None),
 		side:        unique.Make(c.Side),
 		incarnation: unique.Make(c.SideIncarnation),
 		phase:       KeyHeld,
@@ -170,7 +170,7 @@
 }
 
 // outcome ends the key if the record belongs to the claim that holds it.
-func (t *Table) outcome(at platform.Offset, o *Outcome) {
+func (t *Table) outcome(at backing.Offset, o *Outcome) {
 	s, ok := t.slots[o.Key]
 	if !ok || s.phase != KeyHeld || s.offset != o.Offset {
 		return
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -17,7 +17,7 @@
 type testLog struct{ *Table }
 
 func (l testLog) add(r record) Judged {
-	return l.Apply(platform.Record{Offset: l.End(), Data: encode(r)})
+	return l.Apply(backing.Record{Offset: l.End(), Data: encode(r)})
 }
 
 func claimOf(k Key, content uint64, until int64) *Claim {
@@ -44,10 +44,10 @@
 	l.add(&Release{Key: k, Offset: 7})                                   // 11
 	l.add(newOutcome(k, 7, wire.Answer{Status: 500}))                    // 12
 	require.Equal(t, KeyEnded, l.Look(k).Phase)                          //
-	require.Equal(t, platform.Offset(10), l.Look(k).OutcomeOffset)       //
+	require.Equal(t, backing.Offset(10), l.Look(k).OutcomeOffset)       //
 	require.Equal(t, VerdictLost, l.add(claimOf(k, 7, 100)).Verdict)     // 13
-	require.Equal(t, VerdictNone, l.Apply(platform.Record{Offset: 14, Data: []byte{99, 1}}).Verdict)
-	require.Equal(t, VerdictNone, l.Apply(platform.Record{Offset: 15, Data: []byte{1, 2, 3}}).Verdict)
+	require.Equal(t, VerdictNone, l.Apply(backing.Record{Offset: 14, Data: []byte{99, 1}}).Verdict)
+	require.Equal(t, VerdictNone, l.Apply(backing.Record{Offset: 15, Data: []byte{1, 2, 3}}).Verdict)
 }
 
 // What a Table forgets can't be claimed again.
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -166,7 +166,7 @@
 		},
 	})
 	e.calls = append(e.calls, c)
-	w.step(c, Start{View: e.table.Look(a.key), End: platform.Offset(max(int(e.table.End()), w.seenEnd())), LogDown: w.away})
+	w.step(c, Start{View: e.table.Look(a.key), End: backing.Offset(max(int(e.table.End()), w.seenEnd())), LogDown: w.away})
 	return c
 }
 
@@ -262,10 +262,10 @@
 		switch err {
 		case nil:
 			if w.without == readingBack {
-				v := View{Phase: KeyHeld, Known: true, Fingerprint: r.Fingerprint, Offset: platform.Offset(len(w.log) - 1)}
+				v := View{Phase: KeyHeld, Known: true, Fingerprint: r.Fingerprint, Offset: backing.Offset(len(w.log) - 1)}
 				w.step(c, Folded{View: v, Verdict: VerdictWon, Nonce: r.Nonce, Offset: v.Offset})
 			}
-		case platform.ErrRefused:
+		case backing.ErrRefused:
 			w.step(c, AppendRefused{Nonce: r.Nonce})
 		default:
 			w.step(c, AppendUnknown{Nonce: r.Nonce})
@@ -345,7 +345,7 @@
 }
 
 // execute counts one execution and ends it some time later.
-func (w *world) execute(c *simCall, s *simSide, offset platform.Offset) {
+func (w *world) execute(c *simCall, s *simSide, offset backing.Offset) {
 	x := &execution{key: c.att.key, attempt: c.att.id}
 	x.answer = wire.Answer{Status: 200, Body: fmt.Appendf(nil, "%d:%d", c.att.id, len(w.execs))}
 	w.execs = append(w.execs, x)
--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -18,7 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/api"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 // Defaults and bounds.
@@ -112,9 +112,9 @@
 // stream makes one streamed request, checks its answer and records its times.
 func (b *bench) stream(base string, s *sample) error {
 	prompt := "bench"
-	body, err := json.Marshal(platformtest.ChatRequest{
+	body, err := json.Marshal(backingtest.ChatRequest{
 		Model: "m", Stream: true, MaxTokens: tokens,
-		Messages: []platformtest.ChatMessage{{Role: "user", Content: prompt}},
+		Messages: []backingtest.ChatMessage{{Role: "user", Content: prompt}},
 	})
 	if err != nil {
 		return err
--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -18,8 +18,8 @@
 	"marjorampitch/api"
 	"marjorampitch/claim"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 // Ports of the HTTP sides of the entries, as scripts/demo.sh lays them out.
@@ -87,10 +87,10 @@
 		SetHeader(api.HeaderOrganisation, organisation).
 		SetHeader(api.HeaderPriority, "live").
 		SetHeader(api.HeaderSession, "demo").
-		SetBody(platformtest.ChatRequest{
+		SetBody(backingtest.ChatRequest{
 			Model:    model,
 			Stream:   true,
-			Messages: []platformtest.ChatMessage{{Role: "user", Content: prompt}},
+			Messages: []backingtest.ChatMessage{{Role: "user", Content: prompt}},
 		})
 	if traceID != "" {
 		req.SetHeader("Traceparent", "00-"+traceID+"-00f067aa0ba902b7-01")
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	if want := platformtest.AnswerText(prompt, events); text != want {
+	if want := backingtest.AnswerText(prompt, events); text != want {
 		return eris.Errorf("the answer is not its own request's: %q", text)
 	}
 	report(resp, time.Since(start))
@@ -126,7 +126,7 @@
 		if payload == "[DONE]" {
 			return text, events, nil
 		}
-		var part platformtest.ChatAnswer
+		var part backingtest.ChatAnswer
 		if err := json.Unmarshal([]byte(payload), &part); err != nil {
 			return "", 0, err
 		}
@@ -217,7 +217,7 @@
 func (d *demo) executions(ctx context.Context) error {
 	total := 0
 	for _, base := range d.plain {
-		var stats platformtest.PlainStats
+		var stats backingtest.PlainStats
 		if _, err := resty.New().R().SetContext(ctx).SetResult(&stats).Get(base + "/stats"); err != nil {
 			return err
 		}
@@ -235,7 +235,7 @@
 
 // logRecords prints what the streams of the log hold.
 func (d *demo) logRecords(ctx context.Context) error {
-	log := platform.NewLogClient(d.logURL)
+	log := backing.NewLogClient(d.logURL)
 	for _, service := range []string{"bryllupslyd", "caroni-watch"} {
 		changes, err := log.Read(ctx, logfold.ConfigStream(service), 0, 1, 0)
 		if err != nil {
@@ -252,7 +252,7 @@
 }
 
 // printClaims prints how many records a partition of the claims holds.
-func printClaims(ctx context.Context, log platform.Log, stream string) error {
+func printClaims(ctx context.Context, log backing.Log, stream string) error {
 	b, err := log.Read(ctx, stream, 0, 64, 0)
 	if err != nil || b.End == 0 {
 		return err
--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 func newLogCommand(s *server) *cobra.Command {
@@ -21,9 +21,9 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return s.run("log", func() http.Handler {
-				return platformtest.NewLog(
-					platformtest.WithAppendRate(appends),
-					platformtest.WithRetention(retention),
+				return backingtest.NewLog(
+					backingtest.WithAppendRate(appends),
+					backingtest.WithRetention(retention),
 				).Handler()
 			})
 		},
@@ -45,7 +45,7 @@
 				return err
 			}
 			return s.run("instances", func() http.Handler {
-				return platformtest.NewInstanceList(instances...).Handler()
+				return backingtest.NewInstanceList(instances...).Handler()
 			})
 		},
 	}
@@ -53,7 +53,7 @@
 	return cmd
 }
 
-func readInstances(file string) ([]platform.Instance, error) {
+func readInstances(file string) ([]backing.Instance, error) {
 	if file == "" {
 		return nil, nil
 	}
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "--file")
 	}
-	var body platform.InstancesBody
+	var body backing.InstancesBody
 	if err := json.Unmarshal(text, &body); err != nil {
 		return nil, eris.Wrap(err, "--file "+file)
 	}
@@ -76,7 +76,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return s.run("weights", func() http.Handler {
-				return platformtest.NewWeightStore(rate, size).Handler()
+				return backingtest.NewWeightStore(rate, size).Handler()
 			})
 		},
 	}
@@ -86,14 +86,14 @@
 }
 
 func newEngineCommand(s *server) *cobra.Command {
-	opts := platformtest.DefaultEngineOptions()
+	opts := backingtest.DefaultEngineOptions()
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Model engine with continuous batching",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return s.run("engine", func() http.Handler {
-				return platformtest.NewEngine(opts).Handler()
+				return backingtest.NewEngine(opts).Handler()
 			})
 		},
 	}
@@ -118,7 +118,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return s.run("plain", func() http.Handler {
-				return platformtest.NewPlain().Handler()
+				return backingtest.NewPlain().Handler()
 			})
 		},
 	}
--- a/config/inforce/inforce.go
+++ b/config/inforce/inforce.go
@@ -10,7 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/rotisserie/eris"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -40,7 +40,7 @@
 
 // Ask asks every instance, and returns the reports in the order of the list.
 // Processes that answer for another service are left out.
-func Ask(ctx context.Context, service string, instances []platform.Instance) []Report {
+func Ask(ctx context.Context, service string, instances []backing.Instance) []Report {
 	all := make([]Report, len(instances))
 	pool := pond.NewPool(maxAtOnce)
 	for i, inst := range instances {
@@ -61,7 +61,7 @@
 // is passed over.
 func Everywhere(reports []Report, offset int64) bool {
 	for _, r := range reports {
-		if r.Error != "" && r.State == string(platform.InstanceLeaving) {
+		if r.Error != "" && r.State == string(backing.InstanceLeaving) {
 			continue
 		}
 		if r.Error != "" || r.Offset < offset || !r.Current {
@@ -71,13 +71,13 @@
 	return true
 }
 
-func askOne(ctx context.Context, service string, inst platform.Instance) Report {
+func askOne(ctx context.Context, service string, inst backing.Instance) Report {
 	r := Report{
 		Instance:   inst.Name,
 		Role:       inst.Role,
 		DataCentre: inst.DataCentre,
 		State:      string(inst.State),
-		Offset:     int64(platform.None),
+		Offset:     int64(backing.None),
 	}
 	st, err := query(ctx, service, inst.Address)
 	if errors.Is(err, errForeign) {
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asker := make(asker, answerQueue)
-	hello := wire.Hello{Role: wire.RoleOperator, Service: service, Instance: operator, ConfigOffset: int64(platform.None)}
+	hello := wire.Hello{Role: wire.RoleOperator, Service: service, Instance: operator, ConfigOffset: int64(backing.None)}
 	conn, err := wire.Dial(ctx, address, hello, asker, asker)
 	if err != nil {
 		return nil, err
@@ -148,5 +148,5 @@
 
 // Beat implements wire.Beats.
 func (a asker) Beat(*wire.Conn) wire.Heartbeat {
-	return wire.Heartbeat{ConfigOffset: int64(platform.None), ProofAgeMillis: -1}
+	return wire.Heartbeat{ConfigOffset: int64(backing.None), ProofAgeMillis: -1}
 }
--- a/config/publish/example_test.go
+++ b/config/publish/example_test.go
@@ -8,7 +8,7 @@
 
 	"marjorampitch/config"
 	"marjorampitch/config/publish"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 func ExamplePublisher_Publish() {
@@ -16,8 +16,8 @@
 	if err != nil {
 		panic(err)
 	}
-	log := platformtest.NewLog()
-	log.SetFaults(platformtest.LogFaults{LoseAnswers: 1})
+	log := backingtest.NewLog()
+	log.SetFaults(backingtest.LogFaults{LoseAnswers: 1})
 	p := publish.NewPublisher(log, "bryllupslyd", "anna")
 
 	first, err := p.Publish(context.Background(), 0, text)
--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -20,7 +20,7 @@
 	"marjorampitch/api"
 	"marjorampitch/config"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Status says what became of a change.
@@ -39,7 +39,7 @@
 	Code     api.Code        `json:"code"`
 	Base     uint64          `json:"base"`
 	Version  uint64          `json:"version"` // of the change if accepted, else the current one
-	Offset   platform.Offset `json:"offset"`  // of the record if accepted
+	Offset   backing.Offset `json:"offset"`  // of the record if accepted
 	Nonce    string          `json:"nonce,omitempty"`
 	Detail   string          `json:"detail,omitempty"`
 	Problems config.Problems `json:"problems,omitempty"`
@@ -55,7 +55,7 @@
 
 // Publisher publishes changes of one service.
 type Publisher struct {
-	Log      platform.Log
+	Log      backing.Log
 	Service  string
 	Author   string
 	Patience time.Duration                        // how long to read back; 0: once
@@ -64,7 +64,7 @@
 }
 
 // NewPublisher returns a Publisher with DefaultPatience.
-func NewPublisher(log platform.Log, service, author string) *Publisher {
+func NewPublisher(log backing.Log, service, author string) *Publisher {
 	return &Publisher{
 		Log:      log,
 		Service:  service,
@@ -146,7 +146,7 @@
 		return Result{}, err
 	}
 	_, err = p.Log.Append(ctx, logfold.ConfigStream(p.Service), [][]byte{data})
-	if errors.Is(err, platform.ErrRefused) {
+	if errors.Is(err, backing.ErrRefused) {
 		detail := "the log service refused the append; the change is not and will not be stored"
 		return Result{Status: Refused, Code: api.LogUnavailable, Base: change.Base, Version: reader.Fold.Version, Detail: detail}, nil
 	}
--- a/config/publish/restart.go
+++ b/config/publish/restart.go
@@ -6,7 +6,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Restart begins the history anew with text, when the log service no longer
@@ -28,7 +28,7 @@
 		return Result{}, err
 	}
 	batch, err := p.Log.Read(ctx, logfold.ConfigStream(p.Service), 0, 1, 0)
-	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+	if err != nil && !errors.Is(err, backing.ErrTrimmed) {
 		return Result{}, err
 	}
 	change, err := p.newChange(nil, 0, doc.Service.Format, text)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,7 @@
 
 	"marjorampitch/config"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -41,7 +41,7 @@
 	log      *log.Logger
 	tracing  *telemetry.Tracing
 	registry *prometheus.Registry
-	platform platform.Log
+	platform backing.Log
 	runner   *logfold.Runner
 	hello    wire.Hello
 }
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	logService := platform.NewLogClient(st.Platform.LogService)
+	logService := backing.NewLogClient(st.Platform.LogService)
 	return &base{
 		settings: st,
 		log:      logger,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -9,7 +9,7 @@
 
 	"marjorampitch/config"
 	"marjorampitch/entry"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -26,7 +26,7 @@
 	s := entry.New(entry.Options{
 		Hello:     b.hello,
 		Config:    b.runner,
-		Instances: platform.NewInstanceListClient(st.Platform.InstanceList),
+		Instances: backing.NewInstanceListClient(st.Platform.InstanceList),
 		Claims:    b.platform,
 		Log:       b.log,
 		Metrics:   telemetry.NewEntryMetrics(b.registry),
--- a/entry/bootstrap.go
+++ b/entry/bootstrap.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // bootstrapPeers is the number of side processes asked at once by an entry without a document.
@@ -13,7 +13,7 @@
 // bootstrap connects an entry that has no document, since the log service is
 // down, to side processes, which hand theirs over. Which ones belong to its
 // service is not known yet, so each call tries others, drawn at random.
-func (t *table) bootstrap(ctx context.Context, instances []platform.Instance) {
+func (t *table) bootstrap(ctx context.Context, instances []backing.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.doc != nil {
--- a/entry/coordinator.go
+++ b/entry/coordinator.go
@@ -15,7 +15,7 @@
 	"marjorampitch/logfold"
 	"marjorampitch/placement"
 	"marjorampitch/placement/pack"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -51,13 +51,13 @@
 	hello wire.Hello
 	table *table
 	log   *log.Logger
-	store platform.Log
+	store backing.Log
 	stop  context.CancelFunc
 	acks  chan *wire.OrderAck
 
 	machine *group.Coordinator
 	began   time.Time
-	claimed chan platform.Offset
+	claimed chan backing.Offset
 	lostAt  time.Time // zero while not superseded
 	claimAt time.Time // earliest time of the next claim
 	seq     uint64    // of the latest answer
@@ -77,7 +77,7 @@
 		log:     g.log,
 		store:   g.claims,
 		acks:    make(chan *wire.OrderAck, acksPerRank*section.Ranks),
-		claimed: make(chan platform.Offset),
+		claimed: make(chan backing.Offset),
 		maps:    make([]mapSent, section.Ranks),
 	}
 }
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -7,7 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/route"
 	"marjorampitch/wire"
 )
@@ -17,7 +17,7 @@
 // mu guards the fields below it. Lock order: groups.mu, then a coordinator's mu.
 type groups struct {
 	hello  wire.Hello
-	claims platform.Log
+	claims backing.Log
 	table  *table
 	log    *log.Logger
 
@@ -37,7 +37,7 @@
 
 // follow starts and ends coordinators in line with the document and the
 // instance list. Two entries that differ about who leads a group cost only time.
-func (g *groups) follow(ctx context.Context, doc *config.Document, instances []platform.Instance) {
+func (g *groups) follow(ctx context.Context, doc *config.Document, instances []backing.Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for name, c := range g.leading {
@@ -55,7 +55,7 @@
 
 // lead starts the coordinator of a group that this entry leads, or tells it
 // the document. The caller holds mu.
-func (g *groups) lead(ctx context.Context, doc *config.Document, section *config.Group, instances []platform.Instance) {
+func (g *groups) lead(ctx context.Context, doc *config.Document, section *config.Group, instances []backing.Instance) {
 	if !g.leads(section.Name, instances) {
 		return
 	}
@@ -72,14 +72,14 @@
 
 // leads says whether this entry is the first of the live ones in the group's
 // rendezvous order. An entry that is leaving leads none.
-func (g *groups) leads(name string, instances []platform.Instance) bool {
+func (g *groups) leads(name string, instances []backing.Instance) bool {
 	if g.table.node.Leaving() {
 		return false
 	}
 	hash := route.HashName(name)
 	own := route.Mix(hash, route.HashName(g.hello.Instance))
 	for _, in := range instances {
-		if in.Role != listRoleEntry || in.State != platform.InstanceLive || in.Name == g.hello.Instance {
+		if in.Role != listRoleEntry || in.State != backing.InstanceLive || in.Name == g.hello.Instance {
 			continue
 		}
 		if route.Mix(hash, route.HashName(in.Name)) > own {
--- a/entry/groups_test.go
+++ b/entry/groups_test.go
@@ -10,7 +10,7 @@
 
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -20,10 +20,10 @@
 	return newGroups(&Options{Hello: hello, Log: logger}, newTable(instance, node.New(hello, nil), logger))
 }
 
-func entries(names ...string) []platform.Instance {
-	var out []platform.Instance
+func entries(names ...string) []backing.Instance {
+	var out []backing.Instance
 	for _, name := range names {
-		out = append(out, platform.Instance{Name: name, Role: listRoleEntry, State: platform.InstanceLive})
+		out = append(out, backing.Instance{Name: name, Role: listRoleEntry, State: backing.InstanceLive})
 	}
 	return out
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -13,7 +13,7 @@
 	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/claim"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -207,7 +207,7 @@
 	if l := t.links[name]; l != nil {
 		return l
 	}
-	i := slices.IndexFunc(t.instances, func(in platform.Instance) bool {
+	i := slices.IndexFunc(t.instances, func(in backing.Instance) bool {
 		return in.Name == name && in.Role == listRoleSide
 	})
 	if i < 0 {
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -15,7 +15,7 @@
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	table := newTable("n1", node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{}), log.New(io.Discard))
-	list := []platform.Instance{{Name: "s1", Address: breakingSide(t), Role: listRoleSide}}
+	list := []backing.Instance{{Name: "s1", Address: breakingSide(t), Role: listRoleSide}}
 	table.update(ctx, &logfold.InForce{Doc: &config.Document{}}, list)
 	require.Empty(t, table.links)
 	require.Nil(t, table.link("s2"))
--- a/entry/server.go
+++ b/entry/server.go
@@ -21,7 +21,7 @@
 	"marjorampitch/claim"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -39,8 +39,8 @@
 type Options struct {
 	Hello     wire.Hello // names the process; Role is RoleEntry
 	Config    node.ConfigView
-	Instances platform.InstanceList
-	Claims    platform.Log // where calls that may not repeat and rank groups are claimed
+	Instances backing.InstanceList
+	Claims    backing.Log // where calls that may not repeat and rank groups are claimed
 	Log       *log.Logger
 	Metrics   *telemetry.EntryMetrics
 	Tracer    trace.Tracer
@@ -129,7 +129,7 @@
 }
 
 // list asks for the instance list; while it is unavailable the last one counts.
-func (s *Server) list(ctx context.Context, last []platform.Instance) []platform.Instance {
+func (s *Server) list(ctx context.Context, last []backing.Instance) []backing.Instance {
 	list, err := s.opt.Instances.Instances(ctx)
 	if err != nil {
 		s.opt.Log.Warn("instance-list-unavailable", "err", err)
@@ -138,7 +138,7 @@
 	return list
 }
 
-func (s *Server) apply(ctx context.Context, instances []platform.Instance) {
+func (s *Server) apply(ctx context.Context, instances []backing.Instance) {
 	doc := s.opt.Config.Document()
 	if doc == nil {
 		s.table.bootstrap(ctx, instances)
--- a/entry/table.go
+++ b/entry/table.go
@@ -11,7 +11,7 @@
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/route"
 	"marjorampitch/wire"
 )
@@ -41,7 +41,7 @@
 	mu        sync.Mutex
 	ctx       context.Context // of the links
 	links     map[string]*link
-	instances []platform.Instance
+	instances []backing.Instance
 	doc       *logfold.InForce
 	pools     map[poolKey][]row
 	byName    map[string]row
@@ -70,7 +70,7 @@
 
 // update brings the links in line with the document and the instance list.
 // Links that are no longer wanted are closed once what they carry is done.
-func (t *table) update(ctx context.Context, doc *logfold.InForce, instances []platform.Instance) {
+func (t *table) update(ctx context.Context, doc *logfold.InForce, instances []backing.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if doc == nil || (doc == t.doc && slices.Equal(instances, t.instances)) {
@@ -95,7 +95,7 @@
 }
 
 // buildPools groups the links by what they serve. The caller holds mu.
-func (t *table) buildPools(wanted map[string]platform.Instance) {
+func (t *table) buildPools(wanted map[string]backing.Instance) {
 	t.pools = make(map[poolKey][]row)
 	t.byName = make(map[string]row)
 	for i := range t.doc.Doc.Backends {
@@ -109,7 +109,7 @@
 			Hash:       route.HashName(be.Name),
 			DataCentre: be.DataCentre,
 			Distance:   t.distance(be.DataCentre),
-			Leaving:    t.out(be) || wanted[be.Name].State == platform.InstanceLeaving,
+			Leaving:    t.out(be) || wanted[be.Name].State == backing.InstanceLeaving,
 		}}
 		t.byName[be.Name] = r
 		t.addRow(poolKey{pool: be.Pool}, r)
@@ -134,7 +134,7 @@
 }
 
 // start opens a link. The caller holds mu.
-func (t *table) start(ctx context.Context, in platform.Instance) {
+func (t *table) start(ctx context.Context, in backing.Instance) {
 	ctx, stop := context.WithCancel(ctx)
 	l := newLink(in.Name, in.Address, in.DataCentre, t.node, t.log)
 	l.stop = stop
@@ -145,18 +145,18 @@
 
 // wanted returns the side processes to connect to: those of the document that
 // the instance list knows, cut down to this entry's subset in each pool.
-func (t *table) wanted(doc *config.Document, instances []platform.Instance) map[string]platform.Instance {
-	pools := make(map[string][]platform.Instance)
+func (t *table) wanted(doc *config.Document, instances []backing.Instance) map[string]backing.Instance {
+	pools := make(map[string][]backing.Instance)
 	var entries []route.Member
 	for _, in := range instances {
-		if in.Role == listRoleEntry && in.State == platform.InstanceLive {
+		if in.Role == listRoleEntry && in.State == backing.InstanceLive {
 			entries = append(entries, route.Member{Name: in.Name, DataCentre: in.DataCentre})
 		}
 		if be := doc.Backend(in.Name); be != nil && in.Role == listRoleSide {
 			pools[be.Pool] = append(pools[be.Pool], in)
 		}
 	}
-	wanted := make(map[string]platform.Instance)
+	wanted := make(map[string]backing.Instance)
 	for _, pool := range pools {
 		for _, i := range route.Subset(t.self, entries, members(pool), doc.Routing.Subset) {
 			wanted[pool[i].Name] = pool[i]
@@ -165,7 +165,7 @@
 	return wanted
 }
 
-func members(instances []platform.Instance) []route.Member {
+func members(instances []backing.Instance) []route.Member {
 	out := make([]route.Member, len(instances))
 	for i, in := range instances {
 		out[i] = route.Member{Name: in.Name, DataCentre: in.DataCentre}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,8 +15,8 @@
 	"marjorampitch/internal/cli"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/wire"
 )
 
@@ -31,8 +31,8 @@
 // site is what a script finds running: a log service, an instance list and
 // three processes that follow the log.
 type site struct {
-	log  *platformtest.Log
-	list *platformtest.InstanceList
+	log  *backingtest.Log
+	list *backingtest.InstanceList
 }
 
 type siteKey struct{}
@@ -44,7 +44,7 @@
 		Setup:               setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"lose-answers": func(ts *testscript.TestScript, _ bool, _ []string) {
-				get(ts).log.SetFaults(platformtest.LogFaults{LoseAnswers: 1})
+				get(ts).log.SetFaults(backingtest.LogFaults{LoseAnswers: 1})
 			},
 			"exit-code": exitCode,
 		},
@@ -66,7 +66,7 @@
 }
 
 func setup(env *testscript.Env) error {
-	s := &site{log: platformtest.NewLog(platformtest.WithAppendRate(0)), list: platformtest.NewInstanceList()}
+	s := &site{log: backingtest.NewLog(backingtest.WithAppendRate(0)), list: backingtest.NewInstanceList()}
 	env.Values[siteKey{}] = s
 	logServer := httptest.NewServer(s.log.Handler())
 	listServer := httptest.NewServer(s.list.Handler())
@@ -116,8 +116,8 @@
 			go wire.Accept(nc, n.Hello(), handler{n}, n)
 		}
 	}()
-	s.list.Put(platform.Instance{
-		Name: name, Address: ln.Addr().String(), DataCentre: name[:3], Role: "entry", State: platform.InstanceLive,
+	s.list.Put(backing.Instance{
+		Name: name, Address: ln.Addr().String(), DataCentre: name[:3], Role: "entry", State: backing.InstanceLive,
 	})
 	return nil
 }
@@ -133,7 +133,7 @@
 func TestRunnerOnPeersAlone(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	log := platformtest.NewLog(platformtest.WithAppendRate(0))
+	log := backingtest.NewLog(backingtest.WithAppendRate(0))
 	reader := logfold.NewRunner(log, logfold.Options{Service: service, DataCentre: "dk1", Jitter: rand.Float64})
 	peer := logfold.NewRunner(nil, logfold.Options{Service: service, DataCentre: "dk2", Reading: logfold.ReadNever, Jitter: rand.Float64})
 	go reader.Run(ctx)
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -21,7 +21,7 @@
 	_ "marjorampitch/placement/packed"     // registers "packed"
 	_ "marjorampitch/placement/speedblind" // registers "speedblind"
 	_ "marjorampitch/placement/static"     // registers "static"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/route"
 	_ "marjorampitch/route/policies" // registers the routing policies
 )
@@ -81,7 +81,7 @@
 	if err := need(map[string]string{"log-service": o.logService, "service": o.service}); err != nil {
 		return nil, err
 	}
-	return logfold.NewReader(platform.NewLogClient(o.logService), o.service), nil
+	return logfold.NewReader(backing.NewLogClient(o.logService), o.service), nil
 }
 
 // current reads the log to its end.
@@ -97,7 +97,7 @@
 	if err := need(map[string]string{"log-service": o.logService, "service": o.service}); err != nil {
 		return nil, err
 	}
-	return publish.NewPublisher(platform.NewLogClient(o.logService), o.service, o.author), nil
+	return publish.NewPublisher(backing.NewLogClient(o.logService), o.service, o.author), nil
 }
 
 // print writes v as JSON, or calls text.
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -15,7 +15,7 @@
 	"marjorampitch/config/inforce"
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // statusEvery is the pause between two looks at the processes with --wait.
@@ -186,7 +186,7 @@
 	if err := need(map[string]string{"instance-list": o.instanceList, "service": o.service}); err != nil {
 		return nil, err
 	}
-	instances, err := platform.NewInstanceListClient(o.instanceList).Instances(ctx)
+	instances, err := backing.NewInstanceListClient(o.instanceList).Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -208,7 +208,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			r, err := o.current(cmd)
-			if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+			if err != nil && !errors.Is(err, backing.ErrUnavailable) {
 				return err
 			}
 			reports, err := o.ask(cmd.Context())
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -5,7 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // The fake engine's costs and sizes.
@@ -212,8 +212,8 @@
 }
 
 // report is the engine's own view of its load.
-func (e *engine) report() platform.EngineReport {
-	return platform.EngineReport{
+func (e *engine) report() backing.EngineReport {
+	return backing.EngineReport{
 		Incarnation: string(rune('a' + e.incarnation)),
 		Cold:        e.cold,
 		Running:     len(e.batch),
--- a/internal/scenario/call.go
+++ b/internal/scenario/call.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 
 	"marjorampitch/api"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 // Kinds of calls; any other kind is the path of an action, such as "deposits".
@@ -142,9 +142,9 @@
 }
 
 func (c *Call) chatBody() []byte {
-	body, err := json.Marshal(platformtest.ChatRequest{
+	body, err := json.Marshal(backingtest.ChatRequest{
 		Model:     model,
-		Messages:  []platformtest.ChatMessage{{Role: "user", Content: c.Prompt}},
+		Messages:  []backingtest.ChatMessage{{Role: "user", Content: c.Prompt}},
 		Stream:    true,
 		MaxTokens: c.Tokens,
 	})
@@ -180,7 +180,7 @@
 // stream reads a streamed answer and compares it with the one that the prompt has.
 func (r *Result) stream(body io.Reader, c Call) {
 	got, end := readEvents(bufio.NewReader(body), c.Leave)
-	want := platformtest.AnswerText(c.Prompt, c.Tokens)
+	want := backingtest.AnswerText(c.Prompt, c.Tokens)
 	r.Outcome = end
 	if end == Whole && got != want || !strings.HasPrefix(want, got) {
 		r.Outcome = Wrong
@@ -204,7 +204,7 @@
 		if data == "[DONE]" {
 			return b.String(), Whole
 		}
-		var part platformtest.ChatAnswer
+		var part backingtest.ChatAnswer
 		if json.Unmarshal([]byte(data), &part) != nil || len(part.Choices) == 0 {
 			return b.String(), Failed
 		}
--- a/internal/scenario/centre.go
+++ b/internal/scenario/centre.go
@@ -1,15 +1,15 @@
 package scenario
 
 import (
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 // centre is a data centre: it has its own view of the instance list, in which
 // every process stands at the address of a relay from this data centre to it.
 type centre struct {
 	name   string
-	list   *platformtest.InstanceList
+	list   *backingtest.InstanceList
 	server *server
 }
 
@@ -18,14 +18,14 @@
 	if c, ok := w.centres[name]; ok {
 		return c, nil
 	}
-	c := &centre{name: name, list: platformtest.NewInstanceList()}
+	c := &centre{name: name, list: backingtest.NewInstanceList()}
 	c.server = newServer(c.list.Handler())
 	if err := c.server.start(); err != nil {
 		return nil, err
 	}
 	w.centres[name] = c
 	for _, d := range w.daemons {
-		if err := w.showIn(c, d, platform.InstanceLive); err != nil {
+		if err := w.showIn(c, d, backing.InstanceLive); err != nil {
 			return nil, err
 		}
 	}
@@ -36,7 +36,7 @@
 func relayName(c *centre, d *daemon) string { return d.name + "@" + c.name }
 
 // show puts a daemon on the instance list of every data centre.
-func (w *World) show(d *daemon, state platform.InstanceState) error {
+func (w *World) show(d *daemon, state backing.InstanceState) error {
 	for _, c := range w.centres {
 		if err := w.showIn(c, d, state); err != nil {
 			return err
@@ -45,7 +45,7 @@
 	return nil
 }
 
-func (w *World) showIn(c *centre, d *daemon, state platform.InstanceState) error {
+func (w *World) showIn(c *centre, d *daemon, state backing.InstanceState) error {
 	r, ok := w.relays[relayName(c, d)]
 	if !ok {
 		var err error
@@ -53,7 +53,7 @@
 			return err
 		}
 	}
-	c.list.Put(platform.Instance{
+	c.list.Put(backing.Instance{
 		Name:       d.name,
 		Address:    r.address,
 		DataCentre: d.dataCentre,
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -5,7 +5,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 // newKeyVerb sets a variable of the script to a new idempotency key: newkey VARIABLE.
@@ -19,7 +19,7 @@
 // plainFaultVerb sets the faults of plain services: plain-fault [flags] NAME...
 func (w *World) plainFaultVerb(args []string) error {
 	var delay, answerDelay time.Duration
-	var faults platformtest.PlainFaults
+	var faults backingtest.PlainFaults
 	f := flags("plain-fault")
 	f.DurationVar(&delay, "delay", 0, "")
 	f.DurationVar(&answerDelay, "answer-delay", 0, "")
@@ -29,8 +29,8 @@
 	if err := f.Parse(args); err != nil {
 		return err
 	}
-	faults.Delay = platformtest.Duration(delay)
-	faults.AnswerDelay = platformtest.Duration(answerDelay)
+	faults.Delay = backingtest.Duration(delay)
+	faults.AnswerDelay = backingtest.Duration(answerDelay)
 	return each(f.Args(), w.withBackend(func(b *backend) error {
 		b.plain.SetFaults(faults)
 		return nil
@@ -39,7 +39,7 @@
 
 // appendFaultVerb sets what becomes of the next appends: append-fault [-lose N] [-late N -late-by D].
 func (w *World) appendFaultVerb(args []string) error {
-	var faults platformtest.LogFaults
+	var faults backingtest.LogFaults
 	var lateBy time.Duration
 	f := flags("append-fault")
 	f.IntVar(&faults.LoseAnswers, "lose", 0, "")
@@ -48,7 +48,7 @@
 	if err := f.Parse(args); err != nil {
 		return err
 	}
-	faults.LateBy = platformtest.Duration(lateBy)
+	faults.LateBy = backingtest.Duration(lateBy)
 	w.log.SetFaults(faults)
 	return nil
 }
--- a/internal/scenario/group.go
+++ b/internal/scenario/group.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 // Sizes of a rank group.
@@ -25,9 +25,9 @@
 // AddGroup starts a group of engines, one rank each.
 func (w *World) AddGroup(name, dataCentre string, slots int, engines []string) error {
 	g := &rankGroup{name: name, slots: slots}
-	lockstep := platformtest.NewLockstep(len(engines))
+	lockstep := backingtest.NewLockstep(len(engines))
 	for rank, engine := range engines {
-		opts := platformtest.DefaultEngineOptions()
+		opts := backingtest.DefaultEngineOptions()
 		opts.Lockstep, opts.Rank = lockstep, rank
 		if err := w.AddEngine(engine, dataCentre, opts); err != nil {
 			return err
@@ -50,7 +50,7 @@
 // maps; maps are those that every rank has used; staged are ranks that hold a
 // staged map; begun is the number of steps that every rank has begun.
 func (g *rankGroup) counters() counters {
-	var spans [][]platformtest.RankSpan
+	var spans [][]backingtest.RankSpan
 	staged := 0
 	for _, b := range g.ranks {
 		spans = append(spans, b.engine.Stats().Steps)
@@ -66,8 +66,8 @@
 
 // conflicts counts pairs of overlapping runs of steps with different maps, of
 // different ranks or of two lives of one.
-func conflicts(ranks [][]platformtest.RankSpan) int {
-	var all []platformtest.RankSpan
+func conflicts(ranks [][]backingtest.RankSpan) int {
+	var all []backingtest.RankSpan
 	for _, spans := range ranks {
 		all = append(all, spans...)
 	}
@@ -84,7 +84,7 @@
 }
 
 // commonMaps counts the maps that every rank has begun a step with.
-func commonMaps(ranks [][]platformtest.RankSpan) int {
+func commonMaps(ranks [][]backingtest.RankSpan) int {
 	users := make(map[string]int)
 	for _, spans := range ranks {
 		own := make(map[string]bool)
@@ -102,7 +102,7 @@
 	return n
 }
 
-func leastBegun(ranks [][]platformtest.RankSpan) int {
+func leastBegun(ranks [][]backingtest.RankSpan) int {
 	least := -1
 	for _, spans := range ranks {
 		begun := 0
--- a/internal/scenario/server.go
+++ b/internal/scenario/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing/backingtest"
 )
 
 // Ports of a world lie below those that the system gives to outgoing connections.
@@ -96,8 +96,8 @@
 type backend struct {
 	name       string
 	dataCentre string
-	engine     *platformtest.Engine
-	plain      *platformtest.Plain
+	engine     *backingtest.Engine
+	plain      *backingtest.Plain
 	maxRunning int
 	group      *rankGroup // nil for one that is no rank
 	rank       int
@@ -113,8 +113,8 @@
 }
 
 // AddEngine starts a model engine.
-func (w *World) AddEngine(name, dataCentre string, opts platformtest.EngineOptions) error {
-	e := platformtest.NewEngine(opts)
+func (w *World) AddEngine(name, dataCentre string, opts backingtest.EngineOptions) error {
+	e := backingtest.NewEngine(opts)
 	return w.addBackend(&backend{
 		name:       name,
 		dataCentre: dataCentre,
@@ -126,7 +126,7 @@
 
 // AddPlain starts a booking and dispatch service.
 func (w *World) AddPlain(name, dataCentre string) error {
-	p := platformtest.NewPlain()
+	p := backingtest.NewPlain()
 	return w.addBackend(&backend{
 		name:       name,
 		dataCentre: dataCentre,
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -11,8 +11,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 const tailLines = 15
@@ -105,7 +105,7 @@
 
 // engineVerb: engine [flags] NAME DATA-CENTRE.
 func (w *World) engineVerb(args []string) error {
-	opts := platformtest.DefaultEngineOptions()
+	opts := backingtest.DefaultEngineOptions()
 	f := flags("engine")
 	f.DurationVar(&opts.StepTime, "step", opts.StepTime, "")
 	f.IntVar(&opts.ColdBound, "cold-bound", 0, "")
@@ -275,7 +275,7 @@
 			w.remove(d)
 			return nil
 		}
-		return w.show(d, platform.InstanceState(args[1]))
+		return w.show(d, backing.InstanceState(args[1]))
 	})(args[0])
 }
 
@@ -284,11 +284,11 @@
 	if err := words(args, "refuse|break|hang|none"); err != nil {
 		return err
 	}
-	kind := platformtest.Outage(args[0])
+	kind := backingtest.Outage(args[0])
 	if args[0] == "none" {
-		kind = platformtest.OutageNone
+		kind = backingtest.OutageNone
 	}
-	w.log.SetFaults(platformtest.LogFaults{Outage: kind})
+	w.log.SetFaults(backingtest.LogFaults{Outage: kind})
 	return nil
 }
 
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 )
 
 // Names and rates of a world.
@@ -35,7 +35,7 @@
 	dir    string
 	binary string
 
-	log       *platformtest.Log
+	log       *backingtest.Log
 	logServer *server
 	weights   *server
 	centres   map[string]*centre
@@ -57,7 +57,7 @@
 	w := &World{
 		dir:      dir,
 		binary:   binary,
-		log:      platformtest.NewLog(),
+		log:      backingtest.NewLog(),
 		centres:  make(map[string]*centre),
 		backends: make(map[string]*backend),
 		groups:   make(map[string]*rankGroup),
@@ -66,7 +66,7 @@
 		loads:    make(map[string]*Load),
 	}
 	w.logServer = newServer(w.log.Handler())
-	w.weights = newServer(platformtest.NewWeightStore(weightRate, weightSize).Handler())
+	w.weights = newServer(backingtest.NewWeightStore(weightRate, weightSize).Handler())
 	for _, s := range []*server{w.logServer, w.weights} {
 		if err := s.start(); err != nil {
 			w.Close()
@@ -161,7 +161,7 @@
 		return err
 	}
 	w.daemons[name] = d
-	if err := w.show(d, platform.InstanceLive); err != nil {
+	if err := w.show(d, backing.InstanceLive); err != nil {
 		return err
 	}
 	if role == roleEntry {
--- a/internal/slopes/coordination.go
+++ b/internal/slopes/coordination.go
@@ -10,7 +10,7 @@
 	"marjorampitch/claim"
 	"marjorampitch/placement/packed"
 	"marjorampitch/placement/placementtest"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // claims measures the fold of a partition of claims.
@@ -44,9 +44,9 @@
 	}
 }
 
-func claimRecords(n int) []platform.Record {
+func claimRecords(n int) []backing.Record {
 	claimant, side := uuid.NewString(), uuid.NewString()
-	records := make([]platform.Record, n)
+	records := make([]backing.Record, n)
 	for i := range records {
 		c := claim.Claim{
 			Key:             claim.Key(uuid.Must(uuid.NewV7())),
@@ -57,12 +57,12 @@
 			SideIncarnation: side,
 			ValidUntil:      int64(i) + 1_024,
 		}
-		records[i] = platform.Record{Offset: platform.Offset(i), Data: c.Record()}
+		records[i] = backing.Record{Offset: backing.Offset(i), Data: c.Record()}
 	}
 	return records
 }
 
-func foldClaims(records []platform.Record) *claim.Table {
+func foldClaims(records []backing.Record) *claim.Table {
 	t := claim.NewTable(0)
 	for _, r := range records {
 		t.Apply(r)
--- a/internal/slopes/membership.go
+++ b/internal/slopes/membership.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/route"
 )
 
@@ -23,7 +23,7 @@
 			}
 			var failed error
 			cost := nanos(func() {
-				var body platform.InstancesBody
+				var body backing.InstancesBody
 				if err := json.Unmarshal(text, &body); err != nil {
 					failed = err
 				}
@@ -33,15 +33,15 @@
 	}
 }
 
-func instanceList(n int) platform.InstancesBody {
-	var body platform.InstancesBody
+func instanceList(n int) backing.InstancesBody {
+	var body backing.InstancesBody
 	for i := range n {
-		body.Instances = append(body.Instances, platform.Instance{
+		body.Instances = append(body.Instances, backing.Instance{
 			Name:       fmt.Sprintf("dc%d-llm-%d", i%6, i),
 			Address:    fmt.Sprintf("10.%d.%d.%d:7000", i%6, i/250, i%250),
 			DataCentre: fmt.Sprintf("dc%d", i%6),
 			Role:       "side",
-			State:      platform.InstanceLive,
+			State:      backing.InstanceLive,
 		})
 	}
 	return body
--- a/logfold/bench_test.go
+++ b/logfold/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -28,7 +28,7 @@
 			data := change(b, 0, withOrganisations(n), "n")
 			for b.Loop() {
 				fold := NewFold("s")
-				out, err := fold.Apply(platform.Record{Data: data})
+				out, err := fold.Apply(backing.Record{Data: data})
 				if err != nil || !out.Accepted {
 					b.Fatal(err, out)
 				}
@@ -43,7 +43,7 @@
 	data := change(b, 5, withOrganisations(7_400), "n")
 	for b.Loop() {
 		fold := NewFold("s")
-		if _, err := fold.Apply(platform.Record{Data: data}); err != nil {
+		if _, err := fold.Apply(backing.Record{Data: data}); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -52,8 +52,8 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
 	f.Handle(0, Tick{})
-	records := []platform.Record{{Data: change(b, 0, withOrganisations(10), "n")}}
-	f.Handle(1, ConfigRead{Batch: platform.Batch{Records: records, End: 1}})
+	records := []backing.Record{{Data: change(b, 0, withOrganisations(10), "n")}}
+	f.Handle(1, ConfigRead{Batch: backing.Batch{Records: records, End: 1}})
 	require.NotNil(b, f.InForce())
 	now := time.Second
 	e := PeerHeard{Peer: "p", DataCentre: "d1", Dated: true, Heartbeat: wire.Heartbeat{ProofAgeMillis: 3}}
--- a/logfold/events.go
+++ b/logfold/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -16,20 +16,20 @@
 // ConfigRead is the answer to a ReadConfig that was sent at Sent.
 type ConfigRead struct {
 	Sent  time.Duration
-	Batch platform.Batch
+	Batch backing.Batch
 }
 
 // ConfigReadFailed says that a ReadConfig failed. Trimmed: the wanted records
 // are no longer retained, and the Batch carries Start and End.
 type ConfigReadFailed struct {
 	Trimmed bool
-	Batch   platform.Batch
+	Batch   backing.Batch
 }
 
 // CheckpointsRead is the answer to a ReadCheckpoints. Trimmed: as for ConfigReadFailed.
 type CheckpointsRead struct {
 	Trimmed bool
-	Batch   platform.Batch
+	Batch   backing.Batch
 }
 
 // CheckpointsReadFailed says that a ReadCheckpoints failed.
@@ -38,7 +38,7 @@
 // CheckpointWritten is the answer to a WriteCheckpoint; not OK: refused or unknown.
 type CheckpointWritten struct {
 	OK     bool
-	Offset platform.Offset // of the record, when OK
+	Offset backing.Offset // of the record, when OK
 }
 
 // PeerHeard is a heartbeat of a peer. Unless it is Dated it proves nothing.
@@ -67,13 +67,13 @@
 
 // ReadConfig reads the configuration stream. At most one is under way.
 type ReadConfig struct {
-	From platform.Offset
+	From backing.Offset
 	Wait time.Duration // for a record, when there is none
 }
 
 // ReadCheckpoints reads the checkpoint stream. At most one is under way.
 type ReadCheckpoints struct {
-	From  platform.Offset
+	From  backing.Offset
 	Limit int
 }
 
--- a/logfold/example_test.go
+++ b/logfold/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // Two operators change version 0; the change that was stored first wins.
@@ -20,7 +20,7 @@
 		if err != nil {
 			panic(err)
 		}
-		out, err := fold.Apply(platform.Record{Offset: platform.Offset(i), Data: data})
+		out, err := fold.Apply(backing.Record{Offset: backing.Offset(i), Data: data})
 		fmt.Println(out.Author, out.Accepted, out.Version, out.Detail, err)
 	}
 	// Output:
--- a/logfold/fold.go
+++ b/logfold/fold.go
@@ -8,7 +8,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // ErrFormat says that a change can't be judged by this build, since it does
@@ -20,7 +20,7 @@
 
 // Outcome is the judgement of one record of the configuration stream.
 type Outcome struct {
-	Offset   platform.Offset
+	Offset   backing.Offset
 	Accepted bool
 	Version  uint64   // current version after the record
 	Base     uint64   // version that the change is based on
@@ -34,9 +34,9 @@
 // ReadTo. It is a value; Doc and Text are never changed in place.
 type Fold struct {
 	Service string
-	ReadTo  platform.Offset // last record judged
+	ReadTo  backing.Offset // last record judged
 	Version uint64          // number of accepted changes
-	Offset  platform.Offset // accepted record of that version
+	Offset  backing.Offset // accepted record of that version
 	packed  []byte          // its document, compressed by Pack; nil until it is asked for
 	Text    []byte          // its document
 	Doc     *config.Document
@@ -44,14 +44,14 @@
 
 // NewFold returns the state before the first record.
 func NewFold(service string) Fold {
-	return Fold{Service: service, ReadTo: platform.None, Offset: platform.None}
+	return Fold{Service: service, ReadTo: backing.None, Offset: backing.None}
 }
 
 // Apply judges the next record. A change is accepted if its base is the
 // current version, or it is a valid restart, and its document passes the
 // checks of its format.
 // Errors: ErrFormat, ErrGap; the state is then unchanged.
-func (f *Fold) Apply(rec platform.Record) (Outcome, error) {
+func (f *Fold) Apply(rec backing.Record) (Outcome, error) {
 	if rec.Offset != f.ReadTo+1 {
 		return Outcome{}, ErrGap
 	}
@@ -79,7 +79,7 @@
 
 // judge checks the document of a change with the right base, and takes it
 // over when it passes.
-func (f *Fold) judge(at platform.Offset, change *ConfigChange, out *Outcome) {
+func (f *Fold) judge(at backing.Offset, change *ConfigChange, out *Outcome) {
 	text, err := change.text(f.Text)
 	var doc *config.Document
 	if err == nil {
@@ -163,9 +163,9 @@
 	}
 	return Fold{
 		Service: cp.Service,
-		ReadTo:  platform.Offset(cp.ReadTo),
+		ReadTo:  backing.Offset(cp.ReadTo),
 		Version: cp.Version,
-		Offset:  platform.Offset(cp.Offset),
+		Offset:  backing.Offset(cp.Offset),
 		packed:  cp.Document,
 		Text:    text,
 		Doc:     doc,
--- a/logfold/follower.go
+++ b/logfold/follower.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -54,7 +54,7 @@
 	enf   *InForce // last one enforced
 
 	lost        bool // the fold can't go on from where it stands
-	configStart platform.Offset
+	configStart backing.Offset
 	reading     bool
 	readFine    bool // the last read of the configuration stream succeeded
 	retryAt     time.Duration
@@ -127,7 +127,7 @@
 
 // FillHeartbeat sets the fields of hb that this package answers for.
 func (f *Follower) FillHeartbeat(now time.Duration, hb *wire.Heartbeat) {
-	hb.ConfigOffset = int64(platform.None)
+	hb.ConfigOffset = int64(backing.None)
 	hb.ProofAgeMillis = -1
 	hb.LogDown = f.fresh.LogDown(now)
 	hb.LogUp = f.fresh.LogUp(now)
@@ -142,7 +142,7 @@
 
 // Answer returns the answer to a peer's query, or nil when it has none.
 func (f *Follower) Answer(q *wire.ConfigQuery) *wire.Config {
-	if f.enf == nil || platform.Offset(q.ReadTo) >= f.fold.ReadTo {
+	if f.enf == nil || backing.Offset(q.ReadTo) >= f.fold.ReadTo {
 		return nil
 	}
 	return &wire.Config{
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // checkpointStep is what the read of the checkpoint stream under way is for.
@@ -19,11 +19,11 @@
 // checkpointer is the part of a Follower's state that concerns checkpoints.
 type checkpointer struct {
 	step    checkpointStep
-	tail    platform.Offset // checkpoints to look at when the fold is lost
+	tail    backing.Offset // checkpoints to look at when the fold is lost
 	seenAll bool            // all before next are of no use to the lost fold; later ones may be
 	dueAt   time.Duration   // time of the next write
 	endSeen bool            // the end of the configuration stream was read in this run
-	next    platform.Offset // first checkpoint not yet seen; valid when known
+	next    backing.Offset // first checkpoint not yet seen; valid when known
 	known   bool
 }
 
@@ -76,7 +76,7 @@
 }
 
 // startFrom adopts the newest usable checkpoint of a batch.
-func (f *Follower) startFrom(now time.Duration, batch platform.Batch) {
+func (f *Follower) startFrom(now time.Duration, batch backing.Batch) {
 	best := pickCheckpoint(batch, f.opts.Service, f.usableFrom(), false)
 	if best != nil {
 		if next, ok := foldOf(best); ok && f.adopt(next) {
@@ -100,7 +100,7 @@
 
 // usableFrom returns the first retained offset of the configuration stream: a
 // checkpoint is usable if every record after it can still be read.
-func (f *Follower) usableFrom() platform.Offset {
+func (f *Follower) usableFrom() backing.Offset {
 	if f.faults.anyCheckpoint {
 		return 0
 	}
@@ -129,9 +129,9 @@
 }
 
 // writeUnlessWritten writes a checkpoint unless the batch holds one that will do.
-func (f *Follower) writeUnlessWritten(now time.Duration, batch platform.Batch) []Action {
+func (f *Follower) writeUnlessWritten(now time.Duration, batch backing.Batch) []Action {
 	cp := pickCheckpoint(batch, f.opts.Service, f.configStart, false)
-	if cp != nil && platform.Offset(cp.Offset) >= f.fold.Offset {
+	if cp != nil && backing.Offset(cp.Offset) >= f.fold.Offset {
 		f.checkpoints.dueAt = now + f.jittered(f.opts.CheckpointEvery)
 		return nil
 	}
--- a/logfold/follower_peers.go
+++ b/logfold/follower_peers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -13,10 +13,10 @@
 	if e.Dated {
 		f.hear(e)
 	}
-	theirs := platform.Offset(e.Heartbeat.ConfigOffset)
+	theirs := backing.Offset(e.Heartbeat.ConfigOffset)
 	newer := theirs > f.fold.Offset
 	f.noteBehind(now, newer)
-	useful := newer || (f.lost && theirs == f.fold.Offset && theirs != platform.None)
+	useful := newer || (f.lost && theirs == f.fold.Offset && theirs != backing.None)
 	if !useful || !f.mayAsk(now) {
 		return nil
 	}
@@ -27,7 +27,7 @@
 func (f *Follower) hear(e PeerHeard) {
 	h := Heard{
 		DataCentre: e.DataCentre,
-		Offset:     platform.Offset(e.Heartbeat.ConfigOffset),
+		Offset:     backing.Offset(e.Heartbeat.ConfigOffset),
 		Proof:      time.Duration(e.Heartbeat.ProofAgeMillis) * time.Millisecond,
 		SentAfter:  e.SentAfter,
 		LogDown:    e.Heartbeat.LogDown,
@@ -65,7 +65,7 @@
 		Version:  m.Version,
 		Document: m.Document,
 	}
-	if platform.Offset(m.ReadTo) <= f.fold.ReadTo {
+	if backing.Offset(m.ReadTo) <= f.fold.ReadTo {
 		return
 	}
 	if next, ok := foldOf(cp); ok {
--- a/logfold/follower_test.go
+++ b/logfold/follower_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -54,15 +54,15 @@
 	}
 	fold := NewFold("s")
 	for i, r := range records {
-		out, err := fold.Apply(platform.Record{Offset: platform.Offset(i), Data: r.data})
+		out, err := fold.Apply(backing.Record{Offset: backing.Offset(i), Data: r.data})
 		require.NoError(t, err)
 		require.Equal(t, r.code, out.Code, out.Nonce)
 		require.Equal(t, r.code == api.OK, out.Accepted)
 	}
 	require.Equal(t, uint64(2), fold.Version)
-	require.Equal(t, platform.Offset(5), fold.Offset)
+	require.Equal(t, backing.Offset(5), fold.Offset)
 	require.Equal(t, document(3, 1), fold.Text)
-	_, err := fold.Apply(platform.Record{Offset: 7})
+	_, err := fold.Apply(backing.Record{Offset: 7})
 	require.ErrorIs(t, err, ErrGap)
 }
 
@@ -71,26 +71,26 @@
 	data, err := c.MarshalMsg(nil)
 	require.NoError(t, err)
 	fold := NewFold("s")
-	_, err = fold.Apply(platform.Record{Data: data})
+	_, err = fold.Apply(backing.Record{Data: data})
 	require.ErrorIs(t, err, ErrFormat)
-	require.Equal(t, platform.None, fold.ReadTo)
+	require.Equal(t, backing.None, fold.ReadTo)
 }
 
 func TestStartFromCheckpoint(t *testing.T) {
 	fold := NewFold("s")
-	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 1), "a")})
+	_, err := fold.Apply(backing.Record{Data: change(t, 0, document(1, 1), "a")})
 	require.NoError(t, err)
 	cp, err := fold.Checkpoint().MarshalMsg(nil)
 	require.NoError(t, err)
 	for _, c := range []struct {
-		start platform.Offset
+		start backing.Offset
 		takes bool
 	}{{1, true}, {2, false}} {
 		f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
 		require.Equal(t, []Action{ReadConfig{From: 0, Wait: pollWait}}, f.Handle(0, Tick{}))
-		f.Handle(1, ConfigReadFailed{Trimmed: true, Batch: platform.Batch{Start: c.start, End: c.start}})
+		f.Handle(1, ConfigReadFailed{Trimmed: true, Batch: backing.Batch{Start: c.start, End: c.start}})
 		require.Equal(t, []Action{ReadCheckpoints{From: 0, Limit: 1}}, f.Handle(2, Tick{}))
-		found := platform.Batch{Records: []platform.Record{{Data: cp}}, End: 1}
+		found := backing.Batch{Records: []backing.Record{{Data: cp}}, End: 1}
 		require.Equal(t, []Action{ReadCheckpoints{From: 0, Limit: checkpointTail}}, f.Handle(3, CheckpointsRead{Batch: found}))
 		f.Handle(4, CheckpointsRead{Batch: found})
 		require.Equal(t, !c.takes, f.lost)
@@ -100,7 +100,7 @@
 
 func TestFollowerOnPeersAlone(t *testing.T) {
 	fold := NewFold("s")
-	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 3), "a")})
+	_, err := fold.Apply(backing.Record{Data: change(t, 0, document(1, 3), "a")})
 	require.NoError(t, err)
 	f := NewFollower(Options{Service: "s", DataCentre: "d0", Reading: ReadNever, Jitter: half})
 	require.Empty(t, f.Handle(0, Tick{}))
@@ -121,7 +121,7 @@
 
 func TestQuorumWhileLogIsDown(t *testing.T) {
 	fold := NewFold("s")
-	_, err := fold.Apply(platform.Record{Data: change(t, 0, document(1, 3), "a")})
+	_, err := fold.Apply(backing.Record{Data: change(t, 0, document(1, 3), "a")})
 	require.NoError(t, err)
 	fresh := NewFreshness("d0", true)
 	fresh.Adopt(fold.Doc, 0)
@@ -153,7 +153,7 @@
 	f.Handle(time.Second, ConfigReadFailed{})
 	require.True(t, f.fresh.LogDown(time.Second))
 	f.Handle(2*time.Second, Tick{})
-	f.Handle(3*time.Second, ConfigReadFailed{Trimmed: true, Batch: platform.Batch{Start: 5, End: 6}})
+	f.Handle(3*time.Second, ConfigReadFailed{Trimmed: true, Batch: backing.Batch{Start: 5, End: 6}})
 	require.True(t, f.lost)
 	require.False(t, f.fresh.LogDown(3*time.Second))
 	f.Handle(3*time.Second, Tick{})
@@ -167,12 +167,12 @@
 	unknown := ConfigChange{Service: "s", Base: 1, Format: 99}
 	data, err := unknown.MarshalMsg(nil)
 	require.NoError(t, err)
-	records := []platform.Record{{Data: change(t, 0, document(1, 3), "a")}, {Offset: 1, Data: data}}
+	records := []backing.Record{{Data: change(t, 0, document(1, 3), "a")}, {Offset: 1, Data: data}}
 	f := NewFollower(Options{Service: "s", DataCentre: "d0", Jitter: half})
 	f.Handle(0, Tick{})
-	f.Handle(time.Second, ConfigRead{Sent: time.Second, Batch: platform.Batch{Records: records[:1], End: 1}})
+	f.Handle(time.Second, ConfigRead{Sent: time.Second, Batch: backing.Batch{Records: records[:1], End: 1}})
 	require.Equal(t, uint64(1), f.InForce().Version)
-	f.Handle(2*time.Second, ConfigRead{Sent: 2 * time.Second, Batch: platform.Batch{Records: records, End: 2}})
+	f.Handle(2*time.Second, ConfigRead{Sent: 2 * time.Second, Batch: backing.Batch{Records: records, End: 2}})
 	require.Equal(t, uint64(1), f.InForce().Version)
 	require.True(t, f.Current(5*time.Second))
 	heard := PeerHeard{Peer: "p", DataCentre: "d1", Dated: true, SentAfter: 6 * time.Second, Heartbeat: wire.Heartbeat{ConfigOffset: 1}}
--- a/logfold/freshness.go
+++ b/logfold/freshness.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -25,8 +25,8 @@
 	ownCentre  string
 	centres    []string
 	freshFor   time.Duration
-	offset     platform.Offset // of the own document
-	known      platform.Offset // highest of a peer's document
+	offset     backing.Offset // of the own document
+	known      backing.Offset // highest of a peer's document
 	logAt      time.Duration   // time of the newest log proof
 	hasLog     bool
 	canRead    bool                     // the process reads the log itself
@@ -44,15 +44,15 @@
 	return &Freshness{
 		ownCentre: dataCentre,
 		freshFor:  DefaultFreshFor,
-		offset:    platform.None,
-		known:     platform.None,
+		offset:    backing.None,
+		known:     backing.None,
 		canRead:   canRead,
 		votes:     map[string]time.Duration{},
 	}
 }
 
 // Adopt makes doc, accepted at offset, the own document.
-func (f *Freshness) Adopt(doc *config.Document, offset platform.Offset) {
+func (f *Freshness) Adopt(doc *config.Document, offset backing.Offset) {
 	f.offset = offset
 	f.freshFor = doc.Limits.FreshFor
 	f.centres = f.centres[:0]
@@ -80,7 +80,7 @@
 // Heard is what one heartbeat of a peer says.
 type Heard struct {
 	DataCentre string
-	Offset     platform.Offset // of the peer's document
+	Offset     backing.Offset // of the peer's document
 	Proof      time.Duration   // age of the peer's log proof when it sent the heartbeat; negative for none
 	SentAfter  time.Duration   // the peer sent the heartbeat later than this
 	LogDown    bool
@@ -156,7 +156,7 @@
 // quorum returns the time of the newest quorum proof.
 func (f *Freshness) quorum(now time.Duration) (at time.Duration, ok bool) {
 	down := f.LogDown(now)
-	if f.offset == platform.None || f.Behind() || f.young(now) || f.canRead != down {
+	if f.offset == backing.None || f.Behind() || f.young(now) || f.canRead != down {
 		return 0, false
 	}
 	var times []time.Duration
--- a/logfold/reader.go
+++ b/logfold/reader.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // ErrNoStart says that the beginning of the configuration stream is no longer
@@ -16,7 +16,7 @@
 // Reader follows the configuration stream for an operator's command: it reads
 // when told to and keeps what it judged.
 type Reader struct {
-	Log     platform.Log
+	Log     backing.Log
 	Service string
 	Oldest  bool // start as early as can be, to judge more records
 
@@ -26,7 +26,7 @@
 }
 
 // NewReader returns a Reader that has read nothing.
-func NewReader(log platform.Log, service string) *Reader {
+func NewReader(log backing.Log, service string) *Reader {
 	return &Reader{Log: log, Service: service, Fold: NewFold(service)}
 }
 
@@ -35,7 +35,7 @@
 func (r *Reader) ReadToEnd(ctx context.Context) error {
 	for {
 		batch, err := r.Log.Read(ctx, ConfigStream(r.Service), r.Fold.ReadTo+1, readLimit, 0)
-		if errors.Is(err, platform.ErrTrimmed) {
+		if errors.Is(err, backing.ErrTrimmed) {
 			if err := r.restart(ctx, batch.Start); err != nil {
 				return err
 			}
@@ -53,7 +53,7 @@
 	}
 }
 
-func (r *Reader) apply(records []platform.Record) error {
+func (r *Reader) apply(records []backing.Record) error {
 	for _, rec := range records {
 		out, err := r.Fold.Apply(rec)
 		if err != nil {
@@ -65,7 +65,7 @@
 }
 
 // restart begins at a checkpoint after which every record is retained.
-func (r *Reader) restart(ctx context.Context, configStart platform.Offset) error {
+func (r *Reader) restart(ctx context.Context, configStart backing.Offset) error {
 	batch, err := r.readCheckpoints(ctx, 0, 1)
 	if err != nil {
 		return err
@@ -76,7 +76,7 @@
 		return err
 	}
 	cp := pickCheckpoint(batch, r.Service, configStart, r.Oldest)
-	if cp == nil || platform.Offset(cp.ReadTo) <= r.Fold.ReadTo {
+	if cp == nil || backing.Offset(cp.ReadTo) <= r.Fold.ReadTo {
 		return ErrNoStart
 	}
 	fold, ok := foldOf(cp)
@@ -89,9 +89,9 @@
 
 // readCheckpoints reads the checkpoint stream; a Batch without records
 // answers a read from before its start.
-func (r *Reader) readCheckpoints(ctx context.Context, from platform.Offset, limit int) (platform.Batch, error) {
+func (r *Reader) readCheckpoints(ctx context.Context, from backing.Offset, limit int) (backing.Batch, error) {
 	batch, err := r.Log.Read(ctx, CheckpointStream(r.Service), from, limit, 0)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, backing.ErrTrimmed) {
 		return batch, nil
 	}
 	return batch, err
@@ -99,14 +99,14 @@
 
 // pickCheckpoint returns the newest, or the oldest, checkpoint of a batch
 // after which every record can still be read, or nil.
-func pickCheckpoint(batch platform.Batch, service string, configStart platform.Offset, oldest bool) *Checkpoint {
+func pickCheckpoint(batch backing.Batch, service string, configStart backing.Offset, oldest bool) *Checkpoint {
 	var best *Checkpoint
 	for _, rec := range batch.Records {
 		cp := new(Checkpoint)
 		if _, err := cp.UnmarshalMsg(rec.Data); err != nil || cp.Service != service {
 			continue
 		}
-		if platform.Offset(cp.ReadTo)+1 < configStart {
+		if backing.Offset(cp.ReadTo)+1 < configStart {
 			continue
 		}
 		if best == nil || (cp.ReadTo > best.ReadTo) != oldest {
--- a/logfold/runner.go
+++ b/logfold/runner.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -23,7 +23,7 @@
 // peers say, and tells who asks which document is in force. Every method may
 // be called by any goroutine, and none blocks on I/O but Run.
 type Runner struct {
-	log     platform.Log
+	log     backing.Log
 	service string
 	begun   time.Time
 	ops     sync.WaitGroup // reads and appends under way
@@ -44,7 +44,7 @@
 }
 
 // NewRunner returns a Runner; nothing happens before Run.
-func NewRunner(log platform.Log, opts Options) *Runner {
+func NewRunner(log backing.Log, opts Options) *Runner {
 	r := &Runner{
 		log:      log,
 		service:  opts.Service,
@@ -201,7 +201,7 @@
 	sent := r.now()
 	batch, err := r.log.Read(ctx, ConfigStream(r.service), a.From, readLimit, a.Wait)
 	if err != nil {
-		return ConfigReadFailed{Trimmed: errors.Is(err, platform.ErrTrimmed), Batch: batch}
+		return ConfigReadFailed{Trimmed: errors.Is(err, backing.ErrTrimmed), Batch: batch}
 	}
 	return ConfigRead{Sent: sent, Batch: batch}
 }
@@ -210,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	batch, err := r.log.Read(ctx, CheckpointStream(r.service), a.From, a.Limit, 0)
-	trimmed := errors.Is(err, platform.ErrTrimmed)
+	trimmed := errors.Is(err, backing.ErrTrimmed)
 	if err != nil && !trimmed {
 		return CheckpointsReadFailed{}
 	}
--- a/logfold/world_test.go
+++ b/logfold/world_test.go
@@ -10,7 +10,7 @@
 
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -49,7 +49,7 @@
 // stream keeps all records ever stored; those before start are cut.
 type stream struct {
 	all   []stored
-	start platform.Offset
+	start backing.Offset
 }
 
 // fate is what becomes of an append.
@@ -164,10 +164,10 @@
 func (w *world) reads(p *proc) bool { return !w.logDown && !p.logCut }
 
 // store appends a record now.
-func (w *world) store(name string, data []byte) platform.Offset {
+func (w *world) store(name string, data []byte) backing.Offset {
 	s := w.streams[name]
 	s.all = append(s.all, stored{w.now, data})
-	return platform.Offset(len(s.all) - 1)
+	return backing.Offset(len(s.all) - 1)
 }
 
 func (w *world) trim() {
@@ -178,8 +178,8 @@
 	}
 }
 
-// Append implements platform.Log; the fate applies once.
-func (w *world) Append(_ context.Context, name string, records [][]byte) (platform.Offset, error) {
+// Append implements backing.Log; the fate applies once.
+func (w *world) Append(_ context.Context, name string, records [][]byte) (backing.Offset, error) {
 	if race := w.race; race != nil {
 		w.race = nil
 		race()
@@ -190,30 +190,30 @@
 	switch f {
 	case losesAnswer:
 		w.store(name, records[0])
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	case landsLate:
 		w.late = append(w.late, late{w.now + w.lateBy, name, records[0]})
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	case neverLands:
-		return platform.None, platform.ErrUnknown
+		return backing.None, backing.ErrUnknown
 	case refused:
-		return platform.None, platform.ErrRefused
+		return backing.None, backing.ErrRefused
 	}
 	return w.store(name, records[0]), nil
 }
 
-// Read implements platform.Log for operators, who never wait.
-func (w *world) Read(_ context.Context, name string, from platform.Offset, limit int, _ time.Duration) (platform.Batch, error) {
+// Read implements backing.Log for operators, who never wait.
+func (w *world) Read(_ context.Context, name string, from backing.Offset, limit int, _ time.Duration) (backing.Batch, error) {
 	if w.logDown {
-		return platform.Batch{}, platform.ErrUnavailable
+		return backing.Batch{}, backing.ErrUnavailable
 	}
 	s := w.streams[name]
-	b := platform.Batch{Start: s.start, End: platform.Offset(len(s.all))}
+	b := backing.Batch{Start: s.start, End: backing.Offset(len(s.all))}
 	if from < s.start {
-		return b, platform.ErrTrimmed
+		return b, backing.ErrTrimmed
 	}
 	for o := from; o < b.End && len(b.Records) < limit; o++ {
-		b.Records = append(b.Records, platform.Record{Offset: o, Data: s.all[o].data})
+		b.Records = append(b.Records, backing.Record{Offset: o, Data: s.all[o].data})
 	}
 	return b, nil
 }
@@ -406,7 +406,7 @@
 	for _, rec := range checkpoints.all[checkpoints.start:] {
 		var cp logfold.Checkpoint
 		_, err := cp.UnmarshalMsg(rec.data)
-		known = known || err == nil && platform.Offset(cp.ReadTo)+1 >= start
+		known = known || err == nil && backing.Offset(cp.ReadTo)+1 >= start
 	}
 	return known
 }
--- a/side/down_test.go
+++ b/side/down_test.go
@@ -7,22 +7,22 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // A backend server that crashed is down until an answer that was asked for afterwards.
 func TestCrashedServerIsDownUntilItAnswers(t *testing.T) {
 	l := newLimiter(&config.Backend{Kind: config.KindEngine, MaxRunning: 4}, config.Limits{ColdStart: 2})
 	before := l.now()
-	l.observe(before, &platform.EngineReport{Incarnation: "a"})
+	l.observe(before, &backing.EngineReport{Incarnation: "a"})
 	require.False(t, l.isDown())
 	time.Sleep(time.Millisecond)
 	l.crashed("a")
 	require.False(t, l.report().Down, "entries would pass it over before they know why")
 	l.announced()
 	require.True(t, l.report().Down)
-	l.observe(before, &platform.EngineReport{Incarnation: "a"})
+	l.observe(before, &backing.EngineReport{Incarnation: "a"})
 	require.True(t, l.isDown(), "the answer was asked for before the crash")
-	l.observe(l.now(), &platform.EngineReport{Incarnation: "b"})
+	l.observe(l.now(), &backing.EngineReport{Incarnation: "b"})
 	require.False(t, l.isDown())
 }
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -8,7 +8,7 @@
 	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -46,7 +46,7 @@
 	running map[uint64]*ticket
 	next    uint64
 	seq     uint64 // of the last report made
-	last    platform.EngineReport
+	last    backing.EngineReport
 	crashes int
 	told    bool          // entries were told what was in flight at the last crash
 	downOf  string        // incarnation of the last crash
@@ -173,7 +173,7 @@
 }
 
 // observe takes an engine's report; asked is when it was asked for.
-func (l *limiter) observe(asked time.Duration, r *platform.EngineReport) {
+func (l *limiter) observe(asked time.Duration, r *backing.EngineReport) {
 	l.mu.Lock()
 	l.cold.Observe(l.now(), asked, r)
 	l.last = *r
--- a/side/load.go
+++ b/side/load.go
@@ -11,7 +11,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
@@ -90,7 +90,7 @@
 
 // observe takes a report of the engine, asked for at asked: another
 // incarnation than the last one means that the engine went down in between.
-func (s *Server) observe(l *limiter, asked time.Duration, report *platform.EngineReport) {
+func (s *Server) observe(l *limiter, asked time.Duration, report *backing.EngineReport) {
 	if known := l.incarnation(); known != "" && known != report.Incarnation {
 		s.crash(l, known)
 	}
--- a/side/rank.go
+++ b/side/rank.go
@@ -9,7 +9,7 @@
 	"marjorampitch/api"
 	"marjorampitch/group"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -44,7 +44,7 @@
 	engine  rankEngine
 	log     *log.Logger
 	metrics *telemetry.SideMetrics // nil for none
-	fences  platform.Log
+	fences  backing.Log
 	orders  chan rankOrder
 
 	machine *group.Rank
@@ -54,7 +54,7 @@
 	waiting map[uint8]orderer // by kind of order: who waits for an answer
 }
 
-func newRank(opt *Options, client *platform.EngineClient, groupName string, number int) *rank {
+func newRank(opt *Options, client *backing.EngineClient, groupName string, number int) *rank {
 	return &rank{
 		service: opt.Hello.Service,
 		engine:  rankEngine{client: client, group: groupName, rank: number},
--- a/side/rank_engine.go
+++ b/side/rank_engine.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"marjorampitch/group"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // stateRetry is the pause before an engine that did not tell its state is asked again.
@@ -17,26 +17,26 @@
 
 // rankEngine is the control interface of an engine as a group.Rank needs it.
 type rankEngine struct {
-	client *platform.EngineClient
+	client *backing.EngineClient
 	group  string
 	rank   int
 }
 
 // orderKinds are the engine's orders for the commands of a group.Rank.
-var orderKinds = map[group.CommandKind]platform.OrderKind{
-	group.CmdFence:     platform.OrderSeal,
-	group.CmdStage:     platform.OrderStage,
-	group.CmdHold:      platform.OrderArm,
-	group.CmdSwitchAt:  platform.OrderCommit,
-	group.CmdSwitchNow: platform.OrderSwitch,
-	group.CmdRelease:   platform.OrderDrop,
-	group.CmdJoin:      platform.OrderJoin,
+var orderKinds = map[group.CommandKind]backing.OrderKind{
+	group.CmdFence:     backing.OrderSeal,
+	group.CmdStage:     backing.OrderStage,
+	group.CmdHold:      backing.OrderArm,
+	group.CmdSwitchAt:  backing.OrderCommit,
+	group.CmdSwitchNow: backing.OrderSwitch,
+	group.CmdRelease:   backing.OrderDrop,
+	group.CmdJoin:      backing.OrderJoin,
 }
 
 // do passes a command to the engine and returns its outcome and the
 // incarnation that carried it out, if that is known.
 func (e rankEngine) do(ctx context.Context, c group.Command) (outcome group.Outcome, incarnation string) {
-	order := platform.EngineOrder{
+	order := backing.EngineOrder{
 		Kind:  orderKinds[c.Kind],
 		Fence: c.Fence,
 		Group: e.group,
@@ -50,7 +50,7 @@
 	}
 	state, err := e.client.Order(ctx, order)
 	switch {
-	case errors.Is(err, platform.ErrStaleFence):
+	case errors.Is(err, backing.ErrStaleFence):
 		return group.Refused, state.Incarnation
 	case err != nil:
 		return group.Unknown, ""
@@ -66,7 +66,7 @@
 }
 
 // await asks for the state until the engine tells it or ctx ends.
-func (e rankEngine) await(ctx context.Context) (platform.EngineState, error) {
+func (e rankEngine) await(ctx context.Context) (backing.EngineState, error) {
 	for {
 		state, err := e.client.State(ctx)
 		if err == nil {
@@ -74,14 +74,14 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.EngineState{}, ctx.Err()
+			return backing.EngineState{}, ctx.Err()
 		case <-time.After(stateRetry):
 		}
 	}
 }
 
 // rankView is the state of an engine in the terms of a group.Rank.
-func rankView(s *platform.EngineState) group.EngineState {
+func rankView(s *backing.EngineState) group.EngineState {
 	view := group.EngineState{
 		Incarnation: s.Incarnation,
 		Epoch:       s.Epoch,
--- a/side/rank_test.go
+++ b/side/rank_test.go
@@ -12,8 +12,8 @@
 	"marjorampitch/api"
 	"marjorampitch/group"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
-	"marjorampitch/platform/platformtest"
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/wire"
 )
 
@@ -29,16 +29,16 @@
 
 // startRank runs rank 0 of group g beside an engine, with a log that
 // holds some claims.
-func startRank(t *testing.T, engine *platformtest.Engine, claims int) *rank {
+func startRank(t *testing.T, engine *backingtest.Engine, claims int) *rank {
 	srv := httptest.NewServer(engine.Handler())
 	t.Cleanup(srv.Close)
-	store := platformtest.NewLog()
+	store := backingtest.NewLog()
 	for range claims {
 		_, err := store.Append(t.Context(), logfold.GroupStream("s"), [][]byte{[]byte("claim")})
 		require.NoError(t, err)
 	}
 	opt := Options{Hello: wire.Hello{Service: "s"}, Claims: store, Log: log.New(io.Discard)}
-	r := newRank(&opt, platform.NewEngineClient(srv.URL), "g", 0)
+	r := newRank(&opt, backing.NewEngineClient(srv.URL), "g", 0)
 	go r.run(t.Context())
 	return r
 }
@@ -63,12 +63,12 @@
 }
 
 // groupOfTwo returns the engines of a group.
-func groupOfTwo(t *testing.T) (first, second *platformtest.Engine) {
-	opts := platformtest.DefaultEngineOptions()
-	opts.Lockstep = platformtest.NewLockstep(2)
-	first = platformtest.NewEngine(opts)
+func groupOfTwo(t *testing.T) (first, second *backingtest.Engine) {
+	opts := backingtest.DefaultEngineOptions()
+	opts.Lockstep = backingtest.NewLockstep(2)
+	first = backingtest.NewEngine(opts)
 	opts.Rank = 1
-	second = platformtest.NewEngine(opts)
+	second = backingtest.NewEngine(opts)
 	t.Cleanup(first.Crash)
 	t.Cleanup(second.Crash)
 	return first, second
@@ -110,10 +110,10 @@
 		a := obeyed(t, r, o)
 		require.Equal(t, int(api.OK), a.Code, "order %d", i)
 	}
-	for _, o := range []platform.EngineOrder{
-		{Kind: platform.OrderStage, Epoch: 1},
-		{Kind: platform.OrderJoin, Epoch: 1, Step: far},
-		{Kind: platform.OrderDrop},
+	for _, o := range []backing.EngineOrder{
+		{Kind: backing.OrderStage, Epoch: 1},
+		{Kind: backing.OrderJoin, Epoch: 1, Step: far},
+		{Kind: backing.OrderDrop},
 	} {
 		_, err := other.Order(o)
 		require.NoError(t, err)
--- a/side/server.go
+++ b/side/server.go
@@ -17,7 +17,7 @@
 	"marjorampitch/api"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -36,7 +36,7 @@
 	Hello   wire.Hello // names the process; Role is RoleSide
 	Backend string     // base URL of the backend server
 	Config  node.ConfigView
-	Claims  platform.Log // where the coordinators of rank groups claim them
+	Claims  backing.Log // where the coordinators of rank groups claim them
 	Log     *log.Logger
 	Metrics *telemetry.SideMetrics
 	Tracer  trace.Tracer
@@ -48,7 +48,7 @@
 	opt     Options
 	node    *node.Node
 	backend *backend
-	engine  *platform.EngineClient
+	engine  *backing.EngineClient
 	pool    pond.Pool
 	keys    *keys
 	limiter atomic.Pointer[limiter] // nil until a document names this backend server
@@ -82,7 +82,7 @@
 		opt:      opt,
 		node:     node.New(opt.Hello, opt.Config),
 		keys:     newKeys(opt.Hello.Incarnation),
-		engine:   platform.NewEngineClient(opt.Backend),
+		engine:   backing.NewEngineClient(opt.Backend),
 		pool:     pond.NewPool(maxAttempts),
 		attempts: make(map[string]*attempt),
 		streams:  make(map[streamKey]*subscription),
--- a/side/verify.go
+++ b/side/verify.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 )
 
 // dialer opens connections to the backend server and has each one verified
@@ -56,7 +56,7 @@
 
 // loadOver asks for the load report over an open connection, and leaves it
 // ready for another request.
-func loadOver(c net.Conn, base string) (*platform.EngineReport, error) {
+func loadOver(c net.Conn, base string) (*backing.EngineReport, error) {
 	if err := c.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
 		return nil, err
 	}
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	var report platform.EngineReport
+	var report backing.EngineReport
 	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
 		return nil, err
 	}
--- a/side/verify_test.go
+++ b/side/verify_test.go
@@ -17,7 +17,7 @@
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/platform"
+	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -26,7 +26,7 @@
 func engineThat(t *testing.T, incarnation string, reached *atomic.Int64) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
-		json.NewEncoder(w).Encode(platform.EngineReport{Incarnation: incarnation, Cold: true})
+		json.NewEncoder(w).Encode(backing.EngineReport{Incarnation: incarnation, Cold: true})
 	})
 	mux.HandleFunc("POST /chat", func(http.ResponseWriter, *http.Request) { reached.Add(1) })
 	srv := httptest.NewServer(mux)
@@ -40,7 +40,7 @@
 	for incarnation, want := range map[string]int64{"a": 1, "b": 0} {
 		var reached atomic.Int64
 		s := newTestServer(t, engineThat(t, incarnation, &reached))
-		s.limiter.Load().observe(0, &platform.EngineReport{Incarnation: "a"})
+		s.limiter.Load().observe(0, &backing.EngineReport{Incarnation: "a"})
 		ctx, cancel := context.WithCancelCause(context.Background())
 		a := newAttempt(&wire.Request{Method: http.MethodPost, Path: "/chat", Idempotent: true}, cancel)
 		a.ticket = &ticket{incarnation: "a"}
