--- a/api/code.go
+++ b/api/code.go
@@ -27,6 +27,7 @@
 	KeyConflict         Code = 110
 	UnknownModel        Code = 111
 	Quarantined         Code = 112
+	UnknownKey          Code = 113
 
 	Overloaded       Code = 201
 	ShareExceeded    Code = 202
@@ -42,6 +43,7 @@
 	NotReady         Code = 212
 	RetryBudget      Code = 213
 	Unreachable      Code = 214
+	GroupStalled     Code = 215
 
 	Unresolved       Code = 301
 	StreamBroken     Code = 302
@@ -89,6 +91,7 @@
 	KeyConflict:         {"key-conflict", http.StatusUnprocessableEntity, NotRun, 0, "the key was used before with other content"},
 	UnknownModel:        {"unknown-model", http.StatusNotFound, NotRun, 0, "no backend server of the document serves the model"},
 	Quarantined:         {"quarantined", http.StatusUnprocessableEntity, NotRun, 0, "the same request crashed backend servers before and is refused"},
+	UnknownKey:          {"unknown-key", http.StatusUnauthorized, NotRun, 0, "the API key is absent or belongs to no organisation of the document in force"},
 
 	Overloaded:       {"overloaded", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "every eligible backend server is at its limit"},
 	ShareExceeded:    {"share-exceeded", http.StatusTooManyRequests, NotRun, 2 * time.Second, "the organisation has used its share while others wait"},
@@ -104,6 +107,7 @@
 	NotReady:         {"not-ready", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process has no configuration yet"},
 	RetryBudget:      {"retry-budget", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "attempts failed and the retry budget is spent"},
 	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
+	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/fleet"
+	"marjorampitch/gateway"
+	"marjorampitch/internal/clock"
+	"marjorampitch/platform"
+	"marjorampitch/telemetry"
+)
+
+// Settings of a gateway process.
+const (
+	logRoom     = 2000                    // lines that wait for a reader of the log
+	operatorEnd = 1000 * time.Millisecond // longest wait of a read of the operator's stream
+	serverPause = 400 * time.Millisecond  // between reads of the servers' stream
+	storeWait   = 1200 * time.Millisecond // for an answer of the store
+	memoryShare = 0.7                     // of the instance's memory at which the collector works harder
+	logEnd      = 200 * time.Millisecond  // for the last lines at the end
+	// keepLapsed is the share of the drain time for which a server is used
+	// whose entry has vanished without a word.
+	keepLapsed  = 0.5
+	metricsPort = ":9464" // as deploy/system.toml says
+)
+
+// RunGateway runs a gateway with the platform's settings file at path until
+// ctx ends.
+func RunGateway(ctx context.Context, path string, out io.Writer) error {
+	st, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	lines := telemetry.NewBounded(out, logRoom)
+	defer flushLog(lines)
+	logger, err := telemetry.NewLogger(lines, "info", telemetry.Identity{
+		Role: "gateway", Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre,
+	})
+	if err != nil {
+		return err
+	}
+	if m := st.Gateway.Memory; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
+	}
+	watchSettings(ctx, path, logger)
+	err = serveGateway(ctx, st, logger)
+	logger.Info("stopped", "err", err)
+	return err
+}
+
+// flushLog lets the last lines out, if somebody reads them.
+func flushLog(lines *telemetry.Bounded) {
+	select {
+	case <-lines.Close():
+	case <-time.After(logEnd):
+	}
+}
+
+func serveGateway(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel() // beliefs are kept up to date until the last request has ended
+	store := platform.NewStore(st.Store, logger)
+	belief := fleet.NewBelief(time.Duration(keepLapsed * float64(st.Gateway.Bounds.Drain)))
+	operator := fleet.NewFollower(store.Operator(), belief, fleet.FollowOptions{
+		Name: "operator", Operator: true, Wait: operatorEnd, Timeout: storeWait, Clock: clock.Boot,
+	}, logger)
+	servers := fleet.NewFollower(store.Servers(), belief, fleet.FollowOptions{
+		Name: "servers", Wait: 0, Pause: serverPause, Timeout: storeWait, Clock: clock.Boot,
+	}, logger)
+	go operator.Run(background)
+	go servers.Run(background)
+
+	registry := telemetry.NewRegistry()
+	g := gateway.New(gateway.Options{
+		Settings: st.Gateway, Names: platform.Names, Belief: belief, Proof: operator.Proof, Log: logger, Registry: registry,
+	})
+	if err := serveHTTP(background, st.Gateway.ReadyAddr, readyHandler(g.Ready)); err != nil {
+		return err
+	}
+	if err := serveHTTP(background, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, readiness(g.Ready))); err != nil {
+		return err
+	}
+	logger.Info("started", "listen", st.Gateway.Listen, "store", st.Store)
+	return g.Run(ctx)
+}
+
+// readyHandler answers whether the instance takes new connections.
+func readyHandler(ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+var errNotReady = errors.New("not ready")
+
+func readiness(ready func() bool) func() error {
+	return func() error {
+		if !ready() {
+			return errNotReady
+		}
+		return nil
+	}
+}
+
+// serveHTTP serves until ctx ends. Error: the address cannot be listened on.
+func serveHTTP(ctx context.Context, address string, h http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: statusTimeout}
+	go srv.Serve(ln) //nolint:errcheck // ends with the process
+	context.AfterFunc(ctx, func() { srv.Close() })
+	return nil
+}
+
+// watchSettings checks the settings file again at each SIGHUP. What a process
+// is bound to holds until its restart; a file that cannot be read is refused.
+func watchSettings(ctx context.Context, path string, logger *log.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			}
+			if _, err := platform.ReadSettings(path); err != nil {
+				logger.Warn("settings-refused", "path", path, "err", err)
+				continue
+			}
+			logger.Info("settings-read", "path", path)
+		}
+	}()
+}
--- /dev/null
+++ b/fleet/follower.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// ErrTrimmed says that records after the offset asked for are no longer kept;
+// a snapshot holds what they led to.
+var ErrTrimmed = errors.New("fleet: records no longer kept")
+
+// Batch is the result of one read of a Source.
+type Batch struct {
+	Changes  []Change
+	Next     int64 // offset to read from next
+	Complete bool  // the stream held nothing beyond Next
+}
+
+// Source is one stream of changes with snapshots, as the platform's store
+// keeps it. Records that cannot be read are left out by the Source.
+type Source interface {
+	// Read returns the changes from an offset on. With none there it waits up
+	// to wait for one. Errors: ErrTrimmed, others for a store that is away.
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Snapshot returns the newest record of each key.
+	Snapshot(ctx context.Context) (Batch, error)
+}
+
+// FollowOptions are the settings of a Follower.
+type FollowOptions struct {
+	Name     string        // of the stream, for log lines
+	Operator bool          // the stream holds documents and data centres, not servers
+	Wait     time.Duration // how long a read may wait for a record
+	Pause    time.Duration // between reads, so that a busy stream is read in batches
+	Timeout  time.Duration // of one call, beyond Wait
+	Clock    func() time.Duration
+}
+
+// Backoff between failed reads.
+const (
+	followRetryMin = 50 * time.Millisecond
+	followRetryMax = 400 * time.Millisecond
+)
+
+// Follower keeps a Belief up to date from one Source. Run it in one goroutine;
+// its other methods are safe for concurrent use.
+type Follower struct {
+	source Source
+	belief *Belief
+	opts   FollowOptions
+	log    *log.Logger
+	next   int64 // -1: start with a snapshot
+	lost   bool
+	proof  atomic.Int64 // start of the last call that has read up to the end, ns; 0 before the first
+}
+
+// NewFollower returns a Follower that has read nothing.
+func NewFollower(source Source, belief *Belief, opts FollowOptions, logger *log.Logger) *Follower {
+	return &Follower{source: source, belief: belief, opts: opts, log: logger, next: -1}
+}
+
+// Proof returns the latest moment at which the Belief is known to have held
+// all that the store had acknowledged; ok is false before the first read.
+func (f *Follower) Proof() (at time.Duration, ok bool) {
+	n := f.proof.Load()
+	return time.Duration(n), n != 0
+}
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	retry := followRetryMin
+	for ctx.Err() == nil {
+		asked := f.opts.Clock()
+		complete, err := f.step(ctx)
+		switch {
+		case errors.Is(err, ErrTrimmed):
+			f.log.Info("store-trimmed", "stream", f.opts.Name, "from", f.next)
+			f.next = -1
+			continue
+		case err != nil:
+			f.failed(ctx, err)
+			f.belief.Apply(nil, f.opts.Clock())
+			sleep(ctx, retry)
+			retry = min(2*retry, followRetryMax)
+			continue
+		}
+		if complete {
+			f.proof.Store(int64(max(asked, 1)))
+		}
+		if f.lost {
+			f.lost = false
+			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next)
+		}
+		retry = followRetryMin
+		sleep(ctx, f.opts.Pause)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if !f.lost && ctx.Err() == nil {
+		f.lost = true
+		f.log.Warn("store-lost", "stream", f.opts.Name, "err", err)
+	}
+}
+
+// step makes one read and folds what it brings. It reports whether that was
+// all there is.
+func (f *Follower) step(ctx context.Context) (complete bool, err error) {
+	if f.next < 0 {
+		return f.snapshot(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.opts.Wait+f.opts.Timeout)
+	defer cancel()
+	b, err := f.source.Read(ctx, f.next, f.opts.Wait)
+	if err != nil {
+		return false, err
+	}
+	f.next = b.Next
+	if f.belief.Apply(b.Changes, f.opts.Clock()) {
+		f.announce()
+	}
+	return b.Complete, nil
+}
+
+// snapshot starts over. Its pages are no single moment, so that it proves
+// nothing before the records since have been read.
+func (f *Follower) snapshot(ctx context.Context) (complete bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
+	defer cancel()
+	b, err := f.source.Snapshot(ctx)
+	if err != nil {
+		return false, err
+	}
+	f.belief.Reset(f.opts.Operator, b.Changes, f.opts.Clock())
+	f.next = b.Next
+	f.announce()
+	return false, nil
+}
+
+func (f *Follower) announce() {
+	v := f.belief.View()
+	version := int64(0)
+	if v.Document != nil {
+		version = v.Document.Version
+	}
+	f.log.Info("view-changed", "stream", f.opts.Name, "next", f.next, "document", version,
+		"servers", len(v.Members), "centres_out", len(v.Out))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/admit"
+	"marjorampitch/backend"
+	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
+	"marjorampitch/internal/sockopt"
+	"marjorampitch/pace"
+)
+
+// Timing of a gateway.
+const (
+	sweepEvery    = time.Second
+	callerTimeout = 4 * time.Second // unacknowledged bytes towards a caller end its connection
+	// idleMargin is added to the document's idle timeout before a caller's
+	// connection is closed, so that a request on its way is not crossed.
+	idleMargin = 5 * time.Second
+	// proofMargin is kept from the time by which a withdrawn key must be refused.
+	proofMargin = 300 * time.Millisecond
+	// noticeTime is how long the platform takes to see that an instance is not
+	// ready: two questions, a second apart, and one more for good measure.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace time when the process ends by itself.
+	stopMargin = 500 * time.Millisecond
+	// assumedInstances stands in for the number of instances that share a limit
+	// while it is not known.
+	assumedInstances = 8
+)
+
+// Options are what a Gateway is made of.
+type Options struct {
+	Settings Settings
+	Names    Names
+	Belief   *fleet.Belief
+	// Proof is the latest moment, on the clock of package clock, at which the
+	// document in force is known to have been the newest.
+	Proof    func() (at time.Duration, ok bool)
+	Log      *log.Logger
+	Registry prometheus.Registerer
+}
+
+// Gateway forwards requests. It implements http.Handler.
+type Gateway struct {
+	opts     Options
+	pool     *backend.Pool
+	start    time.Time
+	metrics  *metrics
+	stopping atomic.Bool
+
+	mu       sync.Mutex // guards services; no other lock is taken under it
+	services map[string]*service
+
+	deadlines sync.Map // longest time that callers of a route have offered, by route name
+}
+
+// New returns a gateway that is not serving yet.
+func New(opts Options) *Gateway {
+	g := &Gateway{
+		opts:     opts,
+		start:    time.Now(),
+		services: make(map[string]*service),
+		metrics:  newMetrics(opts.Registry),
+	}
+	g.pool = backend.NewPool(g.now)
+	g.pool.Opened = g.metrics.opened.Inc
+	return g
+}
+
+// now is the monotonic time since the start.
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+// proofAge is the age of the proof that the document in force is the newest.
+func (g *Gateway) proofAge() (time.Duration, bool) {
+	at, ok := g.opts.Proof()
+	return clock.Boot() - at, ok
+}
+
+// current reports whether a key in the document may be trusted.
+func (g *Gateway) current() bool {
+	age, ok := g.proofAge()
+	bound := g.opts.Settings.Bounds.Revoke
+	return ok && (bound == 0 || age < bound-proofMargin)
+}
+
+// Ready reports whether new connections should come here.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.opts.Belief.View().Document != nil && g.current()
+}
+
+// service returns the state of a service.
+func (g *Gateway) service(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[name]
+	if s == nil {
+		b := g.opts.Settings.Bounds
+		budget := admit.NewRetryBudget(b.RetryRatio/2, int(b.RetryExtra)/assumedInstances)
+		s = newService(name, budget, g.opts.Log)
+		g.services[name] = s
+	}
+	return s
+}
+
+// gate returns the service's gate, made at the first stream.
+func (g *Gateway) gate(s *service, view *fleet.View, r *fleet.Route) *pace.Gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate == nil {
+		initial := 1.0
+		if svc := view.Document.Services[s.name]; svc != nil && svc.Engine != nil {
+			initial = initialWindow(svc.Engine, r.TargetGap, len(view.Services[s.name]), assumedInstances)
+		}
+		s.gate = pace.NewGate(pace.NewWindow(r.TargetGap, initial), rand.New(rand.NewPCG(rand.Uint64(), 0)))
+	}
+	return s.gate
+}
+
+// Run serves until ctx ends, and then stops gracefully within the grace time.
+func (g *Gateway) Run(ctx context.Context) error {
+	st := g.opts.Settings
+	lc := net.ListenConfig{Control: sockopt.UserTimeout(callerTimeout)}
+	ln, err := lc.Listen(ctx, "tcp", st.Listen)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	idle := newIdleConns()
+	srv := &http.Server{Handler: g, ConnState: idle.changed, ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.stop(srv)
+		case err := <-failed:
+			return eris.Wrap(err, "serve")
+		case <-tick.C:
+			g.sweep(idle)
+		}
+	}
+}
+
+// sweep drops what is not needed any more.
+func (g *Gateway) sweep(idle *idleConns) {
+	view := g.opts.Belief.View()
+	g.pool.Sweep()
+	g.mu.Lock()
+	list := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		list = append(list, s)
+	}
+	g.mu.Unlock()
+	for _, s := range list {
+		s.forget(view)
+		g.logGate(s)
+	}
+	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
+		idle.close(view.Document.Limits.IdleTimeout + idleMargin)
+	}
+}
+
+// logGate tells how a service's streams are paced.
+func (g *Gateway) logGate(s *service) {
+	s.mu.Lock()
+	gate := s.gate
+	if gate == nil {
+		s.mu.Unlock()
+		return
+	}
+	running, waiting, limit, gap, first := gate.Running(), gate.Waiting(), gate.Window().Limit(), gate.Window().Gap(), gate.First()
+	s.mu.Unlock()
+	if running == 0 && waiting == 0 {
+		return
+	}
+	g.opts.Log.Info("gate", "service", s.name, "running", running, "waiting", waiting, "limit", limit,
+		"gap_ms", gap.Milliseconds(), "first_ms", first.Milliseconds())
+}
+
+// stop lets the platform see that the instance is not ready, serves what still
+// arrives, and ends when nothing is underway or the grace time is nearly over.
+func (g *Gateway) stop(srv *http.Server) error {
+	g.stopping.Store(true)
+	grace := g.opts.Settings.Bounds.Grace - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace, 0))
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-time.After(noticeTime):
+	}
+	srv.SetKeepAlivesEnabled(false)
+	err := srv.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.opts.Log.Warn("stopped-with-requests-underway")
+		return srv.Close()
+	}
+	return err
+}
+
+// idleConns knows the callers' connections on which nothing is underway.
+type idleConns struct {
+	mu    sync.Mutex // guards since
+	since map[net.Conn]time.Time
+}
+
+func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
+
+// changed follows the states of a server's connections.
+func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if state == http.StateIdle {
+		i.since[c] = time.Now()
+	} else {
+		delete(i.since, c)
+	}
+}
+
+// close closes what has been idle for longer than limit.
+func (i *idleConns) close(limit time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, at := range i.since {
+		if time.Since(at) > limit {
+			c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/admit"
+	"marjorampitch/fleet"
+	"marjorampitch/pace"
+	"marjorampitch/route"
+	_ "marjorampitch/route/policies" // registers the routing policies
+)
+
+// Settings of a service's state.
+const (
+	pickPolicy = "leastconn"
+	// skewGuess is the load of the most loaded rank, relative to the mean, that
+	// is assumed before any pause was seen.
+	skewGuess = 2.0
+	// stallProbe is the time between requests that try a stalled group.
+	stallProbe = 400 * time.Millisecond
+)
+
+// serverKey names one incarnation of a backend server.
+type serverKey struct {
+	id   string
+	born int64
+}
+
+// server is what this instance knows of one backend server from its own requests.
+type server struct {
+	health health
+	own    int // requests in flight
+	sent   int // requests sent in the second that began at window
+	window time.Duration
+}
+
+// service is the state of one service. mu guards all fields; no other lock is
+// taken while it is held.
+type service struct {
+	name string
+	log  *log.Logger
+
+	mu       sync.Mutex
+	picker   route.Picker
+	servers  map[serverKey]*server
+	budget   *admit.RetryBudget
+	gate     *pace.Gate // nil for a plain service
+	waiters  map[*pace.Ticket]chan struct{}
+	progress time.Duration // when any stream of the service last had an event
+	stalled  time.Duration // group known to stand still: no request before; 0 when it runs
+}
+
+func newService(name string, budget *admit.RetryBudget, logger *log.Logger) *service {
+	picker, err := route.Build(pickPolicy, rand.Uint64())
+	if err != nil {
+		panic(err) // the policy is registered by the import above
+	}
+	return &service{
+		name:    name,
+		log:     logger,
+		picker:  picker,
+		servers: make(map[serverKey]*server),
+		budget:  budget,
+		waiters: make(map[*pace.Ticket]chan struct{}),
+	}
+}
+
+// initialWindow is the number of streams at which the engine's cost model
+// meets the objective with the skew that is assumed, shared among instances.
+func initialWindow(e *fleet.Engine, objective time.Duration, servers, instances int) float64 {
+	skew := 1.0
+	if e.Experts != nil {
+		skew = 1 - e.Experts.Share + e.Experts.Share*skewGuess
+	}
+	room := objective/2/time.Duration(e.Stride) - e.Step
+	if room <= 0 || e.PerSequence <= 0 {
+		return 1
+	}
+	perServer := float64(room) / float64(e.PerSequence) / skew
+	return perServer * float64(servers) / float64(max(instances, 1))
+}
+
+// candidates lists the servers for a pick. Callers hold mu.
+func (s *service) candidates(members []*fleet.Member, tried []string, now time.Duration, coldLimit float64) []route.Candidate {
+	list := make([]route.Candidate, 0, len(members))
+	for _, m := range members {
+		st := s.server(m)
+		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, Own: st.own}
+		c.Excluded = !st.health.usable(now) || contains(tried, m.ID)
+		if now < m.ColdUntil {
+			c.Cold = true
+			c.Excluded = c.Excluded || coldLimit > 0 && st.sentWithin(now) >= coldLimit
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// sentWithin is the number of requests sent in the present second.
+func (s *server) sentWithin(now time.Duration) float64 {
+	if now-s.window >= time.Second {
+		return 0
+	}
+	return float64(s.sent)
+}
+
+func (s *server) count(now time.Duration) {
+	if now-s.window >= time.Second {
+		s.window, s.sent = now, 0
+	}
+	s.sent++
+}
+
+func contains(list []string, x string) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
+
+// server returns the state of a member's incarnation. Callers hold mu.
+func (s *service) server(m *fleet.Member) *server {
+	key := serverKey{m.ID, m.Born}
+	st := s.servers[key]
+	if st == nil {
+		st = &server{}
+		s.servers[key] = st
+	}
+	return st
+}
+
+// pick chooses a server for one attempt and counts it there; nil when none is
+// usable.
+func (s *service) pick(members []*fleet.Member, tried []string, now time.Duration, coldLimit float64) *fleet.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, tried, now, coldLimit))
+	if !ok {
+		return nil
+	}
+	st := s.server(members[i])
+	st.own++
+	st.count(now)
+	st.health.sent(now)
+	return members[i]
+}
+
+// ended notes the result of an attempt at a server.
+func (s *service) ended(m *fleet.Member, now time.Duration, severity float64) {
+	s.mu.Lock()
+	st := s.server(m)
+	st.own--
+	ejected, restored := st.health.result(now, severity)
+	s.mu.Unlock()
+	switch {
+	case ejected:
+		s.log.Warn("server-ejected", "server", m.ID, "service", s.name)
+	case restored:
+		s.log.Info("server-restored", "server", m.ID, "service", s.name)
+	}
+}
+
+// unreached notes an attempt that opened no connection.
+func (s *service) unreached(m *fleet.Member, now time.Duration) {
+	s.mu.Lock()
+	st := s.server(m)
+	st.own--
+	st.health.unreachable(now)
+	s.mu.Unlock()
+	s.log.Warn("server-unreachable", "server", m.ID, "service", s.name, "address", m.Address)
+}
+
+// first counts a request's first arrival for the retry budget.
+func (s *service) first() {
+	s.mu.Lock()
+	s.budget.First()
+	s.mu.Unlock()
+}
+
+// retry takes one retry from the budget.
+func (s *service) retry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Retry()
+}
+
+// forget drops the state of servers that are gone.
+func (s *service) forget(view *fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, st := range s.servers {
+		m := view.Members[key.id]
+		if (m == nil || m.Born != key.born) && st.own == 0 {
+			delete(s.servers, key)
+		}
+	}
+}
+
+// wake tells requests that were admitted. Callers hold mu.
+func (s *service) wake(admitted []*pace.Ticket) {
+	for _, t := range admitted {
+		close(s.waiters[t])
+		delete(s.waiters, t)
+	}
+}
+
+// event takes a pause between two events of a stream.
+func (s *service) event(now, gap time.Duration) {
+	s.mu.Lock()
+	s.progress = now
+	s.stalled = 0
+	if s.gate != nil {
+		s.wake(s.gate.Event(now, gap))
+	}
+	s.mu.Unlock()
+}
+
+// began takes the time to a stream's first event.
+func (s *service) began(now, d time.Duration) {
+	s.mu.Lock()
+	s.progress = now
+	s.stalled = 0
+	if s.gate != nil {
+		s.gate.Began(d)
+	}
+	s.mu.Unlock()
+}
+
+// leave ends an admitted stream.
+func (s *service) leave(now time.Duration) {
+	s.mu.Lock()
+	s.wake(s.gate.Leave(now))
+	s.mu.Unlock()
+}
+
+// stall notes that the group behind the service stands still.
+func (s *service) stall(now time.Duration, at string) {
+	s.mu.Lock()
+	fresh := s.stalled == 0
+	s.stalled = now + stallProbe
+	s.mu.Unlock()
+	if fresh {
+		s.log.Warn("group-stalled", "service", s.name, "at_server", at)
+	}
+}
+
+// standsStill reports whether a request should be refused at once, since the
+// group is known to stand still. One request at a time tries it.
+func (s *service) standsStill(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stalled == 0 {
+		return false
+	}
+	if now < s.stalled {
+		return true
+	}
+	s.stalled = now + stallProbe
+	return false
+}
+
+// progressed reports whether any stream had an event since.
+func (s *service) progressed(since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.progress > since
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,6 +38,7 @@
 	root.AddCommand(
 		newEntryCommand(),
 		newSideCommand(),
+		newGatewayCommand(),
 		newPolicyCommand(o),
 		newConfigCommand(o),
 		newDrainCommand(o),
