Pace: who can still be on time goes first; the worst pause of 4 s sets the window

Callers that came back were told apart by any difference of their deadline, which varies by 15% anyway.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -92,9 +92,10 @@
 	return nil
 }
 
-// returnSlack is by how much less time than the route's callers usually offer
-// shows that a caller has spent some on an earlier attempt.
-const returnSlack = 50 * time.Millisecond
+// returnBelow is the share of the longest time that the route's callers offer
+// below which a caller must have spent some on an earlier attempt: first
+// attempts offer more, and refused callers are kept away for longer.
+const returnBelow = 0.845
 
 // schedule works out when the final answer is due.
 func (g *Gateway) schedule(c *call) {
@@ -123,7 +124,7 @@
 		g.deadlines.Store(route, offered)
 		return false
 	}
-	return offered < longest.(time.Duration)-returnSlack
+	return float64(offered) < returnBelow*float64(longest.(time.Duration))
 }
 
 // readBody reads the whole body, within the document's limit.
@@ -209,7 +210,7 @@
 	gate := g.gate(c.service, c.view, c.route)
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	return gate.ReturnAfter()
+	return gate.ReturnAfter(g.left(c))
 }
 
 // ended writes the line of a request's end.
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -16,14 +16,20 @@
 	// unknownFirst is the part of the objective taken for the first event
 	// before one was seen.
 	unknownFirst = 0.5
-	// returnWait is how long a request that came back after a refusal may wait:
-	// it is late already, so that only its caller's patience counts.
-	returnWait = 700 * time.Millisecond
+	// returnShare is the part of the objective for which a request that came
+	// back after a refusal may wait. It is late already: those that can still be
+	// on time go first, and it takes the places that they leave.
+	returnShare = 0.125
+	// waitingShare is the number of requests that may wait for each one that
+	// runs: about as many end within the longest wait.
+	waitingShare = 0.25
 	// firstWeight is the weight of one more time to the first event in the mean.
 	firstWeight = 0.1
-	// minReturn and maxReturn bound the time after which refused callers come back.
-	minReturn = 400 * time.Millisecond
-	maxReturn = 2600 * time.Millisecond
+	// minReturn and maxReturn bound the time after which refused callers come
+	// back, as parts of the time that they have left. Callers wait for a third
+	// of it at most.
+	minReturn = 0.2
+	maxReturn = 0.32
 )
 
 // Ticket is one request at a Gate.
@@ -45,7 +51,7 @@
 type Gate struct {
 	window  *Window
 	running int
-	queue   []*Ticket // those that came back first, then by arrival
+	queue   []*Ticket // by arrival, those that came back last
 	limited bool      // a request had to wait since the last decision
 	first   time.Duration
 	source  *rand.Rand
@@ -78,7 +84,7 @@
 	}
 	g.limited = true
 	wait := g.patience(t)
-	if wait <= 0 || g.hopeless(wait) {
+	if wait <= 0 || g.hopeless() {
 		return false
 	}
 	t.expires = now + wait
@@ -94,7 +100,7 @@
 // patience is how long a request may wait.
 func (g *Gate) patience(t *Ticket) time.Duration {
 	if t.Returns {
-		return returnWait
+		return time.Duration(returnShare * float64(t.Objective))
 	}
 	first := g.first
 	if first == 0 {
@@ -105,16 +111,16 @@
 
 // hopeless reports whether the requests that wait already will take up all
 // that is likely to end meanwhile.
-func (g *Gate) hopeless(wait time.Duration) bool {
-	return len(g.queue) > g.running/2+1 && wait < returnWait
+func (g *Gate) hopeless() bool {
+	return float64(len(g.queue)) > waitingShare*float64(g.running)+1
 }
 
 func (g *Gate) insert(t *Ticket) {
-	if !t.Returns {
+	if t.Returns {
 		g.queue = append(g.queue, t)
 		return
 	}
-	at := slices.IndexFunc(g.queue, func(o *Ticket) bool { return !o.Returns })
+	at := slices.IndexFunc(g.queue, func(o *Ticket) bool { return o.Returns })
 	if at < 0 {
 		at = len(g.queue)
 	}
@@ -171,7 +177,8 @@
 	return g.next(now)
 }
 
-// ReturnAfter is when a refused caller is asked to come back.
-func (g *Gate) ReturnAfter() time.Duration {
-	return minReturn + time.Duration(g.source.Float64()*float64(maxReturn-minReturn))
+// ReturnAfter is when a refused caller with this much time left is asked to
+// come back: late enough for a peak to be over, and spread out.
+func (g *Gate) ReturnAfter(left time.Duration) time.Duration {
+	return time.Duration((minReturn + g.source.Float64()*(maxReturn-minReturn)) * float64(left))
 }
--- a/pace/window.go
+++ b/pace/window.go
@@ -16,9 +16,14 @@
 
 // Settings of a Window.
 const (
-	// aimShare is the part of the objective at which the mean pause is held, so
-	// that the longest of a stream's pauses stays within it.
-	aimShare = 0.72
+	// aimShare is the part of the objective at which the mean pause of the
+	// worst recent period is held, so that the longest of a stream's pauses
+	// stays within it.
+	aimShare = 0.82
+	// memory is for how long a period's pauses count. Demand for experts shifts
+	// every few seconds and lengthens passes until the map follows; streams that
+	// run then must still be on time.
+	memory = 4 * time.Second
 	// period is the time between two decisions; a stream that was admitted
 	// shows in the pauses of the next pass or two.
 	period = 150 * time.Millisecond
@@ -40,9 +45,15 @@
 	count     int
 	decided   time.Duration // when the last period ended
 	lastGap   time.Duration // mean pause of the last period with any
+	worst     []sample      // periods that no later one exceeds, oldest first
 	heard     time.Duration // last pause
 }
 
+// sample is the mean pause of one period.
+type sample struct {
+	at, gap time.Duration
+}
+
 // NewWindow returns a window of initial streams.
 func NewWindow(objective time.Duration, initial float64) *Window {
 	return &Window{objective: objective, limit: max(initial, minWindow)}
@@ -69,19 +80,36 @@
 	}
 	mean := w.sum / time.Duration(w.count)
 	w.sum, w.count, w.decided, w.lastGap = 0, 0, now, mean
-	w.decide(mean, running, limited)
+	w.decide(mean, w.remember(now, mean), running, limited)
+}
+
+// remember returns the longest mean pause within memory.
+func (w *Window) remember(now, gap time.Duration) time.Duration {
+	for len(w.worst) > 0 && w.worst[len(w.worst)-1].gap <= gap {
+		w.worst = w.worst[:len(w.worst)-1]
+	}
+	w.worst = append(w.worst, sample{now, gap})
+	for now-w.worst[0].at > memory {
+		w.worst = w.worst[1:]
+	}
+	return w.worst[0].gap
 }
 
-func (w *Window) decide(mean time.Duration, running int, limited bool) {
+// decide shrinks the window on a long pause at once, and lets it grow while
+// the longest recent one leaves room.
+func (w *Window) decide(mean, worst time.Duration, running int, limited bool) {
 	aim := aimShare * float64(w.objective)
 	if aim <= 0 {
 		return
 	}
-	excess := float64(mean)/aim - 1
-	if excess > 0 {
+	if excess := float64(mean)/aim - 1; excess > 0 {
 		w.limit = max(minWindow, w.limit*(1-min(excess/2, maxCut)))
 		return
 	}
+	excess := float64(worst)/aim - 1
+	if excess >= 0 {
+		return
+	}
 	if limited || float64(running) >= w.limit-1 {
 		w.limit += growth * min(1, -excess*4)
 	}
