Remap: switches the expert map of a running group under one hold

Pure machines of a coordinator and of a rank, for engines that switch by themselves at a given pass.

--- /dev/null
+++ b/remap/coordinator.go
@@ -0,0 +1,405 @@
+package remap
+
+import (
+	"time"
+
+	"marjorampitch/wire"
+)
+
+// Phase is what a Coordinator is about.
+type Phase uint8
+
+// Phases of a Coordinator.
+const (
+	Sealing    Phase = iota // hearing from every rank under the new term or epoch
+	Idle                    // no switch is underway
+	Preparing               // the map is copied while passes go on
+	Holding                 // the own rank is to hold the pass of the switch
+	Arming                  // every rank is told to switch at that pass
+	Cancelling              // every rank is made to refuse the switch
+	Releasing               // holds are dropped
+	Settling                // the switch is agreed; waiting to see it in force everywhere
+)
+
+var phaseNames = [...]string{"sealing", "idle", "preparing", "holding", "arming", "cancelling", "releasing", "settling"}
+
+// String returns the name of p for log lines.
+func (p Phase) String() string {
+	if int(p) < len(phaseNames) {
+		return phaseNames[p]
+	}
+	return "unknown"
+}
+
+// Coordinator leads the switches of one group, in the process beside one of
+// its ranks.
+type Coordinator struct {
+	term     int64
+	own      Engine
+	reports  []report // by rank
+	phase    Phase
+	since    time.Duration // when the phase began
+	goal     wire.MapGoal
+	minted   int64          // versions numbered in this term
+	current  []wire.Replica // of the map in force, where known is true
+	known    bool           // current is the content of the map in force
+	target   []wire.Replica // of the map that is being put in force
+	hold     int64          // pass held by the own rank for the switch; None for none
+	lastHold int64          // last pass chosen for a hold in this epoch
+	// Switched and Abandoned count outcomes.
+	Switched, Abandoned int
+	broken              mechanisms
+}
+
+// mechanisms lists what tests take out to show that it is needed.
+type mechanisms struct {
+	noHold   bool // ranks are armed without a hold
+	noProof  bool // the hold is dropped before all are known to be armed
+	noCancel bool // a cancelled arm is only disarmed, not made void
+	noSeal   bool // a new coordinator does not look for switches underway
+}
+
+// report is the last word of a rank.
+type report struct {
+	wire.RankReport
+	at time.Duration
+	ok bool
+}
+
+// NewCoordinator returns the coordinator of a term beside an engine.
+func NewCoordinator(term int64, own Engine, now time.Duration) *Coordinator {
+	c := &Coordinator{term: term, own: own, hold: None}
+	c.goal = wire.MapGoal{Group: own.Group, Term: term, Epoch: own.Epoch, Version: None, Step: None}
+	c.seal(now)
+	return c
+}
+
+// Term is the coordinator's term.
+func (c *Coordinator) Term() int64 { return c.term }
+
+// Phase is what the coordinator is about.
+func (c *Coordinator) Phase() Phase { return c.phase }
+
+// Goal is what every rank is to be told.
+func (c *Coordinator) Goal() wire.MapGoal { return c.goal }
+
+// Current is the map in force; ok is false while its content is not known.
+func (c *Coordinator) Current() (replicas []wire.Replica, ok bool) { return c.current, c.known }
+
+// seal starts over: nothing is taken for granted of the group.
+func (c *Coordinator) seal(now time.Duration) {
+	c.reports = make([]report, c.own.Size)
+	c.hold, c.lastHold = None, None
+	c.known = false
+	c.goal.Epoch = c.own.Epoch
+	c.want(Rest, now, Sealing)
+	if c.broken.noSeal {
+		c.phase = Idle
+	}
+}
+
+// want tells the ranks of another stage and enters a phase.
+func (c *Coordinator) want(s Stage, now time.Duration, p Phase) {
+	c.goal.Stage = uint8(s)
+	c.goal.Release = nil
+	c.goal.Seq++
+	c.enter(p, now)
+}
+
+func (c *Coordinator) enter(p Phase, now time.Duration) {
+	c.phase, c.since = p, now
+}
+
+// version numbers a new map.
+func (c *Coordinator) version() int64 {
+	c.minted++
+	return (c.term+1)<<versionBits | c.minted
+}
+
+// Observe takes a fresh report of the own engine.
+func (c *Coordinator) Observe(e Engine, now time.Duration) {
+	formed := e.Epoch != c.own.Epoch || e.Size != c.own.Size
+	c.own = e
+	if formed {
+		c.seal(now)
+	}
+}
+
+// Heard takes a rank's report.
+func (c *Coordinator) Heard(r wire.RankReport, now time.Duration) {
+	if r.Rank < 0 || r.Rank >= len(c.reports) || r.Term != c.term {
+		return
+	}
+	if old := &c.reports[r.Rank]; old.ok && r.Seq < old.Seq {
+		return
+	}
+	c.reports[r.Rank] = report{r, now, true}
+}
+
+// all reports whether every rank has answered the present goal in the group's
+// epoch and each answer passes the test.
+func (c *Coordinator) all(test func(r *report) bool) bool {
+	for i := range c.reports {
+		r := &c.reports[i]
+		if !r.ok || r.Seq != c.goal.Seq || r.Epoch != c.own.Epoch || !r.Open || !test(r) {
+			return false
+		}
+	}
+	return len(c.reports) > 0
+}
+
+// any reports whether an answer passes the test.
+func (c *Coordinator) any(test func(r *report) bool) bool {
+	for i := range c.reports {
+		if r := &c.reports[i]; r.ok && r.Epoch == c.own.Epoch && test(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ready reports whether a proposal would be taken up: nothing is underway and
+// every rank has reported lately.
+func (c *Coordinator) Ready(now time.Duration) bool {
+	return c.phase == Idle && c.known && c.own.Open &&
+		c.all(func(r *report) bool { return now-r.at < reportLimit })
+}
+
+// Propose begins a switch to a map; it is ignored unless the coordinator is Ready.
+func (c *Coordinator) Propose(replicas []wire.Replica, now time.Duration) {
+	if !c.Ready(now) {
+		return
+	}
+	c.target = replicas
+	c.goal.Version = c.version()
+	c.goal.Replicas = replicas
+	c.goal.Step = None
+	c.want(Prepare, now, Preparing)
+}
+
+// Next goes on as far as the reports allow, and returns an order for the own
+// engine; ok is false when there is none. The engine's state is observed
+// again before Next is called again.
+func (c *Coordinator) Next(now time.Duration) (o Order, ok bool) {
+	if !c.own.Open {
+		return Order{}, false
+	}
+	o, ok = c.next(now)
+	o.Epoch, o.Expect = c.own.Epoch, c.own.Seq
+	return o, ok
+}
+
+func (c *Coordinator) next(now time.Duration) (o Order, ok bool) {
+	switch c.phase {
+	case Sealing:
+		return c.sealed(now)
+	case Idle:
+		return c.idle(now)
+	case Preparing:
+		c.prepared(now)
+	case Holding:
+		return c.holding(now)
+	case Arming:
+		return c.arming(now)
+	case Cancelling:
+		return c.cancelling(now)
+	case Releasing:
+		return c.releasing(now)
+	case Settling:
+		return c.settling(now)
+	}
+	return Order{}, false
+}
+
+// sealed looks at what an earlier coordinator has left behind, once every rank
+// obeys this one.
+func (c *Coordinator) sealed(now time.Duration) (Order, bool) {
+	if !c.all(func(*report) bool { return true }) {
+		return Order{}, false
+	}
+	left := func(r *report) bool { return r.Armed != None || r.Held != None }
+	if c.any(left) {
+		c.hold = c.leftStep()
+		c.goal.Step = c.hold
+		c.enter(Holding, now)
+		return c.holding(now)
+	}
+	c.adopt()
+	c.enter(Idle, now)
+	return Order{}, false
+}
+
+// idle drops holds that came late: nobody is armed under them.
+func (c *Coordinator) idle(now time.Duration) (Order, bool) {
+	if c.own.Held != None {
+		return c.goOn(c.own.Held)
+	}
+	if c.any(func(r *report) bool { return r.Held != None }) && c.all(func(r *report) bool { return r.Armed == None }) {
+		c.releaseOthers(now)
+	}
+	return Order{}, false
+}
+
+// adopt takes map 0, whose content everybody knows, as the current map. Any
+// other map of an earlier coordinator has unknown content: its successor is
+// planned from map 0's, which costs some copies more.
+func (c *Coordinator) adopt() {
+	c.current, c.known = nil, true
+}
+
+// leftStep is the pass of a switch that an earlier coordinator left behind:
+// the last one that any rank holds or is armed for.
+func (c *Coordinator) leftStep() int64 {
+	step := None
+	for i := range c.reports {
+		r := &c.reports[i]
+		if r.Held != None {
+			step = max(step, r.Held)
+		}
+		if r.Armed != None {
+			step = max(step, r.ArmedAt)
+		}
+	}
+	return step
+}
+
+// prepared goes on once every rank has its copies.
+func (c *Coordinator) prepared(now time.Duration) {
+	v := c.goal.Version
+	if c.all(func(r *report) bool { return r.Prepared == v }) {
+		c.hold = c.chooseStep()
+		c.goal.Step = c.hold
+		c.enter(Holding, now)
+		return
+	}
+	refused := c.any(func(r *report) bool { return r.Refused == v })
+	if refused || now-c.since > prepareLimit {
+		c.Abandoned++
+		c.want(Rest, now, Idle) // nothing is armed: the copies are dropped by the next map
+	}
+}
+
+// chooseStep is a pass that no rank is near to.
+func (c *Coordinator) chooseStep() int64 {
+	step := c.own.Step
+	for i := range c.reports {
+		step = max(step, c.reports[i].Step)
+	}
+	// A hold that was dropped may be dropped once more by a late order: no pass
+	// is held twice.
+	step = max(step+lead, c.lastHold+1)
+	c.lastHold = step
+	return step
+}
+
+// holding has the own rank hold the pass of the switch. A pass that has begun
+// is replaced by a later one, unless the hold is there to cancel a switch: then
+// what was armed for it has happened.
+func (c *Coordinator) holding(now time.Duration) (Order, bool) {
+	ours := Stage(c.goal.Stage) == Prepare
+	switch {
+	case c.own.Held == c.hold || c.broken.noHold:
+		if ours {
+			c.want(Arm, now, Arming)
+		} else {
+			c.cancel(now)
+		}
+		return Order{}, false
+	case c.own.Held != None:
+		return c.goOn(c.own.Held)
+	case c.own.Step >= c.hold && !ours:
+		c.seal(now)
+		return Order{}, false
+	case c.own.Step >= c.hold:
+		c.hold = c.chooseStep()
+		c.goal.Step = c.hold
+	}
+	return Order{Kind: OrderHold, Step: c.hold}, true
+}
+
+// goOn drops a hold of the own rank.
+func (c *Coordinator) goOn(step int64) (Order, bool) {
+	return Order{Kind: OrderGo, Step: step}, true
+}
+
+// arming drops the hold once every rank is known to be armed.
+func (c *Coordinator) arming(now time.Duration) (Order, bool) {
+	v, step := c.goal.Version, c.goal.Step
+	armed := func(r *report) bool { return r.Armed == v && r.ArmedAt == step || r.Map == v }
+	if c.broken.noProof || c.all(armed) {
+		c.enter(Settling, now)
+		return c.settling(now)
+	}
+	refused := c.any(func(r *report) bool { return r.Refused == v })
+	if refused || now-c.since > armLimit {
+		c.cancel(now)
+	}
+	return Order{}, false
+}
+
+// cancel makes every rank refuse the switch. The hold stands.
+func (c *Coordinator) cancel(now time.Duration) {
+	c.Abandoned++
+	c.goal.Version = c.version()
+	c.goal.Replicas = c.current
+	c.want(Cancel, now, Cancelling)
+}
+
+// cancelling drops the holds once no arm can take effect any more.
+func (c *Coordinator) cancelling(now time.Duration) (Order, bool) {
+	v := c.goal.Version
+	void := func(r *report) bool { return r.Armed == None && (r.Prepared == v || c.broken.noCancel) }
+	switch {
+	case c.all(void):
+		c.releaseOthers(now)
+		return c.releasing(now)
+	case c.any(func(r *report) bool { return r.Refused == v }):
+		c.cancel(now) // a late order came between: once more, with a later version
+	}
+	return Order{}, false
+}
+
+// releaseOthers tells the ranks that hold a pass for an earlier coordinator to
+// drop it.
+func (c *Coordinator) releaseOthers(now time.Duration) {
+	release := make([]int64, len(c.reports))
+	for i := range c.reports {
+		release[i] = c.reports[i].Held
+	}
+	c.want(Rest, now, Releasing)
+	c.goal.Release = release
+}
+
+// releasing ends when nobody holds a pass.
+func (c *Coordinator) releasing(now time.Duration) (Order, bool) {
+	if c.own.Held != None {
+		return c.goOn(c.own.Held)
+	}
+	if c.all(func(r *report) bool { return r.Held == None }) {
+		c.hold = None
+		c.adoptUnlessKnown()
+		c.enter(Idle, now)
+	}
+	return Order{}, false
+}
+
+func (c *Coordinator) adoptUnlessKnown() {
+	if !c.known {
+		c.adopt()
+	}
+}
+
+// settling drops the own hold and ends when the map is in force everywhere.
+func (c *Coordinator) settling(now time.Duration) (Order, bool) {
+	if c.own.Held != None {
+		return c.goOn(c.own.Held)
+	}
+	v := c.goal.Version
+	if c.all(func(r *report) bool { return r.Map == v }) {
+		c.hold = None
+		c.current = c.target
+		c.Switched++
+		c.want(Rest, now, Idle)
+	}
+	return Order{}, false
+}
--- /dev/null
+++ b/remap/rank.go
@@ -0,0 +1,130 @@
+package remap
+
+import (
+	"time"
+
+	"marjorampitch/wire"
+)
+
+// Rank drives the engine of one rank towards the goal of the coordinator.
+type Rank struct {
+	engine Engine
+	known  bool // engine has been reported
+	goal   wire.MapGoal
+	refuse int64 // version whose order the engine refused
+	posted struct {
+		version int64
+		at      time.Duration
+	}
+}
+
+// NewRank returns a rank that knows no coordinator.
+func NewRank() *Rank {
+	return &Rank{goal: wire.MapGoal{Term: None}, refuse: None}
+}
+
+// Observe takes a fresh report of the rank's own engine.
+func (r *Rank) Observe(e Engine) {
+	r.engine, r.known = e, true
+}
+
+// Engine is the last report; ok is false before the first.
+func (r *Rank) Engine() (e Engine, ok bool) { return r.engine, r.known }
+
+// Term is the highest term that the rank has heard of.
+func (r *Rank) Term() int64 { return r.goal.Term }
+
+// Goal takes a coordinator's goal; earlier ones than the last are ignored.
+// It reports whether the goal comes from the coordinator that is in office.
+func (r *Rank) Goal(g wire.MapGoal) bool {
+	if g.Term < r.goal.Term {
+		return false
+	}
+	if g.Term == r.goal.Term && g.Seq <= r.goal.Seq {
+		return true
+	}
+	r.goal = g
+	return true
+}
+
+// Next returns the order that brings the engine closer to the goal; ok is
+// false when there is none. Its result goes to Done, and the engine's state is
+// observed again, before Next is called again.
+func (r *Rank) Next(now time.Duration) (o Order, ok bool) {
+	o, ok = r.next(now)
+	o.Epoch, o.Expect = r.engine.Epoch, r.engine.Seq
+	return o, ok
+}
+
+func (r *Rank) next(now time.Duration) (o Order, ok bool) {
+	e := &r.engine
+	if !r.known || !e.Open || r.goal.Term == None || e.Group != r.goal.Group || e.Epoch != r.goal.Epoch {
+		return Order{}, false
+	}
+	if step := r.released(); step != None && e.Held == step {
+		return Order{Kind: OrderGo, Step: step}, true
+	}
+	switch Stage(r.goal.Stage) {
+	case Prepare:
+		return r.prepare(now)
+	case Arm:
+		return r.arm()
+	case Cancel:
+		if e.Armed != None {
+			return Order{Kind: OrderDisarm, Version: e.Armed}, true
+		}
+		return r.prepare(now)
+	}
+	return Order{}, false
+}
+
+// released is the pass whose hold the goal drops at this rank.
+func (r *Rank) released() int64 {
+	if r.engine.Rank < len(r.goal.Release) {
+		return r.goal.Release[r.engine.Rank]
+	}
+	return None
+}
+
+func (r *Rank) prepare(now time.Duration) (Order, bool) {
+	e, v := &r.engine, r.goal.Version
+	if e.Map >= v || e.Prepared >= v || e.Armed != None || r.refuse == v {
+		return Order{}, false
+	}
+	if r.posted.version == v && now-r.posted.at < prepareAgain {
+		return Order{}, false
+	}
+	r.posted.version, r.posted.at = v, now
+	return Order{Kind: OrderPrepare, Version: v, Replicas: r.goal.Replicas}, true
+}
+
+func (r *Rank) arm() (Order, bool) {
+	e, v := &r.engine, r.goal.Version
+	if e.Map == v || e.Prepared != v || e.Step >= r.goal.Step || r.refuse == v {
+		return Order{}, false
+	}
+	if e.Armed == v && e.ArmedAt == r.goal.Step {
+		return Order{}, false
+	}
+	return Order{Kind: OrderArm, Version: v, Step: r.goal.Step}, true
+}
+
+// Done takes the result of the order that Next returned.
+func (r *Rank) Done(o Order, result Result) {
+	switch {
+	case result == Refused && (o.Kind == OrderPrepare || o.Kind == OrderArm):
+		r.refuse = o.Version
+	case result == Unanswered && o.Kind == OrderPrepare:
+		r.posted.version = None // ordered again at once
+	}
+}
+
+// Report is what the coordinator is told. Demand is the caller's to add.
+func (r *Rank) Report() wire.RankReport {
+	e := &r.engine
+	return wire.RankReport{
+		Group: e.Group, Rank: e.Rank, Term: r.goal.Term, Seq: r.goal.Seq, Epoch: e.Epoch, Open: e.Open,
+		Step: e.Step, Map: e.Map, Prepared: e.Prepared, Armed: e.Armed, ArmedAt: e.ArmedAt, Held: e.Held,
+		Refused: r.refuse, Running: e.Running,
+	}
+}
--- /dev/null
+++ b/remap/remap.go
@@ -0,0 +1,121 @@
+// Package remap puts a new expert map in force in a running group of ranks,
+// such that no pass begins while two ranks have different maps.
+//
+// It serves engines that switch by themselves at a given pass, and that hold a
+// pass back on demand of any one rank. A Coordinator, in the process beside one
+// rank, proceeds in steps: every rank prepares the map while passes go on; the
+// coordinator's own rank holds a pass S; every rank is armed for S; when all
+// are known to be armed the hold is dropped. S lies far enough ahead that the
+// hold is usually dropped before the group comes to it.
+//
+// The invariant: while an arm may take effect at S at some ranks and not at
+// others, a hold of S stands. An order that was not answered may be carried out
+// seconds later, so before a hold of a cancelled switch is dropped, every rank
+// has prepared a later version, after which the engine refuses the old arm.
+//
+// A coordinator is known by its term, the offset of its claim in the platform's
+// log. A Rank obeys only the highest term it has heard of, and answers a new
+// term only when none of its own orders is underway.
+//
+// Both are pure state machines: reports, messages and time in, orders and
+// messages out. Neither is safe for concurrent use.
+package remap
+
+import (
+	"time"
+
+	"marjorampitch/wire"
+)
+
+// None stands for no version and no pass.
+const None int64 = -1
+
+// Stage is what a coordinator wants of the ranks.
+type Stage uint8
+
+// Stages.
+const (
+	Rest    Stage = iota // nothing
+	Prepare              // copy what the map needs
+	Arm                  // switch to the map as pass Step begins
+	Cancel               // no switch to any earlier version; the map is the one in force
+)
+
+// Engine is what an engine reports of its rank.
+type Engine struct {
+	Group    string
+	Epoch    int64 // rises whenever the group is formed anew
+	Rank     int
+	Size     int // ranks of the group
+	Open     bool
+	Step     int64 // last pass begun
+	Map      int64
+	Prepared int64
+	Armed    int64
+	ArmedAt  int64
+	Held     int64
+	Seq      int64 // orders accepted
+	Running  int
+}
+
+// Kind is the kind of an Order.
+type Kind uint8
+
+// Kinds of orders to an engine.
+const (
+	OrderPrepare Kind = iota + 1
+	OrderArm
+	OrderDisarm
+	OrderHold
+	OrderGo
+)
+
+var kindNames = [...]string{"none", "prepare", "arm", "disarm", "hold", "go"}
+
+// String returns the name of k for log lines.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Order is one order to the engine of a rank.
+type Order struct {
+	Kind     Kind
+	Epoch    int64
+	Version  int64
+	Step     int64
+	Expect   int64          // orders accepted before: a late order is refused once a newer one was accepted
+	Replicas []wire.Replica // of the map, for OrderPrepare
+}
+
+// Result is what became of an Order.
+type Result uint8
+
+// Results.
+const (
+	Accepted Result = iota + 1
+	Refused
+	Unanswered // it may be carried out later
+)
+
+// Timing of the machines.
+const (
+	// prepareAgain is the time after which a prepare that shows no effect is
+	// ordered again.
+	prepareAgain = 3 * time.Second
+	// prepareLimit is the time after which a switch is given up whose copies
+	// are not complete everywhere.
+	prepareLimit = 4 * time.Second
+	// armLimit is the time after which a switch is cancelled that is not armed
+	// everywhere; the group may stand still meanwhile.
+	armLimit = 350 * time.Millisecond
+	// reportLimit is the age at which a rank's report counts as missing.
+	reportLimit = time.Second
+	// lead is the number of passes between the last one begun and the one that
+	// is held: time for the orders and for news of them.
+	lead = 2
+	// versionBits is the number of bits of a version that count within a term.
+	versionBits = 20
+)
