--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,9 +19,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -7,9 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/entry"
-	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,128 @@
+// Package directory lets the processes of the system find each other through
+// the platform's store: each appends an entry of itself when it starts.
+// Entries of processes that are gone remain; what is sent there is lost.
+package directory
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/store"
+	"marjorampitch/wire"
+)
+
+// topic holds the entries, by the name of the instance.
+const topic = "keyed.instances"
+
+// Timing of the store's calls.
+const (
+	readWait    = 20 * time.Second // for a new entry
+	callTimeout = 2 * time.Second  // beyond that
+	retryAfter  = 500 * time.Millisecond
+)
+
+// Directory follows the entries of all processes. It is safe for concurrent use.
+type Directory struct {
+	store store.Log
+	log   *log.Logger
+	next  int64
+
+	mu      sync.Mutex // guards entries
+	entries map[string]wire.Instance
+}
+
+// New returns a directory that has read nothing.
+func New(s store.Log, logger *log.Logger) *Directory {
+	return &Directory{store: s, log: logger, next: -1, entries: make(map[string]wire.Instance)}
+}
+
+// Entries returns all entries by name.
+func (d *Directory) Entries() map[string]wire.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.entries)
+}
+
+// Announce writes the entry of an instance until it is acknowledged or ctx ends.
+func (d *Directory) Announce(ctx context.Context, name string, entry wire.Instance) {
+	value, err := entry.MarshalMsg(nil)
+	if err != nil {
+		d.log.Error("announce-failed", "err", err)
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.store.Append(call, topic, store.Record{Key: name, Value: value})
+		cancel()
+		if err == nil {
+			d.log.Info("announced", "name", name, "address", entry.Address, "group", entry.Group, "rank", entry.Rank)
+			return
+		}
+		d.log.Warn("announce-failed", "err", err)
+		sleep(ctx, retryAfter)
+	}
+}
+
+// Run follows the entries until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.step(ctx)
+		switch {
+		case errors.Is(err, store.ErrTrimmed):
+			d.next = -1
+		case err != nil:
+			sleep(ctx, retryAfter)
+		}
+	}
+}
+
+func (d *Directory) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readWait+callTimeout)
+	defer cancel()
+	var b store.Batch
+	var err error
+	if d.next < 0 {
+		b, err = d.store.Newest(ctx, topic)
+	} else {
+		b, err = d.store.Read(ctx, topic, d.next, readWait)
+	}
+	if err != nil {
+		return eris.Wrap(err, "directory")
+	}
+	d.next = b.Next
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range b.Records {
+		d.apply(r)
+	}
+	return nil
+}
+
+// apply folds one record. Callers hold mu.
+func (d *Directory) apply(r store.Record) {
+	if r.Value == nil {
+		delete(d.entries, r.Key)
+		return
+	}
+	var e wire.Instance
+	if _, err := e.UnmarshalMsg(r.Value); err != nil {
+		d.log.Warn("record-refused", "topic", topic, "key", r.Key, "err", err)
+		return
+	}
+	d.entries[r.Key] = e
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-)
 
-// ErrTrimmed says that records after the offset asked for are no longer kept;
-// a snapshot holds what they led to.
-var ErrTrimmed = errors.New("fleet: records no longer kept")
+	"marjorampitch/store"
+)
 
 // Batch is the result of one read of a Source.
 type Batch struct {
@@ -24,7 +22,7 @@
 // keeps it. Records that cannot be read are left out by the Source.
 type Source interface {
 	// Read returns the changes from an offset on. With none there it waits up
-	// to wait for one. Errors: ErrTrimmed, others for a store that is away.
+	// to wait for one. Errors: store.ErrTrimmed, others for a store that is away.
 	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
 	// Snapshot returns the newest record of each key.
 	Snapshot(ctx context.Context) (Batch, error)
@@ -77,7 +75,7 @@
 		asked := f.opts.Clock()
 		complete, err := f.step(ctx)
 		switch {
-		case errors.Is(err, ErrTrimmed):
+		case errors.Is(err, store.ErrTrimmed):
 			f.log.Info("store-trimmed", "stream", f.opts.Name, "from", f.next)
 			f.next = -1
 			continue
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 		newEntryCommand(),
 		newSideCommand(),
 		newGatewayCommand(),
+		newRebalancerCommand(),
 		newPolicyCommand(o),
 		newConfigCommand(o),
 		newDrainCommand(o),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -12,11 +12,11 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/backing"
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/internal/cli"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
-	"marjorampitch/backing/backingtest"
 	"marjorampitch/wire"
 )
 
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
@@ -21,7 +22,6 @@
 	_ "marjorampitch/placement/packed"     // registers "packed"
 	_ "marjorampitch/placement/speedblind" // registers "speedblind"
 	_ "marjorampitch/placement/static"     // registers "static"
-	"marjorampitch/backing"
 	"marjorampitch/route"
 	_ "marjorampitch/route/policies" // registers the routing policies
 )
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -11,11 +11,11 @@
 	"github.com/spf13/cobra"
 
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/config/inforce"
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 )
 
 // statusEvery is the pause between two looks at the processes with --wait.
--- /dev/null
+++ b/placement/spread/spread_test.go
@@ -0,0 +1,143 @@
+package spread
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/wire"
+)
+
+// zipf returns loads in which a few experts, drawn at random, are in demand.
+func zipf(s Shape, exponent float64, rnd *rand.Rand) Loads {
+	loads := make(Loads, s.Sets)
+	for set := range loads {
+		loads[set] = make([]float64, s.Experts)
+		sum := 0.0
+		for i, e := range rnd.Perm(s.Experts) {
+			x := 0.7*math.Pow(float64(i+1), -exponent) + 0.3/float64(s.Experts)
+			loads[set][e] = x
+			sum += x
+		}
+		for e := range loads[set] {
+			loads[set][e] /= sum
+		}
+	}
+	return loads
+}
+
+var shapes = map[string]struct {
+	shape    Shape
+	exponent float64
+	limits   Limits
+}{
+	"few sets, many places": {Shape{3, 96, 12, 11}, 1.3, Limits{Copies: 1, Spare: 4, MinGain: 0.01}},
+	"many sets, few places": {Shape{16, 96, 24, 5}, 0.92, Limits{Copies: 4, Spare: 2, MinGain: 0.001}},
+}
+
+// One copy at each rank is enough to take more than half of the excess load
+// off the most loaded rank.
+func TestFewCopiesTakeMostOfTheExcess(t *testing.T) {
+	for name, c := range shapes {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			var replicas []wire.Replica
+			for range 20 {
+				loads := zipf(c.shape, c.exponent, rnd)
+				sets := float64(c.shape.Sets)
+				before := Cost(c.shape, loads, replicas)
+				var after float64
+				replicas, after = Improve(c.shape, loads, replicas, c.limits)
+				require.Less(t, after-sets, (before-sets)/2)
+				require.InDelta(t, Cost(c.shape, loads, replicas), after, 1e-9)
+			}
+		})
+	}
+}
+
+// A plan keeps to the places, the spare room and the copies of each rank, and
+// holds no expert twice at a rank.
+func TestPlansKeepToTheLimits(t *testing.T) {
+	for name, c := range shapes {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(3, 4))
+			var replicas []wire.Replica
+			for range 30 {
+				old := map[wire.Replica]bool{}
+				for _, r := range replicas {
+					old[r] = true
+				}
+				replicas, _ = Improve(c.shape, zipf(c.shape, c.exponent, rnd), replicas, c.limits)
+				fresh := make([]int, c.shape.Ranks)
+				for _, r := range replicas {
+					if !old[r] {
+						fresh[r.Rank]++
+					}
+				}
+				for _, n := range fresh {
+					require.LessOrEqual(t, n, c.limits.Copies)
+				}
+				for _, ranks := range c.shape.Lists(replicas) {
+					for _, experts := range ranks {
+						require.LessOrEqual(t, len(experts), c.shape.Places)
+						require.Len(t, unique(experts), len(experts))
+					}
+				}
+			}
+		})
+	}
+}
+
+func unique(list []int) map[int]bool {
+	m := map[int]bool{}
+	for _, x := range list {
+		m[x] = true
+	}
+	return m
+}
+
+// A shift of demand is seen in the first round of counts after it, and counts
+// of the same demand are no shift.
+func TestShiftsAreSeenAtOnce(t *testing.T) {
+	s := Shape{3, 96, 12, 11}
+	rnd := rand.New(rand.NewPCG(5, 6))
+	d := NewDemand(s)
+	for range 10 {
+		loads := zipf(s, 1.3, rnd)
+		for round := range 5 {
+			d.Add(draw(loads, 800, rnd))
+			require.Equal(t, round == 0 && d.counts[0][0] > 0, d.Fold())
+		}
+		got, ok := d.Loads()
+		require.True(t, ok)
+		require.Equal(t, argMax(loads[0]), argMax(got[0]))
+	}
+}
+
+// draw counts n choices a set.
+func draw(loads Loads, n int, rnd *rand.Rand) []wire.Demand {
+	sets := make([]wire.Demand, len(loads))
+	for set, row := range loads {
+		counts := make([]uint32, len(row))
+		for range n {
+			x := rnd.Float64()
+			for e, p := range row {
+				if x -= p; x < 0 {
+					counts[e]++
+					break
+				}
+			}
+		}
+		for e, c := range counts {
+			if c > 9 {
+				sets[set].Experts = append(sets[set].Experts, uint16(e))
+				sets[set].Counts = append(sets[set].Counts, c)
+			} else {
+				sets[set].Others += c
+			}
+		}
+	}
+	return sets
+}
--- /dev/null
+++ b/rebalance/count.go
@@ -0,0 +1,94 @@
+package rebalance
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"marjorampitch/placement/spread"
+	"marjorampitch/wire"
+)
+
+// counter turns the engine's counts since its start into counts of single
+// passes.
+type counter struct {
+	epoch, step int64
+	last        []int64
+}
+
+// since returns what was counted since the last call; nil where that is not
+// known, as after a restart of the engine.
+func (c *counter) since(epoch, step int64, counts []int64) []int64 {
+	last := c.last
+	again := c.epoch != epoch || len(last) != len(counts)
+	c.epoch, c.step, c.last = epoch, step, counts
+	if again {
+		return nil
+	}
+	diff := make([]int64, len(counts))
+	for i := range counts {
+		diff[i] = counts[i] - last[i]
+		if diff[i] < 0 {
+			return nil
+		}
+	}
+	return diff
+}
+
+// count tells the coordinator which experts were chosen in a new pass.
+func (p *Process) count(ctx context.Context) {
+	if p.leader == nil && p.coord == nil {
+		return
+	}
+	step, epoch, counts, err := p.opts.Engine.Chosen(ctx)
+	if err != nil || epoch == p.counts.epoch && step == p.counts.step {
+		return // nothing new; an engine that is gone shows in its reports
+	}
+	diff := p.counts.since(epoch, step, counts)
+	shape, ok := p.mapShape()
+	if diff == nil || !ok || len(diff) != shape.Sets*shape.Experts {
+		return
+	}
+	sets := summarise(shape.Shape, diff)
+	if p.coord != nil {
+		p.learn(shape.Shape, sets)
+		return
+	}
+	r := p.rank.Report()
+	r.Demand = sets
+	p.send(&r)
+}
+
+// summarise names the most chosen experts of each set.
+func summarise(s spread.Shape, counts []int64) []wire.Demand {
+	sets := make([]wire.Demand, s.Sets)
+	order := make([]uint16, s.Experts)
+	for set := range sets {
+		row := counts[set*s.Experts : (set+1)*s.Experts]
+		for e := range order {
+			order[e] = uint16(e)
+		}
+		slices.SortFunc(order, func(a, b uint16) int { return cmp.Compare(row[b], row[a]) })
+		for i, e := range order {
+			n := uint32(row[e])
+			if i < topExperts && n > 0 {
+				sets[set].Experts = append(sets[set].Experts, e)
+				sets[set].Counts = append(sets[set].Counts, n)
+			} else {
+				sets[set].Others += n
+			}
+		}
+	}
+	return sets
+}
+
+// learn adds one rank's counts to the estimate.
+func (p *Process) learn(shape spread.Shape, sets []wire.Demand) {
+	if p.demand == nil || p.shape != shape {
+		p.demand, p.shape = spread.NewDemand(shape), shape
+	}
+	p.demand.Add(sets)
+}
+
+func durationOf(n int) time.Duration { return time.Duration(n) }
--- /dev/null
+++ b/rebalance/lead.go
@@ -0,0 +1,245 @@
+package rebalance
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/placement/spread"
+	"marjorampitch/remap"
+	"marjorampitch/store"
+	"marjorampitch/wire"
+)
+
+// claimTopic begins the name of the log of a group's coordinators. The offset
+// of a claim is its term.
+const claimTopic = "coordinators."
+
+// handle takes a datagram: a goal of a coordinator, or a report of a rank.
+func (p *Process) handle(ctx context.Context, d datagram) {
+	if len(d.data) == 0 {
+		return
+	}
+	body := d.data[1:]
+	switch d.data[0] {
+	case kindGoal:
+		var g wire.MapGoal
+		if _, err := g.UnmarshalMsg(body); err != nil {
+			p.opts.Log.Warn("datagram-refused", "from", d.from, "err", err)
+			return
+		}
+		p.goal(ctx, g, d.from)
+	case kindReport:
+		var r wire.RankReport
+		if _, err := r.UnmarshalMsg(body); err != nil {
+			p.opts.Log.Warn("datagram-refused", "from", d.from, "err", err)
+			return
+		}
+		p.report(ctx, r)
+	}
+}
+
+// Kinds of datagrams: the first byte.
+const (
+	kindGoal   = 1
+	kindReport = 2
+)
+
+// goal obeys a coordinator in office.
+func (p *Process) goal(ctx context.Context, g wire.MapGoal, from *net.UDPAddr) {
+	e, ok := p.rank.Engine()
+	if !ok || g.Group != e.Group {
+		return
+	}
+	before := p.rank.Term()
+	fresh := g.Term > before || g.Seq > p.rank.Seq()
+	if !p.rank.Goal(g) {
+		return
+	}
+	p.heard, p.leader = p.now(), from
+	if p.coord != nil && g.Term > p.coord.Term() {
+		p.opts.Log.Info("coordinator-superseded", "term", p.coord.Term(), "by", g.Term)
+		p.coord = nil
+	}
+	if fresh && p.observe(ctx) {
+		p.drive(ctx)
+	}
+}
+
+// report takes a rank's word as the coordinator.
+func (p *Process) report(ctx context.Context, r wire.RankReport) {
+	if p.coord == nil {
+		return
+	}
+	p.coord.Heard(r, p.now())
+	if shape, ok := p.mapShape(); ok && len(r.Demand) == shape.Sets {
+		p.learn(shape.Shape, r.Demand)
+	}
+	if p.coord.Phase() != remap.Idle && p.coord.Phase() != remap.Preparing || len(r.Demand) == 0 {
+		p.drive(ctx)
+	}
+}
+
+// lead folds the estimate of demand and proposes a better map.
+func (p *Process) lead(shape Shape) {
+	now := p.now()
+	if p.demand == nil || now-p.folded < foldEvery {
+		return
+	}
+	p.folded = now
+	shifted := p.demand.Fold()
+	loads, ok := p.demand.Loads()
+	current, known := p.coord.Current()
+	if !ok || !known || !p.coord.Ready(now) {
+		return
+	}
+	copies := 1
+	if shape.Copy > 0 {
+		copies = max(1, int(copyTime/shape.Copy))
+	}
+	limits := spread.Limits{Copies: copies, Spare: shape.Spare, MinGain: copyGain}
+	before := spread.Cost(shape.Shape, loads, current)
+	plan, after := spread.Improve(shape.Shape, loads, current, limits)
+	if after > before*(1-planGain) {
+		return
+	}
+	p.opts.Log.Info("map-proposed", "cost_now", before, "cost_planned", after, "replicas", len(plan), "shifted", shifted)
+	p.coord.Propose(plan, now)
+}
+
+// spreadGoal tells all ranks what the coordinator wants.
+func (p *Process) spreadGoal() {
+	if p.coord == nil {
+		return
+	}
+	g := p.coord.Goal()
+	now := p.now()
+	if phase := p.coord.Phase(); phase != p.phase {
+		p.phase = phase
+		p.opts.Log.Info("coordinator", "phase", phase, "term", g.Term, "seq", g.Seq, "version", g.Version, "step", g.Step,
+			"switched", p.coord.Switched, "abandoned", p.coord.Abandoned)
+	}
+	every := goalEvery
+	if p.coord.Phase() != remap.Idle {
+		every = goalAgain
+	}
+	if g.Seq == p.goalSeq && now-p.goalAt < every {
+		return
+	}
+	p.goalSeq, p.goalAt, p.heard = g.Seq, now, now
+	data, err := g.MarshalMsg([]byte{kindGoal})
+	if err != nil {
+		p.opts.Log.Error("goal-not-encoded", "err", err)
+		return
+	}
+	e, _ := p.rank.Engine()
+	for name, entry := range p.opts.Directory.Entries() {
+		if entry.Group == e.Group && name != p.opts.Instance {
+			p.sendTo(data, entry.Address)
+		}
+	}
+	if p.rank.Goal(g) {
+		p.coord.Heard(p.rank.Report(), now)
+	}
+}
+
+// tell reports the own rank to the coordinator when something changed.
+func (p *Process) tell() {
+	r := p.rank.Report()
+	if p.coord != nil {
+		p.coord.Heard(r, p.now())
+		return
+	}
+	quiet := r
+	quiet.Step, quiet.Running = p.told.Step, p.told.Running
+	quiet.Demand, p.told.Demand = nil, nil
+	if same(quiet, p.told) && p.now()-p.toldAt < reportAt {
+		return
+	}
+	p.send(&r)
+}
+
+// same compares two reports without demand.
+func same(a, b wire.RankReport) bool {
+	a.Demand, b.Demand = nil, nil
+	return a.Group == b.Group && a.Rank == b.Rank && a.Term == b.Term && a.Seq == b.Seq && a.Epoch == b.Epoch &&
+		a.Open == b.Open && a.Step == b.Step && a.Map == b.Map && a.Prepared == b.Prepared && a.Armed == b.Armed &&
+		a.ArmedAt == b.ArmedAt && a.Held == b.Held && a.Refused == b.Refused && a.Running == b.Running
+}
+
+// send sends a report to the coordinator.
+func (p *Process) send(r *wire.RankReport) {
+	if p.leader == nil {
+		return
+	}
+	data, err := r.MarshalMsg([]byte{kindReport})
+	if err != nil {
+		p.opts.Log.Error("report-not-encoded", "err", err)
+		return
+	}
+	p.told, p.toldAt = *r, p.now()
+	p.told.Demand = nil
+	p.conn.WriteToUDP(data, p.leader) //nolint:errcheck // sent again at the next change or after reportAt
+}
+
+func (p *Process) sendTo(data []byte, address string) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return // an entry that cannot be read was logged by the directory
+	}
+	p.conn.WriteToUDP(data, addr) //nolint:errcheck // goals are sent again
+}
+
+// seekOffice claims the group when no coordinator has been heard of.
+func (p *Process) seekOffice(ctx context.Context) {
+	e, ok := p.rank.Engine()
+	if !ok || !e.Open || e.Size < 2 || p.coord != nil || p.claiming {
+		return
+	}
+	if p.now()-p.heard < patience+rankPatience*durationOf(e.Rank) {
+		return
+	}
+	p.claiming = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		term, err := claimOffice(ctx, p.opts.Store, claimTopic+e.Group, []byte(p.opts.Instance))
+		p.claimed <- claim{term, err}
+	}()
+}
+
+// claimOffice appends a claim at the end of the group's log; its offset is the
+// term. When another claim comes first, that one is given its chance.
+func claimOffice(ctx context.Context, s store.Log, topic string, name []byte) (int64, error) {
+	end, err := s.AppendAt(ctx, topic, 0, name)
+	if errors.Is(err, store.ErrMoved) {
+		_, err = s.AppendAt(ctx, topic, end, name)
+	} else {
+		end = 0
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "claim")
+	}
+	return end, nil
+}
+
+// elected takes the outcome of a claim.
+func (p *Process) elected(c claim) {
+	p.claiming = false
+	p.heard = p.now()
+	if c.err != nil {
+		p.opts.Log.Warn("claim-failed", "err", c.err)
+		return
+	}
+	e, ok := p.rank.Engine()
+	if !ok || c.term <= p.rank.Term() {
+		return
+	}
+	p.opts.Log.Info("coordinator-elected", "group", e.Group, "term", c.term)
+	p.coord = remap.NewCoordinator(c.term, e, p.now())
+	p.phase = remap.Sealing
+	p.goalSeq = 0
+	p.demand = nil
+}
--- /dev/null
+++ b/rebalance/process.go
@@ -0,0 +1,278 @@
+// Package rebalance keeps the expert map of a group in step with demand. One
+// process runs beside each rank: it counts which experts the rank's requests
+// choose, drives the rank's engine, and leads the group's switches when it is
+// the coordinator. Package remap decides how a map is put in force, package
+// placement/spread which one; this package is the loop around them.
+package rebalance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"marjorampitch/directory"
+	"marjorampitch/placement/spread"
+	"marjorampitch/remap"
+	"marjorampitch/store"
+	"marjorampitch/wire"
+)
+
+// Timing of a process.
+const (
+	activePoll = 15 * time.Millisecond  // between looks at the engine during a switch
+	restPoll   = 40 * time.Millisecond  // between counts, shorter than a pass
+	reportPoll = 250 * time.Millisecond // between reports of the engine at rest
+	goalEvery  = 250 * time.Millisecond // between a coordinator's goals at rest
+	goalAgain  = 25 * time.Millisecond  // during a switch
+	reportAt   = 300 * time.Millisecond // between a rank's reports when nothing changes
+	foldEvery  = 60 * time.Millisecond  // between estimates of demand
+	// patience is the time without a word of a coordinator after which a
+	// process claims its place; rankPatience is added for each rank, so that
+	// they do so one after the other.
+	patience     = 900 * time.Millisecond
+	rankPatience = 40 * time.Millisecond
+	claimTimeout = time.Second
+	maxDatagram  = 60 << 10
+	// copyTime is the time that the copies of one plan may take at a rank:
+	// demand shifts every few seconds.
+	copyTime = 450 * time.Millisecond
+	// topExperts is the number of experts of a set that a report names.
+	topExperts = 20
+	// planGain is the part of the cost by which a plan must be better.
+	planGain = 0.1
+	// copyGain is the part of the cost by which each copy must help.
+	copyGain = 0.006
+)
+
+// Engine is the engine of the own rank.
+type Engine interface {
+	Report(ctx context.Context) (remap.Engine, error)
+	Chosen(ctx context.Context) (step, epoch int64, counts []int64, err error)
+	Order(ctx context.Context, shape spread.Shape, o remap.Order) (remap.Result, error)
+}
+
+// Shape is what the document says of a service's maps; ok is false where it
+// says nothing.
+type Shape struct {
+	spread.Shape
+	Spare int
+	Copy  time.Duration // of one expert to a rank
+}
+
+// Options are what a Process is made of.
+type Options struct {
+	Instance  string
+	Address   string // host and port for datagrams
+	Engine    Engine
+	Store     store.Log
+	Directory *directory.Directory
+	Shape     func() (s Shape, ok bool)
+	Log       *log.Logger
+}
+
+// Process runs beside one rank. All state belongs to the goroutine of Run.
+type Process struct {
+	opts  Options
+	conn  *net.UDPConn
+	start time.Time
+
+	rank  *remap.Rank
+	coord *remap.Coordinator
+	phase remap.Phase // of coord when it was last logged
+
+	leader    *net.UDPAddr  // where reports go; nil for nobody
+	heard     time.Duration // last goal of a coordinator in office
+	claiming  bool
+	claimed   chan claim
+	announced bool
+
+	counts   counter
+	demand   *spread.Demand
+	shape    spread.Shape // of demand
+	folded   time.Duration
+	reported time.Duration // last report of the engine
+	told     wire.RankReport
+	toldAt   time.Duration
+	goalSeq  uint64
+	goalAt   time.Duration
+	lost     bool // the engine does not answer
+}
+
+type claim struct {
+	term int64
+	err  error
+}
+
+type datagram struct {
+	data []byte
+	from *net.UDPAddr
+}
+
+// New returns a process that is not running.
+func New(opts Options) *Process {
+	return &Process{opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1)}
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.start) }
+
+// Run works until ctx ends.
+func (p *Process) Run(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp4", p.opts.Address)
+	if err != nil {
+		return eris.Wrap(err, "rebalance")
+	}
+	p.conn, err = net.ListenUDP("udp4", addr)
+	if err != nil {
+		return eris.Wrap(err, "rebalance")
+	}
+	defer p.conn.Close()
+	in := make(chan datagram, 64)
+	go p.receive(in)
+	timer := time.NewTimer(restPoll)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-in:
+			p.handle(ctx, d)
+		case c := <-p.claimed:
+			p.elected(c)
+		case <-timer.C:
+			p.poll(ctx)
+			timer.Reset(p.pause())
+		}
+	}
+}
+
+// receive passes datagrams on until the connection is closed; those that find
+// the queue full are lost.
+func (p *Process) receive(in chan<- datagram) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := p.conn.ReadFromUDP(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		select {
+		case in <- datagram{append([]byte(nil), buf[:n]...), from}:
+		default:
+		}
+	}
+}
+
+// active reports whether a switch is underway.
+func (p *Process) active() bool {
+	if p.coord != nil && p.coord.Phase() != remap.Idle {
+		return true
+	}
+	return p.rank.Active()
+}
+
+func (p *Process) pause() time.Duration {
+	if p.active() {
+		return activePoll
+	}
+	return restPoll
+}
+
+// poll looks at the engine and goes on as far as possible.
+func (p *Process) poll(ctx context.Context) {
+	now := p.now()
+	if p.active() || now-p.reported >= reportPoll {
+		if !p.observe(ctx) {
+			return
+		}
+	}
+	p.count(ctx)
+	p.drive(ctx)
+	p.seekOffice(ctx)
+}
+
+// observe takes a report of the engine.
+func (p *Process) observe(ctx context.Context) bool {
+	e, err := p.opts.Engine.Report(ctx)
+	if err != nil {
+		if !p.lost {
+			p.opts.Log.Warn("engine-lost", "err", err)
+		}
+		p.lost = true
+		return false
+	}
+	if p.lost {
+		p.lost = false
+		p.opts.Log.Info("engine-regained", "group", e.Group, "rank", e.Rank, "epoch", e.Epoch)
+	}
+	if old, ok := p.rank.Engine(); !ok || old.Epoch != e.Epoch || old.Open != e.Open || old.Map != e.Map {
+		p.opts.Log.Info("rank-changed", "group", e.Group, "rank", e.Rank, "epoch", e.Epoch, "open", e.Open, "map", e.Map, "step", e.Step)
+	}
+	p.reported = p.now()
+	p.rank.Observe(e)
+	if p.coord != nil {
+		p.coord.Observe(e, p.now())
+	}
+	if !p.announced {
+		p.announced = true
+		go p.opts.Directory.Announce(ctx, p.opts.Instance, wire.Instance{
+			Role: "rank", Address: p.opts.Address, Group: e.Group, Rank: e.Rank,
+		})
+	}
+	return true
+}
+
+// drive gives the engine what orders are due, and tells others.
+func (p *Process) drive(ctx context.Context) {
+	shape, ok := p.mapShape()
+	if !ok {
+		return
+	}
+	for range maxOrders {
+		o, due := p.rank.Next(p.now())
+		if due {
+			p.rank.Done(o, p.order(ctx, shape.Shape, o))
+		} else if p.coord != nil {
+			p.lead(shape)
+			o, due = p.coord.Next(p.now())
+			if due {
+				p.order(ctx, shape.Shape, o)
+			}
+		}
+		if !due || !p.observe(ctx) {
+			break
+		}
+	}
+	p.tell()
+	p.spreadGoal()
+}
+
+// maxOrders bounds the orders of one round, so that datagrams are not left
+// waiting.
+const maxOrders = 4
+
+// order gives the engine one order.
+func (p *Process) order(ctx context.Context, shape spread.Shape, o remap.Order) remap.Result {
+	result, err := p.opts.Engine.Order(ctx, shape, o)
+	fields := []any{"order", o.Kind, "epoch", o.Epoch, "version", o.Version, "step", o.Step, "replicas", len(o.Replicas), "result", int(result)}
+	if err != nil {
+		p.opts.Log.Warn("order-failed", append(fields, "err", err)...)
+	} else {
+		p.opts.Log.Info("order", fields...)
+	}
+	return result
+}
+
+// mapShape is the shape of the group's maps; ok is false until document and
+// engine have told it.
+func (p *Process) mapShape() (Shape, bool) {
+	s, ok := p.opts.Shape()
+	e, known := p.rank.Engine()
+	s.Ranks = e.Size
+	return s, ok && known && s.Valid()
+}
--- a/remap/rank.go
+++ b/remap/rank.go
@@ -128,3 +128,9 @@
 		Refused: r.refuse, Running: e.Running,
 	}
 }
+
+// Seq is the number of the last goal, within its term.
+func (r *Rank) Seq() uint64 { return r.goal.Seq }
+
+// Active reports whether a coordinator wants something of the rank.
+func (r *Rank) Active() bool { return r.goal.Term != None && Stage(r.goal.Stage) != Rest }
