Gateway: a stopping process closes no idle connection and refuses what comes after the notice

Ruled out: the store's outage (another machine). Now the listener closes after the notice and kept connections get 503 with Connection: close.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -67,6 +67,9 @@
 			c.lastID = id
 		}
 	}
+	if g.leaving.Load() {
+		return c, api.NewError(api.Leaving, "")
+	}
 	c.service = g.service(pickShare(c.route.Split))
 	return c, nil
 }
@@ -167,6 +170,13 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !g.underway.begin() {
+		panic(http.ErrAbortHandler) // the process ends; the request has not run
+	}
+	defer g.underway.end()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	c, refusal := g.accept(w, r)
 	if refusal != nil {
 		g.refuse(c, refusal)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -326,6 +326,9 @@
 	for _, name := range hopHeaders {
 		h.Del(name)
 	}
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
 }
 
 // isStream reports whether an answer is a stream of events.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -36,6 +35,7 @@
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is left of the grace time when the process ends by itself.
 	stopMargin = 500 * time.Millisecond
+	stopPoll   = 20 * time.Millisecond // between looks at what is underway
 	// assumedInstances stands in for the number of instances that share a limit
 	// while it is not known.
 	assumedInstances = 8
@@ -59,7 +59,9 @@
 	pool     *backend.Pool
 	start    time.Time
 	metrics  *metrics
-	stopping atomic.Bool
+	stopping atomic.Bool // not ready, serves on
+	leaving  atomic.Bool // refuses further requests
+	underway underway
 
 	mu       sync.Mutex // guards services; no other lock is taken under it
 	services map[string]*service
@@ -146,7 +148,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return g.stop(srv)
+			return g.stop(srv, ln)
 		case err := <-failed:
 			return eris.Wrap(err, "serve")
 		case <-tick.C:
@@ -192,23 +194,31 @@
 }
 
 // stop lets the platform see that the instance is not ready, serves what still
-// arrives, and ends when nothing is underway or the grace time is nearly over.
-func (g *Gateway) stop(srv *http.Server) error {
+// arrives meanwhile, and ends when nothing is underway or the grace time is
+// nearly over. Callers are told to close their connections with their next
+// answer. Idle connections are not closed before the end, as a request may
+// just arrive; one that comes after the notice is refused, so that what runs
+// can end in time.
+func (g *Gateway) stop(srv *http.Server, ln net.Listener) error {
 	g.stopping.Store(true)
+	g.opts.Log.Info("stopping")
+	began := g.now()
 	grace := g.opts.Settings.Bounds.Grace - stopMargin
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace, 0))
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-time.After(noticeTime):
-	}
-	srv.SetKeepAlivesEnabled(false)
-	err := srv.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		g.opts.Log.Warn("stopped-with-requests-underway")
-		return srv.Close()
+	for {
+		time.Sleep(stopPoll)
+		since := g.now() - began
+		if since >= noticeTime && !g.leaving.Swap(true) {
+			ln.Close()
+		}
+		if since >= noticeTime && g.underway.close(false) {
+			return srv.Close()
+		}
+		if since >= grace {
+			g.underway.close(true)
+			g.opts.Log.Warn("stopped-with-requests-underway")
+			return srv.Close()
+		}
 	}
-	return err
 }
 
 // idleConns knows the callers' connections on which nothing is underway.
