--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/directory"
 	"marjorampitch/fleet"
 	"marjorampitch/gateway"
 	"marjorampitch/internal/clock"
@@ -82,9 +83,12 @@
 	go operator.Run(background)
 	go servers.Run(background)
 
+	dir := directory.New(store, logger)
+	go dir.Run(background)
+
 	registry := telemetry.NewRegistry()
 	g := gateway.New(gateway.Options{
-		Settings: st.Gateway, Names: platform.Names, Belief: belief, Proof: operator.Proof, Log: logger, Registry: registry,
+		Settings: st.Gateway, Names: platform.Names, Belief: belief, Proof: operator.Proof, Log: logger, Registry: registry, Directory: dir,
 	})
 	if err := serveHTTP(background, st.Gateway.ReadyAddr, readyHandler(g.Ready)); err != nil {
 		return err
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -54,13 +54,14 @@
 	go dir.Run(ctx)
 	logger.Info("started", "engine", st.App, "store", st.Store)
 	return rebalance.New(rebalance.Options{
-		Instance:  st.Gateway.Instance,
-		Address:   net.JoinHostPort(st.Gateway.Address, strconv.Itoa(st.Gateway.PeerPort)),
-		Engine:    platform.NewEngine(st.App),
-		Store:     s,
-		Directory: dir,
-		Shape:     func() (rebalance.Shape, bool) { return mapShape(belief.View(), st.Service) },
-		Log:       logger,
+		Instance:      st.Gateway.Instance,
+		Address:       net.JoinHostPort(st.Gateway.Address, strconv.Itoa(st.Gateway.PeerPort)),
+		Engine:        platform.NewEngine(st.App),
+		EngineAddress: st.App,
+		Store:         s,
+		Directory:     dir,
+		Shape:         func() (rebalance.Shape, bool) { return mapShape(belief.View(), st.Service) },
+		Log:           logger,
 	}).Run(ctx)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/fleet"
+	"marjorampitch/pace"
 )
 
 // call is one request of a caller.
@@ -27,6 +28,7 @@
 	deadline time.Duration // on the gateway's clock: final answer due
 	offered  time.Duration // the caller's own deadline, from its arrival
 	returns  bool          // the caller has asked before
+	ticket   *pace.Ticket  // its place among the streams; nil for other requests
 
 	tried    []string // servers that were sent the request, or could not be reached
 	attempts int      // times that it was sent
@@ -35,6 +37,14 @@
 	lastID   int64    // of the last event delivered, or that the caller asked to go on after; -1 for none
 }
 
+// group is the rank group that the request was admitted to; empty for none.
+func (c *call) group() string {
+	if c.ticket == nil {
+		return ""
+	}
+	return c.ticket.Group
+}
+
 // Errors of reading a request.
 var errBody = errors.New("gateway: body cut off")
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -45,7 +45,8 @@
 	t := &pace.Ticket{Objective: c.route.Target, Returns: c.returns}
 	ready := make(chan struct{})
 	s.mu.Lock()
-	gate.Window().SetObjective(c.route.TargetGap)
+	s.objective = c.route.TargetGap
+	gate.SetObjective(c.route.TargetGap)
 	admitted := gate.Arrive(g.now(), t)
 	switch {
 	case !admitted:
@@ -56,7 +57,8 @@
 	}
 	waits := !t.Admitted()
 	s.mu.Unlock()
-	release = func() { s.leave(g.now()) }
+	c.ticket = t
+	release = func() { s.leave(g.now(), t) }
 	if !waits {
 		return release, nil
 	}
@@ -88,7 +90,7 @@
 		}
 		// Servers may have left since the request came.
 		members := g.opts.Belief.View().Services[c.service.name]
-		m := c.service.pick(members, c.tried, g.now(), g.coldLimit(c))
+		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldLimit(c))
 		if m == nil {
 			break
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/backend"
+	"marjorampitch/directory"
 	"marjorampitch/fleet"
 	"marjorampitch/internal/clock"
 	"marjorampitch/internal/sockopt"
@@ -51,6 +52,8 @@
 	Proof    func() (at time.Duration, ok bool)
 	Log      *log.Logger
 	Registry prometheus.Registerer
+	// Directory names the other instances. Nil stands for none.
+	Directory *directory.Directory
 }
 
 // Gateway forwards requests. It implements http.Handler.
@@ -59,6 +62,7 @@
 	pool     *backend.Pool
 	start    time.Time
 	metrics  *metrics
+	peers    *peers
 	stopping atomic.Bool // not ready, serves on
 	leaving  atomic.Bool // refuses further requests
 	underway underway
@@ -77,6 +81,7 @@
 		services: make(map[string]*service),
 		metrics:  newMetrics(opts.Registry),
 	}
+	g.peers = newPeers(g)
 	g.pool = backend.NewPool(g.now)
 	g.pool.Opened = g.metrics.opened.Inc
 	return g
@@ -117,20 +122,38 @@
 	return s
 }
 
+// all returns the services that have been asked for.
+func (g *Gateway) all() []*service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		list = append(list, s)
+	}
+	return list
+}
+
 // gate returns the service's gate, made at the first stream.
 func (g *Gateway) gate(s *service, view *fleet.View, r *fleet.Route) *pace.Gate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.gate == nil {
-		initial := 1.0
-		if svc := view.Document.Services[s.name]; svc != nil && svc.Engine != nil {
-			initial = initialWindow(svc.Engine, r.TargetGap, len(view.Services[s.name]), assumedInstances)
-		}
-		s.gate = pace.NewGate(pace.NewWindow(r.TargetGap, initial), rand.New(rand.NewPCG(rand.Uint64(), 0)))
+		s.gate = pace.NewGate(rand.New(rand.NewPCG(rand.Uint64(), 0)))
+		s.objective = r.TargetGap
+		g.regroup(s, view)
 	}
 	return s.gate
 }
 
+// regroup follows the groups of a paced service. Callers hold the service's mu.
+func (g *Gateway) regroup(s *service, view *fleet.View) {
+	var engine *fleet.Engine
+	if svc := view.Document.Services[s.name]; svc != nil {
+		engine = svc.Engine
+	}
+	s.regroup(view.Services[s.name], g.peers.engineGroups(), engine, s.objective)
+}
+
 // Run serves until ctx ends, and then stops gracefully within the grace time.
 func (g *Gateway) Run(ctx context.Context) error {
 	st := g.opts.Settings
@@ -139,6 +162,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	if err := g.peers.run(ctx); err != nil {
+		return err
+	}
 	idle := newIdleConns()
 	srv := &http.Server{Handler: g, ConnState: idle.changed, ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 1)
@@ -161,14 +187,13 @@
 func (g *Gateway) sweep(idle *idleConns) {
 	view := g.opts.Belief.View()
 	g.pool.Sweep()
-	g.mu.Lock()
-	list := make([]*service, 0, len(g.services))
-	for _, s := range g.services {
-		list = append(list, s)
-	}
-	g.mu.Unlock()
-	for _, s := range list {
+	for _, s := range g.all() {
 		s.forget(view)
+		s.mu.Lock()
+		if s.gate != nil {
+			g.regroup(s, view)
+		}
+		s.mu.Unlock()
 		g.logGate(s)
 	}
 	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
@@ -179,18 +204,19 @@
 // logGate tells how a service's streams are paced.
 func (g *Gateway) logGate(s *service) {
 	s.mu.Lock()
-	gate := s.gate
-	if gate == nil {
-		s.mu.Unlock()
-		return
+	var list []pace.Status
+	if s.gate != nil {
+		list = s.gate.Status(g.now())
 	}
-	running, waiting, limit, gap, first := gate.Running(), gate.Waiting(), gate.Window().Limit(), gate.Window().Gap(), gate.First()
 	s.mu.Unlock()
-	if running == 0 && waiting == 0 {
-		return
+	for _, x := range list {
+		if x.All == 0 && x.Waiting == 0 {
+			continue
+		}
+		g.opts.Log.Info("gate", "service", s.name, "group", x.Group, "running", x.Own, "running_all", x.All,
+			"limit", int(x.Limit), "share", int(x.Share), "waiting", x.Waiting, "gap_ms", x.Gap.Milliseconds(),
+			"first_ms", x.First.Milliseconds(), "peers", x.Peers, "rate", int(x.Rate))
 	}
-	g.opts.Log.Info("gate", "service", s.name, "running", running, "waiting", waiting, "limit", limit,
-		"gap_ms", gap.Milliseconds(), "first_ms", first.Milliseconds())
 }
 
 // stop lets the platform see that the instance is not ready, serves what still
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -44,14 +44,16 @@
 	name string
 	log  *log.Logger
 
-	mu       sync.Mutex
-	picker   route.Picker
-	servers  map[serverKey]*server
-	budget   *admit.RetryBudget
-	gate     *pace.Gate // nil for a plain service
-	waiters  map[*pace.Ticket]chan struct{}
-	progress time.Duration // when any stream of the service last had an event
-	stalled  time.Duration // group known to stand still: no request before; 0 when it runs
+	mu        sync.Mutex
+	picker    route.Picker
+	servers   map[serverKey]*server
+	budget    *admit.RetryBudget
+	gate      *pace.Gate        // nil for a plain service
+	groupOf   map[string]string // group of each server, by its id
+	objective time.Duration     // longest pause of the streams' route
+	waiters   map[*pace.Ticket]chan struct{}
+	progress  time.Duration // when any stream of the service last had an event
+	stalled   time.Duration // group known to stand still: no request before; 0 when it runs
 }
 
 func newService(name string, budget *admit.RetryBudget, logger *log.Logger) *service {
@@ -69,28 +71,66 @@
 	}
 }
 
-// initialWindow is the number of streams at which the engine's cost model
-// meets the objective with the skew that is assumed, shared among instances.
-func initialWindow(e *fleet.Engine, objective time.Duration, servers, instances int) float64 {
+// basePause is the pause between events of an engine that has little to do.
+func basePause(e *fleet.Engine) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return time.Duration(e.Stride) * e.Step
+}
+
+// initialStreams is the number of streams at which the engines' cost model
+// meets the objective with the skew that is assumed.
+func initialStreams(e *fleet.Engine, objective time.Duration, servers int) float64 {
+	if e == nil || e.PerSequence <= 0 {
+		return float64(servers)
+	}
 	skew := 1.0
 	if e.Experts != nil {
 		skew = 1 - e.Experts.Share + e.Experts.Share*skewGuess
 	}
 	room := objective/2/time.Duration(e.Stride) - e.Step
-	if room <= 0 || e.PerSequence <= 0 {
-		return 1
+	return float64(max(room, 0)) / float64(e.PerSequence) / skew * float64(servers)
+}
+
+// ungrouped is the group of servers of which no group is known.
+const ungrouped = "all"
+
+// regroup makes the gate know the groups of a service's servers. groups holds
+// the group of each engine by its address. Callers hold mu.
+func (s *service) regroup(members []*fleet.Member, groups map[string]string, e *fleet.Engine, objective time.Duration) {
+	known := ungrouped
+	for _, m := range members {
+		if g := groups[m.Address]; g != "" && (known == ungrouped || g < known) {
+			known = g
+		}
+	}
+	s.groupOf = make(map[string]string, len(members))
+	sizes := make(map[string]int)
+	for _, m := range members {
+		g := groups[m.Address]
+		if g == "" {
+			g = known // its entry is missing yet: it belongs to one of them
+		}
+		s.groupOf[m.ID] = g
+		sizes[g]++
+	}
+	names := make([]string, 0, len(sizes))
+	for name := range sizes {
+		names = append(names, name)
 	}
-	perServer := float64(room) / float64(e.PerSequence) / skew
-	return perServer * float64(servers) / float64(max(instances, 1))
+	s.gate.SetGroups(names, func(name string) *pace.Capacity {
+		return pace.NewCapacity(objective, basePause(e), initialStreams(e, objective, sizes[name]))
+	})
 }
 
 // candidates lists the servers for a pick. Callers hold mu.
-func (s *service) candidates(members []*fleet.Member, tried []string, now time.Duration, coldLimit float64) []route.Candidate {
+func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) []route.Candidate {
 	list := make([]route.Candidate, 0, len(members))
 	for _, m := range members {
 		st := s.server(m)
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, Own: st.own}
-		c.Excluded = !st.health.usable(now) || contains(tried, m.ID)
+		c.Excluded = !st.health.usable(now) || contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if now < m.ColdUntil {
 			c.Cold = true
 			c.Excluded = c.Excluded || coldLimit > 0 && st.sentWithin(now) >= coldLimit
@@ -136,11 +176,11 @@
 }
 
 // pick chooses a server for one attempt and counts it there; nil when none is
-// usable.
-func (s *service) pick(members []*fleet.Member, tried []string, now time.Duration, coldLimit float64) *fleet.Member {
+// usable. group restricts the choice, unless it is empty.
+func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) *fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, tried, now, coldLimit))
+	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit))
 	if !ok {
 		return nil
 	}
@@ -210,13 +250,13 @@
 	}
 }
 
-// event takes a pause between two events of a stream.
-func (s *service) event(now, gap time.Duration) {
+// event takes a pause between two events of a stream in a group.
+func (s *service) event(now time.Duration, group string, gap time.Duration) {
 	s.mu.Lock()
 	s.progress = now
 	s.stalled = 0
 	if s.gate != nil {
-		s.wake(s.gate.Event(now, gap))
+		s.wake(s.gate.Event(now, group, gap))
 	}
 	s.mu.Unlock()
 }
@@ -233,9 +273,9 @@
 }
 
 // leave ends an admitted stream.
-func (s *service) leave(now time.Duration) {
+func (s *service) leave(now time.Duration, t *pace.Ticket) {
 	s.mu.Lock()
-	s.wake(s.gate.Leave(now))
+	s.wake(s.gate.Leave(now, t))
 	s.mu.Unlock()
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,5 +112,5 @@
 		return
 	}
 	g.metrics.between.Observe((now - previous).Seconds())
-	c.service.event(now, now-previous)
+	c.service.event(now, c.group(), now-previous)
 }
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -21,7 +21,7 @@
 	// on time go first, and it takes the places that they leave.
 	returnShare = 0.125
 	// waitingShare is the number of requests that may wait for each one that
-	// runs: about as many end within the longest wait.
+	// may run: about as many end within the longest wait.
 	waitingShare = 0.25
 	// firstWeight is the weight of one more time to the first event in the mean.
 	firstWeight = 0.1
@@ -30,13 +30,23 @@
 	// of it at most.
 	minReturn = 0.2
 	maxReturn = 0.32
+	// freeShare is the part of a group's capacity that any instance may use;
+	// what is beyond is divided by demand.
+	freeShare = 0.9
+	// peerLimit is the age at which a peer's word counts no more.
+	peerLimit = time.Second
+	// rateTime is the time over which arrivals are averaged.
+	rateTime = 2 * time.Second
+	// rateFloor is the demand, in requests a second, that every instance is
+	// taken to have, so that none is left without a share.
+	rateFloor = 0.5
 )
 
 // Ticket is one request at a Gate.
 type Ticket struct {
 	Objective time.Duration // for the first event, from the caller's first attempt
 	Returns   bool          // the caller was refused before
-	Arrived   time.Duration
+	Group     string        // where it runs, once admitted
 	expires   time.Duration
 	admitted  bool
 }
@@ -47,44 +57,168 @@
 // Expires is the time at which a waiting request is to be given up.
 func (t *Ticket) Expires() time.Duration { return t.expires }
 
-// Gate admits the streams of one service.
+// Load is what one instance tells others of its streams at one group.
+type Load struct {
+	Running int
+	Rate    float64 // requests a second that arrive for the whole service
+}
+
+// group is one rank group behind a gate.
+type group struct {
+	capacity *Capacity
+	running  int
+	peers    map[string]peerLoad
+}
+
+type peerLoad struct {
+	Load
+	at time.Duration
+}
+
+// Gate admits the streams of one service to its groups.
 type Gate struct {
-	window  *Window
-	running int
+	groups  map[string]*group
 	queue   []*Ticket // by arrival, those that came back last
-	limited bool      // a request had to wait since the last decision
 	first   time.Duration
+	rate    float64
+	arrived time.Duration // last arrival
 	source  *rand.Rand
 }
 
-// NewGate returns a gate with an idle group behind it.
-func NewGate(window *Window, source *rand.Rand) *Gate {
-	return &Gate{window: window, source: source}
+// NewGate returns a gate with no groups behind it.
+func NewGate(source *rand.Rand) *Gate {
+	return &Gate{groups: make(map[string]*group), source: source}
+}
+
+// SetGroups replaces the groups; build makes the estimate of a new one. Groups
+// with running streams are kept.
+func (g *Gate) SetGroups(names []string, build func(name string) *Capacity) {
+	for name, gr := range g.groups {
+		if gr.running == 0 && !slices.Contains(names, name) {
+			delete(g.groups, name)
+		}
+	}
+	for _, name := range names {
+		if g.groups[name] == nil {
+			g.groups[name] = &group{capacity: build(name), peers: make(map[string]peerLoad)}
+		}
+	}
 }
 
-// Running is the number of streams that run.
-func (g *Gate) Running() int { return g.running }
+// SetObjective changes the objective of all groups.
+func (g *Gate) SetObjective(d time.Duration) {
+	for _, gr := range g.groups {
+		gr.capacity.SetObjective(d)
+	}
+}
 
 // Waiting is the number of requests that wait.
 func (g *Gate) Waiting() int { return len(g.queue) }
 
-// Window is the gate's window.
-func (g *Gate) Window() *Window { return g.window }
+// Status describes one group for log lines.
+type Status struct {
+	Group          string
+	Own, All       int
+	Limit          float64
+	Share          float64
+	Gap, First     time.Duration
+	Waiting, Peers int
+	Rate           float64
+}
+
+// Status describes every group.
+func (g *Gate) Status(now time.Duration) []Status {
+	list := make([]Status, 0, len(g.groups))
+	for name, gr := range g.groups {
+		list = append(list, Status{
+			Group: name, Own: gr.running, All: gr.total(now), Limit: gr.capacity.Limit(), Share: g.share(gr, now),
+			Gap: gr.capacity.Gap(), First: g.first, Waiting: len(g.queue), Peers: len(gr.peers), Rate: g.rateAt(now),
+		})
+	}
+	return list
+}
+
+// Loads is what peers are told.
+func (g *Gate) Loads(now time.Duration) map[string]Load {
+	loads := make(map[string]Load, len(g.groups))
+	for name, gr := range g.groups {
+		loads[name] = Load{Running: gr.running, Rate: g.rateAt(now)}
+	}
+	return loads
+}
+
+// Peer takes what a peer tells of its streams at a group.
+func (g *Gate) Peer(now time.Duration, peer, name string, l Load) {
+	if gr := g.groups[name]; gr != nil {
+		gr.peers[peer] = peerLoad{l, now}
+	}
+}
+
+// total is the number of streams that run in the group, of all instances.
+func (gr *group) total(now time.Duration) int {
+	n := gr.running
+	for peer, p := range gr.peers {
+		if now-p.at > peerLimit {
+			delete(gr.peers, peer)
+			continue
+		}
+		n += p.Running
+	}
+	return n
+}
+
+// share is this instance's part of the group's capacity, by demand.
+func (g *Gate) share(gr *group, now time.Duration) float64 {
+	own := g.rateAt(now) + rateFloor
+	all := own
+	for _, p := range gr.peers {
+		all += p.Rate + rateFloor
+	}
+	return gr.capacity.Limit() * own / all
+}
+
+// rateAt is the rate of arrivals, which fades while none comes.
+func (g *Gate) rateAt(now time.Duration) float64 {
+	idle := (now - g.arrived).Seconds() / rateTime.Seconds()
+	return g.rate / (1 + max(idle-1, 0))
+}
+
+// count notes an arrival.
+func (g *Gate) count(now time.Duration) {
+	since := (now - g.arrived).Seconds()
+	g.arrived = now
+	weight := min(since/rateTime.Seconds(), 1)
+	g.rate = g.rate*(1-weight) + 1/rateTime.Seconds()
+}
 
-// First is the mean time from sending a request to its first event.
-func (g *Gate) First() time.Duration { return g.first }
+// room is the group that has the most room for one more stream; nil for none.
+func (g *Gate) room(now time.Duration) (best *group, name string) {
+	most := 0.0
+	for n, gr := range g.groups {
+		limit := gr.capacity.Limit()
+		total := float64(gr.total(now))
+		free := freeShare*limit - total
+		if free < 1 && total < limit {
+			free = min(g.share(gr, now)-float64(gr.running), 1)
+		}
+		if free >= 1 && (best == nil || free > most) {
+			best, name, most = gr, n, free
+		}
+	}
+	return best, name
+}
 
 // Arrive admits a request or lets it wait. It reports false when the request
 // could not meet its objective anyway and is refused.
 func (g *Gate) Arrive(now time.Duration, t *Ticket) bool {
-	t.Arrived = now
-	if len(g.queue) == 0 && g.running < g.window.Limit() {
-		g.admit(t)
+	if !t.Returns {
+		g.count(now)
+	}
+	if len(g.queue) == 0 && g.admit(now, t) {
 		return true
 	}
-	g.limited = true
 	wait := g.patience(t)
-	if wait <= 0 || g.hopeless() {
+	if wait <= 0 || g.hopeless(now) {
 		return false
 	}
 	t.expires = now + wait
@@ -92,9 +226,15 @@
 	return true
 }
 
-func (g *Gate) admit(t *Ticket) {
-	t.admitted = true
-	g.running++
+// admit lets a request run if there is room.
+func (g *Gate) admit(now time.Duration, t *Ticket) bool {
+	gr, name := g.room(now)
+	if gr == nil {
+		return false
+	}
+	t.admitted, t.Group = true, name
+	gr.running++
+	return true
 }
 
 // patience is how long a request may wait.
@@ -111,8 +251,12 @@
 
 // hopeless reports whether the requests that wait already will take up all
 // that is likely to end meanwhile.
-func (g *Gate) hopeless() bool {
-	return float64(len(g.queue)) > waitingShare*float64(g.running)+1
+func (g *Gate) hopeless(now time.Duration) bool {
+	share := 0.0
+	for _, gr := range g.groups {
+		share += max(g.share(gr, now), float64(gr.running))
+	}
+	return float64(len(g.queue)) > waitingShare*share+1
 }
 
 func (g *Gate) insert(t *Ticket) {
@@ -128,21 +272,26 @@
 }
 
 // Leave notes that a stream has ended, and returns the requests that may run now.
-func (g *Gate) Leave(now time.Duration) []*Ticket {
-	g.running--
-	return g.next(now)
+func (g *Gate) Leave(now time.Duration, t *Ticket) []*Ticket {
+	if gr := g.groups[t.Group]; gr != nil {
+		gr.running--
+	}
+	return g.Next(now)
 }
 
-// next admits those who wait while there is room.
-func (g *Gate) next(now time.Duration) []*Ticket {
+// Next returns waiting requests that may run now.
+func (g *Gate) Next(now time.Duration) []*Ticket {
 	var admitted []*Ticket
-	for len(g.queue) > 0 && g.running < g.window.Limit() {
+	for len(g.queue) > 0 {
 		t := g.queue[0]
-		g.queue = g.queue[1:]
-		if now >= t.expires {
-			continue // its caller is told by Cancel
+		if now >= t.expires { // its caller is told by Cancel
+			g.queue = g.queue[1:]
+			continue
+		}
+		if !g.admit(now, t) {
+			break
 		}
-		g.admit(t)
+		g.queue = g.queue[1:]
 		admitted = append(admitted, t)
 	}
 	return admitted
@@ -169,12 +318,13 @@
 
 // Event takes the pause between two events of a stream, and returns the
 // requests that may run now.
-func (g *Gate) Event(now, gap time.Duration) []*Ticket {
-	g.window.Observe(now, gap, g.running, g.limited)
-	if g.window.decided == now {
-		g.limited = len(g.queue) > 0
+func (g *Gate) Event(now time.Duration, name string, gap time.Duration) []*Ticket {
+	gr := g.groups[name]
+	if gr == nil {
+		return nil
 	}
-	return g.next(now)
+	gr.capacity.Observe(now, gap, gr.total(now))
+	return g.Next(now)
 }
 
 // ReturnAfter is when a refused caller with this much time left is asked to
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -65,13 +65,15 @@
 
 // Options are what a Process is made of.
 type Options struct {
-	Instance  string
-	Address   string // host and port for datagrams
-	Engine    Engine
-	Store     store.Log
-	Directory *directory.Directory
-	Shape     func() (s Shape, ok bool)
-	Log       *log.Logger
+	Instance string
+	Address  string // host and port for datagrams
+	Engine   Engine
+	// EngineAddress is the host and port of the engine.
+	EngineAddress string
+	Store         store.Log
+	Directory     *directory.Directory
+	Shape         func() (s Shape, ok bool)
+	Log           *log.Logger
 }
 
 // Process runs beside one rank. All state belongs to the goroutine of Run.
@@ -221,7 +223,7 @@
 	if !p.announced {
 		p.announced = true
 		go p.opts.Directory.Announce(ctx, p.opts.Instance, wire.Instance{
-			Role: "rank", Address: p.opts.Address, Group: e.Group, Rank: e.Rank,
+			Role: wire.RoleRebalancer, Address: p.opts.Address, Group: e.Group, Rank: e.Rank, Engine: p.opts.EngineAddress,
 		})
 	}
 	return true
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -9,4 +9,25 @@
 	Address string `msg:"addr"` // host and port for datagrams
 	Group   string `msg:"g"`    // rank group of the engine on the instance; empty for none
 	Rank    int    `msg:"r"`
+	Engine  string `msg:"e"` // host and port of that engine
+}
+
+// Roles of an Instance.
+const (
+	RoleGateway    = "gateway"
+	RoleRebalancer = "rebalancer"
+)
+
+// GatewayLoad is what a gateway tells the others of its streams, as a datagram.
+type GatewayLoad struct {
+	Instance string      `msg:"i"`
+	Groups   []GroupLoad `msg:"g"`
+}
+
+// GroupLoad is a gateway's load on one rank group of a service.
+type GroupLoad struct {
+	Service string  `msg:"s"`
+	Group   string  `msg:"g"`
+	Running int     `msg:"n"` // streams
+	Rate    float64 `msg:"r"` // requests a second that arrive for the service
 }
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -6,6 +6,355 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *GatewayLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "g":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if cap(z.Groups) >= int(zb0002) {
+				z.Groups = (z.Groups)[:zb0002]
+			} else {
+				z.Groups = make([]GroupLoad, zb0002)
+			}
+			for za0001 := range z.Groups {
+				err = z.Groups[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *GatewayLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "i"
+	err = en.Append(0x82, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Instance)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Groups)))
+	if err != nil {
+		err = msgp.WrapError(err, "Groups")
+		return
+	}
+	for za0001 := range z.Groups {
+		err = z.Groups[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Groups", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GatewayLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+	for za0001 := range z.Groups {
+		o, err = z.Groups[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Groups", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GatewayLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "g":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if cap(z.Groups) >= int(zb0002) {
+				z.Groups = (z.Groups)[:zb0002]
+			} else {
+				z.Groups = make([]GroupLoad, zb0002)
+			}
+			for za0001 := range z.Groups {
+				bts, err = z.Groups[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GatewayLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Groups {
+		s += z.Groups[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *GroupLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "g":
+			z.Group, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "n":
+			z.Running, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		case "r":
+			z.Rate, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *GroupLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Running)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.Rate)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GroupLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendString(o, z.Group)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt(o, z.Running)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendFloat64(o, z.Rate)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GroupLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "g":
+			z.Group, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "n":
+			z.Running, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		case "r":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GroupLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Float64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Instance) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -48,6 +397,12 @@
 				err = msgp.WrapError(err, "Rank")
 				return
 			}
+		case "e":
+			z.Engine, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Engine")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -61,9 +416,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Instance) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "role"
-	err = en.Append(0x84, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
+	err = en.Append(0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
 	if err != nil {
 		return
 	}
@@ -102,15 +457,25 @@
 		err = msgp.WrapError(err, "Rank")
 		return
 	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Engine)
+	if err != nil {
+		err = msgp.WrapError(err, "Engine")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "role"
-	o = append(o, 0x84, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
+	o = append(o, 0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
 	o = msgp.AppendString(o, z.Role)
 	// string "addr"
 	o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
@@ -121,6 +486,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendInt(o, z.Rank)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendString(o, z.Engine)
 	return
 }
 
@@ -166,6 +534,12 @@
 				err = msgp.WrapError(err, "Rank")
 				return
 			}
+		case "e":
+			z.Engine, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Engine")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -180,6 +554,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine)
 	return
 }
