--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -217,6 +217,18 @@
 	return changed
 }
 
+// latest is the member of the youngest incarnation at each address: an address
+// passes on to a new server before the entry of the old one is gone.
+func (b *Belief) latest() map[string]*Member {
+	at := make(map[string]*Member, len(b.all))
+	for _, m := range b.all {
+		if old := at[m.Address]; old == nil || old.Born < m.Born || old.Born == m.Born && old.ID < m.ID {
+			at[m.Address] = m
+		}
+	}
+	return at
+}
+
 // publish builds the next View. Callers hold mu.
 func (b *Belief) publish() {
 	v := &View{
@@ -225,9 +237,10 @@
 		Services: make(map[string][]*Member),
 		Out:      maps.Clone(b.out),
 	}
+	latest := b.latest()
 	for _, id := range slices.Sorted(maps.Keys(v.Members)) {
 		m := v.Members[id]
-		if m.Usable() && !v.Out[m.DataCentre] {
+		if m.Usable() && !v.Out[m.DataCentre] && latest[m.Address] == m {
 			v.Services[m.Service] = append(v.Services[m.Service], m)
 		}
 	}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -111,9 +111,13 @@
 	if f.next < 0 {
 		return f.snapshot(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.opts.Wait+f.opts.Timeout)
+	wait := f.opts.Wait
+	if _, ok := f.Proof(); !ok || f.lost {
+		wait = 0 // what is needed most is to know that nothing is missing
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.opts.Timeout)
 	defer cancel()
-	b, err := f.source.Read(ctx, f.next, f.opts.Wait)
+	b, err := f.source.Read(ctx, f.next, wait)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -31,7 +31,8 @@
 	ticket   *pace.Ticket  // its place among the streams; nil for other requests
 
 	tried    []string // servers that were sent the request, or could not be reached
-	attempts int      // times that it was sent
+	arrivals int      // times that it reached a server
+	attempts int      // times that a server may have begun to run it
 	sent     bool     // a server may have begun to run it
 	began    bool     // the head of the answer has gone to the caller
 	lastID   int64    // of the last event delivered, or that the caller asked to go on after; -1 for none
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -85,7 +85,7 @@
 	c.service.first()
 	var last *api.Error
 	for dials := 0; dials < maxDials; dials++ {
-		if c.attempts >= c.route.MaxAttempts || c.attempts > 0 && !c.service.retry() {
+		if c.attempts >= c.route.MaxAttempts || c.arrivals > 0 && !c.service.retry() {
 			break
 		}
 		// Servers may have left since the request came.
@@ -162,12 +162,13 @@
 		}
 		return false, api.NewError(api.Unreachable, m.ID)
 	}
-	c.attempts++
-	if c.attempts > 1 {
+	c.arrivals++
+	if c.arrivals > 1 {
 		g.metrics.retries.Inc()
 	}
 	if err != nil {
 		c.sent = true
+		c.attempts++
 		g.attemptFailed(c, m, err)
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 	}
@@ -175,6 +176,7 @@
 		return false, g.declined(c, m, resp)
 	}
 	c.sent = true
+	c.attempts++
 	if isStream(resp.Response) && resp.StatusCode == http.StatusOK {
 		return g.relay(ctx, c, m, resp, began)
 	}
@@ -253,7 +255,11 @@
 		g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
 		return api.NewError(api.GroupStalled, at)
 	}
-	c.service.ended(m, g.now(), doubtful)
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		c.service.misdirected(m, g.now())
+	} else {
+		c.service.ended(m, g.now(), doubtful)
+	}
 	g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
 	return api.NewError(api.Overloaded, m.ID+" answered "+strconv.Itoa(resp.StatusCode))
 }
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -57,7 +57,7 @@
 		return false, false
 	}
 	if tried && severity > doubtful || h.failures >= ejectShare {
-		h.eject(now)
+		h.eject(now, ejectFirst)
 		return true, false
 	}
 	return false, false
@@ -66,14 +66,16 @@
 // unreachable takes a connection that could not be opened.
 func (h *health) unreachable(now time.Duration) {
 	h.trial = false
-	h.eject(now)
+	h.eject(now, ejectFirst)
 }
 
-func (h *health) eject(now time.Duration) {
+// eject keeps work away for twice the time of the last ejection, within bounds.
+func (h *health) eject(now, least time.Duration) {
 	if now < h.until {
 		return
 	}
-	h.ejected = min(max(2*h.ejected, ejectFirst), ejectLongest)
+	h.trial = false
+	h.ejected = min(max(2*h.ejected, least), ejectLongest)
 	h.until = now + h.ejected
 	h.failures = ejectShare / 2
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -216,6 +216,16 @@
 	s.log.Warn("server-unreachable", "server", m.ID, "service", s.name, "address", m.Address)
 }
 
+// misdirected notes that another server answers at a member's address.
+func (s *service) misdirected(m *fleet.Member, now time.Duration) {
+	s.mu.Lock()
+	st := s.server(m)
+	st.own--
+	st.health.eject(now, ejectLongest)
+	s.mu.Unlock()
+	s.log.Warn("server-replaced", "server", m.ID, "service", s.name, "address", m.Address)
+}
+
 // first counts a request's first arrival for the retry budget.
 func (s *service) first() {
 	s.mu.Lock()
--- a/pace/capacity.go
+++ b/pace/capacity.go
@@ -22,7 +22,7 @@
 	// memory is for how long a period counts. Demand for experts shifts every
 	// few seconds and lengthens passes until the map follows; streams that run
 	// then must still be on time.
-	memory = 4 * time.Second
+	memory = 8 * time.Second
 	// period is the time over which pauses are averaged: a pass or two.
 	period = 120 * time.Millisecond
 	// learnFrom is the part of the capacity that must run for a period to
