--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -58,6 +58,7 @@
 		Address:       net.JoinHostPort(st.Gateway.Address, strconv.Itoa(st.Gateway.PeerPort)),
 		Engine:        platform.NewEngine(st.App),
 		EngineAddress: st.App,
+		Remote:        func(address string) rebalance.Engine { return platform.NewEngine(address) },
 		Store:         s,
 		Directory:     dir,
 		Shape:         func() (rebalance.Shape, bool) { return mapShape(belief.View(), st.Service) },
--- a/rebalance/lead.go
+++ b/rebalance/lead.go
@@ -37,7 +37,11 @@
 			p.opts.Log.Warn("datagram-refused", "from", d.from, "err", err)
 			return
 		}
-		p.report(ctx, r)
+		if s := p.standins[r.Rank]; s != nil {
+			s.cancel()
+			delete(p.standins, r.Rank)
+		}
+		p.reportOf(ctx, r)
 	}
 }
 
@@ -68,8 +72,8 @@
 	}
 }
 
-// report takes a rank's word as the coordinator.
-func (p *Process) report(ctx context.Context, r wire.RankReport) {
+// reportOf takes a rank's word as the coordinator.
+func (p *Process) reportOf(ctx context.Context, r wire.RankReport) {
 	if p.coord == nil {
 		return
 	}
@@ -198,7 +202,11 @@
 	if !ok || !e.Open || e.Size < 2 || p.coord != nil || p.claiming {
 		return
 	}
-	if p.now()-p.heard < patience+rankPatience*durationOf(e.Rank) {
+	wait := patience
+	if p.rank.Active() {
+		wait = activePatience
+	}
+	if p.now()-p.heard < wait+rankPatience*durationOf(e.Rank) {
 		return
 	}
 	p.claiming = true
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -35,8 +35,11 @@
 	// they do so one after the other.
 	patience     = 900 * time.Millisecond
 	rankPatience = 40 * time.Millisecond
-	claimTimeout = time.Second
-	maxDatagram  = 60 << 10
+	// activePatience takes the place of patience during a switch, when goals
+	// come every few milliseconds and the group may be held.
+	activePatience = 250 * time.Millisecond
+	claimTimeout   = time.Second
+	maxDatagram    = 60 << 10
 	// copyTime is the time that the copies of one plan may take at a rank:
 	// demand shifts every few seconds.
 	copyTime = 450 * time.Millisecond
@@ -68,6 +71,8 @@
 	Instance string
 	Address  string // host and port for datagrams
 	Engine   Engine
+	// Remote returns a client of the engine of another instance.
+	Remote func(address string) Engine
 	// EngineAddress is the host and port of the engine.
 	EngineAddress string
 	Store         store.Log
@@ -92,6 +97,9 @@
 	claimed   chan claim
 	announced bool
 
+	standins map[int]*substitute // by rank
+	remote   chan wire.RankReport
+
 	counts   counter
 	demand   *spread.Demand
 	shape    spread.Shape // of demand
@@ -116,7 +124,8 @@
 
 // New returns a process that is not running.
 func New(opts Options) *Process {
-	return &Process{opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1)}
+	return &Process{opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1),
+		standins: make(map[int]*substitute), remote: make(chan wire.RankReport, 8)}
 }
 
 func (p *Process) now() time.Duration { return time.Since(p.start) }
@@ -142,6 +151,8 @@
 			return nil
 		case d := <-in:
 			p.handle(ctx, d)
+		case r := <-p.remote:
+			p.reportOf(ctx, r)
 		case c := <-p.claimed:
 			p.elected(c)
 		case <-timer.C:
@@ -195,6 +206,7 @@
 	}
 	p.count(ctx)
 	p.drive(ctx)
+	p.substitutes(ctx)
 	p.seekOffice(ctx)
 }
 
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -158,6 +158,22 @@
 	return false
 }
 
+// Silent lists the ranks that have not answered the present goal although it
+// was wanted, and they were last heard of, longer ago than a while.
+func (c *Coordinator) Silent(now, while time.Duration) []int {
+	var ranks []int
+	for i := range c.reports {
+		r := &c.reports[i]
+		if r.ok && r.Seq == c.goal.Seq && r.Epoch == c.own.Epoch {
+			continue
+		}
+		if now-max(r.at, c.since) > while {
+			ranks = append(ranks, i)
+		}
+	}
+	return ranks
+}
+
 // Ready reports whether a proposal would be taken up: nothing is underway and
 // every rank has reported lately.
 func (c *Coordinator) Ready(now time.Duration) bool {
