Rebalancer: a plan must gain 22% (10% before)

Cause: the second and third switch after each shift brought 10 to 18% each and copied as much as the first.

--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -46,7 +46,7 @@
 	// topExperts is the number of experts of a set that a report names.
 	topExperts = 20
 	// planGain is the part of the cost by which a plan must be better.
-	planGain = 0.1
+	planGain = 0.22
 	// copyGain is the part of the cost by which each copy must help.
 	copyGain = 0.006
 )
