Pace: requests wait for a group that has stopped; late ones leave room

Cause: after power losses the group forms for a second while requests were refused and refused again (81 of 139 in 0.5 s); once it opened, those that waited took the places of those that could be on time. Ranks' processes tell gateways when a group opens; late requests fill 75% of a group at most.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -195,15 +195,25 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), g.left(c))
 	defer cancel()
-	if c.route.Kind == fleet.Stream && c.route.TargetGap > 0 {
-		release, refusal := g.enter(ctx, c)
-		if refusal != nil {
-			g.refuse(c, refusal)
-			return
-		}
-		defer release()
+	if c.route.Kind != fleet.Stream || c.route.TargetGap <= 0 {
+		g.forward(ctx, c)
+		return
+	}
+	for !g.stream(ctx, c) {
+		c.tried = nil // a group that was formed anew may take it anywhere
+	}
+}
+
+// stream forwards a stream once there is a place for it. It reports false when
+// the request may wait for a place once more.
+func (g *Gateway) stream(ctx context.Context, c *call) (ended bool) {
+	release, refusal := g.enter(ctx, c)
+	if refusal != nil {
+		g.refuse(c, refusal)
+		return true
 	}
-	g.forward(ctx, c)
+	defer release()
+	return g.forward(ctx, c)
 }
 
 // refuse gives the final answer of a request that ends without a server's.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -38,11 +38,12 @@
 // final answer; release gives the place back.
 func (g *Gateway) enter(ctx context.Context, c *call) (release func(), refusal *api.Error) {
 	s := c.service
-	if s.standsStill(g.now()) {
-		return nil, api.NewError(api.GroupStalled, "")
-	}
 	gate := g.gate(s, c.view, c.route)
-	t := &pace.Ticket{Objective: c.route.Target, Returns: c.returns}
+	if c.ticket == nil {
+		c.ticket = &pace.Ticket{Objective: c.route.Target, Returns: c.returns}
+	}
+	t := c.ticket
+	t.Again()
 	ready := make(chan struct{})
 	s.mu.Lock()
 	s.objective = c.route.TargetGap
@@ -57,7 +58,6 @@
 	}
 	waits := !t.Admitted()
 	s.mu.Unlock()
-	c.ticket = t
 	release = func() { s.leave(g.now(), t) }
 	if !waits {
 		return release, nil
@@ -80,9 +80,13 @@
 	return nil, api.NewError(api.Overloaded, "waited in vain")
 }
 
-// forward sends the request until it has an answer or must end without one.
-func (g *Gateway) forward(ctx context.Context, c *call) {
-	c.service.first()
+// forward sends the request until it has an answer or must end without one. It
+// reports false when its group has stopped and the request has not run: it may
+// wait for the group.
+func (g *Gateway) forward(ctx context.Context, c *call) bool {
+	if c.arrivals == 0 {
+		c.service.first()
+	}
 	var last *api.Error
 	for dials := 0; dials < maxDials; dials++ {
 		if c.attempts >= c.route.MaxAttempts || c.arrivals > 0 && !c.service.retry() {
@@ -96,9 +100,12 @@
 		}
 		done, failure := g.attempt(ctx, c, m)
 		if done {
-			return
+			return true
 		}
 		last = failure
+		if failure.Code == api.GroupStalled && !c.sent {
+			return false
+		}
 		if ctx.Err() != nil || failure.Ran != api.NotRun && !c.route.Repeatable() {
 			break
 		}
@@ -107,6 +114,7 @@
 		}
 	}
 	g.giveUp(ctx, c, last)
+	return true
 }
 
 // coldLimit is this instance's part of what a cold server bears in a second.
@@ -251,7 +259,7 @@
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && at != "" && c.route.Kind == fleet.Stream {
 		c.service.ended(m, g.now(), sound)
-		c.service.stall(g.now(), at)
+		c.service.stall(g.now(), c.group(), at)
 		g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
 		return api.NewError(api.GroupStalled, at)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -64,15 +64,55 @@
 		if err != nil {
 			continue
 		}
-		var l wire.GatewayLoad
-		if _, err := l.UnmarshalMsg(buf[:n]); err != nil {
+		if err := p.datagram(buf[:n]); err != nil {
 			p.g.opts.Log.Warn("datagram-refused", "from", from, "err", err)
-			continue
+		}
+	}
+}
+
+// datagram takes one message. Error: it cannot be read.
+func (p *peers) datagram(data []byte) error {
+	if len(data) == 0 {
+		return eris.New("empty")
+	}
+	switch data[0] {
+	case wire.KindGatewayLoad:
+		var l wire.GatewayLoad
+		if _, err := l.UnmarshalMsg(data[1:]); err != nil {
+			return eris.Wrap(err, "load")
 		}
 		p.heard(&l)
+	case wire.KindGroupState:
+		var s wire.GroupState
+		if _, err := s.UnmarshalMsg(data[1:]); err != nil {
+			return eris.Wrap(err, "group state")
+		}
+		p.groupState(&s)
+	default:
+		return eris.Errorf("unknown kind %d", data[0])
+	}
+	return nil
+}
+
+// groupState notes whether a group makes passes.
+func (p *peers) groupState(x *wire.GroupState) {
+	now := p.g.now()
+	for _, s := range p.g.all() {
+		s.mu.Lock()
+		if s.gate != nil {
+			if s.gate.SetOpen(now, x.Group, x.Open, toldClosed) {
+				p.g.opts.Log.Info("group-state", "service", s.name, "group", x.Group, "epoch", x.Epoch, "open", x.Open)
+			}
+			s.wake(s.gate.Next(now))
+		}
+		s.mu.Unlock()
 	}
 }
 
+// toldClosed is for how long the word holds that a group makes no passes: it
+// is said again more often.
+const toldClosed = 700 * time.Millisecond
+
 // heard notes a peer's loads.
 func (p *peers) heard(l *wire.GatewayLoad) {
 	now := p.g.now()
@@ -107,6 +147,7 @@
 	for _, s := range p.g.all() {
 		s.mu.Lock()
 		if s.gate != nil {
+			s.wake(s.gate.Next(now)) // a closed group may have opened again
 			for name, x := range s.gate.Loads(now) {
 				if x.Running > 0 || x.Rate > quietRate {
 					l.Groups = append(l.Groups, wire.GroupLoad{Service: s.name, Group: name, Running: x.Running, Rate: x.Rate})
@@ -122,7 +163,7 @@
 const quietRate = 0.2
 
 func (p *peers) send(l *wire.GatewayLoad, addrs []*net.UDPAddr) {
-	data, err := l.MarshalMsg(nil)
+	data, err := l.MarshalMsg([]byte{wire.KindGatewayLoad})
 	if err != nil {
 		p.g.opts.Log.Error("load-not-encoded", "err", err)
 		return
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,8 +20,8 @@
 	// skewGuess is the load of the most loaded rank, relative to the mean, that
 	// is assumed before any pause was seen.
 	skewGuess = 2.0
-	// stallProbe is the time between requests that try a stalled group.
-	stallProbe = 400 * time.Millisecond
+	// stallProbe is the time after which a stalled group is tried again.
+	stallProbe = 250 * time.Millisecond
 )
 
 // serverKey names one incarnation of a backend server.
@@ -264,7 +264,6 @@
 func (s *service) event(now time.Duration, group string, gap time.Duration) {
 	s.mu.Lock()
 	s.progress = now
-	s.stalled = 0
 	if s.gate != nil {
 		s.wake(s.gate.Event(now, group, gap))
 	}
@@ -275,7 +274,6 @@
 func (s *service) began(now, d time.Duration) {
 	s.mu.Lock()
 	s.progress = now
-	s.stalled = 0
 	if s.gate != nil {
 		s.gate.Began(d)
 	}
@@ -289,32 +287,16 @@
 	s.mu.Unlock()
 }
 
-// stall notes that the group behind the service stands still.
-func (s *service) stall(now time.Duration, at string) {
+// stall notes that the group of a stream stands still.
+func (s *service) stall(now time.Duration, group, at string) {
 	s.mu.Lock()
-	fresh := s.stalled == 0
-	s.stalled = now + stallProbe
+	changed := s.gate != nil && s.gate.SetOpen(now, group, false, stallProbe)
 	s.mu.Unlock()
-	if fresh {
-		s.log.Warn("group-stalled", "service", s.name, "at_server", at)
+	if changed {
+		s.log.Warn("group-stalled", "service", s.name, "group", group, "at_server", at)
 	}
 }
 
-// standsStill reports whether a request should be refused at once, since the
-// group is known to stand still. One request at a time tries it.
-func (s *service) standsStill(now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stalled == 0 {
-		return false
-	}
-	if now < s.stalled {
-		return true
-	}
-	s.stalled = now + stallProbe
-	return false
-}
-
 // progressed reports whether any stream had an event since.
 func (s *service) progressed(since time.Duration) bool {
 	s.mu.Lock()
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -23,6 +23,9 @@
 	// waitingShare is the number of requests that may wait for each one that
 	// may run: about as many end within the longest wait.
 	waitingShare = 0.25
+	// stallWait is for how long requests wait for groups that have stopped: a
+	// rank that was restarted is back by then, and the group formed anew.
+	stallWait = 1800 * time.Millisecond
 	// firstWeight is the weight of one more time to the first event in the mean.
 	firstWeight = 0.1
 	// minReturn and maxReturn bound the time after which refused callers come
@@ -33,6 +36,9 @@
 	// freeShare is the part of a group's capacity that any instance may use;
 	// what is beyond is divided by demand.
 	freeShare = 0.9
+	// lateShare is the part of a group's capacity that requests may fill which
+	// cannot be on time any more; the rest is left for those that can.
+	lateShare = 0.75
 	// peerLimit is the age at which a peer's word counts no more.
 	peerLimit = time.Second
 	// rateTime is the time over which arrivals are averaged.
@@ -47,6 +53,7 @@
 	Objective time.Duration // for the first event, from the caller's first attempt
 	Returns   bool          // the caller was refused before
 	Group     string        // where it runs, once admitted
+	arrived   time.Duration
 	expires   time.Duration
 	admitted  bool
 }
@@ -54,6 +61,9 @@
 // Admitted reports whether the request may run.
 func (t *Ticket) Admitted() bool { return t.admitted }
 
+// Again makes a ticket that was admitted one that asks once more.
+func (t *Ticket) Again() { t.admitted = false }
+
 // Expires is the time at which a waiting request is to be given up.
 func (t *Ticket) Expires() time.Duration { return t.expires }
 
@@ -68,6 +78,8 @@
 	capacity *Capacity
 	running  int
 	peers    map[string]peerLoad
+	closed   time.Duration // no request before; 0 when it is open
+	stalled  time.Duration // since when it has made no passes; 0 when it does
 }
 
 type peerLoad struct {
@@ -78,7 +90,7 @@
 // Gate admits the streams of one service to its groups.
 type Gate struct {
 	groups  map[string]*group
-	queue   []*Ticket // by arrival, those that came back last
+	queue   []*Ticket // by arrival
 	first   time.Duration
 	rate    float64
 	arrived time.Duration // last arrival
@@ -112,6 +124,37 @@
 	}
 }
 
+// SetOpen says whether a group makes passes. Without a further word a closed
+// one is tried again after hold. It reports a change.
+func (g *Gate) SetOpen(now time.Duration, name string, open bool, hold time.Duration) bool {
+	gr := g.groups[name]
+	if gr == nil {
+		return false
+	}
+	was := gr.stalled == 0
+	if open {
+		gr.closed, gr.stalled = 0, 0
+		return !was
+	}
+	gr.closed = max(gr.closed, now+hold)
+	if was {
+		gr.stalled = max(now, 1)
+	}
+	return was
+}
+
+// standing is since when every group has made no passes; 0 while any does.
+func (g *Gate) standing() time.Duration {
+	since := time.Duration(0)
+	for _, gr := range g.groups {
+		if gr.stalled == 0 {
+			return 0
+		}
+		since = max(since, gr.stalled)
+	}
+	return since
+}
+
 // Waiting is the number of requests that wait.
 func (g *Gate) Waiting() int { return len(g.queue) }
 
@@ -192,10 +235,16 @@
 }
 
 // room is the group that has the most room for one more stream; nil for none.
-func (g *Gate) room(now time.Duration) (best *group, name string) {
+func (g *Gate) room(now time.Duration, late bool) (best *group, name string) {
 	most := 0.0
 	for n, gr := range g.groups {
+		if now < gr.closed {
+			continue
+		}
 		limit := gr.capacity.Limit()
+		if late {
+			limit *= lateShare
+		}
 		total := float64(gr.total(now))
 		free := freeShare*limit - total
 		if free < 1 && total < limit {
@@ -211,24 +260,32 @@
 // Arrive admits a request or lets it wait. It reports false when the request
 // could not meet its objective anyway and is refused.
 func (g *Gate) Arrive(now time.Duration, t *Ticket) bool {
-	if !t.Returns {
-		g.count(now)
+	if t.arrived == 0 {
+		t.arrived = max(now, 1)
+		if !t.Returns {
+			g.count(now)
+		}
 	}
 	if len(g.queue) == 0 && g.admit(now, t) {
 		return true
 	}
 	wait := g.patience(t)
-	if wait <= 0 || g.hopeless(now) {
+	if since := g.standing(); since > 0 {
+		wait = since + stallWait - now
+	} else if g.hopeless(now) {
+		return false
+	}
+	if wait <= 0 {
 		return false
 	}
 	t.expires = now + wait
-	g.insert(t)
+	g.queue = append(g.queue, t)
 	return true
 }
 
 // admit lets a request run if there is room.
 func (g *Gate) admit(now time.Duration, t *Ticket) bool {
-	gr, name := g.room(now)
+	gr, name := g.room(now, g.late(now, t))
 	if gr == nil {
 		return false
 	}
@@ -237,16 +294,25 @@
 	return true
 }
 
+// late reports whether a request cannot meet its objective any more.
+func (g *Gate) late(now time.Duration, t *Ticket) bool {
+	return t.Returns || now-t.arrived+g.firstOf(t)+transit > t.Objective
+}
+
+// firstOf is the time that a request needs to its first event.
+func (g *Gate) firstOf(t *Ticket) time.Duration {
+	if g.first == 0 {
+		return time.Duration(unknownFirst * float64(t.Objective))
+	}
+	return g.first
+}
+
 // patience is how long a request may wait.
 func (g *Gate) patience(t *Ticket) time.Duration {
 	if t.Returns {
 		return time.Duration(returnShare * float64(t.Objective))
 	}
-	first := g.first
-	if first == 0 {
-		first = time.Duration(unknownFirst * float64(t.Objective))
-	}
-	return min(t.Objective-first-transit, time.Duration(maxWaitShare*float64(t.Objective)))
+	return min(t.Objective-g.firstOf(t)-transit, time.Duration(maxWaitShare*float64(t.Objective)))
 }
 
 // hopeless reports whether the requests that wait already will take up all
@@ -259,18 +325,6 @@
 	return float64(len(g.queue)) > waitingShare*share+1
 }
 
-func (g *Gate) insert(t *Ticket) {
-	if t.Returns {
-		g.queue = append(g.queue, t)
-		return
-	}
-	at := slices.IndexFunc(g.queue, func(o *Ticket) bool { return o.Returns })
-	if at < 0 {
-		at = len(g.queue)
-	}
-	g.queue = slices.Insert(g.queue, at, t)
-}
-
 // Leave notes that a stream has ended, and returns the requests that may run now.
 func (g *Gate) Leave(now time.Duration, t *Ticket) []*Ticket {
 	if gr := g.groups[t.Group]; gr != nil {
@@ -279,20 +333,20 @@
 	return g.Next(now)
 }
 
-// Next returns waiting requests that may run now.
+// Next returns waiting requests that may run now: first those that can still
+// be on time, in the order of their arrival.
 func (g *Gate) Next(now time.Duration) []*Ticket {
 	var admitted []*Ticket
-	for len(g.queue) > 0 {
-		t := g.queue[0]
-		if now >= t.expires { // its caller is told by Cancel
-			g.queue = g.queue[1:]
-			continue
-		}
-		if !g.admit(now, t) {
-			break
-		}
-		g.queue = g.queue[1:]
-		admitted = append(admitted, t)
+	// Those that have expired are told so by their own clocks, with Cancel.
+	g.queue = slices.DeleteFunc(g.queue, func(t *Ticket) bool { return now >= t.expires })
+	for _, late := range []bool{false, true} {
+		g.queue = slices.DeleteFunc(g.queue, func(t *Ticket) bool {
+			if g.late(now, t) != late || !g.admit(now, t) {
+				return false
+			}
+			admitted = append(admitted, t)
+			return true
+		})
 	}
 	return admitted
 }
@@ -323,6 +377,7 @@
 	if gr == nil {
 		return nil
 	}
+	gr.closed, gr.stalled = 0, 0
 	gr.capacity.Observe(now, gap, gr.total(now))
 	return g.Next(now)
 }
--- a/rebalance/lead.go
+++ b/rebalance/lead.go
@@ -24,14 +24,14 @@
 	}
 	body := d.data[1:]
 	switch d.data[0] {
-	case kindGoal:
+	case wire.KindMapGoal:
 		var g wire.MapGoal
 		if _, err := g.UnmarshalMsg(body); err != nil {
 			p.opts.Log.Warn("datagram-refused", "from", d.from, "err", err)
 			return
 		}
 		p.goal(ctx, g, d.from)
-	case kindReport:
+	case wire.KindRankReport:
 		var r wire.RankReport
 		if _, err := r.UnmarshalMsg(body); err != nil {
 			p.opts.Log.Warn("datagram-refused", "from", d.from, "err", err)
@@ -45,12 +45,6 @@
 	}
 }
 
-// Kinds of datagrams: the first byte.
-const (
-	kindGoal   = 1
-	kindReport = 2
-)
-
 // goal obeys a coordinator in office.
 func (p *Process) goal(ctx context.Context, g wire.MapGoal, from *net.UDPAddr) {
 	e, ok := p.rank.Engine()
@@ -133,7 +127,7 @@
 		return
 	}
 	p.goalSeq, p.goalAt, p.heard = g.Seq, now, now
-	data, err := g.MarshalMsg([]byte{kindGoal})
+	data, err := g.MarshalMsg([]byte{wire.KindMapGoal})
 	if err != nil {
 		p.opts.Log.Error("goal-not-encoded", "err", err)
 		return
@@ -178,7 +172,7 @@
 	if p.leader == nil {
 		return
 	}
-	data, err := r.MarshalMsg([]byte{kindReport})
+	data, err := r.MarshalMsg([]byte{wire.KindRankReport})
 	if err != nil {
 		p.opts.Log.Error("report-not-encoded", "err", err)
 		return
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -23,13 +23,14 @@
 
 // Timing of a process.
 const (
-	activePoll = 15 * time.Millisecond  // between looks at the engine during a switch
-	restPoll   = 40 * time.Millisecond  // between counts, shorter than a pass
-	reportPoll = 250 * time.Millisecond // between reports of the engine at rest
-	goalEvery  = 250 * time.Millisecond // between a coordinator's goals at rest
-	goalAgain  = 25 * time.Millisecond  // during a switch
-	reportAt   = 300 * time.Millisecond // between a rank's reports when nothing changes
-	foldEvery  = 60 * time.Millisecond  // between estimates of demand
+	activePoll  = 15 * time.Millisecond  // between looks at the engine during a switch
+	restPoll    = 40 * time.Millisecond  // between counts, shorter than a pass
+	reportPoll  = 250 * time.Millisecond // between reports of the engine at rest
+	goalEvery   = 250 * time.Millisecond // between a coordinator's goals at rest
+	goalAgain   = 25 * time.Millisecond  // during a switch
+	reportAt    = 300 * time.Millisecond // between a rank's reports when nothing changes
+	foldEvery   = 60 * time.Millisecond  // between estimates of demand
+	closedEvery = 200 * time.Millisecond // between words to gateways while the group makes no passes
 	// patience is the time without a word of a coordinator after which a
 	// process claims its place; rankPatience is added for each rank, so that
 	// they do so one after the other.
@@ -109,7 +110,9 @@
 	toldAt   time.Duration
 	goalSeq  uint64
 	goalAt   time.Duration
-	lost     bool // the engine does not answer
+	lost     bool            // the engine does not answer
+	state    wire.GroupState // last told to gateways
+	stateAt  time.Duration
 }
 
 type claim struct {
@@ -228,6 +231,7 @@
 		p.opts.Log.Info("rank-changed", "group", e.Group, "rank", e.Rank, "epoch", e.Epoch, "open", e.Open, "map", e.Map, "step", e.Step)
 	}
 	p.reported = p.now()
+	p.announceState(&e)
 	p.rank.Observe(e)
 	if p.coord != nil {
 		p.coord.Observe(e, p.now())
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -31,3 +31,18 @@
 	Running int     `msg:"n"` // streams
 	Rate    float64 `msg:"r"` // requests a second that arrive for the service
 }
+
+// GroupState is what the process beside a rank tells gateways of its group.
+type GroupState struct {
+	Group string `msg:"g"`
+	Epoch int64  `msg:"e"`
+	Open  bool   `msg:"o"` // the group makes passes
+}
+
+// Kinds of datagrams: their first byte.
+const (
+	KindMapGoal     byte = 1
+	KindRankReport  byte = 2
+	KindGatewayLoad byte = 3
+	KindGroupState  byte = 4
+)
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -355,6 +355,159 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *GroupState) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "g":
+			z.Group, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "e":
+			z.Epoch, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "o":
+			z.Open, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Open")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z GroupState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "g"
+	err = en.Append(0x83, 0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Open)
+	if err != nil {
+		err = msgp.WrapError(err, "Open")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z GroupState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "g"
+	o = append(o, 0x83, 0xa1, 0x67)
+	o = msgp.AppendString(o, z.Group)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.Open)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GroupState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "g":
+			z.Group, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "o":
+			z.Open, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Open")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z GroupState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Instance) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
