--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,8 @@
 // Timing of a gateway.
 const (
 	sweepEvery    = time.Second
-	callerTimeout = 4 * time.Second // unacknowledged bytes towards a caller end its connection
+	regroupEvery  = 200 * time.Millisecond // a new instance learns of others within a few of these
+	callerTimeout = 4 * time.Second        // unacknowledged bytes towards a caller end its connection
 	// idleMargin is added to the document's idle timeout before a caller's
 	// connection is closed, so that a request on its way is not crossed.
 	idleMargin = 5 * time.Second
@@ -171,6 +172,8 @@
 	go func() { failed <- srv.Serve(ln) }()
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
+	regroup := time.NewTicker(regroupEvery)
+	defer regroup.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -179,6 +182,8 @@
 			return eris.Wrap(err, "serve")
 		case <-tick.C:
 			g.sweep(idle)
+		case <-regroup.C:
+			g.regroupAll()
 		}
 	}
 }
@@ -189,15 +194,22 @@
 	g.pool.Sweep()
 	for _, s := range g.all() {
 		s.forget(view)
+		g.logGate(s)
+	}
+	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
+		idle.close(view.Document.Limits.IdleTimeout + idleMargin)
+	}
+}
+
+// regroupAll follows the groups of all paced services.
+func (g *Gateway) regroupAll() {
+	view := g.opts.Belief.View()
+	for _, s := range g.all() {
 		s.mu.Lock()
 		if s.gate != nil {
 			g.regroup(s, view)
 		}
 		s.mu.Unlock()
-		g.logGate(s)
-	}
-	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
-		idle.close(view.Document.Limits.IdleTimeout + idleMargin)
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -126,6 +126,9 @@
 
 // candidates lists the servers for a pick. Callers hold mu.
 func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) []route.Candidate {
+	if !s.has(group) {
+		group = "" // groups have become known, or changed, since the request was admitted
+	}
 	list := make([]route.Candidate, 0, len(members))
 	for _, m := range members {
 		st := s.server(m)
@@ -140,6 +143,16 @@
 	return list
 }
 
+// has reports whether any server belongs to a group. Callers hold mu.
+func (s *service) has(group string) bool {
+	for _, g := range s.groupOf {
+		if g == group {
+			return true
+		}
+	}
+	return false
+}
+
 // sentWithin is the number of requests sent in the present second.
 func (s *server) sentWithin(now time.Duration) float64 {
 	if now-s.window >= time.Second {
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -23,9 +23,6 @@
 	// waitingShare is the number of requests that may wait for each one that
 	// may run: about as many end within the longest wait.
 	waitingShare = 0.25
-	// stallWait is for how long requests wait for groups that have stopped: a
-	// rank that was restarted is back by then, and the group formed anew.
-	stallWait = 1800 * time.Millisecond
 	// firstWeight is the weight of one more time to the first event in the mean.
 	firstWeight = 0.1
 	// minReturn and maxReturn bound the time after which refused callers come
@@ -36,9 +33,6 @@
 	// freeShare is the part of a group's capacity that any instance may use;
 	// what is beyond is divided by demand.
 	freeShare = 0.9
-	// lateShare is the part of a group's capacity that requests may fill which
-	// cannot be on time any more; the rest is left for those that can.
-	lateShare = 0.75
 	// peerLimit is the age at which a peer's word counts no more.
 	peerLimit = time.Second
 	// rateTime is the time over which arrivals are averaged.
@@ -143,16 +137,15 @@
 	return was
 }
 
-// standing is since when every group has made no passes; 0 while any does.
-func (g *Gate) standing() time.Duration {
-	since := time.Duration(0)
+// standing reports whether no group makes passes. Requests that would wait are
+// refused then: when a group opens, its places go to those who come in time.
+func (g *Gate) standing() bool {
 	for _, gr := range g.groups {
 		if gr.stalled == 0 {
-			return 0
+			return false
 		}
-		since = max(since, gr.stalled)
 	}
-	return since
+	return len(g.groups) > 0
 }
 
 // Waiting is the number of requests that wait.
@@ -235,16 +228,13 @@
 }
 
 // room is the group that has the most room for one more stream; nil for none.
-func (g *Gate) room(now time.Duration, late bool) (best *group, name string) {
+func (g *Gate) room(now time.Duration) (best *group, name string) {
 	most := 0.0
 	for n, gr := range g.groups {
 		if now < gr.closed {
 			continue
 		}
 		limit := gr.capacity.Limit()
-		if late {
-			limit *= lateShare
-		}
 		total := float64(gr.total(now))
 		free := freeShare*limit - total
 		if free < 1 && total < limit {
@@ -270,12 +260,7 @@
 		return true
 	}
 	wait := g.patience(t)
-	if since := g.standing(); since > 0 {
-		wait = since + stallWait - now
-	} else if g.hopeless(now) {
-		return false
-	}
-	if wait <= 0 {
+	if wait <= 0 || g.hopeless(now) || g.standing() {
 		return false
 	}
 	t.expires = now + wait
@@ -285,7 +270,7 @@
 
 // admit lets a request run if there is room.
 func (g *Gate) admit(now time.Duration, t *Ticket) bool {
-	gr, name := g.room(now, g.late(now, t))
+	gr, name := g.room(now)
 	if gr == nil {
 		return false
 	}
