--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,523 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
+)
+
+var names = Names{
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectServer: "X-Expect",
+	NotRun: "X-Not-Run", AtServer: "X-At", Seal: "X-Seal", LastEvent: "Last-Event-Id", ReservedSet: []string{"X-Reserved"},
+}
+
+// world is a gateway with backend servers that tests write.
+type world struct {
+	t       *testing.T
+	g       *Gateway
+	belief  *fleet.Belief
+	front   *httptest.Server
+	proof   atomic.Int64 // ns on the clock of package clock; 0 for none
+	servers int
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, belief: fleet.NewBelief(time.Second)}
+	w.proof.Store(int64(clock.Boot()))
+	w.g = New(Options{
+		Settings: Settings{Bounds: Bounds{
+			Revoke: 5 * time.Second, RevokeStrict: true, RetryRatio: 1, RetryExtra: 800, Grace: 8 * time.Second,
+		}},
+		Names: names, Belief: w.belief, Log: log.New(io.Discard), Registry: prometheus.NewRegistry(),
+		Proof: func() (time.Duration, bool) { n := w.proof.Load(); return time.Duration(n), n != 0 },
+	})
+	w.front = httptest.NewServer(w.g)
+	t.Cleanup(func() {
+		w.front.CloseClientConnections()
+		w.front.Close()
+	})
+	w.document(func(*fleet.Document) {})
+	return w
+}
+
+// document publishes a document that the test has changed.
+func (w *world) document(change func(d *fleet.Document)) {
+	d := &fleet.Document{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: fleet.Once, Timeout: 5 * time.Second, Target: time.Second},
+			{Name: "again", Host: "h", Prefix: "/again/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Target: time.Second},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: fleet.Stream, Timeout: 5 * time.Second, Target: time.Second, TargetGap: time.Second, Resume: true},
+			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: fleet.Stream, Timeout: 5 * time.Second, Target: time.Second, TargetGap: time.Second},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Anonymous: true},
+		},
+		Services:      map[string]*fleet.Service{"s": {Name: "s"}},
+		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}},
+	}
+	for i := range d.Routes {
+		d.Routes[i].Split = []fleet.Share{{Service: "s", Weight: 1}}
+		d.Routes[i].MaxAttempts = 2
+	}
+	change(d)
+	d.Index()
+	w.belief.Apply([]fleet.Change{d}, 1)
+}
+
+// server adds a backend server that handles connections itself.
+func (w *world) server(handle func(c *conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { ln.Close() })
+	w.servers++
+	id := fmt.Sprint("i-", w.servers)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(&conn{Conn: c, br: bufio.NewReader(c)})
+			}()
+		}
+	}()
+	w.belief.Apply([]fleet.Change{&fleet.Server{ID: id, Service: "s", Address: ln.Addr().String(), Slots: 4, Seq: 1}}, 1)
+	return id
+}
+
+// conn is a connection as a backend server sees it.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+// request reads one request with its body; nil at the end of the connection.
+func (c *conn) request() *http.Request {
+	r, err := http.ReadRequest(c.br)
+	if err != nil {
+		return nil
+	}
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	return r
+}
+
+func (c *conn) write(s string) { io.WriteString(c.Conn, s) }
+
+// reset closes the connection with RST.
+func (c *conn) reset() {
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Conn.Close()
+}
+
+// answer is a whole answer of a server.
+func answer(r *http.Request, status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Seal: seal\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("X-Id"), len(body), body)
+}
+
+// serve answers every request with the same body.
+func serve(body string) func(c *conn) {
+	return func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			c.write(answer(r, http.StatusOK, body))
+		}
+	}
+}
+
+var nextID atomic.Int64
+
+// call sends one request with the key.
+func (w *world) call(path string, header ...string) (status int, body string, h http.Header) {
+	w.t.Helper()
+	resp := w.open(path, header...)
+	data, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	body = string(data)
+	if err != nil {
+		body += " CUT"
+	}
+	return resp.StatusCode, body, resp.Header
+}
+
+// open sends one request and returns when the head of its answer is there.
+func (w *world) open(path string, header ...string) *http.Response {
+	w.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, w.front.URL+path, strings.NewReader("body"))
+	require.NoError(w.t, err)
+	r.Host = "h"
+	r.Header.Set("X-Id", strconv.FormatInt(nextID.Add(1), 16))
+	r.Header.Set("X-Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	return resp
+}
+
+func TestForwardsUnchangedAndAddsItsHeaders(t *testing.T) {
+	w := newWorld(t)
+	got := make(chan *http.Request, 1)
+	id := w.server(func(c *conn) {
+		r := c.request()
+		got <- r
+		c.write(answer(r, http.StatusCreated, "made"))
+	})
+	status, body, h := w.call("/once/x?y=%20z", "X-Deadline", "900", "X-Org", "forged", "X-Reserved", "9", "X-Other", "kept")
+	require.Equal(t, http.StatusCreated, status)
+	require.Equal(t, "made", body)
+	require.Equal(t, "seal", h.Get("X-Seal"))
+	r := <-got
+	require.Equal(t, "/once/x?y=%20z", r.RequestURI)
+	require.Equal(t, "org", r.Header.Get("X-Org"))
+	require.Equal(t, id, r.Header.Get("X-Expect"))
+	require.Equal(t, "kept", r.Header.Get("X-Other"))
+	require.Empty(t, r.Header.Get("X-Key"))
+	require.Empty(t, r.Header.Get("X-Reserved"))
+	left, err := strconv.Atoi(r.Header.Get("X-Deadline"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 900)
+	data, _ := io.ReadAll(r.Body)
+	require.Equal(t, "body", string(data))
+}
+
+func TestRefusalsOfItsOwn(t *testing.T) {
+	w := newWorld(t)
+	w.server(serve("ok"))
+	for name, c := range map[string]struct {
+		path, key string
+		status    int
+	}{
+		"known key":          {"/once/", "key", 200},
+		"unknown key":        {"/once/", "other", 401},
+		"no key":             {"/once/", "", 401},
+		"unknown route":      {"/nowhere/", "key", 404},
+		"anonymous route":    {"/open/", "", 200},
+		"anonymous with key": {"/open/", "key", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, _, _ := w.call(c.path, "X-Key", c.key)
+			require.Equal(t, c.status, status)
+		})
+	}
+}
+
+// Without a recent proof that the document is the newest, a key may have been
+// withdrawn and a route added: neither is decided upon.
+func TestStaleDocument(t *testing.T) {
+	w := newWorld(t)
+	w.server(serve("ok"))
+	w.proof.Store(int64(clock.Boot() - 4900*time.Millisecond))
+	for path, want := range map[string]int{"/once/": 503, "/nowhere/": 503, "/open/": 200} {
+		status, _, h := w.call(path)
+		require.Equal(t, want, status, path)
+		if want == 503 {
+			require.NotEmpty(t, h.Get("Retry-After"))
+		}
+	}
+	require.False(t, w.g.Ready())
+	w.proof.Store(int64(clock.Boot()))
+	require.True(t, w.g.Ready())
+}
+
+func TestNoDocumentYet(t *testing.T) {
+	w := newWorld(t)
+	w.g.opts.Belief = fleet.NewBelief(0)
+	status, _, _ := w.call("/once/")
+	require.Equal(t, 503, status)
+	require.False(t, w.g.Ready())
+}
+
+// A call that may not repeat is sent once, and never said not to have run
+// after it was sent.
+func TestOnceIsNeverRepeatedNorDenied(t *testing.T) {
+	for name, fault := range map[string]func(c *conn, r *http.Request){
+		"reset":          func(c *conn, _ *http.Request) { c.reset() },
+		"closed":         func(c *conn, _ *http.Request) { c.Close() },
+		"half an answer": func(c *conn, r *http.Request) { c.write(answer(r, 200, "whole")[:60]); c.reset() },
+		"half a body":    func(c *conn, r *http.Request) { a := answer(r, 200, "whole"); c.write(a[:len(a)-2]) },
+		"garbage":        func(c *conn, _ *http.Request) { c.write("\x00\x01 no answer\r\n\r\n") },
+		"no seal":        func(c *conn, r *http.Request) { c.write(strings.Replace(answer(r, 200, "x"), "X-Seal", "X-Other", 1)) },
+		"encoded": func(c *conn, r *http.Request) {
+			c.write(strings.Replace(answer(r, 200, "x"), "X-Seal", "Content-Encoding: gzip\r\nX-Seal", 1))
+		},
+		"own 503": func(c *conn, r *http.Request) { c.write(answer(r, 503, "busy")) },
+		"reset after unframed": func(c *conn, r *http.Request) {
+			c.write("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Seal: s\r\n\r\nhalf")
+			time.Sleep(20 * time.Millisecond)
+			c.reset()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			var arrivals atomic.Int64
+			for range 3 {
+				w.server(func(c *conn) {
+					r := c.request()
+					arrivals.Add(1)
+					fault(c, r)
+				})
+			}
+			status, _, h := w.call("/once/")
+			require.Equal(t, http.StatusBadGateway, status)
+			require.Empty(t, h.Get("X-Seal"))
+			require.EqualValues(t, 1, arrivals.Load())
+		})
+	}
+}
+
+// An answer without a length that ends properly is whole.
+func TestUnframedAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.server(func(c *conn) {
+		r := c.request()
+		c.write("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Seal: s\r\n\r\nwhole")
+	})
+	status, body, _ := w.call("/once/")
+	require.Equal(t, 200, status)
+	require.Equal(t, "whole", body)
+}
+
+// What a server says it has not run goes to another one, also if it may not
+// repeat; with none left the caller is told to come back.
+func TestNotRunGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	refuse := func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			c.write(strings.Replace(answer(r, 503, ""), "X-Seal", "X-Not-Run", 1))
+		}
+	}
+	w.server(refuse)
+	w.server(refuse)
+	status, _, h := w.call("/once/")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, h.Get("Retry-After"))
+	w.server(serve("ok"))
+	require.Eventually(t, func() bool { s, _, _ := w.call("/once/"); return s == 200 }, 20*time.Second, time.Millisecond)
+}
+
+func TestIdempotentIsRetried(t *testing.T) {
+	w := newWorld(t)
+	var broken atomic.Int64
+	for range 2 {
+		w.server(func(c *conn) {
+			for r := c.request(); r != nil; r = c.request() {
+				if broken.Add(1) == 1 {
+					c.reset()
+					return
+				}
+				c.write(answer(r, 200, "ok"))
+			}
+		})
+	}
+	status, body, _ := w.call("/again/")
+	require.Equal(t, 200, status)
+	require.Equal(t, "ok", body)
+	require.EqualValues(t, 2, broken.Load())
+}
+
+// A second answer that arrives late is not taken for the next request's.
+func TestLateSecondAnswer(t *testing.T) {
+	w := newWorld(t)
+	var served atomic.Int64
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			own := answer(r, 200, "for "+r.Header.Get("X-Id"))
+			c.write(own)
+			served.Add(1)
+			time.Sleep(time.Duration(served.Load()%3) * 3 * time.Millisecond)
+			c.write(own)
+		}
+	})
+	for i := range 60 {
+		id := fmt.Sprint("late-", i)
+		status, body, _ := w.call("/again/", "X-Id", id)
+		require.Equal(t, 200, status)
+		require.Equal(t, "for "+id, body)
+	}
+}
+
+// stream writes events from one id to another.
+func stream(c *conn, r *http.Request, seal string, from, to int, end bool) {
+	c.write("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Seal: " + seal +
+		"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := from; i <= to; i++ {
+		e := fmt.Sprintf("id: %d\ndata: d%d\n\n", i, i)
+		c.write(fmt.Sprintf("%x\r\n%s\r\n", len(e), e))
+	}
+	if end {
+		c.write("0\r\n\r\n")
+	}
+}
+
+func events(from, to int) string {
+	s := ""
+	for i := from; i <= to; i++ {
+		s += fmt.Sprintf("id: %d\ndata: d%d\n\n", i, i)
+	}
+	return s
+}
+
+// A stream that breaks in the middle of an event goes on at another server
+// after the last whole one, under the head of the first.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	var calls atomic.Int64
+	for range 2 {
+		w.server(func(c *conn) {
+			r := c.request()
+			if calls.Add(1) == 1 {
+				stream(c, r, "first", 1, 3, false)
+				c.write("8\r\nid: 4\nda\r\n")
+				c.reset()
+				return
+			}
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			stream(c, r, "second", last+1, 6, true)
+		})
+	}
+	status, body, h := w.call("/stream/")
+	require.Equal(t, 200, status)
+	require.Equal(t, "first", h.Get("X-Seal"))
+	require.Equal(t, events(1, 6), body)
+}
+
+// A stream that may not go on ends as cut, not as complete.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	w := newWorld(t)
+	for range 2 {
+		w.server(func(c *conn) {
+			stream(c, c.request(), "s", 1, 3, false)
+			time.Sleep(30 * time.Millisecond)
+			c.reset()
+		})
+	}
+	status, body, _ := w.call("/fixed/")
+	require.Equal(t, 200, status)
+	require.Equal(t, events(1, 3)+" CUT", body)
+}
+
+// Events are delivered as they arrive.
+func TestEventsAreNotHeldBack(t *testing.T) {
+	w := newWorld(t)
+	goOn := make(chan struct{})
+	w.server(func(c *conn) {
+		stream(c, c.request(), "s", 1, 1, false)
+		<-goOn
+		e := events(2, 2)
+		c.write(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(e), e))
+	})
+	resp := w.open("/stream/")
+	defer resp.Body.Close()
+	buf := make([]byte, len(events(1, 1)))
+	_, err := io.ReadFull(resp.Body, buf)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 1), string(buf))
+	close(goOn)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, events(2, 2), string(rest))
+}
+
+// When the caller leaves, the server's connection is closed.
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t)
+	gone := make(chan struct{})
+	w.server(func(c *conn) {
+		stream(c, c.request(), "s", 1, 1, false)
+		c.br.ReadByte()
+		close(gone)
+	})
+	resp := w.open("/stream/")
+	buf := make([]byte, len(events(1, 1)))
+	_, err := io.ReadFull(resp.Body, buf)
+	require.NoError(t, err)
+	resp.Body.Close()
+	select {
+	case <-gone:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the server still works for a caller that has left")
+	}
+}
+
+// An answer that does not come in time is given up with a final answer at once.
+func TestTimeout(t *testing.T) {
+	w := newWorld(t)
+	w.server(func(c *conn) {
+		c.request()
+		c.br.ReadByte()
+	})
+	status, _, _ := w.call("/once/", "X-Deadline", "50")
+	require.Equal(t, http.StatusGatewayTimeout, status)
+}
+
+// What a stopping process has passed on to a server is answered in full, also
+// on connections that were idle when it was told to stop (found by hunt, mix
+// seed 152368925399 of bryllupslyd-dk).
+func TestStopLosesNothing(t *testing.T) {
+	w := newWorld(t)
+	var passed, answered, refused atomic.Int64
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			passed.Add(1)
+			time.Sleep(2 * time.Millisecond)
+			c.write(answer(r, 200, "ok"))
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.g.opts.Settings.Listen = "127.0.0.1:0"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: w.g}
+	go srv.Serve(ln)
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			client := &http.Client{Transport: &http.Transport{}}
+			for ctx.Err() == nil {
+				r, _ := http.NewRequest(http.MethodPost, "http://"+ln.Addr().String()+"/once/", strings.NewReader("x"))
+				r.Host = "h"
+				r.Header.Set("X-Id", strconv.FormatInt(nextID.Add(1), 16))
+				r.Header.Set("X-Key", "key")
+				resp, err := client.Do(r)
+				if err != nil {
+					continue
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					answered.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			}
+		}()
+	}
+	require.Eventually(t, func() bool { return answered.Load() > 50 }, 20*time.Second, time.Millisecond)
+	require.NoError(t, w.g.stop(srv, ln))
+	cancel()
+	callers.Wait()
+	require.Equal(t, passed.Load(), answered.Load())
+}
--- /dev/null
+++ b/rebalance/process_test.go
@@ -0,0 +1,211 @@
+package rebalance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/directory"
+	"marjorampitch/placement/spread"
+	"marjorampitch/platform"
+	"marjorampitch/platform/platformtest"
+	"marjorampitch/remap"
+)
+
+const ranks = 3
+
+var shape = Shape{Shape: spread.Shape{Sets: 2, Experts: 12, Places: 6}, Spare: 2, Copy: 10 * time.Millisecond}
+
+// group is a fake rank group: passes go on while no rank holds one.
+type group struct {
+	mu      sync.Mutex // guards all fields
+	ranks   [ranks]remap.Engine
+	highest [ranks]int64
+	hot     int // expert that half of the tokens choose
+	counts  [ranks][]int64
+	maps    map[string]bool // two maps that met in one pass
+	passes  int
+}
+
+func newGroup() *group {
+	g := &group{maps: make(map[string]bool)}
+	for r := range g.ranks {
+		g.ranks[r] = remap.Engine{
+			Group: "g", Epoch: 1, Rank: r, Size: ranks, Open: true, Prepared: remap.None, Armed: remap.None, Held: remap.None,
+		}
+		g.counts[r] = make([]int64, shape.Sets*shape.Experts)
+	}
+	return g
+}
+
+// pass begins the next pass unless a rank holds it.
+func (g *group) pass() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := g.ranks[0].Step + 1
+	for i := range g.ranks {
+		if g.ranks[i].Held == next {
+			return
+		}
+	}
+	g.passes++
+	for i := range g.ranks {
+		e := &g.ranks[i]
+		e.Step = next
+		if e.Armed != remap.None && e.ArmedAt == next {
+			e.Map, e.Armed, e.Prepared = e.Armed, remap.None, remap.None
+		}
+		for set := range shape.Sets {
+			for x := range shape.Experts {
+				g.counts[i][set*shape.Experts+x] += 10
+			}
+			g.counts[i][set*shape.Experts+g.hot] += 200
+		}
+	}
+	for i := range g.ranks {
+		if g.ranks[i].Map != g.ranks[0].Map {
+			g.maps[fmt.Sprint(g.ranks[0].Map, g.ranks[i].Map)] = true
+		}
+	}
+}
+
+func (g *group) version() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ranks[0].Map
+}
+
+func (g *group) setHot(expert int) {
+	g.mu.Lock()
+	g.hot = expert
+	g.mu.Unlock()
+}
+
+// rankEngine is the engine of one rank.
+type rankEngine struct {
+	g    *group
+	rank int
+}
+
+func (e rankEngine) Report(context.Context) (remap.Engine, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return e.g.ranks[e.rank], nil
+}
+
+func (e rankEngine) Chosen(context.Context) (int64, int64, []int64, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return e.g.ranks[e.rank].Step, 1, append([]int64(nil), e.g.counts[e.rank]...), nil
+}
+
+func (e rankEngine) Order(_ context.Context, _ spread.Shape, o remap.Order) (remap.Result, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	x := &e.g.ranks[e.rank]
+	if o.Expect != x.Seq || o.Epoch != x.Epoch {
+		return remap.Refused, nil
+	}
+	switch o.Kind {
+	case remap.OrderPrepare:
+		if o.Version <= e.g.highest[e.rank] || x.Armed != remap.None {
+			return remap.Refused, nil
+		}
+		e.g.highest[e.rank], x.Prepared = o.Version, o.Version
+	case remap.OrderArm:
+		if x.Prepared != o.Version || x.Step >= o.Step {
+			return remap.Refused, nil
+		}
+		x.Armed, x.ArmedAt = o.Version, o.Step
+	case remap.OrderDisarm:
+		x.Armed = remap.None
+	case remap.OrderHold:
+		if x.Step >= o.Step {
+			return remap.Refused, nil
+		}
+		x.Held = o.Step
+	case remap.OrderGo:
+		x.Held = remap.None
+	}
+	x.Seq++
+	return remap.Accepted, nil
+}
+
+func freePort(t *testing.T) string {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// start runs the process beside a rank until stop is called.
+func start(t *testing.T, g *group, st *platformtest.Store, rank int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	logger := log.New(io.Discard)
+	s := platform.NewStore(st.Address(), logger)
+	dir := directory.New(s, logger)
+	go dir.Run(ctx)
+	p := New(Options{
+		Instance: fmt.Sprint("side-", rank), Address: freePort(t), Engine: rankEngine{g, rank}, EngineAddress: fmt.Sprint(rank),
+		Remote: func(address string) Engine {
+			var r int
+			fmt.Sscan(address, &r)
+			return rankEngine{g, r}
+		},
+		Store: s, Directory: dir, Log: logger, Shape: func() (Shape, bool) { return shape, true },
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// Processes that find each other through the store put maps in force that
+// follow demand, and go on when the coordinator's process is gone for good; a
+// pass never has two maps.
+func TestMapsFollowDemand(t *testing.T) {
+	st := platformtest.NewStore()
+	defer st.Close()
+	g := newGroup()
+	stop := make([]func(), ranks)
+	for r := range stop {
+		stop[r] = start(t, g, st, r)
+	}
+	passes, end := context.WithCancel(context.Background())
+	defer end()
+	go func() {
+		for passes.Err() == nil {
+			g.pass()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	switched := func(after int64) int64 {
+		t.Helper()
+		require.Eventually(t, func() bool { return g.version() > after }, 60*time.Second, time.Millisecond)
+		return g.version()
+	}
+	first := switched(0)
+	g.setHot(7)
+	second := switched(first)
+
+	stop[0]() // rank 0 claims first: the coordinator
+	stop[0] = start(t, g, st, 0)
+	g.setHot(4)
+	switched(second)
+	for _, s := range stop {
+		s()
+	}
+	require.Empty(t, g.maps)
+}
