--- a/backing/backingtest/engine_rank.go
+++ b/backing/backingtest/engine_rank.go
@@ -5,8 +5,8 @@
 // rankState is the part of an engine that obeys orders on expert maps.
 type rankState struct {
 	state     backing.EngineState // Next, Waiting and Incarnation are filled in by report
-	stagedMap string               // hash of the staged map
-	begun     bool                 // step Step+1 is being made
+	stagedMap string              // hash of the staged map
+	begun     bool                // step Step+1 is being made
 	spans     []RankSpan
 }
 
--- a/backing/backingtest/engine_stats.go
+++ b/backing/backingtest/engine_stats.go
@@ -20,7 +20,7 @@
 // EngineOrderRun is the record of one order.
 type EngineOrderRun struct {
 	Order   backing.EngineOrder `json:"order"`
-	Refused bool                 `json:"refused"`
+	Refused bool                `json:"refused"`
 }
 
 // EngineStats is the body of GET /stats of an engine.
--- a/claim/call.go
+++ b/claim/call.go
@@ -91,7 +91,7 @@
 
 	rounds  int
 	claim   *Claim
-	unknown bool            // the append's answer was lost and its fate is not read
+	unknown bool           // the append's answer was lost and its fate is not read
 	closed  backing.Offset // own claim that never ran and never will
 	subject subject
 	since   time.Time // when asking began
--- a/claim/events.go
+++ b/claim/events.go
@@ -13,7 +13,7 @@
 type Start struct {
 	View    View
 	End     backing.Offset // of the stream, as last seen
-	LogDown bool            // the log service does not answer
+	LogDown bool           // the log service does not answer
 }
 
 // AppendRefused says that the log service refused the append of a claim.
@@ -28,7 +28,7 @@
 	View    View
 	End     backing.Offset // next offset to be read
 	Verdict Verdict
-	Nonce   uint64          // of the claim judged
+	Nonce   uint64         // of the claim judged
 	Offset  backing.Offset // of the claim judged
 }
 
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"marjorampitch/api"
-	"marjorampitch/claim"
 	"marjorampitch/backing"
+	"marjorampitch/claim"
 	"marjorampitch/wire"
 )
 
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -57,7 +57,7 @@
 	mu      sync.Mutex
 	table   *Table
 	end     backing.Offset // of the stream, as last seen
-	down    bool            // the last read failed, or none was made
+	down    bool           // the last read failed, or none was made
 	runners map[*runner]struct{}
 	queue   []*pending
 	padded  backing.Offset // the stream is being padded up to here
--- a/claim/table.go
+++ b/claim/table.go
@@ -32,7 +32,7 @@
 	Fingerprint     uint64 // of the first claim; stays after a release
 	Offset          backing.Offset
 	OutcomeOffset   backing.Offset // of the Outcome record, in phase KeyEnded
-	Side            string          // named by the claim
+	Side            string         // named by the claim
 	SideIncarnation string
 	TooOld          bool // the key is older than FoldAge: no claim of it counts
 }
@@ -74,7 +74,7 @@
 // concurrent use.
 type Table struct {
 	end     backing.Offset // next offset to apply
-	newest  int64           // newest birth of a valid claim's key, in Unix milliseconds
+	newest  int64          // newest birth of a valid claim's key, in Unix milliseconds
 	slots   map[Key]slot
 	buckets map[int64][]Key // keys by birth / bucketMillis
 	oldest  int64           // no bucket below this one is kept
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -44,7 +44,7 @@
 	l.add(&Release{Key: k, Offset: 7})                                   // 11
 	l.add(newOutcome(k, 7, wire.Answer{Status: 500}))                    // 12
 	require.Equal(t, KeyEnded, l.Look(k).Phase)                          //
-	require.Equal(t, backing.Offset(10), l.Look(k).OutcomeOffset)       //
+	require.Equal(t, backing.Offset(10), l.Look(k).OutcomeOffset)        //
 	require.Equal(t, VerdictLost, l.add(claimOf(k, 7, 100)).Verdict)     // 13
 	require.Equal(t, VerdictNone, l.Apply(backing.Record{Offset: 14, Data: []byte{99, 1}}).Verdict)
 	require.Equal(t, VerdictNone, l.Apply(backing.Record{Offset: 15, Data: []byte{1, 2, 3}}).Verdict)
--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -16,10 +16,10 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/api"
-	"marjorampitch/claim"
-	"marjorampitch/logfold"
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/claim"
+	"marjorampitch/logfold"
 )
 
 // Ports of the HTTP sides of the entries, as scripts/demo.sh lays them out.
--- a/config/publish/example_test.go
+++ b/config/publish/example_test.go
@@ -6,9 +6,9 @@
 	"os"
 	"strings"
 
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/config"
 	"marjorampitch/config/publish"
-	"marjorampitch/backing/backingtest"
 )
 
 func ExamplePublisher_Publish() {
--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -18,9 +18,9 @@
 	"github.com/pmezard/go-difflib/difflib"
 
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 )
 
 // Status says what became of a change.
@@ -39,7 +39,7 @@
 	Code     api.Code        `json:"code"`
 	Base     uint64          `json:"base"`
 	Version  uint64          `json:"version"` // of the change if accepted, else the current one
-	Offset   backing.Offset `json:"offset"`  // of the record if accepted
+	Offset   backing.Offset  `json:"offset"`  // of the record if accepted
 	Nonce    string          `json:"nonce,omitempty"`
 	Detail   string          `json:"detail,omitempty"`
 	Problems config.Problems `json:"problems,omitempty"`
--- a/config/publish/restart.go
+++ b/config/publish/restart.go
@@ -5,8 +5,8 @@
 	"errors"
 
 	"marjorampitch/api"
-	"marjorampitch/logfold"
 	"marjorampitch/backing"
+	"marjorampitch/logfold"
 )
 
 // Restart begins the history anew with text, when the log service no longer
--- a/entry/coordinator.go
+++ b/entry/coordinator.go
@@ -10,12 +10,12 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/group"
 	"marjorampitch/logfold"
 	"marjorampitch/placement"
 	"marjorampitch/placement/pack"
-	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -6,8 +6,8 @@
 
 	"github.com/charmbracelet/log"
 
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 	"marjorampitch/route"
 	"marjorampitch/wire"
 )
--- a/entry/groups_test.go
+++ b/entry/groups_test.go
@@ -8,9 +8,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
-	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -12,8 +12,8 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
-	"marjorampitch/claim"
 	"marjorampitch/backing"
+	"marjorampitch/claim"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -12,10 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -18,10 +18,10 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/claim"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
-	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- a/entry/table.go
+++ b/entry/table.go
@@ -8,10 +8,10 @@
 
 	"github.com/charmbracelet/log"
 
+	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 	"marjorampitch/route"
 	"marjorampitch/wire"
 )
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -53,7 +53,6 @@
 	objective time.Duration     // longest pause of the streams' route
 	waiters   map[*pace.Ticket]chan struct{}
 	progress  time.Duration // when any stream of the service last had an event
-	stalled   time.Duration // group known to stand still: no request before; 0 when it runs
 }
 
 func newService(name string, budget *admit.RetryBudget, logger *log.Logger) *service {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -15,9 +15,9 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"marjorampitch/logfold"
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/logfold"
 )
 
 // Names and rates of a world.
--- a/internal/slopes/coordination.go
+++ b/internal/slopes/coordination.go
@@ -7,10 +7,10 @@
 
 	"github.com/google/uuid"
 
+	"marjorampitch/backing"
 	"marjorampitch/claim"
 	"marjorampitch/placement/packed"
 	"marjorampitch/placement/placementtest"
-	"marjorampitch/backing"
 )
 
 // claims measures the fold of a partition of claims.
--- a/logfold/example_test.go
+++ b/logfold/example_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"marjorampitch/logfold"
 	"marjorampitch/backing"
+	"marjorampitch/logfold"
 )
 
 // Two operators change version 0; the change that was stored first wins.
--- a/logfold/fold.go
+++ b/logfold/fold.go
@@ -7,8 +7,8 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/api"
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 )
 
 // ErrFormat says that a change can't be judged by this build, since it does
@@ -35,10 +35,10 @@
 type Fold struct {
 	Service string
 	ReadTo  backing.Offset // last record judged
-	Version uint64          // number of accepted changes
+	Version uint64         // number of accepted changes
 	Offset  backing.Offset // accepted record of that version
-	packed  []byte          // its document, compressed by Pack; nil until it is asked for
-	Text    []byte          // its document
+	packed  []byte         // its document, compressed by Pack; nil until it is asked for
+	Text    []byte         // its document
 	Doc     *config.Document
 }
 
--- a/logfold/follower_checkpoint.go
+++ b/logfold/follower_checkpoint.go
@@ -20,9 +20,9 @@
 type checkpointer struct {
 	step    checkpointStep
 	tail    backing.Offset // checkpoints to look at when the fold is lost
-	seenAll bool            // all before next are of no use to the lost fold; later ones may be
-	dueAt   time.Duration   // time of the next write
-	endSeen bool            // the end of the configuration stream was read in this run
+	seenAll bool           // all before next are of no use to the lost fold; later ones may be
+	dueAt   time.Duration  // time of the next write
+	endSeen bool           // the end of the configuration stream was read in this run
 	next    backing.Offset // first checkpoint not yet seen; valid when known
 	known   bool
 }
--- a/logfold/freshness.go
+++ b/logfold/freshness.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 	"marjorampitch/wire"
 )
 
@@ -27,7 +27,7 @@
 	freshFor   time.Duration
 	offset     backing.Offset // of the own document
 	known      backing.Offset // highest of a peer's document
-	logAt      time.Duration   // time of the newest log proof
+	logAt      time.Duration  // time of the newest log proof
 	hasLog     bool
 	canRead    bool                     // the process reads the log itself
 	readFailed bool                     // the last own read failed
@@ -81,8 +81,8 @@
 type Heard struct {
 	DataCentre string
 	Offset     backing.Offset // of the peer's document
-	Proof      time.Duration   // age of the peer's log proof when it sent the heartbeat; negative for none
-	SentAfter  time.Duration   // the peer sent the heartbeat later than this
+	Proof      time.Duration  // age of the peer's log proof when it sent the heartbeat; negative for none
+	SentAfter  time.Duration  // the peer sent the heartbeat later than this
 	LogDown    bool
 	LogUp      bool
 }
--- a/logfold/world_test.go
+++ b/logfold/world_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"marjorampitch/backing"
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
 
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -127,8 +127,10 @@
 
 // New returns a process that is not running.
 func New(opts Options) *Process {
-	return &Process{opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1),
-		standins: make(map[int]*substitute), remote: make(chan wire.RankReport, 8)}
+	return &Process{
+		opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1),
+		standins: make(map[int]*substitute), remote: make(chan wire.RankReport, 8),
+	}
 }
 
 func (p *Process) now() time.Duration { return time.Since(p.start) }
--- a/side/down_test.go
+++ b/side/down_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 )
 
 // A backend server that crashed is down until an answer that was asked for afterwards.
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -7,8 +7,8 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 	"marjorampitch/wire"
 )
 
--- a/side/load.go
+++ b/side/load.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"marjorampitch/api"
-	"marjorampitch/config"
 	"marjorampitch/backing"
+	"marjorampitch/config"
 	"marjorampitch/wire"
 )
 
--- a/side/rank.go
+++ b/side/rank.go
@@ -7,9 +7,9 @@
 	"github.com/charmbracelet/log"
 
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/group"
 	"marjorampitch/logfold"
-	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- a/side/rank_engine.go
+++ b/side/rank_engine.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"marjorampitch/group"
 	"marjorampitch/backing"
+	"marjorampitch/group"
 )
 
 // stateRetry is the pause before an engine that did not tell its state is asked again.
--- a/side/rank_test.go
+++ b/side/rank_test.go
@@ -10,10 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/api"
-	"marjorampitch/group"
-	"marjorampitch/logfold"
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/group"
+	"marjorampitch/logfold"
 	"marjorampitch/wire"
 )
 
--- a/side/server.go
+++ b/side/server.go
@@ -15,9 +15,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"marjorampitch/api"
+	"marjorampitch/backing"
 	"marjorampitch/internal/node"
 	"marjorampitch/internal/recent"
-	"marjorampitch/backing"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -32,21 +32,21 @@
 // RankReport is what the process beside a rank knows of it, and which goal it
 // knows it under.
 type RankReport struct {
-	Group    string    `msg:"g"`
-	Rank     int       `msg:"r"`
-	Term     int64     `msg:"t"`
-	Seq      uint64    `msg:"n"`
-	Epoch    int64     `msg:"e"`
-	Open     bool      `msg:"o"`
-	Step     int64     `msg:"p"`  // last pass begun
-	Map      int64     `msg:"v"`  // version in force
-	Prepared int64     `msg:"c"`  // version whose copy is complete; -1 for none
-	Armed    int64     `msg:"a"`  // version armed; -1 for none
-	ArmedAt  int64     `msg:"ap"` // pass from which it is armed
-	Held     int64     `msg:"h"`  // pass that the rank holds; -1 for none
-	Refused  int64     `msg:"x"`  // version whose order the engine refused; -1 for none
-	Running  int       `msg:"w"`  // requests that run at the rank
-	Demand   []Demand  `msg:"d"`  // by set, of the passes since the last report; empty for none
+	Group    string   `msg:"g"`
+	Rank     int      `msg:"r"`
+	Term     int64    `msg:"t"`
+	Seq      uint64   `msg:"n"`
+	Epoch    int64    `msg:"e"`
+	Open     bool     `msg:"o"`
+	Step     int64    `msg:"p"`  // last pass begun
+	Map      int64    `msg:"v"`  // version in force
+	Prepared int64    `msg:"c"`  // version whose copy is complete; -1 for none
+	Armed    int64    `msg:"a"`  // version armed; -1 for none
+	ArmedAt  int64    `msg:"ap"` // pass from which it is armed
+	Held     int64    `msg:"h"`  // pass that the rank holds; -1 for none
+	Refused  int64    `msg:"x"`  // version whose order the engine refused; -1 for none
+	Running  int      `msg:"w"`  // requests that run at the rank
+	Demand   []Demand `msg:"d"`  // by set, of the passes since the last report; empty for none
 }
 
 // Demand is how often the requests of a rank chose the experts of one set.
