Fewer store calls, demand looked at every 30 ms

Cause: 17 processes read the directory at each of 17 announcements; servers' and operator's streams were read more often than the bounds need.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -26,8 +26,8 @@
 // Settings of a gateway process.
 const (
 	logRoom     = 2000                    // lines that wait for a reader of the log
-	operatorEnd = 1000 * time.Millisecond // longest wait of a read of the operator's stream
-	serverPause = 400 * time.Millisecond  // between reads of the servers' stream
+	operatorEnd = 1500 * time.Millisecond // longest wait of a read of the operator's stream
+	serverPause = 600 * time.Millisecond  // between reads of the servers' stream
 	storeWait   = 1200 * time.Millisecond // for an answer of the store
 	memoryShare = 0.7                     // of the instance's memory at which the collector works harder
 	logEnd      = 200 * time.Millisecond  // for the last lines at the end
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,6 +25,7 @@
 	readWait    = 20 * time.Second // for a new entry
 	callTimeout = 2 * time.Second  // beyond that
 	retryAfter  = 500 * time.Millisecond
+	batchTime   = 400 * time.Millisecond // between reads: at a start of many, their entries come together
 )
 
 // Directory follows the entries of all processes. It is safe for concurrent use.
@@ -78,6 +79,8 @@
 			d.next = -1
 		case err != nil:
 			sleep(ctx, retryAfter)
+		default:
+			sleep(ctx, batchTime)
 		}
 	}
 }
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -24,12 +24,12 @@
 // Timing of a process.
 const (
 	activePoll  = 15 * time.Millisecond  // between looks at the engine during a switch
-	restPoll    = 40 * time.Millisecond  // between counts, shorter than a pass
+	restPoll    = 30 * time.Millisecond  // between counts, shorter than a pass
 	reportPoll  = 250 * time.Millisecond // between reports of the engine at rest
 	goalEvery   = 250 * time.Millisecond // between a coordinator's goals at rest
 	goalAgain   = 25 * time.Millisecond  // during a switch
 	reportAt    = 300 * time.Millisecond // between a rank's reports when nothing changes
-	foldEvery   = 60 * time.Millisecond  // between estimates of demand
+	foldEvery   = 30 * time.Millisecond  // between estimates of demand
 	closedEvery = 200 * time.Millisecond // between words to gateways while the group makes no passes
 	// patience is the time without a word of a coordinator after which a
 	// process claims its place; rankPatience is added for each rank, so that
