Pace: a slow rank's share of the pause is base, not cost; too slow a group serves late

Ruled out: expert maps (switches went on), the store. Change: cost is bounded by the engines' cost model, the rest is base; where at least three times as many callers can be served late as in time, the limit is for that.

--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,6 +20,8 @@
 	// skewGuess is the load of the most loaded rank, relative to the mean, that
 	// is assumed before any pause was seen.
 	skewGuess = 2.0
+	// skewWorst is that of a map which demand has just left.
+	skewWorst = 5.0
 	// stallProbe is the time after which a stalled group is tried again.
 	stallProbe = 250 * time.Millisecond
 )
@@ -70,12 +72,26 @@
 	}
 }
 
-// basePause is the pause between events of an engine that has little to do.
-func basePause(e *fleet.Engine) time.Duration {
+// costModel is what the document says of a group's passes.
+func costModel(e *fleet.Engine, ranks int) pace.Model {
 	if e == nil {
-		return 0
+		return pace.Model{}
+	}
+	share, skew := 0.0, 1.0
+	if e.Experts != nil {
+		share, skew = e.Experts.Share, skewWorst
+	}
+	// A stream adds its own steps, and its prompt once in its life.
+	work := float64(e.Stride) * float64(e.PerSequence)
+	events := e.Answer / float64(e.Stride)
+	if e.ReadRate > 0 && events > 0 {
+		work += e.Prompt / e.ReadRate * float64(time.Second) / events
+	}
+	return pace.Model{
+		Base:      time.Duration(e.Stride) * e.Step,
+		WorstCost: time.Duration(work * (1 - share + share*skew) / float64(max(ranks, 1))),
+		Events:    events,
 	}
-	return time.Duration(e.Stride) * e.Step
 }
 
 // initialStreams is the number of streams at which the engines' cost model
@@ -119,7 +135,7 @@
 		names = append(names, name)
 	}
 	s.gate.SetGroups(names, func(name string) *pace.Capacity {
-		return pace.NewCapacity(objective, basePause(e), initialStreams(e, objective, sizes[name]))
+		return pace.NewCapacity(objective, costModel(e, sizes[name]), initialStreams(e, objective, sizes[name]))
 	})
 }
 
--- a/pace/capacity.go
+++ b/pace/capacity.go
@@ -30,20 +30,39 @@
 	learnFrom = 0.5
 	// minStreams is the number of streams that may always run.
 	minStreams = 4.0
+	// baseWeight is the weight of the newest period in the estimate of the base.
+	baseWeight = 0.4
+	// lateTime is the time within which a stream that is late anyway must end:
+	// callers wait several seconds.
+	lateTime = 5 * time.Second
+	// lateGain is how many times more streams must end late than could end in
+	// time before a group serves them late; lateHysteresis keeps it there.
+	lateGain       = 3.0
+	lateHysteresis = 0.8
 	// growth is the part by which a capacity grows in one period at most.
 	growth = 0.06
 )
 
+// Model is what is known of a group beforehand, from its engines' cost model.
+type Model struct {
+	Base      time.Duration // pause of a group in which next to nothing runs
+	WorstCost time.Duration // most that one stream adds to a pause; 0 where it is not known
+	Events    float64       // usual number of events of a stream
+}
+
 // Capacity estimates how many streams may run in a group at once.
 //
 // The model is pause = base + cost x streams. The cost of one stream rises and
-// falls with the skew of the expert map, with prompts and with slow ranks; the
-// highest cost within memory counts.
+// falls with the skew of the expert map and with prompts; the highest within
+// memory counts. What a pause exceeds the worst cost by is base: a slow rank
+// lengthens passes however few streams run.
 type Capacity struct {
 	objective time.Duration // longest pause for which a stream is on time
-	base      time.Duration // pause of an empty group
+	model     Model
 	limit     float64
+	base      float64  // present estimate, seconds
 	worst     []sample // periods that no later one exceeds in cost, oldest first
+	late      bool     // the group is too slow: more callers are served late
 
 	sum     time.Duration // of the pauses in this period
 	streams int           // sum of the streams that ran at each of them
@@ -58,10 +77,9 @@
 	cost float64
 }
 
-// NewCapacity returns an estimate that begins with initial streams. base is the
-// pause of a group in which next to nothing runs.
-func NewCapacity(objective, base time.Duration, initial float64) *Capacity {
-	return &Capacity{objective: objective, base: base, limit: max(initial, minStreams)}
+// NewCapacity returns an estimate that begins with initial streams.
+func NewCapacity(objective time.Duration, model Model, initial float64) *Capacity {
+	return &Capacity{objective: objective, model: model, base: model.Base.Seconds(), limit: max(initial, minStreams)}
 }
 
 // Limit is the number of streams that may run.
@@ -70,6 +88,10 @@
 // Gap is the mean pause of the last period.
 func (c *Capacity) Gap() time.Duration { return c.gap }
 
+// Late reports whether the group is so slow that it serves more callers late
+// than few in time.
+func (c *Capacity) Late() bool { return c.late }
+
 // SetObjective changes the objective.
 func (c *Capacity) SetObjective(d time.Duration) { c.objective = d }
 
@@ -85,26 +107,27 @@
 	mean := c.sum / time.Duration(c.count)
 	running := float64(c.streams) / float64(c.count)
 	c.sum, c.streams, c.count, c.decided, c.gap = 0, 0, 0, now, mean
-	c.decide(now, mean, running)
+	if running >= 1 {
+		c.learn(now, mean, running)
+		c.decide()
+	}
 	return true
 }
 
-func (c *Capacity) decide(now, gap time.Duration, running float64) {
-	aim := time.Duration(aimShare * float64(c.objective))
-	if aim <= c.base || running < 1 {
-		return
+// learn splits a pause into base and cost.
+func (c *Capacity) learn(now, gap time.Duration, running float64) {
+	cost := max(gap-c.model.Base, time.Millisecond).Seconds() / running
+	if c.model.WorstCost > 0 {
+		cost = min(cost, c.model.WorstCost.Seconds())
 	}
-	if running >= learnFrom*c.limit || gap > aim {
-		c.remember(sample{now, max(gap-c.base, time.Millisecond).Seconds() / running})
+	base := max(gap.Seconds()-cost*running, c.model.Base.Seconds())
+	c.base += baseWeight * (base - c.base)
+	if running >= learnFrom*c.limit || gap > c.objective {
+		c.remember(sample{now, cost})
 	}
 	for len(c.worst) > 0 && now-c.worst[0].at > memory {
 		c.worst = c.worst[1:]
 	}
-	if len(c.worst) == 0 {
-		return
-	}
-	fits := (aim - c.base).Seconds() / c.worst[0].cost
-	c.limit = max(minStreams, min(fits, c.limit*(1+growth)+1))
 }
 
 // remember keeps a sample and drops the earlier ones that it exceeds.
@@ -114,3 +137,35 @@
 	}
 	c.worst = append(c.worst, s)
 }
+
+// decide sets the limit to what meets the objective; where that is so little
+// that several times as many callers can be served late, to that.
+func (c *Capacity) decide() {
+	if len(c.worst) == 0 {
+		return
+	}
+	cost := c.worst[0].cost
+	aim := aimShare * c.objective.Seconds()
+	inTime := max((aim-c.base)/cost, minStreams)
+	lateGap := c.lateGap()
+	late := max((lateGap-c.base)/cost, 0)
+	gain := lateGain
+	if c.late {
+		gain *= lateHysteresis
+	}
+	c.late = late/lateGap > gain*inTime/aim
+	fits := inTime
+	if c.late {
+		fits = late
+	}
+	c.limit = max(minStreams, min(fits, c.limit*(1+growth)+1))
+}
+
+// lateGap is the pause at which a usual stream still ends within the time that
+// callers give it.
+func (c *Capacity) lateGap() float64 {
+	if c.model.Events <= 0 {
+		return 2 * c.objective.Seconds()
+	}
+	return lateTime.Seconds() / c.model.Events
+}
--- a/pace/load_test.go
+++ b/pace/load_test.go
@@ -191,7 +191,9 @@
 
 func newGated() admission {
 	g := NewGate(rand.New(rand.NewPCG(1, 1)))
-	g.SetGroups([]string{"g"}, func(string) *Capacity { return NewCapacity(maxGap, basePass, 60) })
+	g.SetGroups([]string{"g"}, func(string) *Capacity {
+		return NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events}, 60)
+	})
 	return &gated{g, map[*Ticket]*stream{}}
 }
 
@@ -294,6 +296,30 @@
 	}
 }
 
+// A rank that is slow for a while lengthens every pass, however few streams
+// run: they are not cut down to nothing, and the group is used in full again
+// soon afterwards (recorded day inc-ad0d of bryllupslyd-dk: 4 streams for 16 s).
+func TestSlowRank(t *testing.T) {
+	c := NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events}, 60)
+	now := time.Duration(0)
+	run := func(until time.Duration, base, cost time.Duration) {
+		for ; now < until; now += 50 * time.Millisecond {
+			streams := int(c.Limit())
+			c.Observe(now, base+time.Duration(streams)*cost, streams)
+		}
+	}
+	run(4*time.Second, basePass, costFit)
+	usual := c.Limit()
+	run(12*time.Second, 85*time.Millisecond, 2*time.Millisecond)
+	inTime := 8.0 // (0.84 x 120 ms - 85 ms) / 2 ms
+	require.Greater(t, c.Limit(), lateGain*inTime, "several times as many callers are served late")
+	require.True(t, c.Late())
+	run(13*time.Second, basePass, costFit)
+	require.False(t, c.Late())
+	run(22*time.Second, basePass, costFit)
+	require.Greater(t, c.Limit(), 0.9*usual)
+}
+
 // A group that has stopped gets nothing until it is said to run, and requests
 // are refused at once meanwhile.
 func TestStoppedGroup(t *testing.T) {
