Gateway: limits are divided by the gateways in the directory

Cause: eight were assumed; with sixteen (grown sites) the cold limit and the retry budget of a small service could be exceeded.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -57,12 +57,12 @@
 	view := g.opts.Belief.View()
 	c := &call{id: r.Header.Get(g.opts.Names.RequestID), w: w, r: r, view: view, arrived: g.now(), lastID: -1}
 	if view.Document == nil {
-		return c, api.NewError(api.NotReady, "")
+		return c, soon(api.NotReady, "")
 	}
 	c.route = view.Document.Match(r.Host, r.URL.Path)
 	if c.route == nil {
 		if !current {
-			return c, api.NewError(api.NotCurrent, "route unknown to an old document")
+			return c, soon(api.NotCurrent, "route unknown to an old document")
 		}
 		return c, api.NewError(api.UnknownRoute, "")
 	}
@@ -85,6 +85,17 @@
 	return c, nil
 }
 
+// startRetry is when callers come back whom a process refused that has only
+// just started, or lost touch with the store: other instances serve meanwhile.
+const startRetry = 600 * time.Millisecond
+
+// soon is a refusal after which the caller may come back soon.
+func soon(code api.Code, detail string) *api.Error {
+	e := api.NewError(code, detail)
+	e.RetryAfter = startRetry
+	return e
+}
+
 // identify finds the organisation by the caller's key.
 func (g *Gateway) identify(c *call, current bool) *api.Error {
 	if !c.view.Document.Keyed() {
@@ -98,7 +109,7 @@
 		return nil
 	}
 	if !current {
-		return api.NewError(api.NotCurrent, "keys cannot be checked")
+		return soon(api.NotCurrent, "keys cannot be checked")
 	}
 	if org == nil {
 		return api.NewError(api.UnknownKey, "")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -123,7 +123,7 @@
 	if svc == nil || svc.ColdPerSecond <= 0 {
 		return 0
 	}
-	return math.Max(1, math.Floor(svc.ColdPerSecond/assumedInstances))
+	return math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances())))
 }
 
 // giveUp ends a request that no server has answered in full.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,9 +38,12 @@
 	// stopMargin is left of the grace time when the process ends by itself.
 	stopMargin = 500 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond // between looks at what is underway
-	// assumedInstances stands in for the number of instances that share a limit
-	// while it is not known.
-	assumedInstances = 8
+	// assumedInstances stands in for the number of gateways that share a limit
+	// while none is known.
+	assumedInstances = 16
+	// retryShare is the part of the retry ratio that is used: requests are
+	// counted here when they come, there when they were sent.
+	retryShare = 0.5
 )
 
 // Options are what a Gateway is made of.
@@ -116,13 +119,21 @@
 	s := g.services[name]
 	if s == nil {
 		b := g.opts.Settings.Bounds
-		budget := admit.NewRetryBudget(b.RetryRatio/2, int(b.RetryExtra)/assumedInstances)
+		budget := admit.NewRetryBudget(retryShare*b.RetryRatio, int(b.RetryExtra)/g.instances())
 		s = newService(name, budget, g.opts.Log)
 		g.services[name] = s
 	}
 	return s
 }
 
+// instances is the number of gateways that share a limit.
+func (g *Gateway) instances() int {
+	if n := g.peers.count(); n > 0 {
+		return n
+	}
+	return assumedInstances
+}
+
 // all returns the services that have been asked for.
 func (g *Gateway) all() []*service {
 	g.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -187,6 +187,20 @@
 	return list
 }
 
+// count is the number of gateways in the directory; 0 while none is known.
+func (p *peers) count() int {
+	if p.g.opts.Directory == nil {
+		return 0
+	}
+	n := 0
+	for _, e := range p.g.opts.Directory.Entries() {
+		if e.Role == wire.RoleGateway {
+			n++
+		}
+	}
+	return n
+}
+
 // engineGroups is the group of each engine, by its address.
 func (p *peers) engineGroups() map[string]string {
 	groups := make(map[string]string)
