--- a/remap/rank.go
+++ b/remap/rank.go
@@ -91,7 +91,7 @@
 	if e.Map >= v || e.Prepared >= v || e.Armed != None || r.refuse == v {
 		return Order{}, false
 	}
-	if r.posted.version == v && now-r.posted.at < prepareAgain {
+	if r.posted.version == v && (e.Busy || now-r.posted.at < prepareAgain) {
 		return Order{}, false
 	}
 	r.posted.version, r.posted.at = v, now
@@ -115,7 +115,7 @@
 	case result == Refused && (o.Kind == OrderPrepare || o.Kind == OrderArm):
 		r.refuse = o.Version
 	case result == Unanswered && o.Kind == OrderPrepare:
-		r.posted.version = None // ordered again at once
+		r.posted.at -= prepareAgain // ordered again unless the engine is found busy
 	}
 }
 
--- a/remap/remap.go
+++ b/remap/remap.go
@@ -55,6 +55,7 @@
 	ArmedAt  int64
 	Held     int64
 	Seq      int64 // orders accepted
+	Busy     bool  // an order is being carried out
 	Running  int
 }
 
--- a/remap/world_test.go
+++ b/remap/world_test.go
@@ -318,3 +318,23 @@
 		require.Positive(t, c.Switched, "seed %d, phase %s", seed, c.Phase())
 	}
 }
+
+// A prepare whose answer was lost is not given again while the engine is at
+// it: the engine would refuse the second one, and the switch be given up.
+func TestUnansweredPrepare(t *testing.T) {
+	r := NewRank()
+	e := Engine{Group: "g", Epoch: 1, Size: 2, Open: true, Prepared: None, Armed: None, Held: None}
+	r.Observe(e)
+	r.Goal(wire.MapGoal{Group: "g", Term: 1, Seq: 1, Epoch: 1, Stage: uint8(Prepare), Version: 5})
+	o, ok := r.Next(0)
+	require.True(t, ok)
+	r.Done(o, Unanswered)
+	e.Busy = true
+	r.Observe(e)
+	_, ok = r.Next(time.Millisecond)
+	require.False(t, ok)
+	e.Busy = false
+	r.Observe(e)
+	_, ok = r.Next(2 * time.Millisecond)
+	require.True(t, ok, "it was lost, or comes late")
+}
