--- a/gateway/service.go
+++ b/gateway/service.go
@@ -17,10 +17,8 @@
 // Settings of a service's state.
 const (
 	pickPolicy = "leastconn"
-	// skewGuess is the load of the most loaded rank, relative to the mean, that
-	// is assumed before any pause was seen.
-	skewGuess = 2.0
-	// skewWorst is that of a map which demand has just left.
+	// skewWorst is the load of the most loaded rank, relative to the mean, under
+	// a map which demand has just left.
 	skewWorst = 5.0
 	// stallProbe is the time after which a stalled group is tried again.
 	stallProbe = 250 * time.Millisecond
@@ -94,20 +92,6 @@
 	}
 }
 
-// initialStreams is the number of streams at which the engines' cost model
-// meets the objective with the skew that is assumed.
-func initialStreams(e *fleet.Engine, objective time.Duration, servers int) float64 {
-	if e == nil || e.PerSequence <= 0 {
-		return float64(servers)
-	}
-	skew := 1.0
-	if e.Experts != nil {
-		skew = 1 - e.Experts.Share + e.Experts.Share*skewGuess
-	}
-	room := objective/2/time.Duration(e.Stride) - e.Step
-	return float64(max(room, 0)) / float64(e.PerSequence) / skew * float64(servers)
-}
-
 // ungrouped is the group of servers of which no group is known.
 const ungrouped = "all"
 
@@ -135,7 +119,7 @@
 		names = append(names, name)
 	}
 	s.gate.SetGroups(names, func(name string) *pace.Capacity {
-		return pace.NewCapacity(objective, costModel(e, sizes[name]), initialStreams(e, objective, sizes[name]))
+		return pace.NewCapacity(objective, costModel(e, sizes[name]))
 	})
 }
 
--- a/pace/capacity.go
+++ b/pace/capacity.go
@@ -30,6 +30,9 @@
 	learnFrom = 0.5
 	// minStreams is the number of streams that may always run.
 	minStreams = 4.0
+	// unknownLimit is the number of streams that a group begins with of whose
+	// engines nothing is known.
+	unknownLimit = 16.0
 	// baseWeight is the weight of the newest period in the estimate of the base.
 	baseWeight = 0.4
 	// lateTime is the time within which a stream that is late anyway must end:
@@ -77,9 +80,14 @@
 	cost float64
 }
 
-// NewCapacity returns an estimate that begins with initial streams.
-func NewCapacity(objective time.Duration, model Model, initial float64) *Capacity {
-	return &Capacity{objective: objective, model: model, base: model.Base.Seconds(), limit: max(initial, minStreams)}
+// NewCapacity returns an estimate that begins with what meets the objective at
+// the worst cost: a group that starts has a map that knows no demand.
+func NewCapacity(objective time.Duration, model Model) *Capacity {
+	c := &Capacity{objective: objective, model: model, base: model.Base.Seconds(), limit: unknownLimit}
+	if model.WorstCost > 0 {
+		c.limit = max(minStreams, (aimShare*objective.Seconds()-c.base)/model.WorstCost.Seconds())
+	}
+	return c
 }
 
 // Limit is the number of streams that may run.
--- a/pace/load_test.go
+++ b/pace/load_test.go
@@ -192,7 +192,7 @@
 func newGated() admission {
 	g := NewGate(rand.New(rand.NewPCG(1, 1)))
 	g.SetGroups([]string{"g"}, func(string) *Capacity {
-		return NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events}, 60)
+		return NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events})
 	})
 	return &gated{g, map[*Ticket]*stream{}}
 }
@@ -300,7 +300,7 @@
 // run: they are not cut down to nothing, and the group is used in full again
 // soon afterwards (recorded day inc-ad0d of bryllupslyd-dk: 4 streams for 16 s).
 func TestSlowRank(t *testing.T) {
-	c := NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events}, 60)
+	c := NewCapacity(maxGap, Model{Base: basePass, WorstCost: 1500 * time.Microsecond, Events: events})
 	now := time.Duration(0)
 	run := func(until time.Duration, base, cost time.Duration) {
 		for ; now < until; now += 50 * time.Millisecond {
--- a/rebalance/count.go
+++ b/rebalance/count.go
@@ -42,8 +42,12 @@
 		return
 	}
 	step, epoch, counts, err := p.opts.Engine.Chosen(ctx)
-	if err != nil || epoch == p.counts.epoch && step == p.counts.step {
-		return // nothing new; an engine that is gone shows in its reports
+	if err != nil {
+		p.engineLost(err)
+		return
+	}
+	if epoch == p.counts.epoch && step == p.counts.step {
+		return
 	}
 	diff := p.counts.since(epoch, step, counts)
 	shape, ok := p.mapShape()
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -30,6 +30,7 @@
 	goalAgain   = 25 * time.Millisecond  // during a switch
 	reportAt    = 300 * time.Millisecond // between a rank's reports when nothing changes
 	foldEvery   = 30 * time.Millisecond  // between estimates of demand
+	lostAfter   = 2                      // reports in a row that must fail before gateways are told
 	closedEvery = 200 * time.Millisecond // between words to gateways while the group makes no passes
 	// patience is the time without a word of a coordinator after which a
 	// process claims its place; rankPatience is added for each rank, so that
@@ -111,6 +112,7 @@
 	goalSeq  uint64
 	goalAt   time.Duration
 	lost     bool            // the engine does not answer
+	failures int             // reports in a row that did not come
 	state    wire.GroupState // last told to gateways
 	stateAt  time.Duration
 }
@@ -204,7 +206,7 @@
 // poll looks at the engine and goes on as far as possible.
 func (p *Process) poll(ctx context.Context) {
 	now := p.now()
-	if p.active() || now-p.reported >= reportPoll {
+	if p.active() || p.lost || now-p.reported >= reportPoll {
 		if !p.observe(ctx) {
 			return
 		}
@@ -219,12 +221,10 @@
 func (p *Process) observe(ctx context.Context) bool {
 	e, err := p.opts.Engine.Report(ctx)
 	if err != nil {
-		if !p.lost {
-			p.opts.Log.Warn("engine-lost", "err", err)
-		}
-		p.lost = true
+		p.engineLost(err)
 		return false
 	}
+	p.failures = 0
 	if p.lost {
 		p.lost = false
 		p.opts.Log.Info("engine-regained", "group", e.Group, "rank", e.Rank, "epoch", e.Epoch)
@@ -247,6 +247,20 @@
 	return true
 }
 
+// engineLost notes a report that did not come. A group stands still without
+// one of its ranks, and notices that only later.
+func (p *Process) engineLost(err error) {
+	if !p.lost {
+		p.opts.Log.Warn("engine-lost", "err", err)
+	}
+	p.lost = true
+	p.failures++
+	if e, known := p.rank.Engine(); known && p.failures >= lostAfter {
+		e.Open = false
+		p.announceState(&e)
+	}
+}
+
 // drive gives the engine what orders are due, and tells others.
 func (p *Process) drive(ctx context.Context) {
 	shape, ok := p.mapShape()
