--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,6 +28,7 @@
 	deadline time.Duration // on the gateway's clock: final answer due
 	offered  time.Duration // the caller's own deadline, from its arrival
 	returns  bool          // the caller has asked before
+	waited   time.Duration // for a place among the streams
 	ticket   *pace.Ticket  // its place among the streams; nil for other requests
 
 	tried    []string // servers that were sent the request, or could not be reached
@@ -263,9 +264,15 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
+	version := int64(0)
+	if c.view.Document != nil {
+		version = c.view.Document.Version
+	}
+	age, _ := g.proofAge()
 	fields := append([]any{
 		"request", c.id, "code", int(code), "route", name, "org", c.org, "took_ms", took.Milliseconds(),
-		"attempts", c.attempts, "servers", c.tried, "returns", c.returns, "offered_ms", c.offered.Milliseconds(),
+		"waited_ms", c.waited.Milliseconds(), "attempts", c.attempts, "arrivals", c.arrivals, "servers", c.tried,
+		"returns", c.returns, "offered_ms", c.offered.Milliseconds(), "document", version, "proof_age_ms", age.Milliseconds(),
 	}, more...)
 	g.opts.Log.Info("request-ended", fields...)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -48,11 +48,17 @@
 	s.mu.Lock()
 	s.objective = c.route.TargetGap
 	gate.SetObjective(c.route.TargetGap)
-	admitted := gate.Arrive(g.now(), t)
+	asked := g.now()
+	admitted := gate.Arrive(asked, t)
 	switch {
 	case !admitted:
+		detail := "no place in time: " + gate.Figures(asked)
+		stopped := gate.Stopped()
 		s.mu.Unlock()
-		return nil, api.NewError(api.Overloaded, "no place in time")
+		if stopped {
+			return nil, api.NewError(api.GroupStalled, detail)
+		}
+		return nil, api.NewError(api.Overloaded, detail)
 	case !t.Admitted():
 		s.waiters[t] = ready
 	}
@@ -64,6 +70,7 @@
 	}
 	timer := time.NewTimer(t.Expires() - g.now())
 	defer timer.Stop()
+	defer func() { c.waited += g.now() - asked }()
 	select {
 	case <-ready:
 		return release, nil
@@ -73,11 +80,12 @@
 	s.mu.Lock()
 	cancelled := gate.Cancel(t)
 	delete(s.waiters, t)
+	detail := "waited in vain: " + gate.Figures(g.now())
 	s.mu.Unlock()
 	if !cancelled {
 		return release, nil
 	}
-	return nil, api.NewError(api.Overloaded, "waited in vain")
+	return nil, api.NewError(api.Overloaded, detail)
 }
 
 // forward sends the request until it has an answer or must end without one. It
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -1,8 +1,10 @@
 package pace
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -137,9 +139,9 @@
 	return was
 }
 
-// standing reports whether no group makes passes. Requests that would wait are
+// Stopped reports whether no group makes passes. Requests that would wait are
 // refused then: when a group opens, its places go to those who come in time.
-func (g *Gate) standing() bool {
+func (g *Gate) Stopped() bool {
 	for _, gr := range g.groups {
 		if gr.stalled == 0 {
 			return false
@@ -174,6 +176,16 @@
 	return list
 }
 
+// Figures are what decides on requests at present, for the log line of a refusal.
+func (g *Gate) Figures(now time.Duration) string {
+	var b strings.Builder
+	for _, s := range g.Status(now) {
+		fmt.Fprintf(&b, "group %s all %d limit %.0f own %d share %.0f gap %dms first %dms waiting %d; ",
+			s.Group, s.All, s.Limit, s.Own, s.Share, s.Gap.Milliseconds(), s.First.Milliseconds(), s.Waiting)
+	}
+	return strings.TrimSuffix(b.String(), "; ")
+}
+
 // Loads is what peers are told.
 func (g *Gate) Loads(now time.Duration) map[string]Load {
 	loads := make(map[string]Load, len(g.groups))
@@ -260,7 +272,7 @@
 		return true
 	}
 	wait := g.patience(t)
-	if wait <= 0 || g.hopeless(now) || g.standing() {
+	if wait <= 0 || g.hopeless(now) || g.Stopped() {
 		return false
 	}
 	t.expires = now + wait
