Gateway: a time-out at the deadline is 504 also when the connection's clock is first

Cause: TestTimeout was red once in make test (502 for 504): the connection's deadline passed a moment before the context's. Ruled out: load alone.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -114,7 +114,7 @@
 		if failure.Code == api.GroupStalled && !c.sent {
 			return false
 		}
-		if ctx.Err() != nil || failure.Ran != api.NotRun && !c.route.Repeatable() {
+		if g.expired(ctx, c) || failure.Ran != api.NotRun && !c.route.Repeatable() {
 			break
 		}
 		if c.began {
@@ -144,7 +144,7 @@
 	case c.r.Context().Err() != nil:
 		g.ended(c, api.Cancelled)
 		panic(http.ErrAbortHandler)
-	case ctx.Err() != nil && c.sent:
+	case g.expired(ctx, c) && c.sent:
 		g.refuse(c, api.NewError(api.DeadlineExceeded, detail(last)))
 	case c.sent:
 		g.refuse(c, api.NewError(api.Unresolved, detail(last)))
@@ -155,6 +155,15 @@
 	}
 }
 
+// deadlineSlack is the time before a request's deadline from which on it has
+// passed: a connection may time out a moment before its context does.
+const deadlineSlack = 10 * time.Millisecond
+
+// expired reports whether a request's time is over, or its caller has gone.
+func (g *Gateway) expired(ctx context.Context, c *call) bool {
+	return ctx.Err() != nil || g.left(c) <= deadlineSlack
+}
+
 func detail(e *api.Error) string {
 	if e == nil {
 		return ""
