--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -23,15 +23,16 @@
 
 // Timing of a process.
 const (
-	activePoll  = 15 * time.Millisecond  // between looks at the engine during a switch
-	restPoll    = 30 * time.Millisecond  // between counts, shorter than a pass
-	reportPoll  = 250 * time.Millisecond // between reports of the engine at rest
-	goalEvery   = 250 * time.Millisecond // between a coordinator's goals at rest
-	goalAgain   = 25 * time.Millisecond  // during a switch
-	reportAt    = 300 * time.Millisecond // between a rank's reports when nothing changes
-	foldEvery   = 30 * time.Millisecond  // between estimates of demand
-	lostAfter   = 2                      // reports in a row that must fail before gateways are told
-	closedEvery = 200 * time.Millisecond // between words to gateways while the group makes no passes
+	activePoll   = 15 * time.Millisecond  // between looks at the engine during a switch
+	restPoll     = 30 * time.Millisecond  // between counts, shorter than a pass
+	reportPoll   = 250 * time.Millisecond // between reports of the engine at rest
+	goalEvery    = 250 * time.Millisecond // between a coordinator's goals at rest
+	goalAgain    = 25 * time.Millisecond  // during a switch
+	reportAt     = 300 * time.Millisecond // between a rank's reports when nothing changes
+	foldEvery    = 30 * time.Millisecond  // between estimates of demand
+	lostAfter    = 2                      // reports in a row that must fail before gateways are told
+	commandAgain = 45 * time.Millisecond  // between two equal orders to another instance's engine
+	closedEvery  = 200 * time.Millisecond // between words to gateways while the group makes no passes
 	// patience is the time without a word of a coordinator after which a
 	// process claims its place; rankPatience is added for each rank, so that
 	// they do so one after the other.
@@ -99,8 +100,11 @@
 	claimed   chan claim
 	announced bool
 
-	standins map[int]*substitute // by rank
-	remote   chan wire.RankReport
+	engines     map[string]Engine // of other instances, by address
+	commanded   remap.Order       // last order of the coordinator
+	commandedAt time.Duration
+	standins    map[int]*substitute // by rank
+	remote      chan wire.RankReport
 
 	counts   counter
 	demand   *spread.Demand
@@ -131,7 +135,7 @@
 func New(opts Options) *Process {
 	return &Process{
 		opts: opts, start: time.Now(), rank: remap.NewRank(), claimed: make(chan claim, 1),
-		standins: make(map[int]*substitute), remote: make(chan wire.RankReport, 8),
+		standins: make(map[int]*substitute), engines: make(map[string]Engine), remote: make(chan wire.RankReport, 8),
 	}
 }
 
@@ -272,11 +276,7 @@
 		if due {
 			p.rank.Done(o, p.order(ctx, shape.Shape, o))
 		} else if p.coord != nil {
-			p.lead(shape)
-			o, due = p.coord.Next(p.now())
-			if due {
-				p.order(ctx, shape.Shape, o)
-			}
+			due = p.command(ctx, shape)
 		}
 		if !due || !p.observe(ctx) {
 			break
@@ -286,14 +286,56 @@
 	p.spreadGoal()
 }
 
+// command gives the order that the coordinator wants next. It reports whether
+// the own engine got one. Another one's state is told by the process beside it:
+// the same order is given again only when that has had time to.
+func (p *Process) command(ctx context.Context, shape Shape) (own bool) {
+	p.lead(shape)
+	o, due := p.coord.Next(p.now())
+	if !due {
+		return false
+	}
+	e, _ := p.rank.Engine()
+	own = o.Rank == e.Rank
+	again := o.Kind == p.commanded.Kind && o.Step == p.commanded.Step && o.Rank == p.commanded.Rank
+	if !own && again && p.now()-p.commandedAt < commandAgain {
+		return false
+	}
+	p.commanded, p.commandedAt = o, p.now()
+	p.order(ctx, shape.Shape, o)
+	return own
+}
+
+// engineOf returns the engine of a rank; nil while it is not known.
+func (p *Process) engineOf(rank int) Engine {
+	e, _ := p.rank.Engine()
+	if rank == e.Rank {
+		return p.opts.Engine
+	}
+	for _, entry := range p.opts.Directory.Entries() {
+		if entry.Group != e.Group || entry.Rank != rank || entry.Engine == "" {
+			continue
+		}
+		if p.engines[entry.Engine] == nil {
+			p.engines[entry.Engine] = p.opts.Remote(entry.Engine)
+		}
+		return p.engines[entry.Engine]
+	}
+	return nil
+}
+
 // maxOrders bounds the orders of one round, so that datagrams are not left
 // waiting.
 const maxOrders = 4
 
-// order gives the engine one order.
+// order gives an engine one order.
 func (p *Process) order(ctx context.Context, shape spread.Shape, o remap.Order) remap.Result {
-	result, err := p.opts.Engine.Order(ctx, shape, o)
-	fields := []any{"order", o.Kind, "epoch", o.Epoch, "version", o.Version, "step", o.Step, "replicas", len(o.Replicas), "result", int(result)}
+	engine := p.engineOf(o.Rank)
+	if engine == nil {
+		return remap.Unanswered // the directory will name it
+	}
+	result, err := engine.Order(ctx, shape, o)
+	fields := []any{"order", o.Kind, "rank", o.Rank, "epoch", o.Epoch, "version", o.Version, "step", o.Step, "replicas", len(o.Replicas), "result", int(result)}
 	if err != nil {
 		p.opts.Log.Warn("order-failed", append(fields, "err", err)...)
 	} else {
--- a/rebalance/substitute.go
+++ b/rebalance/substitute.go
@@ -102,19 +102,16 @@
 
 // substitute starts one for a rank; nil when the rank's engine is not known.
 func (p *Process) substitute(ctx context.Context, rank int, shape Shape) *substitute {
-	e, _ := p.rank.Engine()
-	for _, entry := range p.opts.Directory.Entries() {
-		if entry.Group != e.Group || entry.Rank != rank || entry.Engine == "" {
-			continue
-		}
-		ctx, cancel := context.WithCancel(ctx)
-		s := &substitute{engine: p.opts.Remote(entry.Engine), log: p.opts.Log, cancel: cancel}
-		p.standins[rank] = s
-		p.opts.Log.Warn("rank-substituted", "group", e.Group, "rank", rank, "engine", entry.Engine)
-		go s.run(ctx, shape, p.remote)
-		return s
+	engine := p.engineOf(rank)
+	if engine == nil {
+		return nil
 	}
-	return nil
+	ctx, cancel := context.WithCancel(ctx)
+	s := &substitute{engine: engine, log: p.opts.Log, cancel: cancel}
+	p.standins[rank] = s
+	p.opts.Log.Warn("rank-substituted", "rank", rank)
+	go s.run(ctx, shape, p.remote)
+	return s
 }
 
 // dismiss stops all substitutes.
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -14,14 +14,15 @@
 	Sealing    Phase = iota // hearing from every rank under the new term or epoch
 	Idle                    // no switch is underway
 	Preparing               // the map is copied while passes go on
-	Holding                 // the own rank is to hold the pass of the switch
-	Arming                  // every rank is told to switch at that pass
+	Holding                 // the holder is to hold the pass of the switch
+	Arming                  // every rank but the own one is told to switch at that pass
+	ArmingLast              // the own one too
 	Cancelling              // every rank is made to refuse the switch
 	Releasing               // holds are dropped
 	Settling                // the switch is agreed; waiting to see it in force everywhere
 )
 
-var phaseNames = [...]string{"sealing", "idle", "preparing", "holding", "arming", "cancelling", "releasing", "settling"}
+var phaseNames = [...]string{"sealing", "idle", "preparing", "holding", "arming", "arming-last", "cancelling", "releasing", "settling"}
 
 // String returns the name of p for log lines.
 func (p Phase) String() string {
@@ -44,7 +45,9 @@
 	current  []wire.Replica // of the map in force, where known is true
 	known    bool           // current is the content of the map in force
 	target   []wire.Replica // of the map that is being put in force
-	hold     int64          // pass held by the own rank for the switch; None for none
+	hold     int64          // pass held by the holder for the switch; None for none
+	holder   int            // rank that holds it: not the own one
+	exempt   int            // rank without which a switch is cancelled; noRank for none
 	lastHold int64          // last pass chosen for a hold in this epoch
 	// Switched and Abandoned count outcomes.
 	Switched, Abandoned int
@@ -57,6 +60,7 @@
 	noProof  bool // the hold is dropped before all are known to be armed
 	noCancel bool // a cancelled arm is only disarmed, not made void
 	noSeal   bool // a new coordinator does not look for switches underway
+	noLast   bool // the own rank is armed with the others
 }
 
 // report is the last word of a rank.
@@ -68,8 +72,8 @@
 
 // NewCoordinator returns the coordinator of a term beside an engine.
 func NewCoordinator(term int64, own Engine, now time.Duration) *Coordinator {
-	c := &Coordinator{term: term, own: own, hold: None}
-	c.goal = wire.MapGoal{Group: own.Group, Term: term, Epoch: own.Epoch, Version: None, Step: None}
+	c := &Coordinator{term: term, own: own}
+	c.goal = wire.MapGoal{Group: own.Group, Term: term, Epoch: own.Epoch, Version: None, Step: None, Last: own.Rank}
 	c.seal(now)
 	return c
 }
@@ -90,6 +94,8 @@
 func (c *Coordinator) seal(now time.Duration) {
 	c.reports = make([]report, c.own.Size)
 	c.hold, c.lastHold = None, None
+	c.holder, c.exempt = (c.own.Rank+1)%max(c.own.Size, 1), noRank
+	c.goal.Last = c.own.Rank
 	c.known = false
 	c.goal.Epoch = c.own.Epoch
 	c.want(Rest, now, Sealing)
@@ -140,14 +146,19 @@
 // epoch and each answer passes the test.
 func (c *Coordinator) all(test func(r *report) bool) bool {
 	for i := range c.reports {
-		r := &c.reports[i]
-		if !r.ok || r.Seq != c.goal.Seq || r.Epoch != c.own.Epoch || !r.Open || !test(r) {
+		if r := &c.reports[i]; i != c.exempt && !(c.answered(r) && test(r)) {
 			return false
 		}
 	}
 	return len(c.reports) > 0
 }
 
+// answered reports whether a rank has answered the present goal in the group's
+// epoch.
+func (c *Coordinator) answered(r *report) bool {
+	return r.ok && r.Seq == c.goal.Seq && r.Epoch == c.own.Epoch && r.Open
+}
+
 // any reports whether an answer passes the test.
 func (c *Coordinator) any(test func(r *report) bool) bool {
 	for i := range c.reports {
@@ -177,7 +188,7 @@
 // Ready reports whether a proposal would be taken up: nothing is underway and
 // every rank has reported lately.
 func (c *Coordinator) Ready(now time.Duration) bool {
-	return c.phase == Idle && c.known && c.own.Open &&
+	return c.phase == Idle && c.known && c.own.Open && c.exempt == noRank && c.own.Size > 1 &&
 		c.all(func(r *report) bool { return now-r.at < reportLimit })
 }
 
@@ -193,15 +204,16 @@
 	c.want(Prepare, now, Preparing)
 }
 
-// Next goes on as far as the reports allow, and returns an order for the own
-// engine; ok is false when there is none. The engine's state is observed
-// again before Next is called again.
+// Next goes on as far as the reports allow, and returns an order for the
+// engine of Order.Rank; ok is false when there is none.
 func (c *Coordinator) Next(now time.Duration) (o Order, ok bool) {
 	if !c.own.Open {
 		return Order{}, false
 	}
 	o, ok = c.next(now)
-	o.Epoch, o.Expect = c.own.Epoch, c.own.Seq
+	if ok {
+		o.Epoch, o.Expect = c.own.Epoch, c.reports[o.Rank].Accepted
+	}
 	return o, ok
 }
 
@@ -215,7 +227,7 @@
 		c.prepared(now)
 	case Holding:
 		return c.holding(now)
-	case Arming:
+	case Arming, ArmingLast:
 		return c.arming(now)
 	case Cancelling:
 		return c.cancelling(now)
@@ -230,13 +242,14 @@
 // sealed looks at what an earlier coordinator has left behind, once every rank
 // obeys this one.
 func (c *Coordinator) sealed(now time.Duration) (Order, bool) {
-	if !c.all(func(*report) bool { return true }) {
+	if !c.all(func(*report) bool { return true }) && !c.sealedWithout(now) {
 		return Order{}, false
 	}
 	left := func(r *report) bool { return r.Armed != None || r.Held != None }
 	if c.any(left) {
 		c.hold = c.leftStep()
 		c.goal.Step = c.hold
+		c.takeHolder()
 		c.enter(Holding, now)
 		return c.holding(now)
 	}
@@ -245,10 +258,51 @@
 	return Order{}, false
 }
 
+// sealedWithout reports whether the former coordinator's rank, out of reach
+// with its instance, can be left out: it was to be armed last, and another one
+// is not armed.
+func (c *Coordinator) sealedWithout(now time.Duration) bool {
+	missing := noRank
+	unarmed := false
+	for i := range c.reports {
+		r := &c.reports[i]
+		if !c.answered(r) {
+			if missing != noRank {
+				return false
+			}
+			missing = i
+			continue
+		}
+		unarmed = unarmed || r.Armed == None
+	}
+	if missing == noRank || !unarmed || now-c.since < silentLimit {
+		return false
+	}
+	for i := range c.reports {
+		if r := &c.reports[i]; i != missing && r.Last != missing {
+			return false
+		}
+	}
+	c.exempt = missing
+	return true
+}
+
+// takeHolder makes a rank the holder that holds already, if there is one.
+func (c *Coordinator) takeHolder() {
+	for i := range c.reports {
+		if i != c.exempt && c.reports[i].Held != None {
+			c.holder = i
+		}
+	}
+	if c.holder == c.exempt {
+		c.holder = c.own.Rank
+	}
+}
+
 // idle drops holds that came late: nobody is armed under them.
 func (c *Coordinator) idle(now time.Duration) (Order, bool) {
-	if c.own.Held != None {
-		return c.goOn(c.own.Held)
+	if c.exempt != noRank && c.answered(&c.reports[c.exempt]) {
+		c.exempt = noRank
 	}
 	if c.any(func(r *report) bool { return r.Held != None }) && c.all(func(r *report) bool { return r.Armed == None }) {
 		c.releaseOthers(now)
@@ -269,6 +323,9 @@
 	step := None
 	for i := range c.reports {
 		r := &c.reports[i]
+		if !r.ok {
+			continue
+		}
 		if r.Held != None {
 			step = max(step, r.Held)
 		}
@@ -297,10 +354,7 @@
 
 // chooseStep is a pass that no rank is near to.
 func (c *Coordinator) chooseStep() int64 {
-	step := c.own.Step
-	for i := range c.reports {
-		step = max(step, c.reports[i].Step)
-	}
+	step := c.step()
 	// A hold that was dropped may be dropped once more by a late order: no pass
 	// is held twice.
 	step = max(step+lead, c.lastHold+1)
@@ -308,46 +362,61 @@
 	return step
 }
 
-// holding has the own rank hold the pass of the switch. A pass that has begun
+// holding has the holder hold the pass of the switch. A pass that has begun
 // is replaced by a later one, unless the hold is there to cancel a switch: then
 // what was armed for it has happened.
 func (c *Coordinator) holding(now time.Duration) (Order, bool) {
 	ours := Stage(c.goal.Stage) == Prepare
+	held := c.reports[c.holder].Held
 	switch {
-	case c.own.Held == c.hold || c.broken.noHold:
+	case held == c.hold || c.broken.noHold:
 		if ours {
+			c.goal.Others = c.broken.noLast
 			c.want(Arm, now, Arming)
 		} else {
 			c.cancel(now)
 		}
 		return Order{}, false
-	case c.own.Held != None:
-		return c.goOn(c.own.Held)
-	case c.own.Step >= c.hold && !ours:
+	case held != None:
+		return c.goOn(held)
+	case c.step() >= c.hold && !ours:
 		c.seal(now)
 		return Order{}, false
-	case c.own.Step >= c.hold:
+	case c.step() >= c.hold:
 		c.hold = c.chooseStep()
 		c.goal.Step = c.hold
 	}
-	return Order{Kind: OrderHold, Step: c.hold}, true
+	return Order{Kind: OrderHold, Rank: c.holder, Step: c.hold}, true
+}
+
+// step is the last pass known to have begun.
+func (c *Coordinator) step() int64 {
+	step := c.own.Step
+	for i := range c.reports {
+		step = max(step, c.reports[i].Step)
+	}
+	return step
 }
 
-// goOn drops a hold of the own rank.
+// goOn drops the holder's hold.
 func (c *Coordinator) goOn(step int64) (Order, bool) {
-	return Order{Kind: OrderGo, Step: step}, true
+	return Order{Kind: OrderGo, Rank: c.holder, Step: step}, true
 }
 
-// arming drops the hold once every rank is known to be armed.
+// arming has the own rank armed once all others are known to be, and drops the
+// hold once all are.
 func (c *Coordinator) arming(now time.Duration) (Order, bool) {
 	v, step := c.goal.Version, c.goal.Step
 	armed := func(r *report) bool { return r.Armed == v && r.ArmedAt == step || r.Map == v }
-	if c.broken.noProof || c.all(armed) {
+	others := func(r *report) bool { return armed(r) || r.Rank == c.own.Rank }
+	switch {
+	case c.broken.noProof || c.all(armed):
 		c.enter(Settling, now)
 		return c.settling(now)
-	}
-	refused := c.any(func(r *report) bool { return r.Refused == v })
-	if refused || now-c.since > armLimit {
+	case c.phase == Arming && c.all(others):
+		c.goal.Others = true
+		c.want(Arm, c.since, ArmingLast)
+	case c.any(func(r *report) bool { return r.Refused == v }) || now-c.since > armLimit:
 		c.cancel(now)
 	}
 	return Order{}, false
@@ -358,6 +427,7 @@
 	c.Abandoned++
 	c.goal.Version = c.version()
 	c.goal.Replicas = c.current
+	c.goal.Others = false
 	c.want(Cancel, now, Cancelling)
 }
 
@@ -381,6 +451,9 @@
 	release := make([]int64, len(c.reports))
 	for i := range c.reports {
 		release[i] = c.reports[i].Held
+		if i == c.exempt {
+			release[i] = None
+		}
 	}
 	c.want(Rest, now, Releasing)
 	c.goal.Release = release
@@ -388,13 +461,14 @@
 
 // releasing ends when nobody holds a pass.
 func (c *Coordinator) releasing(now time.Duration) (Order, bool) {
-	if c.own.Held != None {
-		return c.goOn(c.own.Held)
-	}
 	if c.all(func(r *report) bool { return r.Held == None }) {
 		c.hold = None
 		c.adoptUnlessKnown()
 		c.enter(Idle, now)
+		return Order{}, false
+	}
+	if held := c.reports[c.holder].Held; held != None && c.holder != c.exempt {
+		return c.goOn(held)
 	}
 	return Order{}, false
 }
@@ -405,17 +479,19 @@
 	}
 }
 
-// settling drops the own hold and ends when the map is in force everywhere.
+// settling drops the hold and ends when the map is in force everywhere.
 func (c *Coordinator) settling(now time.Duration) (Order, bool) {
-	if c.own.Held != None {
-		return c.goOn(c.own.Held)
-	}
 	v := c.goal.Version
 	if c.all(func(r *report) bool { return r.Map == v }) {
 		c.hold = None
 		c.current = c.target
 		c.Switched++
+		c.goal.Others = false
 		c.want(Rest, now, Idle)
+		return Order{}, false
+	}
+	if held := c.reports[c.holder].Held; held != None {
+		return c.goOn(held)
 	}
 	return Order{}, false
 }
--- a/remap/rank.go
+++ b/remap/rank.go
@@ -12,15 +12,19 @@
 	known  bool // engine has been reported
 	goal   wire.MapGoal
 	refuse int64 // version whose order the engine refused
+	last   int   // who is armed last in the last switch heard of; noRank once it was cancelled
 	posted struct {
 		version int64
 		at      time.Duration
 	}
 }
 
+// noRank stands for no rank.
+const noRank = -1
+
 // NewRank returns a rank that knows no coordinator.
 func NewRank() *Rank {
-	return &Rank{goal: wire.MapGoal{Term: None}, refuse: None}
+	return &Rank{goal: wire.MapGoal{Term: None}, refuse: None, last: noRank}
 }
 
 // Observe takes a fresh report of the rank's own engine.
@@ -43,6 +47,12 @@
 	if g.Term == r.goal.Term && g.Seq <= r.goal.Seq {
 		return true
 	}
+	switch Stage(g.Stage) {
+	case Prepare, Arm:
+		r.last = g.Last
+	case Cancel:
+		r.last = noRank
+	}
 	r.goal = g
 	return true
 }
@@ -52,6 +62,7 @@
 // observed again, before Next is called again.
 func (r *Rank) Next(now time.Duration) (o Order, ok bool) {
 	o, ok = r.next(now)
+	o.Rank = r.engine.Rank
 	o.Epoch, o.Expect = r.engine.Epoch, r.engine.Seq
 	return o, ok
 }
@@ -103,7 +114,7 @@
 	if e.Map == v || e.Prepared != v || e.Step >= r.goal.Step || r.refuse == v {
 		return Order{}, false
 	}
-	if e.Armed == v && e.ArmedAt == r.goal.Step {
+	if e.Armed == v && e.ArmedAt == r.goal.Step || e.Rank == r.goal.Last && !r.goal.Others {
 		return Order{}, false
 	}
 	return Order{Kind: OrderArm, Version: v, Step: r.goal.Step}, true
@@ -125,7 +136,7 @@
 	return wire.RankReport{
 		Group: e.Group, Rank: e.Rank, Term: r.goal.Term, Seq: r.goal.Seq, Epoch: e.Epoch, Open: e.Open,
 		Step: e.Step, Map: e.Map, Prepared: e.Prepared, Armed: e.Armed, ArmedAt: e.ArmedAt, Held: e.Held,
-		Refused: r.refuse, Running: e.Running,
+		Refused: r.refuse, Running: e.Running, Accepted: e.Seq, Last: r.last,
 	}
 }
 
--- a/remap/remap.go
+++ b/remap/remap.go
@@ -3,16 +3,22 @@
 //
 // It serves engines that switch by themselves at a given pass, and that hold a
 // pass back on demand of any one rank. A Coordinator, in the process beside one
-// rank, proceeds in steps: every rank prepares the map while passes go on; the
-// coordinator's own rank holds a pass S; every rank is armed for S; when all
-// are known to be armed the hold is dropped. S lies far enough ahead that the
-// hold is usually dropped before the group comes to it.
+// rank, proceeds in steps: every rank prepares the map while passes go on;
+// another rank than its own, the holder, holds a pass S; every rank but its own
+// is armed for S, and its own after them; when all are known to be armed the
+// hold is dropped. S lies far enough ahead that the hold is usually dropped
+// before the group comes to it.
 //
 // The invariant: while an arm may take effect at S at some ranks and not at
 // others, a hold of S stands. An order that was not answered may be carried out
 // seconds later, so before a hold of a cancelled switch is dropped, every rank
 // has prepared a later version, after which the engine refuses the old arm.
 //
+// A coordinator that dies or freezes is followed by another one, which ends
+// what was underway. The instance of the old one may be out of reach with its
+// engine: as its rank is armed last, it is not armed if any other is not, and
+// the switch can be cancelled without it.
+//
 // A coordinator is known by its term, the offset of its claim in the platform's
 // log. A Rank obeys only the highest term it has heard of, and answers a new
 // term only when none of its own orders is underway.
@@ -84,6 +90,7 @@
 // Order is one order to the engine of a rank.
 type Order struct {
 	Kind     Kind
+	Rank     int // whose engine is meant
 	Epoch    int64
 	Version  int64
 	Step     int64
@@ -112,6 +119,9 @@
 	// armLimit is the time after which a switch is cancelled that is not armed
 	// everywhere; the group may stand still meanwhile.
 	armLimit = 350 * time.Millisecond
+	// silentLimit is the time without an answer of the former coordinator's
+	// instance after which its switch is cancelled without it.
+	silentLimit = 400 * time.Millisecond
 	// reportLimit is the age at which a rank's report counts as missing.
 	reportLimit = time.Second
 	// lead is the number of passes between the last one begun and the one that
--- a/remap/world_test.go
+++ b/remap/world_test.go
@@ -75,6 +75,7 @@
 type world struct {
 	rnd      *rand.Rand
 	engines  []*fakeEngine
+	frozen   []int // tick until which an instance stands still and is out of reach
 	procs    []*process
 	goals    []goalTo
 	reports  []reportTo
@@ -105,15 +106,26 @@
 			content: map[int64]string{},
 		})
 		w.procs = append(w.procs, &process{rank: NewRank()})
+		w.frozen = append(w.frozen, 0)
 	}
 	return w
 }
 
+// asleep reports whether an instance is frozen. Its engine makes passes.
+func (w *world) asleep(r int) bool { return w.tick < w.frozen[r] }
+
 func (w *world) now() time.Duration { return time.Duration(w.tick) * 10 * time.Millisecond }
 
 // order lets an engine carry an order out, now, late, or with its answer lost.
-func (w *world) order(r int, o Order) Result {
-	e := w.engines[r]
+// Orders to a frozen instance are lost, or carried out when it wakes.
+func (w *world) order(o Order) Result {
+	e := w.engines[o.Rank]
+	if w.asleep(o.Rank) {
+		if w.rnd.IntN(2) == 0 {
+			e.late = append(e.late, lateOrder{o, w.frozen[o.Rank]})
+		}
+		return Unanswered
+	}
 	switch x := w.rnd.Float64(); {
 	case x < w.lateIn:
 		e.late = append(e.late, lateOrder{o, w.tick + w.rnd.IntN(300)})
@@ -150,10 +162,13 @@
 
 // step lets one process do a round of its loop.
 func (w *world) step(r int) {
+	if w.asleep(r) {
+		return
+	}
 	p := w.procs[r]
 	p.rank.Observe(w.engines[r].Engine)
 	if o, ok := p.rank.Next(w.now()); ok {
-		p.rank.Done(o, w.order(r, o))
+		p.rank.Done(o, w.order(o))
 		p.rank.Observe(w.engines[r].Engine)
 	}
 	if c := p.coord; c != nil {
@@ -170,7 +185,7 @@
 	p.rank.Goal(c.Goal())
 	c.Heard(p.rank.Report(), w.now())
 	if o, ok := c.Next(w.now()); ok {
-		w.order(r, o)
+		w.order(o)
 	}
 	if w.rnd.IntN(10) == 0 {
 		c.Propose([]wire.Replica{{Expert: uint16(w.rnd.IntN(9)), Rank: uint16(w.rnd.IntN(3))}}, w.now())
@@ -189,6 +204,9 @@
 		if w.rnd.IntN(4) > 0 {
 			w.goals = slices.Delete(w.goals, i, i+1)
 		}
+		if w.asleep(m.to) {
+			return
+		}
 		w.procs[m.to].rank.Goal(m.goal)
 		if c := w.procs[m.to].coord; c != nil && m.goal.Term > c.Term() {
 			w.procs[m.to].coord = nil
@@ -200,7 +218,7 @@
 		if w.rnd.IntN(4) > 0 {
 			w.reports = slices.Delete(w.reports, i, i+1)
 		}
-		if c := w.procs[m.to].coord; c != nil {
+		if c := w.procs[m.to].coord; c != nil && !w.asleep(m.to) {
 			c.Heard(m.report, w.now())
 		}
 	}
@@ -222,7 +240,10 @@
 			c.phase, c.known = Idle, true
 		}
 		w.procs[r].coord = c
-	case x < 15:
+	case x < 20:
+		r := w.rnd.IntN(len(w.procs))
+		w.frozen[r] = w.tick + 50 + w.rnd.IntN(350)
+	case x < 21:
 		for _, e := range w.engines {
 			e.Epoch++
 			e.Map, e.Prepared, e.Armed, e.Held = 0, None, None, None
@@ -276,6 +297,7 @@
 		"no proof":  {noProof: true},
 		"no cancel": {noCancel: true},
 		"no seal":   {noSeal: true},
+		"no last":   {noLast: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(4000) {
@@ -302,6 +324,7 @@
 		}
 		w.procs[0].coord = c
 		w.lateIn = 0
+		clear(w.frozen)
 		for range 6000 {
 			w.tick++
 			w.step(w.rnd.IntN(len(w.procs)))
@@ -338,3 +361,53 @@
 	_, ok = r.Next(2 * time.Millisecond)
 	require.True(t, ok, "it was lost, or comes late")
 }
+
+// A coordinator that freezes within a switch, with its engine out of reach, is
+// followed by another one, and the group goes on before it wakes.
+func TestFrozenCoordinator(t *testing.T) {
+	phases := map[Phase]int{}
+	for seed := range uint64(300) {
+		w := newWorld(seed, 3, mechanisms{})
+		w.lateIn = 0
+		w.term++
+		w.procs[0].coord = NewCoordinator(w.term, w.engines[0].Engine, 0)
+		round := func() {
+			w.tick++
+			w.step(w.rnd.IntN(len(w.procs)))
+			for range 6 {
+				w.deliver()
+			}
+			if w.rnd.IntN(6) == 0 {
+				w.begin()
+			}
+		}
+		c := w.procs[0].coord
+		at := c.lastHold
+		for range 3000 {
+			round()
+			if at = c.lastHold; at != None && w.engines[c.holder].Held == at {
+				break
+			}
+		}
+		phases[c.Phase()]++
+		armed := 0
+		for _, e := range w.engines {
+			if e.Armed != None {
+				armed++
+			}
+		}
+		if armed == len(w.engines) {
+			continue // nobody can tell from outside that the last one is armed
+		}
+		w.frozen[0] = w.tick + 1_000_000
+		w.term++
+		w.procs[1].coord = NewCoordinator(w.term, w.engines[1].Engine, w.now())
+		before := w.engines[0].Step
+		for range 3000 {
+			round()
+		}
+		require.Greater(t, w.engines[0].Step, before+20, "seed %d: the group stands", seed)
+		require.Empty(t, w.fault, "seed %d", seed)
+	}
+	require.Positive(t, phases[Holding]+phases[Arming])
+}
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -26,6 +26,8 @@
 	Version  int64     `msg:"v"` // of the map
 	Replicas []Replica `msg:"m"` // of the map
 	Step     int64     `msg:"p"` // first pass of the map
+	Last     int       `msg:"l"` // rank beside the coordinator; it is armed after all others
+	Others   bool      `msg:"o"` // all others are armed: the last one may be
 	Release  []int64   `msg:"h"` // passes whose hold is to be dropped, by rank; -1 for none. Empty for none at all
 }
 
@@ -45,6 +47,8 @@
 	ArmedAt  int64    `msg:"ap"` // pass from which it is armed
 	Held     int64    `msg:"h"`  // pass that the rank holds; -1 for none
 	Refused  int64    `msg:"x"`  // version whose order the engine refused; -1 for none
+	Accepted int64    `msg:"q"`  // orders that the engine has accepted
+	Last     int      `msg:"l"`  // MapGoal.Last of the last switch heard of; -1 for none, or once it was cancelled
 	Running  int      `msg:"w"`  // requests that run at the rank
 	Demand   []Demand `msg:"d"`  // by set, of the passes since the last report; empty for none
 }
--- a/wire/remap_gen.go
+++ b/wire/remap_gen.go
@@ -370,6 +370,18 @@
 				err = msgp.WrapError(err, "Step")
 				return
 			}
+		case "l":
+			z.Last, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		case "o":
+			z.Others, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Others")
+				return
+			}
 		case "h":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -406,9 +418,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *MapGoal) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 11
 	// write "g"
-	err = en.Append(0x89, 0xa1, 0x67)
+	err = en.Append(0x8b, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -520,6 +532,26 @@
 		err = msgp.WrapError(err, "Step")
 		return
 	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Last)
+	if err != nil {
+		err = msgp.WrapError(err, "Last")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Others)
+	if err != nil {
+		err = msgp.WrapError(err, "Others")
+		return
+	}
 	// write "h"
 	err = en.Append(0xa1, 0x68)
 	if err != nil {
@@ -543,9 +575,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *MapGoal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "g"
-	o = append(o, 0x89, 0xa1, 0x67)
+	o = append(o, 0x8b, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.Group)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -580,6 +612,12 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt64(o, z.Step)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt(o, z.Last)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.Others)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
@@ -707,6 +745,18 @@
 				err = msgp.WrapError(err, "Step")
 				return
 			}
+		case "l":
+			z.Last, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		case "o":
+			z.Others, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Others")
+				return
+			}
 		case "h":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -744,7 +794,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *MapGoal) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Replicas) * (7 + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size)) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Release) * (msgp.Int64Size))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Replicas) * (7 + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size)) + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Release) * (msgp.Int64Size))
 	return
 }
 
@@ -844,6 +894,18 @@
 				err = msgp.WrapError(err, "Refused")
 				return
 			}
+		case "q":
+			z.Accepted, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "l":
+			z.Last, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
 		case "w":
 			z.Running, err = dc.ReadInt()
 			if err != nil {
@@ -886,9 +948,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RankReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 15
+	// map header, size 17
 	// write "g"
-	err = en.Append(0x8f, 0xa1, 0x67)
+	err = en.Append(0xde, 0x0, 0x11, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -1017,6 +1079,26 @@
 		err = msgp.WrapError(err, "Refused")
 		return
 	}
+	// write "q"
+	err = en.Append(0xa1, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Accepted)
+	if err != nil {
+		err = msgp.WrapError(err, "Accepted")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Last)
+	if err != nil {
+		err = msgp.WrapError(err, "Last")
+		return
+	}
 	// write "w"
 	err = en.Append(0xa1, 0x77)
 	if err != nil {
@@ -1050,9 +1132,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 17
 	// string "g"
-	o = append(o, 0x8f, 0xa1, 0x67)
+	o = append(o, 0xde, 0x0, 0x11, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.Group)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -1090,6 +1172,12 @@
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendInt64(o, z.Refused)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.Accepted)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt(o, z.Last)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendInt(o, z.Running)
@@ -1202,6 +1290,18 @@
 				err = msgp.WrapError(err, "Refused")
 				return
 			}
+		case "q":
+			z.Accepted, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "l":
+			z.Last, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
 		case "w":
 			z.Running, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1245,7 +1345,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RankReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
