--- a/rebalance/lead.go
+++ b/rebalance/lead.go
@@ -61,8 +61,14 @@
 		p.opts.Log.Info("coordinator-superseded", "term", p.coord.Term(), "by", g.Term)
 		p.coord = nil
 	}
-	if fresh && p.observe(ctx) {
-		p.drive(ctx)
+	switch {
+	case fresh:
+		if p.observe(ctx) {
+			p.drive(ctx)
+		}
+	case p.rank.Active(): // asked once more: an answer may have been lost
+		r := p.rank.Report()
+		p.send(&r)
 	}
 }
 
@@ -119,9 +125,12 @@
 		p.opts.Log.Info("coordinator", "phase", phase, "term", g.Term, "seq", g.Seq, "version", g.Version, "step", g.Step,
 			"switched", p.coord.Switched, "abandoned", p.coord.Abandoned)
 	}
-	every := goalEvery
-	if p.coord.Phase() != remap.Idle {
-		every = goalAgain
+	every := goalAgain
+	switch p.coord.Phase() {
+	case remap.Idle:
+		every = goalEvery
+	case remap.Preparing:
+		every = prepareAsk
 	}
 	if g.Seq == p.goalSeq && now-p.goalAt < every {
 		return
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -27,6 +27,7 @@
 	restPoll     = 30 * time.Millisecond  // between counts, shorter than a pass
 	reportPoll   = 250 * time.Millisecond // between reports of the engine at rest
 	goalEvery    = 250 * time.Millisecond // between a coordinator's goals at rest
+	prepareAsk   = 100 * time.Millisecond // while maps are copied
 	goalAgain    = 25 * time.Millisecond  // during a switch
 	reportAt     = 300 * time.Millisecond // between a rank's reports when nothing changes
 	foldEvery    = 30 * time.Millisecond  // between estimates of demand
@@ -278,32 +279,34 @@
 		} else if p.coord != nil {
 			due = p.command(ctx, shape)
 		}
+		p.tell()
+		p.spreadGoal()
 		if !due || !p.observe(ctx) {
 			break
 		}
 	}
-	p.tell()
-	p.spreadGoal()
 }
 
 // command gives the order that the coordinator wants next. It reports whether
-// the own engine got one. Another one's state is told by the process beside it:
-// the same order is given again only when that has had time to.
-func (p *Process) command(ctx context.Context, shape Shape) (own bool) {
+// anything has changed by it. Another engine's state is told by the process beside it: the
+// same order is given again only when that has had time to.
+func (p *Process) command(ctx context.Context, shape Shape) (changed bool) {
 	p.lead(shape)
+	allowed := p.coord.Allowed()
 	o, due := p.coord.Next(p.now())
+	p.rank.Allow(p.coord.Allowed())
 	if !due {
-		return false
+		return p.coord.Allowed() != allowed // the own rank is due now
 	}
 	e, _ := p.rank.Engine()
-	own = o.Rank == e.Rank
+	own := o.Rank == e.Rank
 	again := o.Kind == p.commanded.Kind && o.Step == p.commanded.Step && o.Rank == p.commanded.Rank
 	if !own && again && p.now()-p.commandedAt < commandAgain {
 		return false
 	}
 	p.commanded, p.commandedAt = o, p.now()
-	p.order(ctx, shape.Shape, o)
-	return own
+	p.coord.Ordered(o, p.order(ctx, shape.Shape, o))
+	return true
 }
 
 // engineOf returns the engine of a rank; nil while it is not known.
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -16,13 +16,12 @@
 	Preparing               // the map is copied while passes go on
 	Holding                 // the holder is to hold the pass of the switch
 	Arming                  // every rank but the own one is told to switch at that pass
-	ArmingLast              // the own one too
 	Cancelling              // every rank is made to refuse the switch
 	Releasing               // holds are dropped
 	Settling                // the switch is agreed; waiting to see it in force everywhere
 )
 
-var phaseNames = [...]string{"sealing", "idle", "preparing", "holding", "arming", "arming-last", "cancelling", "releasing", "settling"}
+var phaseNames = [...]string{"sealing", "idle", "preparing", "holding", "arming", "cancelling", "releasing", "settling"}
 
 // String returns the name of p for log lines.
 func (p Phase) String() string {
@@ -48,6 +47,7 @@
 	hold     int64          // pass held by the holder for the switch; None for none
 	holder   int            // rank that holds it: not the own one
 	exempt   int            // rank without which a switch is cancelled; noRank for none
+	allowed  int64          // version that the own rank may be armed for
 	lastHold int64          // last pass chosen for a hold in this epoch
 	// Switched and Abandoned count outcomes.
 	Switched, Abandoned int
@@ -84,6 +84,25 @@
 // Phase is what the coordinator is about.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
+// Allowed is the version that the own rank may be armed for: all others are.
+func (c *Coordinator) Allowed() int64 { return c.allowed }
+
+// Ordered takes the result of an order that Next returned. One that was
+// accepted has taken effect, though the rank's next report may be older.
+func (c *Coordinator) Ordered(o Order, result Result) {
+	r := &c.reports[o.Rank]
+	if result != Accepted || !r.ok || r.Epoch != o.Epoch {
+		return
+	}
+	switch o.Kind {
+	case OrderHold:
+		r.Held = o.Step
+	case OrderGo:
+		r.Held = None
+	}
+	r.Accepted = o.Expect + 1
+}
+
 // Goal is what every rank is to be told.
 func (c *Coordinator) Goal() wire.MapGoal { return c.goal }
 
@@ -96,7 +115,7 @@
 	c.hold, c.lastHold = None, None
 	c.holder, c.exempt = (c.own.Rank+1)%max(c.own.Size, 1), noRank
 	c.goal.Last = c.own.Rank
-	c.known = false
+	c.known, c.allowed = false, None
 	c.goal.Epoch = c.own.Epoch
 	c.want(Rest, now, Sealing)
 	if c.broken.noSeal {
@@ -227,7 +246,7 @@
 		c.prepared(now)
 	case Holding:
 		return c.holding(now)
-	case Arming, ArmingLast:
+	case Arming:
 		return c.arming(now)
 	case Cancelling:
 		return c.cancelling(now)
@@ -371,7 +390,6 @@
 	switch {
 	case held == c.hold || c.broken.noHold:
 		if ours {
-			c.goal.Others = c.broken.noLast
 			c.want(Arm, now, Arming)
 		} else {
 			c.cancel(now)
@@ -409,15 +427,15 @@
 	v, step := c.goal.Version, c.goal.Step
 	armed := func(r *report) bool { return r.Armed == v && r.ArmedAt == step || r.Map == v }
 	others := func(r *report) bool { return armed(r) || r.Rank == c.own.Rank }
+	late := now-c.since > armLimit || c.any(func(r *report) bool { return r.Refused == v })
 	switch {
 	case c.broken.noProof || c.all(armed):
 		c.enter(Settling, now)
 		return c.settling(now)
-	case c.phase == Arming && c.all(others):
-		c.goal.Others = true
-		c.want(Arm, c.since, ArmingLast)
-	case c.any(func(r *report) bool { return r.Refused == v }) || now-c.since > armLimit:
+	case late:
 		c.cancel(now)
+	case c.broken.noLast || c.all(others):
+		c.allowed = v
 	}
 	return Order{}, false
 }
@@ -427,7 +445,6 @@
 	c.Abandoned++
 	c.goal.Version = c.version()
 	c.goal.Replicas = c.current
-	c.goal.Others = false
 	c.want(Cancel, now, Cancelling)
 }
 
@@ -486,7 +503,6 @@
 		c.hold = None
 		c.current = c.target
 		c.Switched++
-		c.goal.Others = false
 		c.want(Rest, now, Idle)
 		return Order{}, false
 	}
--- a/remap/rank.go
+++ b/remap/rank.go
@@ -8,12 +8,13 @@
 
 // Rank drives the engine of one rank towards the goal of the coordinator.
 type Rank struct {
-	engine Engine
-	known  bool // engine has been reported
-	goal   wire.MapGoal
-	refuse int64 // version whose order the engine refused
-	last   int   // who is armed last in the last switch heard of; noRank once it was cancelled
-	posted struct {
+	engine  Engine
+	known   bool // engine has been reported
+	goal    wire.MapGoal
+	refuse  int64 // version whose order the engine refused
+	allowed int64 // version that the rank may be armed for although it is the last
+	last    int   // who is armed last in the last switch heard of; noRank once it was cancelled
+	posted  struct {
 		version int64
 		at      time.Duration
 	}
@@ -24,7 +25,7 @@
 
 // NewRank returns a rank that knows no coordinator.
 func NewRank() *Rank {
-	return &Rank{goal: wire.MapGoal{Term: None}, refuse: None, last: noRank}
+	return &Rank{goal: wire.MapGoal{Term: None}, refuse: None, allowed: None, last: noRank}
 }
 
 // Observe takes a fresh report of the rank's own engine.
@@ -57,6 +58,9 @@
 	return true
 }
 
+// Allow lets the rank beside the coordinator be armed: all others are.
+func (r *Rank) Allow(version int64) { r.allowed = version }
+
 // Next returns the order that brings the engine closer to the goal; ok is
 // false when there is none. Its result goes to Done, and the engine's state is
 // observed again, before Next is called again.
@@ -114,7 +118,7 @@
 	if e.Map == v || e.Prepared != v || e.Step >= r.goal.Step || r.refuse == v {
 		return Order{}, false
 	}
-	if e.Armed == v && e.ArmedAt == r.goal.Step || e.Rank == r.goal.Last && !r.goal.Others {
+	if e.Armed == v && e.ArmedAt == r.goal.Step || e.Rank == r.goal.Last && r.allowed != v {
 		return Order{}, false
 	}
 	return Order{Kind: OrderArm, Version: v, Step: r.goal.Step}, true
--- a/remap/world_test.go
+++ b/remap/world_test.go
@@ -185,8 +185,9 @@
 	p.rank.Goal(c.Goal())
 	c.Heard(p.rank.Report(), w.now())
 	if o, ok := c.Next(w.now()); ok {
-		w.order(o)
+		c.Ordered(o, w.order(o))
 	}
+	p.rank.Allow(c.Allowed())
 	if w.rnd.IntN(10) == 0 {
 		c.Propose([]wire.Replica{{Expert: uint16(w.rnd.IntN(9)), Rank: uint16(w.rnd.IntN(3))}}, w.now())
 	}
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -27,7 +27,6 @@
 	Replicas []Replica `msg:"m"` // of the map
 	Step     int64     `msg:"p"` // first pass of the map
 	Last     int       `msg:"l"` // rank beside the coordinator; it is armed after all others
-	Others   bool      `msg:"o"` // all others are armed: the last one may be
 	Release  []int64   `msg:"h"` // passes whose hold is to be dropped, by rank; -1 for none. Empty for none at all
 }
 
--- a/wire/remap_gen.go
+++ b/wire/remap_gen.go
@@ -376,12 +376,6 @@
 				err = msgp.WrapError(err, "Last")
 				return
 			}
-		case "o":
-			z.Others, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Others")
-				return
-			}
 		case "h":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -418,9 +412,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *MapGoal) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 10
 	// write "g"
-	err = en.Append(0x8b, 0xa1, 0x67)
+	err = en.Append(0x8a, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -542,16 +536,6 @@
 		err = msgp.WrapError(err, "Last")
 		return
 	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Others)
-	if err != nil {
-		err = msgp.WrapError(err, "Others")
-		return
-	}
 	// write "h"
 	err = en.Append(0xa1, 0x68)
 	if err != nil {
@@ -575,9 +559,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *MapGoal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 10
 	// string "g"
-	o = append(o, 0x8b, 0xa1, 0x67)
+	o = append(o, 0x8a, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.Group)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -615,9 +599,6 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendInt(o, z.Last)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.Others)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
@@ -751,12 +732,6 @@
 				err = msgp.WrapError(err, "Last")
 				return
 			}
-		case "o":
-			z.Others, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Others")
-				return
-			}
 		case "h":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -794,7 +769,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *MapGoal) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Replicas) * (7 + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size)) + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Release) * (msgp.Int64Size))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Replicas) * (7 + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size)) + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize + (len(z.Release) * (msgp.Int64Size))
 	return
 }
 
