--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,12 +13,13 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/internal/clock"
 	"marjorampitch/store"
 	"marjorampitch/wire"
 )
 
 // topic holds the entries, by the name of the instance.
-const topic = "keyed.instances"
+const topic = "instances"
 
 // Timing of the store's calls.
 const (
@@ -66,7 +67,7 @@
 			return
 		}
 		d.log.Warn("announce-failed", "err", err)
-		sleep(ctx, retryAfter)
+		clock.Sleep(ctx, retryAfter)
 	}
 }
 
@@ -78,9 +79,9 @@
 		case errors.Is(err, store.ErrTrimmed):
 			d.next = -1
 		case err != nil:
-			sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retryAfter)
 		default:
-			sleep(ctx, batchTime)
+			clock.Sleep(ctx, batchTime)
 		}
 	}
 }
@@ -120,12 +121,3 @@
 	}
 	d.entries[r.Key] = e
 }
-
-func sleep(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"marjorampitch/internal/clock"
 	"marjorampitch/store"
 )
 
@@ -82,7 +83,7 @@
 		case err != nil:
 			f.failed(ctx, err)
 			f.belief.Apply(nil, f.opts.Clock())
-			sleep(ctx, retry)
+			clock.Sleep(ctx, retry)
 			retry = min(2*retry, followRetryMax)
 			continue
 		}
@@ -94,7 +95,7 @@
 			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next)
 		}
 		retry = followRetryMin
-		sleep(ctx, f.opts.Pause)
+		clock.Sleep(ctx, f.opts.Pause)
 	}
 }
 
@@ -152,15 +153,3 @@
 	f.log.Info("view-changed", "stream", f.opts.Name, "next", f.next, "document", version,
 		"servers", len(v.Members), "centres_out", len(v.Out))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,9 @@
-// Package clock reads the clock that goes on while the instance is suspended.
+// Package clock reads the clock that goes on while the instance is suspended,
+// and waits for no longer than a context lasts.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,3 +19,16 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
