--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,6 +60,9 @@
 	if view.Document == nil {
 		return c, soon(api.NotReady, "")
 	}
+	if limit := view.Document.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return c, api.NewError(api.HeaderTooLarge, "")
+	}
 	c.route = view.Document.Match(r.Host, r.URL.Path)
 	if c.route == nil {
 		if !current {
@@ -86,6 +89,17 @@
 	return c, nil
 }
 
+// headerBytes is the size of a request's head as sent, but for spaces.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // startRetry is when callers come back whom a process refused that has only
 // just started, or lost touch with the store: other instances serve meanwhile.
 const startRetry = 600 * time.Millisecond
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// What exceeds the document's limits is refused, and reaches no server.
+func TestLimits(t *testing.T) {
+	w := newWorld(t)
+	var arrivals atomic.Int64
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			arrivals.Add(1)
+			c.write(answer(r, 200, "ok"))
+		}
+	})
+	w.document(func(d *fleet.Document) {
+		d.Version = 2
+		d.Limits = fleet.Limits{HeaderBytes: 2000, BodyBytes: 3}
+	})
+	status, _, _ := w.call("/once/")
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	w.document(func(d *fleet.Document) {
+		d.Version = 3
+		d.Limits = fleet.Limits{HeaderBytes: 2000, BodyBytes: 4}
+	})
+	status, _, _ = w.call("/once/", "X-Long", strings.Repeat("x", 2000))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+	require.Zero(t, arrivals.Load())
+	status, _, _ = w.call("/once/")
+	require.Equal(t, http.StatusOK, status)
+}
+
 // Without a recent proof that the document is the newest, a key may have been
 // withdrawn and a route added: neither is decided upon.
 func TestStaleDocument(t *testing.T) {
