--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -548,3 +548,60 @@
 	callers.Wait()
 	require.Equal(t, passed.Load(), answered.Load())
 }
+
+// While a stopping process still answers a request, connections that are idle
+// stay open: a request may be on its way on them. It is refused, since it might
+// not end in time, and the caller learns that it has not run.
+func TestStopKeepsIdleConnections(t *testing.T) {
+	w := newWorld(t)
+	held, release := make(chan struct{}), make(chan struct{})
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			if strings.HasSuffix(r.RequestURI, "held") {
+				close(held)
+				<-release
+			}
+			c.write(answer(r, 200, "ok"))
+		}
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: w.g}
+	go srv.Serve(ln)
+	dial := func() *bufio.ReadWriter {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c))
+	}
+	send := func(c *bufio.ReadWriter, path string) {
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %x\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n", path, nextID.Add(1))
+		require.NoError(t, c.Flush())
+	}
+	read := func(c *bufio.ReadWriter) *http.Response {
+		resp, err := http.ReadResponse(c.Reader, nil)
+		require.NoError(t, err)
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	idle, busy := dial(), dial()
+	send(idle, "/once/")
+	require.Equal(t, 200, read(idle).StatusCode)
+	send(busy, "/once/held")
+	<-held
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.g.stop(srv, ln) }()
+	require.Eventually(t, w.g.leaving.Load, 20*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+
+	send(idle, "/once/")
+	resp := read(idle)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	close(release)
+	resp = read(busy)
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NoError(t, <-stopped)
+}
