--- a/remap/world_test.go
+++ b/remap/world_test.go
@@ -383,10 +383,9 @@
 			}
 		}
 		c := w.procs[0].coord
-		at := c.lastHold
 		for range 3000 {
 			round()
-			if at = c.lastHold; at != None && w.engines[c.holder].Held == at {
+			if at := c.lastHold; at != None && w.engines[c.holder].Held == at {
 				break
 			}
 		}
