--- a/gateway/service.go
+++ b/gateway/service.go
@@ -52,7 +52,7 @@
 	groupOf   map[string]string // group of each server, by its id
 	objective time.Duration     // longest pause of the streams' route
 	waiters   map[*pace.Ticket]chan struct{}
-	progress  time.Duration // when any stream of the service last had an event
+	progress  map[string]time.Duration // when any stream of a group last had an event
 }
 
 func newService(name string, budget *admit.RetryBudget, logger *log.Logger) *service {
@@ -61,12 +61,13 @@
 		panic(err) // the policy is registered by the import above
 	}
 	return &service{
-		name:    name,
-		log:     logger,
-		picker:  picker,
-		servers: make(map[serverKey]*server),
-		budget:  budget,
-		waiters: make(map[*pace.Ticket]chan struct{}),
+		name:     name,
+		log:      logger,
+		picker:   picker,
+		servers:  make(map[serverKey]*server),
+		budget:   budget,
+		waiters:  make(map[*pace.Ticket]chan struct{}),
+		progress: make(map[string]time.Duration),
 	}
 }
 
@@ -275,7 +276,7 @@
 // event takes a pause between two events of a stream in a group.
 func (s *service) event(now time.Duration, group string, gap time.Duration) {
 	s.mu.Lock()
-	s.progress = now
+	s.progress[group] = now
 	if s.gate != nil {
 		s.wake(s.gate.Event(now, group, gap))
 	}
@@ -283,9 +284,9 @@
 }
 
 // began takes the time to a stream's first event.
-func (s *service) began(now, d time.Duration) {
+func (s *service) began(now time.Duration, group string, d time.Duration) {
 	s.mu.Lock()
-	s.progress = now
+	s.progress[group] = now
 	if s.gate != nil {
 		s.gate.Began(d)
 	}
@@ -309,9 +310,9 @@
 	}
 }
 
-// progressed reports whether any stream had an event since.
-func (s *service) progressed(since time.Duration) bool {
+// progressed reports whether any stream of a group had an event since.
+func (s *service) progressed(group string, since time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.progress > since
+	return s.progress[group] > since
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,10 +31,10 @@
 }
 
 // watchStream looks at the stream whenever it has had no event for a while.
-func (g *Gateway) watchStream(s *service, resp *backend.Response) *watch {
+func (g *Gateway) watchStream(c *call, resp *backend.Response) *watch {
 	w := &watch{}
 	w.timer = time.AfterFunc(silentAfter, func() {
-		if s.progressed(g.now() - othersWithin) {
+		if c.service.progressed(c.group(), g.now()-othersWithin) {
 			w.silent.Store(true)
 			resp.Abort()
 			return
@@ -71,7 +71,7 @@
 // pump delivers whole events until the stream ends; io.EOF is its proper end.
 func (g *Gateway) pump(c *call, resp *backend.Response, sent time.Duration) error {
 	events := newEventReader(resp.Body)
-	watch := g.watchStream(c.service, resp)
+	watch := g.watchStream(c, resp)
 	defer watch.timer.Stop()
 	flush := http.NewResponseController(c.w)
 	previous := time.Duration(-1)
@@ -107,7 +107,7 @@
 // noteEvent tells the pacing of an event.
 func (g *Gateway) noteEvent(c *call, now, previous, sent time.Duration) {
 	if previous < 0 {
-		c.service.began(now, now-sent)
+		c.service.began(now, c.group(), now-sent)
 		g.metrics.first.Observe((now - c.arrived).Seconds())
 		return
 	}
