--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -82,7 +82,7 @@
 	delete(s.waiters, t)
 	detail := "waited in vain: " + gate.Figures(g.now())
 	s.mu.Unlock()
-	if !cancelled {
+	if !cancelled { // admitted in the moment in which the wait ended
 		return release, nil
 	}
 	return nil, api.NewError(api.Overloaded, detail)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,7 +100,8 @@
 	return clock.Boot() - at, ok
 }
 
-// current reports whether a key in the document may be trusted.
+// current reports whether a key in the document may be trusted. It is kept to
+// also where a deployment does not bind instances that are cut off to it.
 func (g *Gateway) current() bool {
 	age, ok := g.proofAge()
 	bound := g.opts.Settings.Bounds.Revoke
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -23,17 +23,12 @@
 
 // Bounds are the promises of a deployment, with its figures.
 type Bounds struct {
-	Drain         time.Duration // a leaving server gets no work later than this after it said so
-	Grace         time.Duration // from SIGTERM to SIGKILL
-	Revoke        time.Duration // a withdrawn key is refused after this
-	RevokeStrict  bool          // Revoke binds also instances that are cut off
-	RetryRatio    float64       // retries for each request, over RetryWindow
-	RetryWindow   time.Duration
-	RetryExtra    float64       // retries beyond that, in each window, of all instances
-	Stall         time.Duration // work that depends on a dead rank is cut off after this
-	ColdBurst     float64       // factor on a cold server's requests a second
-	ColdSlack     float64       // requests beyond that
-	StoreKeepAway time.Duration // usual time between a server's heartbeats
+	Drain        time.Duration // a leaving server gets no work later than this after it said so
+	Grace        time.Duration // from SIGTERM to SIGKILL
+	Revoke       time.Duration // a withdrawn key is refused after this
+	RevokeStrict bool          // Revoke binds also instances that are cut off
+	RetryRatio   float64       // retries for each request, of all instances
+	RetryExtra   float64       // retries beyond that, of all instances, over some seconds
 }
 
 // Names are the headers by which callers, backend servers and this system
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -15,7 +15,7 @@
 	Idle                    // no switch is underway
 	Preparing               // the map is copied while passes go on
 	Holding                 // the holder is to hold the pass of the switch
-	Arming                  // every rank but the own one is told to switch at that pass
+	Arming                  // every rank is told to switch at that pass, the own one last
 	Cancelling              // every rank is made to refuse the switch
 	Releasing               // holds are dropped
 	Settling                // the switch is agreed; waiting to see it in force everywhere
