--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -137,16 +136,6 @@
 	r.conn.Close()
 }
 
-// SetReadTimeout bounds the wait for the next bytes of the body; deadline is
-// the end of the exchange.
-func (r *Response) SetReadTimeout(d time.Duration, deadline time.Time) error {
-	at := time.Now().Add(d)
-	if deadline.Before(at) {
-		at = deadline
-	}
-	return r.conn.SetReadDeadline(at)
-}
-
 // idleTime reads "timeout=N" of a Keep-Alive header.
 func idleTime(keepAlive string) time.Duration {
 	for part := range strings.SplitSeq(keepAlive, ",") {
@@ -160,9 +149,3 @@
 	}
 	return unstatedIdle
 }
-
-// IsTimeout reports whether err is an expired deadline.
-func IsTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -43,7 +43,6 @@
 	br      *bufio.Reader
 	address string
 	expires time.Duration // not to be used again from then on
-	Reused  bool          // has carried a request before
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -81,7 +80,6 @@
 			break
 		}
 		if p.clock() < c.expires && c.br.Buffered() == 0 && sockopt.Quiet(c.Conn.(*net.TCPConn)) {
-			c.Reused = true
 			return c, nil
 		}
 		c.Close()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -40,6 +40,19 @@
 // RunGateway runs a gateway with the platform's settings file at path until
 // ctx ends.
 func RunGateway(ctx context.Context, path string, out io.Writer) error {
+	return runOnPlatform(ctx, path, out, "gateway", func(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+		if m := st.Gateway.Memory; m > 0 {
+			debug.SetMemoryLimit(int64(memoryShare * float64(m)))
+		}
+		return serveGateway(ctx, st, logger)
+	})
+}
+
+// runOnPlatform reads the platform's settings file and runs a process of the
+// role with a log that never blocks.
+func runOnPlatform(ctx context.Context, path string, out io.Writer, role string,
+	run func(ctx context.Context, st *platform.Settings, logger *log.Logger) error,
+) error {
 	st, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -47,16 +60,13 @@
 	lines := telemetry.NewBounded(out, logRoom)
 	defer flushLog(lines)
 	logger, err := telemetry.NewLogger(lines, "info", telemetry.Identity{
-		Role: "gateway", Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre,
+		Role: role, Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre,
 	})
 	if err != nil {
 		return err
 	}
-	if m := st.Gateway.Memory; m > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
-	}
 	watchSettings(ctx, path, logger)
-	err = serveGateway(ctx, st, logger)
+	err = run(ctx, st, logger)
 	logger.Info("stopped", "err", err)
 	return err
 }
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -15,7 +15,6 @@
 	"marjorampitch/placement/spread"
 	"marjorampitch/platform"
 	"marjorampitch/rebalance"
-	"marjorampitch/telemetry"
 )
 
 // documentWait is how long a rebalancer's read of the operator's stream waits:
@@ -25,22 +24,7 @@
 // RunRebalancer runs the process beside one rank with the platform's settings
 // file at path until ctx ends.
 func RunRebalancer(ctx context.Context, path string, out io.Writer) error {
-	st, err := platform.ReadSettings(path)
-	if err != nil {
-		return err
-	}
-	lines := telemetry.NewBounded(out, logRoom)
-	defer flushLog(lines)
-	logger, err := telemetry.NewLogger(lines, "info", telemetry.Identity{
-		Role: "rebalancer", Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre,
-	})
-	if err != nil {
-		return err
-	}
-	watchSettings(ctx, path, logger)
-	err = rebalanceGroup(ctx, st, logger)
-	logger.Info("stopped", "err", err)
-	return err
+	return runOnPlatform(ctx, path, out, "rebalancer", rebalanceGroup)
 }
 
 func rebalanceGroup(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
--- a/rebalance/count.go
+++ b/rebalance/count.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"marjorampitch/placement/spread"
 	"marjorampitch/wire"
@@ -94,5 +93,3 @@
 	}
 	p.demand.Add(sets)
 }
-
-func durationOf(n int) time.Duration { return time.Duration(n) }
--- a/rebalance/lead.go
+++ b/rebalance/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -209,7 +210,7 @@
 	if p.rank.Active() {
 		wait = activePatience
 	}
-	if p.now()-p.heard < wait+rankPatience*durationOf(e.Rank) {
+	if p.now()-p.heard < wait+rankPatience*time.Duration(e.Rank) {
 		return
 	}
 	p.claiming = true
