Rebalancer: a coordinator's link is not filled with maps and counts

Cause: on the grown sites a side instance has a link of 8 Mbit/s. Ruled out: the engines (the same orders are answered at once on other instances), lost datagrams (none of the failed orders is a datagram). Change: goals carry the map only where ranks are to prepare it, and replicas are encoded without names; 8 ranks tell of each pass, in turn.

--- a/rebalance/count.go
+++ b/rebalance/count.go
@@ -53,6 +53,10 @@
 	if diff == nil || !ok || len(diff) != shape.Sets*shape.Experts {
 		return
 	}
+	e, _ := p.rank.Engine()
+	if p.coord == nil && !turn(e.Rank, e.Size, step) {
+		return
+	}
 	sets := summarise(shape.Shape, diff)
 	if p.coord != nil {
 		p.learn(shape.Shape, sets)
@@ -63,6 +67,14 @@
 	p.send(&r)
 }
 
+// turn reports whether a rank is to tell of a pass: the ranks of a large group
+// take turns, as each one's requests are a sample of the same demand and the
+// coordinator's link is narrow.
+func turn(rank, size int, step int64) bool {
+	turns := int64(max((size+tellEachPass-1)/tellEachPass, 1))
+	return (step+int64(rank))%turns == 0
+}
+
 // summarise names the most chosen experts of each set.
 func summarise(s spread.Shape, counts []int64) []wire.Demand {
 	sets := make([]wire.Demand, s.Sets)
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -49,6 +49,8 @@
 	copyTime = 450 * time.Millisecond
 	// topExperts is the number of experts of a set that a report names.
 	topExperts = 20
+	// tellEachPass is the number of ranks that tell the coordinator of a pass.
+	tellEachPass = 8
 	// planGain is the part of the cost by which a plan must be better.
 	planGain = 0.22
 	// copyGain is the part of the cost by which each copy must help.
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -126,6 +126,9 @@
 func (c *Coordinator) want(s Stage, now time.Duration, p Phase) {
 	c.goal.Stage = uint8(s)
 	c.goal.Release, c.goal.Final = nil, false
+	if s == Arm || s == Rest {
+		c.goal.Replicas = nil // nobody prepares: goals are sent often, and instances' links are narrow
+	}
 	c.goal.Seq++
 	c.enter(p, now)
 }
--- a/remap/world_test.go
+++ b/remap/world_test.go
@@ -342,6 +342,18 @@
 	}
 }
 
+// Goals that are sent every few milliseconds carry no map: a narrow link would
+// be full of them (24 ranks and 100 replicas at 8 Mbit/s: orders to other
+// instances took longer than their time-out).
+func TestOnlyPreparedGoalsCarryTheMap(t *testing.T) {
+	c := NewCoordinator(1, Engine{Group: "g", Epoch: 1, Size: 1, Open: true}, 0)
+	for stage, carries := range map[Stage]bool{Rest: false, Prepare: true, Arm: false, Cancel: true} {
+		c.goal.Replicas = []wire.Replica{{Expert: 1}}
+		c.want(stage, 0, Idle)
+		require.Equal(t, carries, len(c.Goal().Replicas) > 0, "stage %d", stage)
+	}
+}
+
 // A prepare whose answer was lost is not given again while the engine is at
 // it: the engine would refuse the second one, and the switch be given up.
 func TestUnansweredPrepare(t *testing.T) {
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -8,6 +8,8 @@
 //
 //msgp:limit arrays:16384
 
+//msgp:tuple Replica
+
 // Replica is one copy of an expert beyond the first, which lies where map 0
 // puts it.
 type Replica struct {
@@ -24,7 +26,7 @@
 	Epoch    int64     `msg:"e"` // of the group; the goal is void in any other
 	Stage    uint8     `msg:"k"` // a remap.Stage
 	Version  int64     `msg:"v"` // of the map
-	Replicas []Replica `msg:"m"` // of the map
+	Replicas []Replica `msg:"m"` // of the map, where ranks are to prepare it
 	Step     int64     `msg:"p"` // first pass of the map
 	Last     int       `msg:"l"` // rank beside the coordinator; it is armed after all others
 	Deputy   int       `msg:"d"` // rank whose process arms Last
--- a/wire/remap_gen.go
+++ b/wire/remap_gen.go
@@ -324,44 +324,33 @@
 			}
 			for za0001 := range z.Replicas {
 				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				zb0003, err = dc.ReadArrayHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Replicas", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Replicas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Replicas[za0001].Set, err = dc.ReadUint16()
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Set")
-							return
-						}
-					case "e":
-						z.Replicas[za0001].Expert, err = dc.ReadUint16()
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Expert")
-							return
-						}
-					case "r":
-						z.Replicas[za0001].Rank, err = dc.ReadUint16()
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Rank")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001)
-							return
-						}
-					}
+				if zb0003 > zde535c3blimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Replicas[za0001].Set, err = dc.ReadUint16()
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Set")
+					return
+				}
+				z.Replicas[za0001].Expert, err = dc.ReadUint16()
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Expert")
+					return
+				}
+				z.Replicas[za0001].Rank, err = dc.ReadUint16()
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Rank")
+					return
 				}
 			}
 		case "p":
@@ -502,9 +491,8 @@
 		return
 	}
 	for za0001 := range z.Replicas {
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
@@ -513,21 +501,11 @@
 			err = msgp.WrapError(err, "Replicas", za0001, "Set")
 			return
 		}
-		// write "e"
-		err = en.Append(0xa1, 0x65)
-		if err != nil {
-			return
-		}
 		err = en.WriteUint16(z.Replicas[za0001].Expert)
 		if err != nil {
 			err = msgp.WrapError(err, "Replicas", za0001, "Expert")
 			return
 		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
 		err = en.WriteUint16(z.Replicas[za0001].Rank)
 		if err != nil {
 			err = msgp.WrapError(err, "Replicas", za0001, "Rank")
@@ -630,15 +608,10 @@
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
-		// map header, size 3
-		// string "s"
-		o = append(o, 0x83, 0xa1, 0x73)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendUint16(o, z.Replicas[za0001].Set)
-		// string "e"
-		o = append(o, 0xa1, 0x65)
 		o = msgp.AppendUint16(o, z.Replicas[za0001].Expert)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
 		o = msgp.AppendUint16(o, z.Replicas[za0001].Rank)
 	}
 	// string "p"
@@ -737,44 +710,29 @@
 			}
 			for za0001 := range z.Replicas {
 				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Replicas", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Replicas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Replicas[za0001].Set, bts, err = msgp.ReadUint16Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Set")
-							return
-						}
-					case "e":
-						z.Replicas[za0001].Expert, bts, err = msgp.ReadUint16Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Expert")
-							return
-						}
-					case "r":
-						z.Replicas[za0001].Rank, bts, err = msgp.ReadUint16Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Rank")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001)
-							return
-						}
-					}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Replicas[za0001].Set, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Set")
+					return
+				}
+				z.Replicas[za0001].Expert, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Expert")
+					return
+				}
+				z.Replicas[za0001].Rank, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Rank")
+					return
 				}
 			}
 		case "p":
@@ -1454,56 +1412,42 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *Replica) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Set, err = dc.ReadUint16()
-			if err != nil {
-				err = msgp.WrapError(err, "Set")
-				return
-			}
-		case "e":
-			z.Expert, err = dc.ReadUint16()
-			if err != nil {
-				err = msgp.WrapError(err, "Expert")
-				return
-			}
-		case "r":
-			z.Rank, err = dc.ReadUint16()
-			if err != nil {
-				err = msgp.WrapError(err, "Rank")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 > zde535c3blimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Set, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Set")
+		return
+	}
+	z.Expert, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Expert")
+		return
+	}
+	z.Rank, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z Replica) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -1512,21 +1456,11 @@
 		err = msgp.WrapError(err, "Set")
 		return
 	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
 	err = en.WriteUint16(z.Expert)
 	if err != nil {
 		err = msgp.WrapError(err, "Expert")
 		return
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
 	err = en.WriteUint16(z.Rank)
 	if err != nil {
 		err = msgp.WrapError(err, "Rank")
@@ -1538,62 +1472,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint16(o, z.Set)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint16(o, z.Expert)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendUint16(o, z.Rank)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Set, bts, err = msgp.ReadUint16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Set")
-				return
-			}
-		case "e":
-			z.Expert, bts, err = msgp.ReadUint16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Expert")
-				return
-			}
-		case "r":
-			z.Rank, bts, err = msgp.ReadUint16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rank")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Set, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Set")
+		return
+	}
+	z.Expert, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Expert")
+		return
+	}
+	z.Rank, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
 	}
 	o = bts
 	return
@@ -1601,6 +1513,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Replica) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size
+	s = 1 + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size
 	return
 }
