Fewer store calls; metrics of the store, of what a gateway believes; lines a second; one relay

Change: a restarted process does not announce what stands there already, rebalancers rest a minute between reads of the document and read the directory in batches of 2 s, gateways read servers every 0.3 of the drain time.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -26,11 +26,17 @@
 // Settings of a gateway process.
 const (
 	logRoom     = 2000                    // lines that wait for a reader of the log
+	logPerKind  = 400                     // lines of one kind in a second: several times the requests of a gateway at the target
 	operatorEnd = 1500 * time.Millisecond // longest wait of a read of the operator's stream
-	serverPause = 600 * time.Millisecond  // between reads of the servers' stream
-	storeWait   = 1200 * time.Millisecond // for an answer of the store
-	memoryShare = 0.7                     // of the instance's memory at which the collector works harder
-	logEnd      = 200 * time.Millisecond  // for the last lines at the end
+	// serverPause is the part of the drain time between reads of the servers'
+	// stream, which has a record for every heartbeat; a read and its retry, and
+	// requests underway, must fit into the rest.
+	serverPause    = 0.3
+	serverPauseMin = 200 * time.Millisecond
+	directoryPause = 400 * time.Millisecond  // between reads of the directory
+	storeWait      = 1200 * time.Millisecond // for an answer of the store
+	memoryShare    = 0.7                     // of the instance's memory at which the collector works harder
+	logEnd         = 200 * time.Millisecond  // for the last lines at the end
 	// keepLapsed is the share of the drain time for which a server is used
 	// whose entry has vanished without a word.
 	keepLapsed  = 0.5
@@ -38,9 +44,9 @@
 )
 
 // RunGateway runs a gateway with the platform's settings file at path until
-// ctx ends.
-func RunGateway(ctx context.Context, path string, out io.Writer) error {
-	return runOnPlatform(ctx, path, out, "gateway", func(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+// ctx ends. Error: settings that cannot be read, or an unknown level.
+func RunGateway(ctx context.Context, path, logLevel string, out io.Writer) error {
+	return runOnPlatform(ctx, path, logLevel, out, "gateway", func(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
 		if m := st.Gateway.Memory; m > 0 {
 			debug.SetMemoryLimit(int64(memoryShare * float64(m)))
 		}
@@ -50,16 +56,16 @@
 
 // runOnPlatform reads the platform's settings file and runs a process of the
 // role with a log that never blocks.
-func runOnPlatform(ctx context.Context, path string, out io.Writer, role string,
+func runOnPlatform(ctx context.Context, path, logLevel string, out io.Writer, role string,
 	run func(ctx context.Context, st *platform.Settings, logger *log.Logger) error,
 ) error {
 	st, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
-	lines := telemetry.NewBounded(out, logRoom)
+	lines := telemetry.NewBounded(out, logRoom, logPerKind)
 	defer flushLog(lines)
-	logger, err := telemetry.NewLogger(lines, "info", telemetry.Identity{
+	logger, err := telemetry.NewLogger(lines, logLevel, telemetry.Identity{
 		Role: role, Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre,
 	})
 	if err != nil {
@@ -82,21 +88,22 @@
 func serveGateway(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel() // beliefs are kept up to date until the last request has ended
+	registry := telemetry.NewRegistry()
 	store := platform.NewStore(st.Store, logger)
+	store.Observe = telemetry.NewStoreMetrics(registry).Call
 	belief := fleet.NewBelief(time.Duration(keepLapsed * float64(st.Gateway.Bounds.Drain)))
 	operator := fleet.NewFollower(store.Operator(), belief, fleet.FollowOptions{
 		Name: "operator", Operator: true, Wait: operatorEnd, Timeout: storeWait, Clock: clock.Boot,
 	}, logger)
 	servers := fleet.NewFollower(store.Servers(), belief, fleet.FollowOptions{
-		Name: "servers", Wait: 0, Pause: serverPause, Timeout: storeWait, Clock: clock.Boot,
+		Name: "servers", Wait: 0, Pause: max(time.Duration(serverPause*float64(st.Gateway.Bounds.Drain)), serverPauseMin), Timeout: storeWait, Clock: clock.Boot,
 	}, logger)
 	go operator.Run(background)
 	go servers.Run(background)
 
-	dir := directory.New(store, logger)
+	dir := directory.New(store, directoryPause, logger)
 	go dir.Run(background)
 
-	registry := telemetry.NewRegistry()
 	g := gateway.New(gateway.Options{
 		Settings: st.Gateway, Names: platform.Names, Belief: belief, Proof: operator.Proof, Log: logger, Registry: registry, Directory: dir,
 	})
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -15,29 +15,35 @@
 	"marjorampitch/placement/spread"
 	"marjorampitch/platform"
 	"marjorampitch/rebalance"
+	"marjorampitch/telemetry"
 )
 
-// documentWait is how long a rebalancer's read of the operator's stream waits:
-// it needs the document only for the shape of maps.
-const documentWait = 20 * time.Second
+// Reads of a rebalancer. It needs the document only for the shape of maps,
+// which is that of the engines, and there are many rebalancers.
+const (
+	documentWait   = 20 * time.Second // for the first document
+	documentRest   = time.Minute      // between reads after that
+	directoryBatch = 2 * time.Second  // between reads of the directory
+)
 
 // RunRebalancer runs the process beside one rank with the platform's settings
 // file at path until ctx ends.
-func RunRebalancer(ctx context.Context, path string, out io.Writer) error {
-	return runOnPlatform(ctx, path, out, "rebalancer", rebalanceGroup)
+func RunRebalancer(ctx context.Context, path, logLevel string, out io.Writer) error {
+	return runOnPlatform(ctx, path, logLevel, out, "rebalancer", rebalanceGroup)
 }
 
 func rebalanceGroup(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+	registry := telemetry.NewRegistry()
 	s := platform.NewStore(st.Store, logger)
+	s.Observe = telemetry.NewStoreMetrics(registry).Call
 	belief := fleet.NewBelief(0)
 	operator := fleet.NewFollower(s.Operator(), belief, fleet.FollowOptions{
-		Name: "operator", Operator: true, Wait: documentWait, Timeout: storeWait, Clock: clock.Boot,
+		Name: "operator", Operator: true, Wait: documentWait, Rest: documentRest, Timeout: storeWait, Clock: clock.Boot,
 	}, logger)
 	go operator.Run(ctx)
-	dir := directory.New(s, logger)
+	dir := directory.New(s, directoryBatch, logger)
 	go dir.Run(ctx)
-	logger.Info("started", "engine", st.App, "store", st.Store)
-	return rebalance.New(rebalance.Options{
+	p := rebalance.New(rebalance.Options{
 		Instance:      st.Gateway.Instance,
 		Address:       net.JoinHostPort(st.Gateway.Address, strconv.Itoa(st.Gateway.PeerPort)),
 		Engine:        platform.NewEngine(st.App),
@@ -47,7 +53,13 @@
 		Directory:     dir,
 		Shape:         func() (rebalance.Shape, bool) { return mapShape(belief.View(), st.Service) },
 		Log:           logger,
-	}).Run(ctx)
+		Registry:      registry,
+	})
+	if err := serveHTTP(ctx, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, func() error { return nil })); err != nil {
+		return err
+	}
+	logger.Info("started", "engine", st.App, "store", st.Store)
+	return p.Run(ctx)
 }
 
 // mapShape is what the document says of the maps of a service.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,25 +23,29 @@
 
 // Timing of the store's calls.
 const (
-	readWait    = 20 * time.Second // for a new entry
+	readWait    = 29 * time.Second // for a new entry; the store allows 30 s
 	callTimeout = 2 * time.Second  // beyond that
 	retryAfter  = 500 * time.Millisecond
-	batchTime   = 400 * time.Millisecond // between reads: at a start of many, their entries come together
 )
 
 // Directory follows the entries of all processes. It is safe for concurrent use.
 type Directory struct {
 	store store.Log
 	log   *log.Logger
+	batch time.Duration
 	next  int64
+	read  chan struct{} // closed once entries were read
 
 	mu      sync.Mutex // guards entries
 	entries map[string]wire.Instance
 }
 
-// New returns a directory that has read nothing.
-func New(s store.Log, logger *log.Logger) *Directory {
-	return &Directory{store: s, log: logger, next: -1, entries: make(map[string]wire.Instance)}
+// New returns a directory that has read nothing. batch is the time between two
+// reads: when many processes start, their entries come together.
+func New(s store.Log, batch time.Duration, logger *log.Logger) *Directory {
+	return &Directory{
+		store: s, log: logger, batch: batch, next: -1, read: make(chan struct{}), entries: make(map[string]wire.Instance),
+	}
 }
 
 // Entries returns all entries by name.
@@ -51,13 +55,24 @@
 	return maps.Clone(d.entries)
 }
 
-// Announce writes the entry of an instance until it is acknowledged or ctx ends.
+// Announce writes the entry of an instance until it is acknowledged or ctx
+// ends. An entry that stands there already, as after a restart of the process,
+// is not written again: every reader would be woken.
 func (d *Directory) Announce(ctx context.Context, name string, entry wire.Instance) {
 	value, err := entry.MarshalMsg(nil)
 	if err != nil {
 		d.log.Error("announce-failed", "err", err)
 		return
 	}
+	select {
+	case <-d.read:
+		if d.Entries()[name] == entry {
+			d.log.Info("announced-before", "name", name, "address", entry.Address, "group", entry.Group, "rank", entry.Rank)
+			return
+		}
+	case <-time.After(callTimeout): // it costs less to write it twice than to stay unknown
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := d.store.Append(call, topic, store.Record{Key: name, Value: value})
@@ -81,7 +96,7 @@
 		case err != nil:
 			clock.Sleep(ctx, retryAfter)
 		default:
-			clock.Sleep(ctx, batchTime)
+			clock.Sleep(ctx, d.batch)
 		}
 	}
 }
@@ -105,6 +120,11 @@
 	for _, r := range b.Records {
 		d.apply(r)
 	}
+	select {
+	case <-d.read:
+	default:
+		close(d.read)
+	}
 	return nil
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -35,6 +35,7 @@
 	Operator bool          // the stream holds documents and data centres, not servers
 	Wait     time.Duration // how long a read may wait for a record
 	Pause    time.Duration // between reads, so that a busy stream is read in batches
+	Rest     time.Duration // between reads once there is a document, for a reader to whom the newest matters little; 0 for none
 	Timeout  time.Duration // of one call, beyond Wait
 	Clock    func() time.Duration
 }
@@ -95,7 +96,11 @@
 			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next)
 		}
 		retry = followRetryMin
-		clock.Sleep(ctx, f.opts.Pause)
+		pause := f.opts.Pause
+		if f.opts.Rest > 0 && f.belief.View().Document != nil {
+			pause = f.opts.Rest
+		}
+		clock.Sleep(ctx, pause)
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -273,11 +273,11 @@
 // ended writes the line of a request's end.
 func (g *Gateway) ended(c *call, code api.Code, more ...any) {
 	took := g.now() - c.arrived
-	g.metrics.ended(code, took)
 	name := ""
 	if c.route != nil {
 		name = c.route.Name
 	}
+	g.metrics.ended(name, code, took, c.waited)
 	version := int64(0)
 	if c.view.Document != nil {
 		version = c.view.Document.Version
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	g.peers = newPeers(g)
 	g.pool = backend.NewPool(g.now)
 	g.pool.Opened = g.metrics.opened.Inc
+	opts.Registry.MustRegister(collector{g})
 	return g
 }
 
@@ -227,13 +228,7 @@
 
 // logGate tells how a service's streams are paced.
 func (g *Gateway) logGate(s *service) {
-	s.mu.Lock()
-	var list []pace.Status
-	if s.gate != nil {
-		list = s.gate.Status(g.now())
-	}
-	s.mu.Unlock()
-	for _, x := range list {
+	for _, x := range s.status(g.now()) {
 		if x.All == 0 && x.Waiting == 0 {
 			continue
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -253,6 +253,30 @@
 	return s.budget.Retry()
 }
 
+// status describes the groups of a paced service; nil for a plain one.
+func (s *service) status(now time.Duration) []pace.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate == nil {
+		return nil
+	}
+	return s.gate.Status(now)
+}
+
+// healthOf counts members by whether they get work.
+func (s *service) healthOf(members []*fleet.Member, now time.Duration) (usable, ejected int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range members {
+		if st := s.servers[serverKey{m.ID, m.Born}]; st != nil && !st.health.usable(now) {
+			ejected++
+		} else {
+			usable++
+		}
+	}
+	return usable, ejected
+}
+
 // forget drops the state of servers that are gone.
 func (s *service) forget(view *fleet.View) {
 	s.mu.Lock()
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -22,8 +22,8 @@
 }
 
 // newPlatformCommand runs a daemon with the platform's settings file.
-func newPlatformCommand(use, short string, run func(ctx context.Context, path string, out io.Writer) error) *cobra.Command {
-	var file string
+func newPlatformCommand(use, short string, run func(ctx context.Context, path, logLevel string, out io.Writer) error) *cobra.Command {
+	var file, level string
 	cmd := &cobra.Command{
 		Use:   use,
 		Short: short,
@@ -34,9 +34,10 @@
 			if file == "" {
 				file = platform.SettingsPath()
 			}
-			return run(ctx, file, os.Stdout)
+			return run(ctx, file, level, os.Stdout)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file of the platform; by default the one that its environment names")
+	cmd.Flags().StringVar(&level, "log-level", "info", "least level of the lines on standard output: debug, info, warn or error")
 	return cmd
 }
--- a/internal/scenario/centre.go
+++ b/internal/scenario/centre.go
@@ -3,6 +3,7 @@
 import (
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/internal/relay"
 )
 
 // centre is a data centre: it has its own view of the instance list, in which
@@ -55,7 +56,7 @@
 	}
 	c.list.Put(backing.Instance{
 		Name:       d.name,
-		Address:    r.address,
+		Address:    r.Address(),
 		DataCentre: d.dataCentre,
 		Role:       d.role,
 		State:      state,
@@ -71,8 +72,8 @@
 }
 
 // relaysOf returns the relays that lead to a daemon from all data centres.
-func (w *World) relaysOf(d *daemon) []*relay {
-	var out []*relay
+func (w *World) relaysOf(d *daemon) []*relay.Relay {
+	var out []*relay.Relay
 	for _, c := range w.centres {
 		out = append(out, w.relays[relayName(c, d)])
 	}
@@ -81,8 +82,8 @@
 
 // border returns the relays that cross the border of a data centre, and those
 // of its daemons to the log service.
-func (w *World) border(name string) []*relay {
-	var out []*relay
+func (w *World) border(name string) []*relay.Relay {
+	var out []*relay.Relay
 	for _, d := range w.daemons {
 		if d.dataCentre == name {
 			out = append(out, w.relays[d.name+".log"])
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -13,6 +13,7 @@
 
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/internal/relay"
 )
 
 const tailLines = 15
@@ -222,15 +223,15 @@
 // withRelays finds the relays that a word names: "NAME" for those that lead to
 // a daemon, "NAME.log" for the one from it to the log service, "zone:NAME" for
 // all that cross the border of a data centre.
-func (w *World) withRelays(do func(*relay)) func(string) error {
+func (w *World) withRelays(do func(*relay.Relay)) func(string) error {
 	return func(name string) error {
-		var found []*relay
+		var found []*relay.Relay
 		if zone, ok := strings.CutPrefix(name, "zone:"); ok {
 			found = w.border(zone)
 		} else if d, ok := w.daemons[name]; ok {
 			found = w.relaysOf(d)
 		} else if r, ok := w.relays[name]; ok {
-			found = []*relay{r}
+			found = []*relay.Relay{r}
 		}
 		if len(found) == 0 {
 			return fmt.Errorf("nothing leads to %q", name)
@@ -242,9 +243,13 @@
 	}
 }
 
-func (w *World) silenceVerb(args []string) error { return each(args, w.withRelays((*relay).silence)) }
-func (w *World) cutVerb(args []string) error     { return each(args, w.withRelays((*relay).cut)) }
-func (w *World) healVerb(args []string) error    { return each(args, w.withRelays((*relay).heal)) }
+func (w *World) silenceVerb(args []string) error {
+	return each(args, w.withRelays((*relay.Relay).Silence))
+}
+func (w *World) cutVerb(args []string) error {
+	return each(args, w.withRelays(func(r *relay.Relay) { r.Cut(relay.Both) }))
+}
+func (w *World) healVerb(args []string) error { return each(args, w.withRelays((*relay.Relay).Heal)) }
 
 // turnColdVerb makes engines cold without a word: turn-cold NAME...
 func (w *World) turnColdVerb(args []string) error {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -17,6 +17,7 @@
 
 	"marjorampitch/backing"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/internal/relay"
 	"marjorampitch/logfold"
 )
 
@@ -42,7 +43,7 @@
 	backends  map[string]*backend
 	groups    map[string]*rankGroup
 	daemons   map[string]*daemon
-	relays    map[string]*relay
+	relays    map[string]*relay.Relay
 	loads     map[string]*Load
 	document  document
 	published uint64 // versions
@@ -62,7 +63,7 @@
 		backends: make(map[string]*backend),
 		groups:   make(map[string]*rankGroup),
 		daemons:  make(map[string]*daemon),
-		relays:   make(map[string]*relay),
+		relays:   make(map[string]*relay.Relay),
 		loads:    make(map[string]*Load),
 	}
 	w.logServer = newServer(w.log.Handler())
@@ -85,7 +86,7 @@
 		d.kill()
 	}
 	for _, r := range w.relays {
-		r.close()
+		r.Close()
 	}
 	for _, b := range w.backends {
 		if b.group != nil {
@@ -157,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.writeSettings("http://"+logRelay.address, c.server.url(), w.weights.url(), backendURL); err != nil {
+	if err := d.writeSettings("http://"+logRelay.Address(), c.server.url(), w.weights.url(), backendURL); err != nil {
 		return err
 	}
 	w.daemons[name] = d
@@ -170,8 +171,8 @@
 	return d.start()
 }
 
-func (w *World) addRelay(name, target string) (*relay, error) {
-	r, err := newRelay(target)
+func (w *World) addRelay(name, target string) (*relay.Relay, error) {
+	r, err := relay.New(target)
 	if err != nil {
 		return nil, err
 	}
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -1,38 +1,85 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Bounded is a writer that never blocks: lines wait in a queue, and those that
 // find it full are left out and counted. A reader that never reads delays
-// nobody. It is safe for concurrent use.
+// nobody. Of each kind of line, named by msg=, a number a second is let
+// through. It is safe for concurrent use.
 type Bounded struct {
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
 	closing sync.Once
 	done    chan struct{}
+	perKind int
+
+	mu     sync.Mutex // guards all below
+	second time.Time  // when the present second began
+	count  map[string]int
 }
 
-// NewBounded returns a writer before out with room for a number of lines.
-func NewBounded(out io.Writer, room int) *Bounded {
-	b := &Bounded{out: out, lines: make(chan []byte, room), done: make(chan struct{})}
+// NewBounded returns a writer before out with room for a number of lines, of
+// each kind perKind a second.
+func NewBounded(out io.Writer, room, perKind int) *Bounded {
+	b := &Bounded{
+		out: out, lines: make(chan []byte, room), done: make(chan struct{}), perKind: perKind,
+		second: time.Now(), count: make(map[string]int),
+	}
 	go b.run()
 	return b
 }
 
 // Write queues one line. It never fails.
 func (b *Bounded) Write(line []byte) (int, error) {
+	limited, over := b.limit(kindOf(line))
+	for _, l := range limited {
+		b.queue(l)
+	}
+	if !over {
+		b.queue(append([]byte(nil), line...))
+	}
+	return len(line), nil
+}
+
+func (b *Bounded) queue(line []byte) {
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.lines <- line:
 	default:
 		b.dropped.Add(1)
 	}
-	return len(line), nil
+}
+
+// limit counts a line of a kind. It reports whether the line is one too many,
+// and returns the lines that tell of those left out in the last second.
+func (b *Bounded) limit(kind string) (limited [][]byte, over bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := time.Now(); now.Sub(b.second) >= time.Second {
+		for k, n := range b.count {
+			if n > b.perKind {
+				limited = append(limited, fmt.Appendf(nil, "level=warn msg=lines-limited kind=%s count=%d\n", k, n-b.perKind))
+			}
+		}
+		b.second = now
+		clear(b.count)
+	}
+	b.count[kind]++
+	return limited, b.count[kind] > b.perKind
+}
+
+// kindOf is the value of msg= in a line; empty for none.
+func kindOf(line []byte) string {
+	_, rest, _ := bytes.Cut(line, []byte(" msg="))
+	kind, _, _ := bytes.Cut(rest, []byte(" "))
+	return string(bytes.TrimSpace(kind))
 }
 
 func (b *Bounded) run() {
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -16,7 +18,7 @@
 	r, w, err := os.Pipe()
 	require.NoError(t, err)
 	defer r.Close()
-	b := NewBounded(w, 10)
+	b := NewBounded(w, 10, 1<<20)
 	line := []byte(strings.Repeat("x", 1023) + "\n")
 	const written = 1000 // a pipe holds 64 of them
 	for range written {
@@ -46,7 +48,7 @@
 // Lines come out whole and in order.
 func TestBoundedKeepsOrder(t *testing.T) {
 	var out bytes.Buffer
-	b := NewBounded(&out, 100)
+	b := NewBounded(&out, 100, 1<<20)
 	want := ""
 	for i := range 50 {
 		line := fmt.Sprintln("line", i)
@@ -56,3 +58,26 @@
 	<-b.Close()
 	require.Equal(t, want, out.String())
 }
+
+// Of one kind of line so many a second are let through, and the rest counted;
+// other kinds are not touched.
+func TestLinesOfAKindAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := NewBounded(&out, 1000, 5)
+		line := func(kind string) {
+			_, err := b.Write([]byte("level=info msg=" + kind + " x=1\n"))
+			require.NoError(t, err)
+		}
+		for range 12 {
+			line("often")
+		}
+		line("seldom")
+		time.Sleep(2 * time.Second)
+		line("often")
+		<-b.Close()
+		require.Equal(t, 6, strings.Count(out.String(), "msg=often"))
+		require.Equal(t, 1, strings.Count(out.String(), "msg=seldom"))
+		require.Equal(t, 1, strings.Count(out.String(), "msg=lines-limited kind=often count=7\n"))
+	})
+}
