--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,9 +23,10 @@
 
 // Timing of the store's calls.
 const (
-	readWait    = 29 * time.Second // for a new entry; the store allows 30 s
-	callTimeout = 2 * time.Second  // beyond that
-	retryAfter  = 500 * time.Millisecond
+	readWait    = 29 * time.Second       // for a new entry; the store allows 30 s
+	callTimeout = 2 * time.Second        // beyond that
+	retryAfter  = 500 * time.Millisecond // twice that after each further failure,
+	retryMax    = 4 * time.Second        // up to this
 )
 
 // Directory follows the entries of all processes. It is safe for concurrent use.
@@ -73,7 +74,7 @@
 	case <-time.After(callTimeout): // it costs less to write it twice than to stay unknown
 	case <-ctx.Done():
 	}
-	for ctx.Err() == nil {
+	for retry := retryAfter; ctx.Err() == nil; retry = min(2*retry, retryMax) {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := d.store.Append(call, topic, store.Record{Key: name, Value: value})
 		cancel()
@@ -82,20 +83,23 @@
 			return
 		}
 		d.log.Warn("announce-failed", "err", err)
-		clock.Sleep(ctx, retryAfter)
+		clock.Sleep(ctx, retry)
 	}
 }
 
 // Run follows the entries until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
+	retry := retryAfter
 	for ctx.Err() == nil {
 		err := d.step(ctx)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
 			d.next = -1
 		case err != nil:
-			clock.Sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retry)
+			retry = min(2*retry, retryMax)
 		default:
+			retry = retryAfter
 			clock.Sleep(ctx, d.batch)
 		}
 	}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -40,10 +40,12 @@
 	Clock    func() time.Duration
 }
 
-// Backoff between failed reads.
+// Backoff between failed reads. A reader to whom the newest matters little
+// leaves the store in peace for longer.
 const (
-	followRetryMin = 50 * time.Millisecond
-	followRetryMax = 400 * time.Millisecond
+	followRetryMin  = 50 * time.Millisecond
+	followRetryMax  = 400 * time.Millisecond
+	followRetryRest = 3 * time.Second
 )
 
 // Follower keeps a Belief up to date from one Source. Run it in one goroutine;
@@ -72,7 +74,10 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	retry := followRetryMin
+	retry, most := followRetryMin, followRetryMax
+	if f.opts.Rest > 0 {
+		most = followRetryRest
+	}
 	for ctx.Err() == nil {
 		asked := f.opts.Clock()
 		complete, err := f.step(ctx)
@@ -85,7 +90,7 @@
 			f.failed(ctx, err)
 			f.belief.Apply(nil, f.opts.Clock())
 			clock.Sleep(ctx, retry)
-			retry = min(2*retry, followRetryMax)
+			retry = min(2*retry, most)
 			continue
 		}
 		if complete {
