Operations page: its commands run against real failures; a resume is counted once

bin/soak failures starts a deployment in which a request is refused, one cut midway and one left unknown, and runs a command while it stands; scripts/operations.sh plays the page, and make test runs it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
 BIN   := bin
-.PHONY: all build generate fmt lint test demo fuzz measure slopes bench
+.PHONY: all build generate fmt lint test demo fuzz soak measure slopes bench
 
 all: build
 
@@ -24,11 +24,14 @@
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config revive.toml ./...
 
-# test runs every test from fixed seeds, and the operator's page as written.
+# test runs every test from fixed seeds, and the commands of the pages for
+# operators and for engineers on call as written.
 test: build
 	$(GO) test -race -timeout 9m ./...
 	scripts/operating.sh >out/operating.log 2>&1 || { tail -n 30 out/operating.log; exit 1; }
 	@tail -n 1 out/operating.log
+	scripts/operations.sh >out/operations.log 2>&1 || { tail -n 30 out/operations.log; exit 1; }
+	@tail -n 1 out/operations.log
 
 # measure runs every comparison from fixed seeds; ONLY=regexp picks some.
 measure:
@@ -49,3 +52,7 @@
 # fuzz runs the stateful fuzz tests with fresh seeds for FUZZSECONDS (600).
 fuzz:
 	scripts/fuzz.sh
+
+# soak plays DAYS (10) days of faults with fresh seeds against real processes.
+soak: build
+	$(BIN)/soak --days $(or $(DAYS),10) --parallel 2
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"sync"
@@ -43,6 +44,7 @@
 			return play(ctx, opts, first, days, parallel, dir)
 		},
 	}
+	cmd.AddCommand(failuresCommand())
 	f := cmd.Flags()
 	f.Uint64Var(&first, "seed", 0, "seed of the first day; 0 for a fresh one")
 	f.IntVar(&days, "days", 1, "days to play, with seeds that follow each other")
@@ -55,6 +57,33 @@
 	return cmd
 }
 
+// failuresCommand runs a command while a deployment runs in which requests have
+// failed on purpose, as docs/OPERATIONS.md explains them.
+func failuresCommand() *cobra.Command {
+	opts := soak.Options{Seed: 1, Gateways: 2}
+	cmd := &cobra.Command{
+		Use:          "failures COMMAND [ARG]...",
+		Short:        "Let requests fail, and run a command that looks for the causes",
+		Long:         "The command finds the ids in REFUSED, CUT and UNKNOWN, the folder of the logs in LOGS and a gateway's metrics at METRICS.",
+		Args:         cobra.MinimumNArgs(1),
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := os.MkdirAll(opts.Dir, 0o755); err != nil {
+				return eris.Wrap(err, "--out")
+			}
+			return soak.Fail(cmd.Context(), opts, func(f soak.Failures) error {
+				look := exec.CommandContext(cmd.Context(), args[0], args[1:]...)
+				look.Stdout, look.Stderr = os.Stdout, os.Stderr
+				look.Env = append(os.Environ(), "REFUSED="+f.Refused, "CUT="+f.Cut, "UNKNOWN="+f.Unknown, "LOGS="+f.Logs, "METRICS="+f.Metrics)
+				return look.Run()
+			})
+		},
+	}
+	cmd.Flags().StringVar(&opts.Binary, "binary", "bin/marjorampitch", "the program")
+	cmd.Flags().StringVar(&opts.Dir, "out", "out/failures", "folder for settings and logs")
+	return cmd
+}
+
 // play plays days side by side. Error: something was found, or a day could not
 // be set up.
 func play(ctx context.Context, opts soak.Options, first uint64, days, parallel int, dir string) error {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -106,6 +106,9 @@
 		if m == nil {
 			break
 		}
+		if c.began {
+			g.metrics.resumes.Inc()
+		}
 		done, failure := g.attempt(ctx, c, m)
 		if done {
 			return true
@@ -117,9 +120,6 @@
 		if g.expired(ctx, c) || failure.Ran != api.NotRun && !c.route.Repeatable() {
 			break
 		}
-		if c.began {
-			g.metrics.resumes.Inc()
-		}
 	}
 	g.giveUp(ctx, c, last)
 	return true
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -118,14 +118,20 @@
 	w.done = append(w.done, fmt.Sprintf("%6.3f s  ", time.Since(w.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// Run plays a day. Error: it could not be set up.
-func Run(ctx context.Context, opts Options) (*Report, error) {
+// newWorld returns a world in which nothing runs yet.
+func newWorld(opts Options) *world {
 	w := &world{
 		opts: opts, start: time.Now(), store: platformtest.NewStore(), rnd: rand.New(rand.NewPCG(opts.Seed, 1)),
 		leaving: make(map[string]time.Time), out: make(map[string]time.Time),
 	}
 	w.judge = newJudge(w)
 	w.group = platformtest.NewGroup(w.judge, w.roll)
+	return w
+}
+
+// Run plays a day. Error: it could not be set up.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	w := newWorld(opts)
 	ctx, cancel := context.WithCancel(ctx)
 	var ends sync.WaitGroup
 	defer w.close()
@@ -144,6 +150,9 @@
 	sleep(ctx, quietEnd)
 	cancel()
 	ends.Wait()
+	if len(w.judge.faults) == 0 {
+		defer os.RemoveAll(opts.Dir) //nolint:errcheck // logs of a day on which nothing was found
+	}
 	r := &Report{Seed: opts.Seed, Broken: w.judge.faults, Counts: w.judge.counts, Faults: w.done}
 	r.Map, r.Passes = w.group.Maps()
 	return r, nil
@@ -260,7 +269,4 @@
 		b.Close()
 	}
 	w.store.Close()
-	if w.opts.Dir != "" && len(w.judge.faults) == 0 {
-		os.RemoveAll(w.opts.Dir) //nolint:errcheck // logs of a day on which nothing was found
-	}
 }
--- /dev/null
+++ b/scripts/operations.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Runs every block of docs/OPERATIONS.md that is marked "sh run", as written and
+# in order, against real gateways in which requests were made to fail. Any
+# failing command fails the script.
+set -eu
+
+cd "$(dirname "$0")/.."
+out=${OUT:-out/operations}
+rm -rf "$out"
+mkdir -p "$out"
+awk '/^ *```sh run$/ {on = 1; next} /^ *```$/ {on = 0} on {sub(/^ */, ""); print}' docs/OPERATIONS.md >"$out.steps"
+test -s "$out.steps"
+bin/soak failures --out "$out" -- sh -eux "$out.steps"
+echo "every command of docs/OPERATIONS.md ran as written"
