--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -246,9 +246,11 @@
 func (w *World) silenceVerb(args []string) error {
 	return each(args, w.withRelays((*relay.Relay).Silence))
 }
+
 func (w *World) cutVerb(args []string) error {
 	return each(args, w.withRelays(func(r *relay.Relay) { r.Cut(relay.Both) }))
 }
+
 func (w *World) healVerb(args []string) error { return each(args, w.withRelays((*relay.Relay).Heal)) }
 
 // turnColdVerb makes engines cold without a word: turn-cold NAME...
