--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,8 +16,9 @@
 
 // Times of faults.
 const (
-	faultGap  = 700 * time.Millisecond // mean time between the starts of two
+	faultGap  = 500 * time.Millisecond // mean time between the starts of two
 	faultLong = 3 * time.Second        // longest
+	cutOff    = 5 * time.Second        // half of the time without the store in which keys are withdrawn
 	restart   = 300 * time.Millisecond // until a process that has ended is started again
 )
 
@@ -60,6 +61,10 @@
 	}},
 	{"store forgets its history", harmless, 1, func(w *world, _ *rand.Rand, _ time.Duration) { w.store.ForgetHistory() }},
 	{"key withdrawn", harmless, 3, func(w *world, _ *rand.Rand, _ time.Duration) { w.withdraw() }},
+	{"key withdrawn while the store is away for one gateway", ways, 1, func(w *world, rnd *rand.Rand, _ time.Duration) {
+		w.storeFault(rnd, cutOff, one(rnd, w.gateways))
+		time.AfterFunc(restart, w.withdraw)
+	}},
 	{"documents in series", harmless, 2, func(w *world, rnd *rand.Rand, _ time.Duration) {
 		for range 4 {
 			w.publish(rnd.IntN(300))
@@ -108,7 +113,7 @@
 			break
 		}
 		gap := time.Duration(rnd.ExpFloat64() * float64(faultGap))
-		if rnd.IntN(8) == 0 {
+		if rnd.IntN(14) == 0 {
 			gap += 2 * touch // bounds in time hold again
 		}
 		sleep(ctx, min(gap, 3*touch))
