Gateway: a server that answers every request with an error is ejected; failing servers are better than none

Cause: errors counted half, so that the share of failures of a server that fails everything ends at 0.5 and never reached the 0.55 at which it is left alone (found by a test for servers whose health answers are good and that fail all: 24 of 60 requests reached it). Ruled out: probes, which gateways do not make. Change: an error of the server's own counts 0.7, six in a row eject it; a refusal (full) stays at 0.5. Where all servers of a service are ejected, those that answer are used all the same.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -310,7 +310,7 @@
 	}
 	resp.Finish()
 	if resp.StatusCode >= http.StatusInternalServerError {
-		c.service.ended(m, g.now(), doubtful)
+		c.service.ended(m, g.now(), faulty)
 		if g.again(ctx, c) {
 			g.opts.Log.Info("attempt-error", "request", c.id, "server", m.ID, "status", resp.StatusCode)
 			return false, &api.Error{Code: api.BackendFailed, Ran: api.MayHaveRun, Detail: m.ID}
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -13,7 +13,8 @@
 // Severity of results, as the weight of one failure.
 const (
 	sound    = 0.0
-	doubtful = 0.5 // the server said that it failed, or refused
+	doubtful = 0.5 // the server refused, as a full one does: never enough to eject it
+	faulty   = 0.7 // the server said that it failed: six times in a row are too many
 	failed   = 1.0 // no whole answer
 )
 
@@ -24,6 +25,7 @@
 	ejected  time.Duration
 	until    time.Duration // no work before; 0 when not ejected
 	trial    bool          // a request that tries the server is underway
+	away     bool          // ejected because nobody, or another server, answers at its address
 }
 
 // usable reports whether the server may get a request.
@@ -65,7 +67,7 @@
 
 // unreachable takes a connection that could not be opened.
 func (h *health) unreachable(now time.Duration) {
-	h.trial = false
+	h.trial, h.away = false, true
 	h.eject(now, ejectFirst)
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -124,8 +124,9 @@
 	})
 }
 
-// candidates lists the servers for a pick. Callers hold mu.
-func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) []route.Candidate {
+// candidates lists the servers for a pick; ailing ones, that answer but fail,
+// are among them if so wanted. Callers hold mu.
+func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64, ailing bool) []route.Candidate {
 	if !s.has(group) {
 		group = "" // groups have become known, or changed, since the request was admitted
 	}
@@ -133,7 +134,8 @@
 	for _, m := range members {
 		st := s.server(m)
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, Own: st.own}
-		c.Excluded = !st.health.usable(now) || contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
+		sick := !st.health.usable(now) && (st.health.away || !ailing)
+		c.Excluded = sick || contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if now < m.ColdUntil {
 			c.Cold = true
 			c.Excluded = c.Excluded || coldLimit > 0 && st.sentWithin(now) >= coldLimit
@@ -193,7 +195,10 @@
 func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) *fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit))
+	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit, false))
+	if !ok { // one that fails now and then is better than none
+		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit, true))
+	}
 	if !ok {
 		return nil
 	}
@@ -234,6 +239,7 @@
 	s.mu.Lock()
 	st := s.server(m)
 	st.own--
+	st.health.away = true
 	st.health.eject(now, ejectLongest)
 	s.mu.Unlock()
 	s.log.Warn("server-replaced", "server", m.ID, "service", s.name, "address", m.Address)
