--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -73,7 +73,7 @@
 	{"server replaced", harmless, 3, func(w *world, rnd *rand.Rand, _ time.Duration) { w.replace(rnd) }},
 	{"server crashes and returns cold", servers, 2, func(w *world, rnd *rand.Rand, d time.Duration) { w.crash(one(rnd, w.live()), d) }},
 	{"server turns cold", harmless, 2, func(w *world, rnd *rand.Rand, d time.Duration) {
-		one(rnd, w.live()).Change(func(s *platformtest.State) { s.Cold = time.Now().Add(d) })
+		w.chill(one(rnd, w.live()), d+2*heardAfter)
 	}},
 	{"server loses answers, adds bytes, fails", servers, 3, func(w *world, rnd *rand.Rand, d time.Duration) {
 		b := one(rnd, w.live())
@@ -260,9 +260,7 @@
 	if b.Rank >= 0 {
 		w.group.Crash(b.Rank, d+300*time.Millisecond)
 	}
-	time.AfterFunc(d, func() {
-		b.Change(func(s *platformtest.State) { s.Dark, s.Cold = false, time.Now().Add(2*time.Second) })
-	})
+	time.AfterFunc(d, func() { w.chill(b, 3*heardAfter) })
 }
 
 // takeOut takes a data centre out and back.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -14,6 +14,7 @@
 const (
 	evacuate   = 5 * time.Second // for the requests to a data centre to end
 	applyAfter = 2 * time.Second // for a document to be in force
+	heardAfter = time.Second     // for a server's entry to be heard of, beyond the second that counts
 	// touch is the time without harm after which a bound in time holds.
 	touch = 3 * time.Second
 )
@@ -96,8 +97,9 @@
 // Arrived judges a request as a server sees it.
 func (j *judge) Arrived(b *platformtest.Backend, id string, r *http.Request, body []byte) {
 	now := time.Now()
-	cold := now.Before(b.State().Cold)
 	leaving, out := j.world.leavingSince(b.ID), j.world.outSince(b.Centre)
+	said := j.world.coldSince(b.ID)
+	cold := now.Before(b.State().Cold) && !said.IsZero() && now.Sub(said) > heardAfter
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	q := j.requests[id]
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -63,6 +63,7 @@
 	backends  []*platformtest.Backend
 	leaving   map[string]time.Time // servers by when the store had their word
 	out       map[string]time.Time // data centres taken out
+	cold      map[string]time.Time // servers by when the store had their word that they are cold
 	keys      []string
 	withdrawn []string
 	version   int
@@ -93,6 +94,21 @@
 	return w.leaving[id]
 }
 
+func (w *world) coldSince(id string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cold[id]
+}
+
+// chill makes a server cold for a while; it says so at once.
+func (w *world) chill(b *platformtest.Backend, d time.Duration) {
+	b.Change(func(s *platformtest.State) { s.Dark, s.Cold = false, time.Now().Add(d) })
+	w.store.PutServer(b, false)
+	w.mu.Lock()
+	w.cold[b.ID] = time.Now()
+	w.mu.Unlock()
+}
+
 func (w *world) outSince(centre string) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -122,7 +138,7 @@
 func newWorld(opts Options) *world {
 	w := &world{
 		opts: opts, start: time.Now(), store: platformtest.NewStore(), rnd: rand.New(rand.NewPCG(opts.Seed, 1)),
-		leaving: make(map[string]time.Time), out: make(map[string]time.Time),
+		leaving: make(map[string]time.Time), out: make(map[string]time.Time), cold: make(map[string]time.Time),
 	}
 	w.judge = newJudge(w)
 	w.group = platformtest.NewGroup(w.judge, w.roll)
