--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -28,6 +28,8 @@
 	streamed
 )
 
+var kindNames = [...]string{"idempotent", "once", "streamed"}
+
 // record is what is known of one request.
 type record struct {
 	kind     kind
@@ -52,13 +54,14 @@
 	cold     map[string][]time.Time
 	faults   []string
 	counts   map[string]int     // outcomes
+	served   map[kind]int       // whole answers since the last recount
 	harmed   map[harm]time.Time // when the last harm of each kind ends
 }
 
 func newJudge(w *world) *judge {
 	return &judge{
 		world: w, requests: make(map[string]*record), revoked: make(map[string]time.Time), added: make(map[string]time.Time),
-		cold: make(map[string][]time.Time), counts: make(map[string]int), harmed: make(map[harm]time.Time),
+		cold: make(map[string][]time.Time), counts: make(map[string]int), served: make(map[kind]int), harmed: make(map[harm]time.Time),
 	}
 }
 
@@ -193,7 +196,11 @@
 	server, _, _ := cutLast(sealed, ".")
 	if sealed != platformtest.SealOf(server, id) || body != platformtest.AnswerOf(server, id) {
 		j.Broken("answer of another request", fmt.Sprintf("%s: %.60q", id, body))
+		return
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.served[j.requests[id].kind]++
 }
 
 // event judges one event of a stream.
@@ -216,6 +223,25 @@
 	}
 	if clean {
 		j.counts["streams"]++
+		j.served[streamed]++
+	}
+}
+
+// recount begins the time in which the system must serve again.
+func (j *judge) recount() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	clear(j.served)
+}
+
+// recover judges whether callers of all kinds are served after the faults.
+func (j *judge) recover() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for k, name := range kindNames {
+		if j.served[kind(k)] == 0 {
+			j.brokenLocked("not recovered", "no whole answer to a request of kind "+name)
+		}
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -21,7 +21,8 @@
 	plainServers = 3
 	beatEvery    = 700 * time.Millisecond // between a server's entries
 	settle       = 4 * time.Second        // from the start to the first caller
-	quietEnd     = 7 * time.Second        // without further faults, at the end
+	quietEnd     = 12 * time.Second       // without further faults, at the end: recovery takes 12 s at most
+	recovered    = 3 * time.Second        // at the end of which callers of all kinds must be served
 	stopLimit    = platformtest.GraceTime + time.Second
 )
 
@@ -163,7 +164,10 @@
 		ends.Go(func() { w.call(ctx, n) })
 	}
 	w.harm(ctx)
-	sleep(ctx, quietEnd)
+	sleep(ctx, quietEnd-recovered)
+	w.judge.recount()
+	sleep(ctx, recovered)
+	w.judge.recover()
 	cancel()
 	ends.Wait()
 	if len(w.judge.faults) == 0 {
