--- a/internal/soak/failures.go
+++ b/internal/soak/failures.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,21 +29,15 @@
 // Fail starts a deployment, makes one request of each kind fail, hands them to
 // show while the processes run, and ends. Error: it could not be set up, or a
 // request did not fail as it should.
-func Fail(ctx context.Context, opts Options, show func(Failures) error) error {
+func Fail(parent context.Context, opts Options, show func(Failures) error) error {
 	w := newWorld(opts)
-	ctx, cancel := context.WithCancel(ctx)
-	var ends sync.WaitGroup
 	defer w.close()
-	defer ends.Wait()
-	defer cancel()
-	if err := w.set(); err != nil {
+	ctx, end, err := w.begin(parent)
+	defer end()
+	if err != nil {
 		return err
 	}
-	ends.Go(func() { w.group.Run(ctx) })
-	ends.Go(func() { w.beat(ctx) })
-	sleep(ctx, settle)
 	f := Failures{Logs: opts.Dir, Metrics: w.gateways[0].IP + ":9464"}
-	var err error
 	lose := func(share float64) {
 		for _, b := range w.live() {
 			b.Change(func(s *platformtest.State) { s.Loses = share })
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -58,6 +58,7 @@
 	group    *platformtest.Group
 	gateways []*process
 	sides    []*process
+	ends     sync.WaitGroup // of what follows the day's context
 
 	mu        sync.Mutex // guards all below; no other lock is taken under it
 	rnd       *rand.Rand // of callers and servers; faults have their own
@@ -146,30 +147,41 @@
 	return w
 }
 
+// begin starts everything but callers and faults. end stops what follows ctx,
+// callers too, and is called at least once, before close.
+func (w *world) begin(parent context.Context) (ctx context.Context, end func(), err error) {
+	ctx, cancel := context.WithCancel(parent)
+	end = func() {
+		cancel()
+		w.ends.Wait()
+	}
+	if err := w.set(); err != nil {
+		return ctx, end, err
+	}
+	w.ends.Go(func() { w.group.Run(ctx) })
+	w.ends.Go(func() { w.beat(ctx) })
+	sleep(ctx, settle)
+	return ctx, end, nil
+}
+
 // Run plays a day. Error: it could not be set up.
-func Run(ctx context.Context, opts Options) (*Report, error) {
+func Run(parent context.Context, opts Options) (*Report, error) {
 	w := newWorld(opts)
-	ctx, cancel := context.WithCancel(ctx)
-	var ends sync.WaitGroup
 	defer w.close()
-	defer ends.Wait()
-	defer cancel()
-	if err := w.set(); err != nil {
+	ctx, end, err := w.begin(parent)
+	defer end()
+	if err != nil {
 		return nil, err
 	}
-	ends.Go(func() { w.group.Run(ctx) })
-	ends.Go(func() { w.beat(ctx) })
-	sleep(ctx, settle)
 	for n := range opts.Callers {
-		ends.Go(func() { w.call(ctx, n) })
+		w.ends.Go(func() { w.call(ctx, n) })
 	}
 	w.harm(ctx)
 	sleep(ctx, quietEnd-recovered)
 	w.judge.recount()
 	sleep(ctx, recovered)
 	w.judge.recover()
-	cancel()
-	ends.Wait()
+	end()
 	if len(w.judge.faults) == 0 {
 		defer os.RemoveAll(opts.Dir) //nolint:errcheck // logs of a day on which nothing was found
 	}
