--- a/directory/directory.go
+++ b/directory/directory.go
@@ -106,7 +106,11 @@
 }
 
 func (d *Directory) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait+callTimeout)
+	limit := readWait + callTimeout
+	if d.next < 0 {
+		limit = callTimeout // a store that does not answer must not keep a process from its peers
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var b store.Batch
 	var err error
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -22,6 +22,7 @@
 	records []store.Record
 	wake    chan struct{}
 	reads   int
+	silent  int // so many snapshots are not answered
 }
 
 func (m *memory) batch(from int64) store.Batch {
@@ -29,10 +30,15 @@
 	return store.Batch{Records: m.records[from:], Next: end, End: end}
 }
 
-func (m *memory) Newest(context.Context, string) (store.Batch, error) {
+func (m *memory) Newest(ctx context.Context, _ string) (store.Batch, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
+	if m.silent > 0 {
+		m.silent--
+		<-ctx.Done()
+		return store.Batch{}, ctx.Err()
+	}
 	return m.batch(0), nil
 }
 
@@ -115,6 +121,23 @@
 	})
 }
 
+// A store that is silent when a process starts keeps it from its peers no longer
+// than it is silent (recorded day inc-1af0: gateways knew no peers for 13 s, and
+// let too many streams run).
+func TestSilentStoreAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memory{wake: make(chan struct{}), silent: 1, records: []store.Record{{Key: "a", Value: encoded(t)}}}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		d := New(m, time.Second, log.New(io.Discard))
+		go d.Run(ctx)
+		time.Sleep(callTimeout + 2*retryAfter)
+		require.Len(t, d.Entries(), 1)
+		stop()
+		synctest.Wait()
+	})
+}
+
 func encoded(t *testing.T) []byte {
 	data, err := (&wire.Instance{Address: "x"}).MarshalMsg(nil)
 	require.NoError(t, err)
