Gateway: a stream without a first event at a silent rank goes to another; what is given up is reset

Streams that had begun were watched for silence, those before their first event were not. Ruled out: the end of the caller's connection (seen at once), bytes held back on the way alone (resets: still 2 of 4). Change: after two objectives without a head, while the group goes on, the attempt is given up and another rank asked; connections that are given up are reset, so that nothing is delivered when an instance wakes. Tests: TestSilentRankBeforeTheFirstEvent, TestCallerLeaves (now: a reset).

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -56,10 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, conn.drop)
 	fail := func(err error) (*Response, error) {
 		stop()
-		conn.Close()
+		conn.drop()
 		return nil, eris.Wrap(ErrSent, err.Error())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -133,7 +133,7 @@
 // Abort closes the connection: the server drops the request.
 func (r *Response) Abort() {
 	r.stop()
-	r.conn.Close()
+	r.conn.drop()
 }
 
 // idleTime reads "timeout=N" of a Keep-Alive header.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -45,6 +45,15 @@
 	expires time.Duration // not to be used again from then on
 }
 
+// drop resets the connection: what has not reached the server yet, as when its
+// instance is frozen or cut off, is not delivered later.
+func (c *Conn) drop() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // it is closed next
+	}
+	c.Close()
+}
+
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -178,7 +178,9 @@
 	ctx, cancel := context.WithTimeout(ctx, g.tryTime(c))
 	defer cancel()
 	began := g.now()
+	watch := g.watchHead(c, cancel)
 	resp, err := g.pool.Do(ctx, m.Address, g.request(c, m))
+	watch.Stop()
 	if errors.Is(err, backend.ErrDial) {
 		if c.r.Context().Err() != nil {
 			c.service.ended(m, g.now(), sound)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -468,11 +469,11 @@
 // When the caller leaves, the server's connection is closed.
 func TestCallerLeaves(t *testing.T) {
 	w := newWorld(t)
-	gone := make(chan struct{})
+	gone := make(chan error, 1)
 	w.server(func(c *conn) {
 		stream(c, c.request(), "s", 1, 1, false)
-		c.br.ReadByte()
-		close(gone)
+		_, err := c.br.ReadByte()
+		gone <- err
 	})
 	resp := w.open("/stream/")
 	buf := make([]byte, len(events(1, 1)))
@@ -480,7 +481,8 @@
 	require.NoError(t, err)
 	resp.Body.Close()
 	select {
-	case <-gone:
+	case err := <-gone:
+		require.ErrorIs(t, err, syscall.ECONNRESET, "what is still on its way to the server is not delivered later")
 	case <-time.After(20 * time.Second):
 		t.Fatal("the server still works for a caller that has left")
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,9 @@
 const (
 	// silentAfter is the pause after which a stream is looked at.
 	silentAfter = 700 * time.Millisecond
+	// headTargets is the number of latency objectives after which a stream that
+	// has not begun is looked at: callers leave after four.
+	headTargets = 2
 	// othersWithin is how recent an event of another stream must be to show that
 	// the group goes on without this one.
 	othersWithin = 300 * time.Millisecond
@@ -30,6 +33,20 @@
 	silent atomic.Bool
 }
 
+// watchHead gives an attempt up that has had no answer for a while although the
+// group goes on, as at a rank whose instance is frozen: another rank may answer
+// before the caller leaves.
+func (g *Gateway) watchHead(c *call, giveUp func()) *time.Timer {
+	if c.ticket == nil || !c.route.Repeatable() || c.attempts+1 >= c.route.MaxAttempts {
+		return time.NewTimer(0)
+	}
+	return time.AfterFunc(headTargets*c.route.Target, func() {
+		if c.service.progressed(c.group(), g.now()-othersWithin) {
+			giveUp()
+		}
+	})
+}
+
 // watchStream looks at the stream whenever it has had no event for a while.
 func (g *Gateway) watchStream(c *call, resp *backend.Response) *watch {
 	w := &watch{}
--- a/gateway/turns_test.go
+++ b/gateway/turns_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"marjorampitch/fleet"
 )
 
 // A server whose health answers are good and that fails all work is left alone
@@ -93,3 +95,50 @@
 		require.Contains(t, []int{http.StatusOK, http.StatusInternalServerError}, status)
 	}
 }
+
+// A stream that was sent to a rank that says nothing is sent to another one
+// while its caller still waits, if the group goes on; else it waits.
+func TestSilentRankBeforeTheFirstEvent(t *testing.T) {
+	w := newWorld(t)
+	w.document(func(d *fleet.Document) {
+		d.Version = 2
+		for i := range d.Routes {
+			d.Routes[i].Target = 200 * time.Millisecond
+		}
+	})
+	var silent atomic.Int64
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			if silent.Add(1) == 1 {
+				c.br.ReadByte() // until the gateway gives it up
+				return
+			}
+			stream(c, r, "s", 1, 3, true)
+		}
+	})
+	w.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			if silent.Add(1) == 1 {
+				c.br.ReadByte()
+				return
+			}
+			stream(c, r, "s", 1, 3, true)
+		}
+	})
+	done := make(chan struct{})
+	go func() { // the group goes on
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+				w.g.service("s").event(w.g.now(), ungrouped, 20*time.Millisecond)
+			}
+		}
+	}()
+	defer close(done)
+	status, body, _ := w.call("/stream/")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, events(1, 3), body)
+	require.EqualValues(t, 2, silent.Load())
+}
