--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -213,11 +213,9 @@
 	old, fresh := w.keys[0], fmt.Sprintf("org%d-1", w.version+4)
 	w.keys = append(slices.Clone(w.keys[1:]), fresh)
 	w.mu.Unlock()
+	w.judge.keys(old, fresh) // a gateway may be quicker than the publisher
 	w.publish(0)
-	now := time.Now()
-	w.judge.mu.Lock()
-	w.judge.revoked[old], w.judge.added[fresh] = now, now
-	w.judge.mu.Unlock()
+	w.judge.keys(old, fresh)
 	w.mu.Lock()
 	w.withdrawn = append(w.withdrawn, old)
 	w.mu.Unlock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -76,6 +76,14 @@
 	j.faults = append(j.faults, fmt.Sprintf("%6.3f s  %s: %s", time.Since(j.world.start).Seconds(), what, detail))
 }
 
+// keys notes that the store has a document without one key and with another.
+func (j *judge) keys(withdrawn, added string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	j.revoked[withdrawn], j.added[added] = now, now
+}
+
 // harm notes harm that lasts until a moment.
 func (j *judge) harm(h harm, until time.Time) {
 	j.mu.Lock()
