remap: send the goal again to a rank process that has restarted

Cause: in a switch that was cancelled, the processes of two ranks were killed. Their substitutes answered the goal. The restarted processes ended the substitutes with reports on no goal (Seq 0), which the coordinator dropped as outdated; it counted the substitutes' answers, sent heartbeats only, and the ranks never refused the switch.

Ruled out: lost or late orders (the last orders of all ranks were accepted), a dead coordinator (it went on sending heartbeats, so nobody claimed).

Change: the coordinator remembers the goal of the last report that arrived, and sends the goal again while that is not the current one. A rank that has answered but not ended its part of the switch, and is silent, is driven by a substitute.

TestRankProcessRestartsDuringCancel and TestSilentRankIsUnresponsive failed before. TestSwitchesAfterFaults checks what its name says: passes go on, too.

--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -139,8 +139,8 @@
 	return spread.Limits{CopiesPerRank: copies, SpareSlots: config.Spare, MinGainPerCopy: minCopyGainPerSecond * copySeconds, SwitchCost: switchGain, CopyCost: copyGainPerSecond * copySeconds}
 }
 
-// sendGoal sends the goal to all ranks if it is new or due again. Ranks that have
-// answered it get a heartbeat, which is shorter.
+// sendGoal sends the goal to all ranks if it is new or due again. Processes that
+// have it get a heartbeat, which is shorter.
 func (p *Process) sendGoal() {
 	if p.coord == nil {
 		return
@@ -180,7 +180,7 @@
 		if entry.Group != e.Group || name == p.opts.Instance {
 			continue
 		}
-		if p.coord.HasAnswered(entry.Rank) {
+		if p.coord.KnowsGoal(entry.Rank) {
 			p.sendTo(heartbeatData, entry.Address)
 		} else {
 			p.sendTo(goalData, entry.Address)
--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -63,11 +63,12 @@
 	noDelegate     bool // the coordinator arms its own rank itself
 }
 
-// report is the last report of a rank.
+// report is the report of a rank on the latest goal that it has answered.
 type report struct {
 	wire.RankReport
 	receivedAt time.Duration
-	received   bool // whether there is a report
+	received   bool   // whether there is a report
+	lastSeq    uint64 // goal that the last report received was on; lower than Seq after a restart of the rank's process
 }
 
 // NewCoordinator returns a coordinator of a term. engine is the state of its own
@@ -108,10 +109,11 @@
 // Current returns the map in force; ok is false while its content is unknown.
 func (c *Coordinator) Current() (replicas []wire.Replica, ok bool) { return c.current, c.currentKnown }
 
-// HasAnswered reports whether a rank has answered the current goal, so that
-// Heartbeat is sufficient for it.
-func (c *Coordinator) HasAnswered(rank int) bool {
-	return rank >= 0 && rank < len(c.reports) && c.reports[rank].received && c.reports[rank].Seq == c.goal.Seq
+// KnowsGoal reports whether the process beside a rank has the current goal, so
+// that Heartbeat is sufficient for it. A process that restarts loses the goal,
+// also if it, or a substitute, has answered the goal before.
+func (c *Coordinator) KnowsGoal(rank int) bool {
+	return rank >= 0 && rank < len(c.reports) && c.reports[rank].received && c.reports[rank].lastSeq == c.goal.Seq
 }
 
 // Heartbeat returns a goal without an action. It shows ranks that have the
@@ -169,16 +171,19 @@
 	}
 }
 
-// HandleReport records a rank's report. Reports of other terms and reports on
-// earlier goals than the last report are ignored.
+// HandleReport records a rank's report. Reports of other terms are ignored. A
+// report on an earlier goal than the last one shows only that the rank's process
+// may have restarted.
 func (c *Coordinator) HandleReport(r wire.RankReport, now time.Duration) {
 	if r.Rank < 0 || r.Rank >= len(c.reports) || r.Term != c.term {
 		return
 	}
-	if old := &c.reports[r.Rank]; old.received && r.Seq < old.Seq {
+	old := &c.reports[r.Rank]
+	if old.received && r.Seq < old.Seq {
+		old.lastSeq = r.Seq
 		return
 	}
-	c.reports[r.Rank] = report{r, now, true}
+	*old = report{RankReport: r, receivedAt: now, received: true, lastSeq: r.Seq}
 }
 
 // allAnswers reports whether every rank except the excluded one has answered the
@@ -208,14 +213,14 @@
 	return false
 }
 
-// Unresponsive returns the ranks that have not answered the current goal and have
-// not reported for longer than timeout, counted from the start of the phase at
-// the earliest.
+// Unresponsive returns the ranks that have not done what the current phase waits
+// for and have not reported for longer than timeout, counted from the start of
+// the phase at the earliest.
 func (c *Coordinator) Unresponsive(now, timeout time.Duration) []int {
 	var ranks []int
 	for i := range c.reports {
 		r := &c.reports[i]
-		if r.received && r.Seq == c.goal.Seq && r.Epoch == c.engine.Epoch {
+		if r.received && r.Seq == c.goal.Seq && r.Epoch == c.engine.Epoch && c.hasEndedSwitch(r) {
 			continue
 		}
 		if now-max(r.receivedAt, c.phaseStart) > timeout {
@@ -225,6 +230,24 @@
 	return ranks
 }
 
+// hasEndedSwitch reports whether a rank that has answered the current goal has also
+// done what the phases that end a switch wait for; always true in other phases.
+func (c *Coordinator) hasEndedSwitch(r *report) bool {
+	switch c.phase {
+	case Cancelling:
+		return c.hasCancelled(r)
+	case Releasing:
+		return r.Held == None
+	}
+	return true
+}
+
+// hasCancelled reports whether no arm of the cancelled switch can take effect at a
+// rank any more.
+func (c *Coordinator) hasCancelled(r *report) bool {
+	return r.Armed == None && (r.Prepared == c.goal.Version || c.disabled.noCancel)
+}
+
 // Ready reports whether Propose would start a switch: none is in progress and
 // every rank has reported within maxReportAge.
 func (c *Coordinator) Ready(now time.Duration) bool {
@@ -479,9 +502,8 @@
 // cancelling releases the holds once no arm can take effect any more.
 func (c *Coordinator) cancelling(now time.Duration) (Order, bool) {
 	v := c.goal.Version
-	cancelled := func(r *report) bool { return r.Armed == None && (r.Prepared == v || c.disabled.noCancel) }
 	switch {
-	case c.allAnswers(cancelled):
+	case c.allAnswers(c.hasCancelled):
 		c.startReleasing(now)
 		return c.releasing(now)
 	case c.anyReport(func(r *report) bool { return r.Refused == v }):
--- a/remap/simulation_test.go
+++ b/remap/simulation_test.go
@@ -198,7 +198,11 @@
 	}
 	sim.switches = max(sim.switches, c.Switched)
 	for i := range sim.procs {
-		sim.goals = append(sim.goals, goalMessage{i, c.Goal()})
+		g := c.Goal()
+		if len(g.Replicas) > 0 && c.KnowsGoal(i) {
+			g = c.Heartbeat() // as package rebalance does
+		}
+		sim.goals = append(sim.goals, goalMessage{i, g})
 	}
 }
 
@@ -322,6 +326,18 @@
 	}
 }
 
+// round runs one tick without new faults or late orders.
+func (sim *simulation) round() {
+	sim.tick++
+	sim.runProcess(sim.rnd.IntN(len(sim.procs)))
+	for range 6 {
+		sim.deliver()
+	}
+	if sim.rnd.IntN(6) == 0 {
+		sim.beginPass()
+	}
+}
+
 // After faults end, a proposed switch completes and no pass stays held.
 func TestSwitchesAfterFaults(t *testing.T) {
 	for seed := range uint64(200) {
@@ -335,21 +351,71 @@
 		sim.procs[0].coord = c
 		sim.lateFraction = 0
 		clear(sim.frozen)
+		for _, e := range sim.engines {
+			e.late = nil
+		}
 		for range 6000 {
-			sim.tick++
-			sim.runProcess(sim.rnd.IntN(len(sim.procs)))
-			for range 6 {
-				sim.deliver()
-			}
-			if sim.rnd.IntN(6) == 0 {
-				sim.beginPass()
-			}
-			for _, e := range sim.engines {
-				e.late = nil
-			}
+			sim.round()
 		}
 		require.Positive(t, c.Switched, "seed %d, phase %s", seed, c.Phase())
+		before := sim.engines[0].Step
+		for range 1000 {
+			sim.round()
+		}
+		require.Greater(t, sim.engines[0].Step, before+20, "seed %d, phase %s: a pass stays held", seed, c.Phase())
+		require.Empty(t, sim.violation, "seed %d", seed)
+	}
+}
+
+// A process that answers a goal, is killed before it has carried the goal out and
+// starts again is sent the goal again: without it the rank would never refuse the
+// cancelled switch and the group would stay held.
+func TestRankProcessRestartsDuringCancel(t *testing.T) {
+	for seed := range uint64(100) {
+		sim := newSimulation(seed, 3, mechanisms{})
+		sim.lateFraction = 0
+		sim.term++
+		c := NewCoordinator(sim.term, sim.engines[0].EngineState, 0)
+		sim.procs[0].coord = c
+		for c.Phase() != Arming || c.Switched == 0 { // with a map in force that the goal carries
+			sim.round()
+		}
+		c.startCancelling(sim.now())
+		killed := sim.procs[2].driver
+		killed.SetGoal(c.Goal())
+		c.HandleReport(killed.Report(), sim.now())
+		sim.procs[2] = &process{driver: NewRankDriver()}
+		switched := c.Switched
+		for range 1500 {
+			sim.round()
+		}
+		require.Greater(t, c.Switched, switched, "seed %d, phase %s", seed, c.Phase())
+	}
+}
+
+// A rank that has answered a goal but neither carries it out nor reports any more
+// is unresponsive, so that another process drives its engine.
+func TestSilentRankIsUnresponsive(t *testing.T) {
+	sim := newSimulation(1, 3, mechanisms{})
+	sim.lateFraction = 0
+	sim.term++
+	c := NewCoordinator(sim.term, sim.engines[0].EngineState, 0)
+	sim.procs[0].coord = c
+	for c.Phase() != Arming {
+		sim.round()
+	}
+	c.startCancelling(sim.now())
+	for _, p := range sim.procs {
+		p.driver.SetGoal(c.Goal())
+		c.HandleReport(p.driver.Report(), sim.now())
+	}
+	const timeout = 350 * time.Millisecond
+	require.Empty(t, c.Unresponsive(sim.now(), timeout))
+	later := sim.now() + 2*timeout
+	for _, p := range sim.procs[:2] {
+		c.HandleReport(p.driver.Report(), later)
 	}
+	require.Equal(t, []int{2}, c.Unresponsive(later, timeout))
 }
 
 // Goals must carry the map only where ranks prepare it: they are sent every 25 ms
