gateway: a server that failed counts as cold until its next entry

Change: after an attempt without a complete response, or a failed dial, the server gets this instance's share of the cold limit until the entries have been read one entry interval after the failure. Complete errors and refusals do not count: the server is up. The end of a cold start is compared on the clock of the cache; the gateway's own clock starts later, so a cold server stayed cold until its next entry.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 	"marjorampitch/api"
 	"marjorampitch/backend"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 )
 
@@ -105,7 +106,7 @@
 		}
 		// The server list may have changed since the request arrived.
 		members := g.opts.Cache.View().Services[c.service.name]
-		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldLimit(c))
+		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
 			break
 		}
@@ -128,14 +129,17 @@
 	return true
 }
 
-// coldLimit returns this instance's share of the requests per second that a cold
-// server takes; 0 for no limit.
-func (g *Gateway) coldLimit(c *call) float64 {
+// coldPolicy returns how cold servers of the request's service are treated.
+func (g *Gateway) coldPolicy(c *call) coldPolicy {
 	svc := c.view.Document.Services[c.service.name]
 	if svc == nil || svc.ColdPerSecond <= 0 {
-		return 0
+		return coldPolicy{}
 	}
-	return math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances())))
+	p := coldPolicy{perSecond: math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances()))), cacheNow: clock.SinceBoot()}
+	if at, ok := g.opts.ServersProof(); ok {
+		p.entriesSince = g.now() - (p.cacheNow - at) - g.opts.Settings.EntryInterval
+	}
+	return p
 }
 
 // fail ends a request that no server has answered completely.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,9 @@
 	// which the cached document was known to be the newest one; ok is false
 	// before the first complete read.
 	FreshnessProof func() (at time.Duration, ok bool)
-	Log            *log.Logger
+	// ServersProof is the same for the entries of the backend servers.
+	ServersProof func() (at time.Duration, ok bool)
+	Log          *log.Logger
 	Registry       prometheus.Registerer
 	// Directory lists the other instances. It may be nil.
 	Directory *directory.Directory
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -35,19 +35,22 @@
 	g       *Gateway
 	cache   *fleet.Cache
 	front   *httptest.Server
-	proof   atomic.Int64 // ns on the clock of package clock; 0 for none
+	proof   atomic.Int64 // of the document: ns on the clock of package clock; 0 for none
+	entries atomic.Int64 // the same for the servers' entries
 	servers int
 }
 
 func newTestGateway(t *testing.T) *testGateway {
 	tg := &testGateway{t: t, cache: fleet.NewCache(time.Second)}
 	tg.proof.Store(int64(clock.SinceBoot()))
+	tg.entries.Store(int64(clock.SinceBoot()))
 	tg.g = New(Options{
 		Settings: Settings{Bounds: Bounds{
 			RevocationBound: 5 * time.Second, StrictRevocation: true, RetryRatio: 1, RetryBurst: 800, GracePeriod: 8 * time.Second,
 		}},
 		Headers: headerNames, Cache: tg.cache, Log: log.New(io.Discard), Registry: prometheus.NewRegistry(),
 		FreshnessProof: func() (time.Duration, bool) { n := tg.proof.Load(); return time.Duration(n), n != 0 },
+		ServersProof:   func() (time.Duration, bool) { n := tg.entries.Load(); return time.Duration(n), n != 0 },
 	})
 	tg.front = httptest.NewServer(tg.g)
 	t.Cleanup(func() {
@@ -269,6 +272,7 @@
 	}
 	require.False(t, tg.g.Ready())
 	tg.proof.Store(int64(clock.SinceBoot()))
+	tg.entries.Store(int64(clock.SinceBoot()))
 	require.True(t, tg.g.Ready())
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -34,11 +34,22 @@
 // own requests.
 type serverState struct {
 	health      health
-	inFlight    int // requests in flight
+	inFlight    int           // requests in flight
+	failedAt    time.Duration // last attempt without a complete response; 0 for none
 	windowSent  int // requests sent in the second that began at windowStart
 	windowStart time.Duration
 }
 
+// coldPolicy says how cold servers of a service are treated.
+type coldPolicy struct {
+	perSecond float64       // requests per second that this instance may send to one cold server; 0 for no limit
+	cacheNow  time.Duration // present time on the clock of the Cache, for Member.ColdUntil
+	// entriesSince is the time up to which a failed server's present entry is known
+	// to be newer than its failure. A server that failed later may have restarted
+	// cold under the same id.
+	entriesSince time.Duration
+}
+
 // service is the state of one service. mu guards the fields below it; Directory.mu
 // may be taken while it is held.
 type service struct {
@@ -128,7 +139,7 @@
 
 // candidates lists the servers for the routing policy. Ejected servers that are
 // reachable but fail are included if allowFailing is set. Callers hold mu.
-func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64, allowFailing bool) []route.Candidate {
+func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy, allowFailing bool) []route.Candidate {
 	if !s.hasGroup(group) {
 		group = "" // the groups have changed since the request was admitted
 	}
@@ -138,9 +149,9 @@
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
 		unhealthy := !st.health.usable(now) && (st.health.absent || !allowFailing)
 		c.Excluded = unhealthy || contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
-		if now < m.ColdUntil {
+		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
 			c.Cold = true
-			c.Excluded = c.Excluded || coldLimit > 0 && st.sentThisSecond(now) >= coldLimit
+			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentThisSecond(now) >= cold.perSecond
 		}
 		list = append(list, c)
 	}
@@ -157,6 +168,11 @@
 	return false
 }
 
+// mayBeCold reports whether the server has failed since its entry was read.
+func (s *serverState) mayBeCold(p coldPolicy) bool {
+	return p.perSecond > 0 && s.failedAt > p.entriesSince
+}
+
 // sentThisSecond returns the number of requests sent in the current window.
 func (s *serverState) sentThisSecond(now time.Duration) float64 {
 	if now-s.windowStart >= time.Second {
@@ -195,12 +211,12 @@
 
 // pick chooses a server for one attempt and counts the attempt as in flight; nil
 // when no server is usable. A non-empty group restricts the choice to its servers.
-func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, coldLimit float64) *fleet.Member {
+func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) *fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit, false))
+	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, false))
 	if !ok { // a server that sometimes fails is better than none
-		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, coldLimit, true))
+		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, true))
 	}
 	if !ok {
 		return nil
@@ -217,6 +233,9 @@
 	s.mu.Lock()
 	st := s.stateOf(m)
 	st.inFlight--
+	if severity == severityFailed {
+		st.failedAt = now
+	}
 	ejected, restored := st.health.requestEnded(now, severity)
 	s.mu.Unlock()
 	switch {
@@ -232,6 +251,7 @@
 	s.mu.Lock()
 	st := s.stateOf(m)
 	st.inFlight--
+	st.failedAt = now
 	st.health.dialFailed(now)
 	s.mu.Unlock()
 	s.log.Warn("server-unreachable", "server", m.ID, "service", s.name, "address", m.Address)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,7 +18,10 @@
 	ReadyAddr   string // listen address of the platform's readiness check
 	PeerPort    int    // UDP port for load reports between instances; 0 for none
 	MemoryLimit int64  // bytes; 0 for no limit
-	Bounds      Bounds
+	// EntryInterval is the time between two entries that a backend server writes to
+	// the store.
+	EntryInterval time.Duration
+	Bounds        Bounds
 }
 
 // Bounds are the guarantees of a deployment.
