entry, gateway: no answer with its start or end missing

Cause 1: a buffered answer that broke off and was retried lost its start. The assembler took the dropped bytes for delivered ones, and verified them instead of delivering them again: the caller got 200 with "cd" of "abcd". Cause 2: the gateway cut a response at 16 MiB and sent it as a whole one. Cause 3: the gateway passed on 408 and 429 of a server that does not state that the request was not executed; callers read them as that promise. 503 was already answered 502.

Change: nothing of an attempt that the caller has not seen counts as delivered, its status and headers are dropped too; longer responses and such statuses are answered 502.

--- a/entry/assembler.go
+++ b/entry/assembler.go
@@ -52,7 +52,14 @@
 	return a.nextSeq
 }
 
-// restart makes number the current attempt, which starts the answer over.
+// startOver makes number the current attempt and forgets all others, of which the
+// caller has received nothing.
+func (a *assembler) startOver(number uint32) {
+	a.delivered, a.retainedBytes, a.historyDropped = nil, 0, false
+	a.restart(number)
+}
+
+// restart makes number the current attempt, which repeats the answer from its start.
 func (a *assembler) restart(number uint32) {
 	a.reset(number, 0)
 	a.unverified = len(a.delivered)
--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -96,11 +96,7 @@
 		r.attemptNumber = maxAttempts
 		return false
 	}
-	r.attemptNumber++
-	if r.attemptNumber > 1 {
-		r.asm.restart(r.attemptNumber)
-		r.resp.discardBuffer()
-	}
+	r.beginAttempt()
 	r.resp.servedBy = l.name
 	r.resp.attempts = int(r.attemptNumber)
 	start := time.Now()
@@ -118,6 +114,18 @@
 	return false
 }
 
+// beginAttempt begins an attempt on another backend server. If nothing was sent to
+// the caller, the answer starts over; otherwise it continues after what was sent.
+func (r *retryLoop) beginAttempt() {
+	r.attemptNumber++
+	if !r.resp.started() {
+		r.asm.startOver(r.attemptNumber)
+		r.resp.startOver()
+		return
+	}
+	r.asm.restart(r.attemptNumber)
+}
+
 // pick picks a backend server. If none is usable and the last attempt lost its
 // connection, it waits at most reconnectTimeout for one to become usable.
 func (r *retryLoop) pick(ctx context.Context) (*link, bool) {
--- a/entry/response.go
+++ b/entry/response.go
@@ -127,8 +127,12 @@
 	return err
 }
 
-// discardBuffer drops the buffered bytes of an abandoned attempt.
-func (r *response) discardBuffer() { r.buffered.Reset() }
+// startOver drops the head and the buffered bytes of an abandoned attempt. The HTTP
+// header must not have been sent.
+func (r *response) startOver() {
+	r.buffered.Reset()
+	r.responseHead, r.streaming = nil, false
+}
 
 // started reports whether the HTTP header was sent.
 func (r *response) started() bool { return r.headerSent }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -313,8 +313,12 @@
 
 // forwardResponse reads a complete response and forwards it to the caller.
 func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response) (bool, *api.Error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err == nil && !g.validResponse(resp.Response) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+	case len(body) > maxResponseBytes:
+		err = errors.New("response exceeds the buffer limit")
+	case !g.validResponse(resp.Response):
 		err = errors.New("answer without the server's proof")
 	}
 	if err != nil {
@@ -323,7 +327,7 @@
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 	}
 	resp.Finish()
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusInternalServerError || impliesNotExecuted(resp.StatusCode) {
 		c.service.attemptEnded(m, g.now(), severityError)
 		if g.shouldRetry(ctx, c) {
 			g.opts.Log.Info("attempt-error", "request", c.id, "server", m.ID, "status", resp.StatusCode)
@@ -355,10 +359,10 @@
 }
 
 // impliesNotExecuted reports whether a status tells a client that the request was
-// not executed. The caller passes statuses of 500 and above, of which only 503 does.
+// not executed. notExecuted has handled 421.
 func impliesNotExecuted(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	}
 	return false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -620,3 +620,29 @@
 	require.True(t, resp.Close)
 	require.NoError(t, <-stopped)
 }
+
+// A response that exceeds the buffer limit must not be cut off and sent as if it
+// were whole.
+func TestTooLargeResponseIsNotCutOff(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.server(serve(strings.Repeat("x", maxResponseBytes+1)))
+	status, body, _ := tg.call("/once/")
+	require.Equal(t, http.StatusBadGateway, status)
+	require.NotContains(t, body, "xx")
+}
+
+// Statuses that promise that a request was not executed are not passed on from a
+// server that does not state it.
+func TestStatusThatImpliesNotExecuted(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		tg := newTestGateway(t)
+		tg.server(func(c *conn) {
+			for r := c.request(); r != nil; r = c.request() {
+				c.write(answer(r, status, "no"))
+			}
+		})
+		got, _, h := tg.call("/once/")
+		require.Equal(t, http.StatusBadGateway, got, "the server answered %d", status)
+		require.Empty(t, h.Get("X-Seal"))
+	}
+}
