claim: a refused call is not reported as not run after an earlier one with its key

Cause: Do answered 201 or 206 "not run" before it looked the key up, also when the log showed a claim or an outcome of an earlier call with the key. TestClientRefusalAfterEarlierCall failed before.

--- a/claim/client.go
+++ b/claim/client.go
@@ -160,10 +160,11 @@
 }
 
 // start runs a call on the pool. Errors: api.Leaving after Close, api.Overloaded
-// when maxCalls calls are running and as many are queued.
+// when maxCalls calls are running and as many are queued; if the log shows an
+// earlier call with the key, those of earlierCall instead.
 func (c *Client) start(r *runner) *api.Error {
 	if c.closed.Load() {
-		return api.NewError(api.Leaving, "")
+		return r.refuse(api.NewError(api.Leaving, ""))
 	}
 	c.running.Add(1)
 	err := c.calls.Go(func() {
@@ -172,7 +173,7 @@
 	})
 	if err != nil {
 		c.running.Done()
-		return api.NewError(api.Overloaded, "calls that may not repeat")
+		return r.refuse(api.NewError(api.Overloaded, "calls that may not repeat"))
 	}
 	return nil
 }
--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -405,3 +406,47 @@
 		t.Logf("%d keys through 3 front proxies: %d appends", keys, h.log.Appends()-before)
 	})
 }
+
+// A call that is refused before it starts must not be reported as not run if the log
+// shows an earlier call with its key.
+func TestClientRefusalAfterEarlierCall(t *testing.T) {
+	refuse := map[string]func(c *Client, end <-chan struct{}){
+		"leaving": func(c *Client, _ <-chan struct{}) { c.closed.Store(true) },
+		"overloaded": func(c *Client, end <-chan struct{}) {
+			c.calls = pond.NewPool(1, pond.WithQueueSize(1), pond.WithNonBlocking(true))
+			for range 2 {
+				c.calls.Go(func() { <-end })
+			}
+		},
+	}
+	for name, refuseCalls := range refuse {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				dead := make(chan struct{})
+				defer close(dead)
+				transport := &fakeTransport{sides: h.sides, send: func(to Target, m *wire.Request) SendResult {
+					h.sides.run(to, m)
+					<-dead
+					return SendResult{Status: SendConnLost}
+				}}
+				held, completed, free := newKey(), newKey(), newKey()
+				_, err := h.call(h.newClient("e1"), completed)
+				require.Nil(t, err)
+				_, err = h.call(h.newClientWith("e2", transport), held)
+				require.Equal(t, api.MayHaveRun, err.Ran)
+
+				c := h.newClient("e3")
+				refuseCalls(c, dead)
+				_, err = h.call(c, held)
+				require.Equal(t, api.MayHaveRun, err.Ran, err.Error())
+				require.Equal(t, api.InProgress, err.Code)
+				require.Positive(t, err.RetryAfter, "the same key may be sent again")
+				_, err = h.call(c, completed)
+				require.Equal(t, api.DidRun, err.Ran, err.Error())
+				require.Positive(t, err.RetryAfter)
+				_, err = h.call(c, free)
+				require.Equal(t, api.NotRun, err.Ran, err.Error())
+			})
+		})
+	}
+}
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -86,6 +86,13 @@
 	return startEvent(p.table, p.end, r.key, p.down)
 }
 
+// view returns the state of a key.
+func (p *partition) view(k Key) View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Get(k)
+}
+
 func (p *partition) leave(r *runner) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"marjorampitch/api"
 	"marjorampitch/backing"
 	"marjorampitch/wire"
 )
@@ -76,6 +77,28 @@
 	return r
 }
 
+// refuse returns the error for a call that is not started, for the given reason.
+func (r *runner) refuse(reason *api.Error) *api.Error {
+	if earlier := earlierCall(r.partition.view(r.key)); earlier != nil {
+		return earlier
+	}
+	return reason
+}
+
+// earlierCall returns the error for a refused call whose key an earlier call has
+// claimed, according to the log; nil if the key is free.
+func earlierCall(v View) *api.Error {
+	switch v.Phase {
+	case KeyHeld:
+		return api.NewError(api.InProgress, "claimed by an earlier call")
+	case KeyCompleted:
+		e := api.NewError(api.StreamBroken, "an earlier call ran; its answer was not read")
+		e.Ran = api.DidRun
+		return e
+	}
+	return nil
+}
+
 // run drives the call from Start until it is done.
 func (r *runner) run() {
 	r.step(r.partition.join(r))
