gateway: no server gets more than a cold one takes while the entries are outdated

Nothing that a gateway sees shows that; servers also turn cold without a restart. Change: entries older than two entry intervals show no server as warm; each gets this instance's share of the cold limit.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -62,6 +62,32 @@
 	})
 }
 
+// Servers turn cold at any moment, also without a failure that a gateway sees. While
+// the entries cannot be read, no server gets more than a cold one takes.
+func TestOutdatedEntriesDoNotShowThatServersAreWarm(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.document(func(d *fleet.Document) {
+		d.Version = 2
+		d.Services["s"].ColdPerSecond = defaultInstances // 1 for this gateway
+	})
+	tg.server(serve("ok"))
+	tg.server(serve("ok"))
+	c := &call{view: tg.cache.View(), service: tg.g.service("s")}
+	members := c.view.Services["s"]
+	count := func() (n int) {
+		for range 30 {
+			if c.service.pick(members, "", nil, 20*time.Second, tg.g.coldPolicy(c)) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	tg.entries.Store(int64(clock.SinceBoot() - (outdatedAfterIntervals+1)*defaultEntryInterval))
+	require.Equal(t, len(members), count())
+	tg.entries.Store(int64(clock.SinceBoot()))
+	require.Equal(t, 30, count())
+}
+
 // The end of a cold start is on the clock of the cache, which may have begun long
 // before the gateway's.
 func TestColdStartEnds(t *testing.T) {
@@ -98,7 +124,7 @@
 	}
 	seconds := int(time.Since(start)/time.Second) + 1
 	require.LessOrEqual(t, arrivals, 1+2*seconds, "at most two in any second after the first")
-	tg.entries.Store(int64(clock.SinceBoot()))
+	tg.entries.Store(int64(clock.SinceBoot() + 2*defaultEntryInterval)) // entries newer than the failure
 	for range 20 {
 		status, body, _ := tg.call("/once/")
 		require.Equal(t, http.StatusOK, status, body)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -136,9 +136,10 @@
 		return coldPolicy{}
 	}
 	p := coldPolicy{perSecond: math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances()))), cacheNow: clock.SinceBoot()}
-	if at, ok := g.opts.ServersProof(); ok {
-		p.entriesSince = g.now() - (p.cacheNow - at) - g.opts.Settings.EntryInterval
-	}
+	at, ok := g.opts.ServersProof()
+	age, interval := p.cacheNow-at, g.opts.Settings.EntryInterval
+	p.entriesSince = g.now() - age - interval
+	p.outdated = !ok || age > outdatedAfterIntervals*interval
 	return p
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,9 @@
 
 // New returns a Gateway and registers its metrics. Run starts it.
 func New(opts Options) *Gateway {
+	if opts.Settings.EntryInterval <= 0 {
+		opts.Settings.EntryInterval = defaultEntryInterval
+	}
 	g := &Gateway{
 		opts:     opts,
 		start:    time.Now(),
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,6 +20,11 @@
 	// maxSkew is the load of the most loaded rank relative to the mean under an
 	// expert map that no longer fits the demand.
 	maxSkew = 5.0
+	// defaultEntryInterval applies if the settings have no EntryInterval.
+	defaultEntryInterval = 1500 * time.Millisecond
+	// outdatedAfterIntervals is the age of the entries, in entry intervals, from
+	// which they do not show which servers are cold.
+	outdatedAfterIntervals = 2
 	// stallRetryInterval is the time after which a stalled group is tried again.
 	stallRetryInterval = 250 * time.Millisecond
 )
@@ -48,6 +53,8 @@
 	// to be newer than its failure. A server that failed later may have restarted
 	// cold under the same id.
 	entriesSince time.Duration
+	// outdated means that the entries are too old to show which servers are cold.
+	outdated bool
 }
 
 // service is the state of one service. mu guards the fields below it; Directory.mu
@@ -168,9 +175,11 @@
 	return false
 }
 
-// mayBeCold reports whether the server has failed since its entry was read.
+// mayBeCold reports whether the server's entry cannot show that it is warm: the
+// entries are outdated, or the server has failed since its entry was read.
 func (s *serverState) mayBeCold(p coldPolicy) bool {
-	return p.perSecond > 0 && s.failedAt > p.entriesSince
+	failedSince := s.failedAt > 0 && s.failedAt > p.entriesSince
+	return p.perSecond > 0 && (p.outdated || failedSince)
 }
 
 // sentThisSecond returns the number of requests sent in the current window.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,7 +19,7 @@
 	PeerPort    int    // UDP port for load reports between instances; 0 for none
 	MemoryLimit int64  // bytes; 0 for no limit
 	// EntryInterval is the time between two entries that a backend server writes to
-	// the store.
+	// the store; 0 for defaultEntryInterval.
 	EntryInterval time.Duration
 	Bounds        Bounds
 }
