--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -18,12 +18,11 @@
 
 // Sizes and times of a run.
 const (
-	plainServers     = 3
-	announceInterval = 700 * time.Millisecond // between the records that a server announces itself with
-	startupTime      = 4 * time.Second        // before the first caller starts
-	faultFreeEnd     = 12 * time.Second       // at the end, without new faults: recovery takes at most 12 s
-	recoveryWindow   = 3 * time.Second        // last part of faultFreeEnd, in which requests of every kind must succeed
-	stopTimeout      = platformtest.GraceTime + time.Second
+	plainServers   = 3
+	startupTime    = 4 * time.Second  // before the first caller starts
+	faultFreeEnd   = 12 * time.Second // at the end, without new faults: recovery takes at most 12 s
+	recoveryWindow = 3 * time.Second  // last part of faultFreeEnd, in which requests of every kind must succeed
+	stopTimeout    = platformtest.GraceTime + time.Second
 )
 
 // centres are the data centres of the deployment.
@@ -291,7 +290,7 @@
 				tb.store.PutServer(b, false)
 			}
 		}
-		sleep(ctx, announceInterval)
+		sleep(ctx, platformtest.EntryInterval)
 	}
 }
 
