spread: samples of few requests are no shift of demand

Change: the rise that counts as a shift is four times the mean rise, and 25% at least. A round adds a bounded part to that mean, so that shifts every few rounds stay shifts. TestDemandOfFewRequestsIsNoShift failed before (36 false shifts, 10 allowed).

--- a/placement/spread/demand.go
+++ b/placement/spread/demand.go
@@ -10,10 +10,17 @@
 	// so that a plan does not overfit a single sample.
 	recentDecay = 0.5
 	longDecay   = 0.93
-	// shiftThreshold is the ratio of the current map's cost under the recent estimate
-	// to that under the long one above which demand has shifted. Sampling noise alone
-	// gives a ratio of about 1.15.
-	shiftThreshold = 1.25
+	// Demand has shifted when the current map's cost under the recent estimate exceeds
+	// that under the long one by more than minShiftExcess, as a fraction, and by more
+	// than noiseFactor times the mean excess. The fewer requests a pass serves, the
+	// more its counts differ from the last one's while demand stays the same.
+	minShiftExcess = 0.25
+	noiseFactor    = 4
+	// noiseWeight is the weight of the newest round in the mean excess.
+	noiseWeight = 0.03
+	// minNoiseExcess bounds, together with the mean excess, how much one round may
+	// add to the mean: rounds in which demand shifts are not noise.
+	minNoiseExcess = 0.05
 	// minCount is the number of expert choices per set that an estimate needs.
 	minCount = 400
 )
@@ -25,6 +32,9 @@
 	recent [][]float64 // counts decayed by recentDecay, by set and expert
 	long   [][]float64 // counts decayed by longDecay, by set and expert
 	round  [][]float64 // counts of the current round, by set and expert
+
+	measured   bool    // the excess of the last round is in meanExcess
+	meanExcess float64 // of the current map's cost under recent over that under long, as a fraction
 }
 
 // NewDemandEstimator returns an estimator without any counts.
@@ -81,6 +91,7 @@
 	if total(d.round[0]) < minCount {
 		return
 	}
+	d.measured = false
 	for set, row := range d.round {
 		for e, x := range row {
 			d.recent[set][e] = recentDecay*d.recent[set][e] + x
@@ -100,7 +111,7 @@
 		return nil, false, false
 	}
 	loads, _ = toLoads(d.long)
-	if Cost(d.shape, recent, replicas) <= shiftThreshold*Cost(d.shape, loads, replicas) {
+	if !d.hasShifted(Cost(d.shape, recent, replicas)/Cost(d.shape, loads, replicas) - 1) {
 		return loads, false, true
 	}
 	for set := range d.long {
@@ -109,6 +120,17 @@
 	return recent, true, true
 }
 
+// hasShifted reports whether an excess shows that demand has shifted, and adds it to
+// the mean excess once per round.
+func (d *DemandEstimator) hasShifted(excess float64) bool {
+	shifted := excess > max(minShiftExcess, noiseFactor*d.meanExcess)
+	if !d.measured {
+		d.measured = true
+		d.meanExcess += noiseWeight * (min(excess, 2*d.meanExcess+minNoiseExcess) - d.meanExcess)
+	}
+	return shifted
+}
+
 // toLoads divides the counts of each set by their sum. ok is false if a set has
 // fewer than minCount choices.
 func toLoads(counts [][]float64) (loads Loads, ok bool) {
--- a/placement/spread/spread_test.go
+++ b/placement/spread/spread_test.go
@@ -141,6 +141,62 @@
 	}
 }
 
+// TestDemandOfFewRequestsIsNoShift checks a group whose passes serve two requests
+// each, of one of several topics: the samples differ from pass to pass while demand
+// stays the same. A map switched for such a sample moves memory and serves nobody.
+// When all topics change, the shift is detected in the next passes.
+func TestDemandOfFewRequestsIsNoShift(t *testing.T) {
+	const (
+		topics          = 9
+		requestsPerPass = 2
+		warmUp, rounds  = 60, 300
+		maxFalseShifts  = rounds / 30 // one a second, at two rounds a pass of 66 ms
+		detectionRounds = 8
+	)
+	c := shapes["few sets, many slots"]
+	rnd := rand.New(rand.NewPCG(9, 10))
+	newTopics := func() (list []Loads) {
+		for range topics {
+			list = append(list, zipf(c.shape, c.exponent, rnd))
+		}
+		return list
+	}
+	d := NewDemandEstimator(c.shape)
+	var replicas []wire.Replica
+	pass := func(list []Loads) (shifted bool) {
+		for range requestsPerPass {
+			d.AddReport(drawCounts(list[rnd.IntN(len(list))], 1000, rnd))
+		}
+		d.EndRound()
+		_, shifted, _ = d.Loads(replicas)
+		return shifted
+	}
+	steady := newTopics()
+	falseShifts := 0
+	for round := range warmUp + rounds {
+		if pass(steady) && round >= warmUp {
+			falseShifts++
+		}
+		if round == warmUp/2 {
+			loads, _, ok := d.Loads(replicas)
+			require.True(t, ok)
+			replicas, _, _ = Improve(c.shape, loads, replicas, c.limits)
+		}
+	}
+	require.LessOrEqual(t, falseShifts, maxFalseShifts, "in %d rounds of constant demand", rounds)
+	for range 5 {
+		one := []Loads{zipf(c.shape, 2*c.exponent, rnd)} // all requests now choose the same few experts
+		detected := false
+		for range detectionRounds {
+			detected = pass(one) || detected
+		}
+		require.True(t, detected)
+		for range warmUp {
+			pass(steady)
+		}
+	}
+}
+
 // TestPlanDoesNotOverfitSample checks that a plan from several rounds of counts
 // costs at most 10% more under the true loads than under the estimate.
 func TestPlanDoesNotOverfitSample(t *testing.T) {
