telemetry, rebalance, gateway: close a full log queue, report every change, name read errors

- LogWriter.Close with a full queue never closed done, so that a process waited for the whole flush time at its end.
TestLogWriterClosesWithFullQueue did not end before.
- sameReport left out Accepted, Last and Delegate: a change in only these was reported 300 ms late.
TestSameReportComparesAllFields.
- Every error in reading a body said "body cut off"; it is named now.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -47,9 +46,6 @@
 	return c.ticket.Group
 }
 
-// errReadBody is the detail of a refusal after any error in reading the request body.
-var errReadBody = errors.New("gateway: body cut off")
-
 // validate checks a request against the cached document. The error is the final
 // response.
 func (g *Gateway) validate(w http.ResponseWriter, r *http.Request) (*call, *api.Error) {
@@ -180,7 +176,7 @@
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
 	switch {
 	case err != nil:
-		return api.NewError(api.BadRequest, errReadBody.Error())
+		return api.NewError(api.BadRequest, "read body: "+err.Error())
 	case int64(len(body)) > limit:
 		return api.NewError(api.BodyTooLarge, "")
 	}
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -192,8 +192,7 @@
 }
 
 // reportRank reports this process's rank to the coordinator if rankReportInterval
-// has passed, or if a field other than Step, Running and those that sameReport
-// skips has changed.
+// has passed, or if a field other than Step, Running and Demand has changed.
 func (p *Process) reportRank() {
 	r := p.driver.Report()
 	if p.coord != nil {
@@ -202,20 +201,18 @@
 	}
 	compared := r
 	compared.Step, compared.Running = p.sentReport.Step, p.sentReport.Running
-	compared.Demand, p.sentReport.Demand = nil, nil
 	if sameReport(compared, p.sentReport) && p.now()-p.sentReportAt < rankReportInterval {
 		return
 	}
 	p.sendReport(&r)
 }
 
-// sameReport reports whether two reports agree in all fields except Accepted, Last,
-// Delegate and Demand.
+// sameReport reports whether two reports agree in all fields except Demand.
 func sameReport(a, b wire.RankReport) bool {
-	a.Demand, b.Demand = nil, nil
 	return a.Group == b.Group && a.Rank == b.Rank && a.Term == b.Term && a.Seq == b.Seq && a.Epoch == b.Epoch &&
 		a.Open == b.Open && a.Step == b.Step && a.Map == b.Map && a.Prepared == b.Prepared && a.Armed == b.Armed &&
-		a.ArmedAt == b.ArmedAt && a.Held == b.Held && a.Refused == b.Refused && a.Running == b.Running && a.DelegateVersion == b.DelegateVersion
+		a.ArmedAt == b.ArmedAt && a.Held == b.Held && a.Refused == b.Refused && a.Running == b.Running &&
+		a.Accepted == b.Accepted && a.Last == b.Last && a.Delegate == b.Delegate && a.DelegateVersion == b.DelegateVersion
 }
 
 // sendReport sends a report to the coordinator.
--- a/rebalance/process_test.go
+++ b/rebalance/process_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"marjorampitch/platform"
 	"marjorampitch/platform/platformtest"
 	"marjorampitch/remap"
+	"marjorampitch/wire"
 )
 
 const ranks = 3
@@ -210,3 +212,24 @@
 	}
 	require.Empty(t, g.mixedMaps)
 }
+
+// A change in any field of a report but Demand is reported at once.
+func TestSameReportComparesAllFields(t *testing.T) {
+	fields := reflect.TypeFor[wire.RankReport]()
+	for i := range fields.NumField() {
+		var changed wire.RankReport
+		switch f := reflect.ValueOf(&changed).Elem().Field(i); f.Kind() {
+		case reflect.String:
+			f.SetString("x")
+		case reflect.Bool:
+			f.SetBool(true)
+		case reflect.Int, reflect.Int64:
+			f.SetInt(1)
+		case reflect.Uint64:
+			f.SetUint(1)
+		case reflect.Slice:
+			f.Set(reflect.MakeSlice(f.Type(), 1, 1))
+		}
+		require.Equal(t, fields.Field(i).Name == "Demand", sameReport(changed, wire.RankReport{}), fields.Field(i).Name)
+	}
+}
--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -18,7 +18,8 @@
 	lines     chan []byte
 	dropped   atomic.Int64 // lines dropped since the last report
 	closeOnce sync.Once
-	done      chan struct{}
+	closing   chan struct{} // closed by Close
+	done      chan struct{} // closed when the last line is written
 	perKind   int // lines accepted of one kind per second
 
 	mu          sync.Mutex     // guards the fields below
@@ -30,7 +31,7 @@
 // and accepts up to perKind lines of each kind per second.
 func NewLogWriter(out io.Writer, capacity, perKind int) *LogWriter {
 	w := &LogWriter{
-		out: out, lines: make(chan []byte, capacity), done: make(chan struct{}), perKind: perKind,
+		out: out, lines: make(chan []byte, capacity), closing: make(chan struct{}), done: make(chan struct{}), perKind: perKind,
 		windowStart: time.Now(), counts: make(map[string]int),
 	}
 	go w.run()
@@ -84,25 +85,41 @@
 
 func (w *LogWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if line == nil {
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeOut(line)
+		case <-w.closing:
+			w.drain()
 			return
 		}
-		w.out.Write(line) //nolint:errcheck // there is no other output to report the error to
-		if n := w.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w.out, "level=warn msg=lines-dropped count=%d\n", n)
-		}
 	}
 }
 
-// Close makes w stop once it has written the queued lines; done is closed then. done is never closed if the queue is full at the first call of Close, or
-// if the reader of the log does not read.
-func (w *LogWriter) Close() (done <-chan struct{}) {
-	w.closeOnce.Do(func() {
+// drain writes the queued lines.
+func (w *LogWriter) drain() {
+	for {
 		select {
-		case w.lines <- nil:
+		case line := <-w.lines:
+			w.writeOut(line)
 		default:
+			return
 		}
-	})
+	}
+}
+
+// writeOut writes a line, and the number of lines dropped before it.
+func (w *LogWriter) writeOut(line []byte) {
+	w.out.Write(line) //nolint:errcheck // there is no other output to report the error to
+	if n := w.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(w.out, "level=warn msg=lines-dropped count=%d\n", n)
+	}
+}
+
+// Close makes w stop once it has written the queued lines; done is closed then. It
+// is never closed if the reader of the log does not read. Lines written after Close
+// may be lost.
+func (w *LogWriter) Close() (done <-chan struct{}) {
+	w.closeOnce.Do(func() { close(w.closing) })
 	return w.done
 }
--- a/telemetry/logwriter_test.go
+++ b/telemetry/logwriter_test.go
@@ -37,14 +37,44 @@
 			break
 		}
 	}
-	lw.lines <- nil // blocks until the queue has space
-	<-lw.done
+	<-lw.Close()
 	w.Close()
 	out := <-seen
 	require.Contains(t, out, "msg=lines-dropped")
 	require.Less(t, strings.Count(out, string(line)), written)
 }
 
+// blockedWriter blocks its first write until released.
+type blockedWriter struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Buffer.Write(p)
+}
+
+// Close ends a writer whose queue is full once its lines are written.
+func TestLogWriterClosesWithFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{release: make(chan struct{})}
+		lw := NewLogWriter(out, 2, 1<<20)
+		for range 5 {
+			lw.Write([]byte("line\n"))
+			synctest.Wait()
+		}
+		done := lw.Close()
+		close(out.release)
+		select {
+		case <-done:
+		case <-time.After(time.Minute):
+			t.Fatal("not closed")
+		}
+		require.Equal(t, 3, strings.Count(out.String(), "line\n"), "one being written and two queued")
+	})
+}
+
 // Lines are written complete and in order.
 func TestLogWriterKeepsOrder(t *testing.T) {
 	var out bytes.Buffer
