config, node, internal: apply crash-limit, refuse key-max-age beyond 24 h, join what stood twice

- The document's crash-limit was ignored: a process used 2.
It applies now, and ten crashes are kept (8 before, below the highest limit of a document).
- key-max-age above 24 h was lowered without a word.
Operator commands refuse it, with file, line and key, before they publish; the checks of format 1 do not change, so that processes go on agreeing about published documents.
- One registry for both kinds of policies, which panics if a name is taken; one reader of metrics for bench and scale; slices.Contains.

--- a/admit/quarantine.go
+++ b/admit/quarantine.go
@@ -19,8 +19,9 @@
 
 // Limits of a Quarantine.
 const (
-	// maxCrashes is the number of crashes kept for one fingerprint.
-	maxCrashes = 8
+	// maxCrashes is the number of crashes kept for one fingerprint; at least the
+	// highest limit that a document may set.
+	maxCrashes = 10
 	// maxSuspects is the number of fingerprints kept; the least recently updated is evicted first.
 	maxSuspects = 4096
 	// SuspectTTL is how long the evidence against a fingerprint counts after its last update.
@@ -62,6 +63,9 @@
 	return &Quarantine{limit: max(1, limit), suspects: map[uint64]*suspect{}}
 }
 
+// SetLimit sets Limits.CrashLimit, as NewQuarantine does.
+func (q *Quarantine) SetLimit(limit int) { q.limit = max(1, limit) }
+
 // RecordCrash attributes a crash to the requests that were in flight. id
 // identifies the crash: it is a hash of the backend server's name and
 // incarnation. trial is set if the only request in flight was running alone
--- a/api/code.go
+++ b/api/code.go
@@ -43,7 +43,6 @@
 	WrongIncarnation Code = 210
 	Sealed           Code = 211
 	NotReady         Code = 212
-	RetryBudget      Code = 213
 	Unreachable      Code = 214
 	GroupStalled     Code = 215
 
@@ -107,7 +106,6 @@
 	WrongIncarnation: {"wrong-incarnation", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the claim names an earlier incarnation of the side process"},
 	Sealed:           {"sealed", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "this claim of the key was closed before it ran; the same key may be sent again"},
 	NotReady:         {"not-ready", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process has no configuration yet"},
-	RetryBudget:      {"retry-budget", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "attempts failed and the retry budget is spent"},
 	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
 
--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -13,12 +13,11 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/api"
 	"marjorampitch/backing/backingtest"
+	"marjorampitch/internal/scrape"
 )
 
 // Defaults of flags, and parameters of the measurement.
@@ -32,7 +31,7 @@
 
 // bench holds the addresses of the processes and the parameters of a run.
 type bench struct {
-	engine, plain, entry                 string
+	engine, entry                        string
 	entryStatus, chatStatus, plainStatus string
 	pairs, callers                       int
 	duration                             time.Duration
@@ -237,19 +236,9 @@
 
 // readProcessorSeconds reads the processor time of a process from its metrics.
 func readProcessorSeconds(base string) (float64, error) {
-	resp, err := client.Get(base + "/metrics")
+	values, err := scrape.Values(client, base+"/metrics", cpuMetric)
 	if err != nil {
 		return 0, err
 	}
-	defer resp.Body.Close()
-	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(resp.Body)
-	if err != nil {
-		return 0, err
-	}
-	family := families[cpuMetric]
-	if family == nil || len(family.GetMetric()) == 0 {
-		return 0, eris.Errorf("metrics of %s lack %s", base, cpuMetric)
-	}
-	return family.GetMetric()[0].GetCounter().GetValue(), nil
+	return values[0], nil
 }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -23,7 +23,6 @@
 	}
 	f := cmd.Flags()
 	f.StringVar(&b.engine, "engine", "", "base URL of the engine")
-	f.StringVar(&b.plain, "plain", "", "base URL of the plain service")
 	f.StringVar(&b.entry, "entry", "", "base URL of the entry")
 	f.StringVar(&b.entryStatus, "entry-status", "", "base URL of the entry's status port")
 	f.StringVar(&b.chatStatus, "chat-status", "", "base URL of the status port of the engine's sidecar")
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -42,7 +42,6 @@
 	f := cmd.Flags()
 	f.StringVar(&d.host, "host", "127.0.0.1", "IP address of the entries")
 	f.StringVar(&d.logURL, "log", "", "base URL of the log service")
-	f.StringVar(&d.listURL, "instances", "", "base URL of the instance list")
 	f.StringVar(&plain, "plain", "", "base URLs of the plain services, separated by commas")
 	f.StringVar(&d.traces, "traces", "", "trace file of the processes")
 	return cmd
--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -37,11 +37,10 @@
 
 // demo holds the addresses of the processes and the results that later steps need.
 type demo struct {
-	host    string
-	logURL  string
-	listURL string
-	plain   []string
-	traces  string
+	host   string
+	logURL string
+	plain  []string
+	traces string
 
 	traceID string // of the draft request
 	key     string // idempotency key of the deposit
--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -9,11 +9,11 @@
 	"os"
 	"time"
 
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"gonum.org/v1/gonum/stat"
+
+	"marjorampitch/internal/scrape"
 )
 
 // Metrics of the Prometheus process collector.
@@ -129,23 +129,11 @@
 }
 
 func readUsage(url string) (usage, error) {
-	resp, err := http.Get(url)
+	values, err := scrape.Values(http.DefaultClient, url, cpuMetric, memoryMetric)
 	if err != nil {
 		return usage{}, err
 	}
-	defer resp.Body.Close()
-	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(resp.Body)
-	if err != nil {
-		return usage{}, err
-	}
-	if families[cpuMetric] == nil || families[memoryMetric] == nil {
-		return usage{}, eris.Errorf("%s lacks "+cpuMetric+" or "+memoryMetric, url)
-	}
-	return usage{
-		cpu:    families[cpuMetric].GetMetric()[0].GetCounter().GetValue(),
-		memory: families[memoryMetric].GetMetric()[0].GetGauge().GetValue(),
-	}, nil
+	return usage{cpu: values[0], memory: values[1]}, nil
 }
 
 // print prints the mean and the maximum of the processor and memory usage of the
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -228,3 +229,27 @@
 		}
 	}
 }
+
+// A document that a build does not fully support is refused before it is published,
+// with the file, line and key; processes accept it.
+func TestDocumentBeyondBuildIsRefused(t *testing.T) {
+	const name = "caroni-watch.ini"
+	text := string(readExample(t, name))
+	require.Contains(t, text, "[limits]")
+	text = strings.Replace(text, "[limits]", "[limits]\nkey-max-age = 48h", 1)
+	text = strings.Replace(text, "key-max-age = 1h", "", 1)
+	doc, err := config.ParseDocument(name, []byte(text))
+	require.NoError(t, err)
+	build := config.Build{Routing: []string{doc.Routing.Policy, doc.Routing.Candidate}, Placement: []string{doc.Placement.Policy}}
+	_, err = config.CheckDocument(name, []byte(text), build)
+	require.NoError(t, err, "no limit")
+	build.MaxKeyAge = 24 * time.Hour
+	_, err = config.CheckDocument(name, []byte(text), build)
+	problems, ok := config.AsProblems(err)
+	require.True(t, ok)
+	require.Len(t, problems, 1)
+	line := strings.Count(text[:strings.Index(text, "key-max-age")], "\n") + 1
+	require.Equal(t, config.Problem{File: name, Line: line, Section: "limits", Key: "key-max-age", Found: "48h0m0s", Want: "at most 24h0m0s, for which claims are kept"}, problems[0])
+	_, err = config.CheckDocument(name, []byte(text), config.Build{Placement: build.Placement})
+	require.ErrorContains(t, err, "policy")
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 	health      health
 	inFlight    int           // requests in flight
 	failedAt    time.Duration // last attempt without a complete response; 0 for none
-	windowSent  int // requests sent in the second that began at windowStart
+	windowSent  int           // requests sent in the second that began at windowStart
 	windowStart time.Duration
 }
 
@@ -155,7 +156,7 @@
 		st := s.stateOf(m)
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
 		unhealthy := !st.health.usable(now) && (st.health.absent || !allowFailing)
-		c.Excluded = unhealthy || contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
+		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
 			c.Cold = true
 			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentThisSecond(now) >= cold.perSecond
@@ -198,15 +199,6 @@
 	s.windowSent++
 }
 
-func contains(list []string, x string) bool {
-	for _, v := range list {
-		if v == x {
-			return true
-		}
-	}
-	return false
-}
-
 // stateOf returns the state of a member's incarnation. Callers hold mu.
 func (s *service) stateOf(m *fleet.Member) *serverState {
 	key := serverKey{m.ID, m.StartedAt}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -48,7 +48,7 @@
 			if settings {
 				_, err = config.ParseSettings(args[0], data)
 			} else {
-				_, err = config.CheckDocument(args[0], data, registeredPolicies())
+				_, err = config.CheckDocument(args[0], data, supportedByBuild())
 			}
 			return o.printCheck(cmd, args[0], err)
 		},
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"marjorampitch/backing"
+	"marjorampitch/claim"
 	"marjorampitch/config"
 	"marjorampitch/config/publish"
 	"marjorampitch/logfold"
@@ -62,9 +63,9 @@
 	return "unknown"
 }
 
-// registeredPolicies returns the names of the policies compiled into this binary.
-func registeredPolicies() config.Policies {
-	return config.Policies{Routing: route.Names(), Placement: placement.Names()}
+// supportedByBuild describes this binary.
+func supportedByBuild() config.Build {
+	return config.Build{Routing: route.Names(), Placement: placement.Names(), MaxKeyAge: claim.MaxKeyAge}
 }
 
 // requireFlags returns an error with ExitUsage if one of flags, values by name, is
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -42,7 +42,7 @@
 					return err
 				}
 			}
-			if _, err := config.CheckDocument(args[0], text, registeredPolicies()); err != nil {
+			if _, err := config.CheckDocument(args[0], text, supportedByBuild()); err != nil {
 				return o.printCheck(cmd, args[0], err)
 			}
 			result, err := o.publish(cmd.Context(), baseVersion, text)
@@ -113,7 +113,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := config.CheckDocument(args[0], text, registeredPolicies()); err != nil {
+			if _, err := config.CheckDocument(args[0], text, supportedByBuild()); err != nil {
 				return o.printCheck(cmd, args[0], err)
 			}
 			p, err := o.publisher()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,7 @@
 
 // New returns a Node of the process that hello identifies.
 func New(hello wire.Hello, config ConfigView) *Node {
-	return &Node{hello: hello, config: config, quarantine: newQuarantine()}
+	return &Node{hello: hello, config: config, quarantine: newQuarantine(config)}
 }
 
 // SetReportSource makes every heartbeat carry the result of report, which must not
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -8,26 +8,27 @@
 	"marjorampitch/wire"
 )
 
-// crashLimit is the number of crashes after which a request may only run alone. It
-// is the default of crash-limit in the service configuration; the configured value
-// is not applied.
-const crashLimit = 2
+// defaultCrashLimit is the number of crashes after which a request may only run
+// alone, while there is no document.
+const defaultCrashLimit = 2
 
 // Quarantine is the quarantine of requests that crash backend servers, as known to
 // this process. It is safe for concurrent use; no other lock is acquired while its
 // own is held.
 type Quarantine struct {
-	start time.Time
+	start  time.Time
+	config ConfigView
 
 	mu      sync.Mutex
 	state   *admit.Quarantine
 	cursors map[*wire.Conn]uint64 // position up to which evidence was sent, by connection
 }
 
-func newQuarantine() *Quarantine {
+func newQuarantine(config ConfigView) *Quarantine {
 	return &Quarantine{
 		start:   time.Now(),
-		state:   admit.NewQuarantine(crashLimit),
+		config:  config,
+		state:   admit.NewQuarantine(defaultCrashLimit),
 		cursors: make(map[*wire.Conn]uint64),
 	}
 }
@@ -38,6 +39,9 @@
 func (q *Quarantine) Check(fingerprint uint64) admit.Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if doc := q.config.Document(); doc != nil {
+		q.state.SetLimit(doc.Doc.Limits.CrashLimit)
+	}
 	return q.state.Check(fingerprint, q.now())
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -16,9 +16,8 @@
 
 // Caller behaviour.
 const (
-	defaultCallers = 12
-	pauseMean      = 40 * time.Millisecond
-	callTimeout    = 8 * time.Second
+	pauseMean   = 40 * time.Millisecond
+	callTimeout = 8 * time.Second
 )
 
 // organisationOf returns the organisation that an API key belongs to.
--- a/placement/map.go
+++ b/placement/map.go
@@ -11,6 +11,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
@@ -143,19 +145,10 @@
 		rank := base / slots % m.Shape.Ranks
 		current := m.Expert[base : base+slots]
 		for _, e := range next.Expert[base : base+slots] {
-			if e != Empty && !contains(current, e) {
+			if e != Empty && !slices.Contains(current, e) {
 				moves[rank]++
 			}
 		}
 	}
 	return moves
 }
-
-func contains(experts []uint16, e uint16) bool {
-	for _, x := range experts {
-		if x == e {
-			return true
-		}
-	}
-	return false
-}
--- a/placement/pack/predict.go
+++ b/placement/pack/predict.go
@@ -13,19 +13,3 @@
 	}
 	return sum / float64(m.Shape.Layers)
 }
-
-// Rebalanced returns a map with the same experts in the same slots as m and with
-// shares balanced for the measured loads and speeds. It fails with
-// placement.ErrInvalidShape.
-func Rebalanced(m *placement.Map, loads *placement.Loads, speed []float64) (*placement.Map, error) {
-	next, err := placement.NewMap(m.Shape)
-	if err != nil {
-		return nil, err
-	}
-	for l := range m.Shape.Layers {
-		layer := NewLayer(m, l, loads.Layer(l), speed)
-		layer.Balance(fullSweeps)
-		layer.Store(next, l)
-	}
-	return next, nil
-}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -1,10 +1,11 @@
 package placement
 
 import (
-	"sort"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"marjorampitch/internal/registry"
 )
 
 // Costs gives the parameters from which the cost of a rebalancing is computed.
@@ -75,16 +76,15 @@
 // ErrUnknownPolicy is returned for a name under which no policy is registered.
 var ErrUnknownPolicy = eris.New("placement: unknown policy")
 
-// registry needs no lock: only init functions write to it.
-var registry = map[string]func() Policy{}
+var policies = registry.New[func() Policy]("placement policy")
 
 // Register registers a policy under a name. It must be called from an init
-// function.
-func Register(name string, build func() Policy) { registry[name] = build }
+// function, and panics if the name is already registered.
+func Register(name string, build func() Policy) { policies.Register(name, build) }
 
 // New returns the policy registered under name. It fails with ErrUnknownPolicy.
 func New(name string) (Policy, error) {
-	build, ok := registry[name]
+	build, ok := policies.Lookup(name)
 	if !ok {
 		return nil, eris.Wrap(ErrUnknownPolicy, name)
 	}
@@ -92,11 +92,4 @@
 }
 
 // Names returns the names of the registered policies in ascending order.
-func Names() []string {
-	names := make([]string, 0, len(registry))
-	for name := range registry {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func Names() []string { return policies.Names() }
--- a/route/registry.go
+++ b/route/registry.go
@@ -2,9 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"github.com/rotisserie/eris"
+
+	"marjorampitch/internal/registry"
 )
 
 // DefaultPolicy is the name of the routing policy used when the service configuration names none.
@@ -16,16 +17,11 @@
 // Builder creates a Picker that takes all its randomness from source.
 type Builder func(source *rand.Rand) Picker
 
-var builders = map[string]Builder{}
+var builders = registry.New[Builder]("routing policy")
 
 // Register registers a policy by name. It may be called from init functions only,
 // and panics if the name is already registered.
-func Register(name string, b Builder) {
-	if _, taken := builders[name]; taken {
-		panic("route: policy registered twice: " + name)
-	}
-	builders[name] = b
-}
+func Register(name string, b Builder) { builders.Register(name, b) }
 
 // Build creates a Picker of the named policy, or of DefaultPolicy if name is
 // empty. Pickers built with the same name and seed make the same choices. Error:
@@ -34,7 +30,7 @@
 	if name == "" {
 		name = DefaultPolicy
 	}
-	b, ok := builders[name]
+	b, ok := builders.Lookup(name)
 	if !ok {
 		return nil, eris.Wrapf(ErrUnknownPolicy, "build policy %q", name)
 	}
@@ -42,11 +38,4 @@
 }
 
 // Names returns the names of all registered policies in ascending order.
-func Names() []string {
-	names := make([]string, 0, len(builders))
-	for name := range builders {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func Names() []string { return builders.Names() }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -59,6 +59,6 @@
 daemon a-engine side
 daemon a-plain side
 until bin/marjorampitch config publish --base 0 --service bench --log-service "http://$host:$log_port" "$out/bench.ini" 2>/dev/null; do sleep 0.1; done
-bin/bench --engine "http://$host:19700" --plain "http://$host:19701" --entry "http://$host:19300" \
+bin/bench --engine "http://$host:19700" --entry "http://$host:19300" \
   --entry-status "http://$host:19200" --chat-status "http://$host:19201" --plain-status "http://$host:19202" "$@"
 stop $daemons
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,7 +48,7 @@
   until bin/marjorampitch config publish --base 0 --service bryllupslyd examples/bryllupslyd.ini 2>/dev/null; do sleep 0.1; done
   bin/marjorampitch config publish --base 0 --service caroni-watch examples/caroni-watch.ini
 
-  bin/demo --host "$host" --log "http://$host:$log_port" --instances "http://$host:$list_port" \
+  bin/demo --host "$host" --log "http://$host:$log_port" \
     --plain "http://$host:18701,http://$host:18703,http://$host:18705,http://$host:18707" --traces "$out/traces.json"
 
   echo
