wire, side, entry, cli: large fetched maps, unsent ends, clients of two incarnations, status, drain

- OrderAck.Map had no limit of its own: a fetched map above 4,096 bytes could not be decoded.
- sendResponse ignored the error of the last message: the response counted as delivered and could not be resumed.
- Requests admitted under two incarnations in turn lost the pooled connections each time; the clients of the last two are kept.
- A connected sidecar whose backend server is down was shown as not connected; the status has a column of its own for that.
- drain was refused for a pool that the change does not empty.
A test for each, which failed before.

--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/internal/node"
+	"marjorampitch/route"
 	"marjorampitch/wire"
 )
 
@@ -34,3 +36,17 @@
 	third, _ := l.addStream("")
 	require.NotNil(t, third)
 }
+
+// A sidecar that is connected and reports its backend server down is shown as such.
+func TestStatusOfConnectedSideWithBackendDown(t *testing.T) {
+	l := newLink("s1", "", "", node.New(wire.Hello{}, noConfig{}), log.New(io.Discard))
+	require.False(t, l.status(time.Now(), route.Candidate{}).Connected)
+	l.conn = connTo(t, "i1")
+	st := l.status(time.Now(), route.Candidate{})
+	require.True(t, st.Connected)
+	require.False(t, st.BackendDown)
+	l.report.Down, l.reportedAt = true, time.Now()
+	st = l.status(time.Now(), route.Candidate{})
+	require.True(t, st.Connected)
+	require.True(t, st.BackendDown)
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -28,7 +28,8 @@
 	Name            string  `json:"name"`
 	Address         string  `json:"address"`
 	DataCentre      string  `json:"data_centre"`
-	Connected       bool    `json:"connected"` // false also if the sidecar is connected but reports its backend server down
+	Connected       bool    `json:"connected"`    // to the sidecar
+	BackendDown     bool    `json:"backend_down"` // the sidecar reports that its backend server is down
 	Leaving         bool    `json:"leaving"`
 	Cold            bool    `json:"cold"`
 	Limit           int     `json:"limit"`
@@ -64,11 +65,13 @@
 
 func (l *link) status(now time.Time, c route.Candidate) SideStatus {
 	l.fillCandidate(&c, now)
+	connected := l.incarnation() != ""
 	return SideStatus{
 		Name:            l.name,
 		Address:         l.address,
 		DataCentre:      l.dataCentre,
-		Connected:       !c.Excluded,
+		Connected:       connected,
+		BackendDown:     connected && c.Excluded,
 		Leaving:         c.Leaving,
 		Cold:            c.Cold,
 		Limit:           c.Limit,
@@ -84,10 +87,10 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	st.Page.WriteText(tw, "entry")
 	fmt.Fprintf(tw, "policy\t%s\n\n", st.Policy)
-	fmt.Fprintln(tw, "SIDE\tDATA CENTRE\tCONNECTED\tLEAVING\tCOLD\tLIMIT\tRUNNING\tOWN\tSTEP MS\tREPORT AGE MS")
+	fmt.Fprintln(tw, "SIDE\tDATA CENTRE\tCONNECTED\tDOWN\tLEAVING\tCOLD\tLIMIT\tRUNNING\tOWN\tSTEP MS\tREPORT AGE MS")
 	for _, s := range st.Sides {
-		fmt.Fprintf(tw, "%s\t%s\t%t\t%t\t%t\t%d\t%d\t%d\t%.1f\t%d\n", s.Name, s.DataCentre,
-			s.Connected, s.Leaving, s.Cold, s.Limit, s.Running, s.OwnInFlight, s.StepMillis, s.ReportAgeMillis)
+		fmt.Fprintf(tw, "%s\t%s\t%t\t%t\t%t\t%t\t%d\t%d\t%d\t%.1f\t%d\n", s.Name, s.DataCentre,
+			s.Connected, s.BackendDown, s.Leaving, s.Cold, s.Limit, s.Running, s.OwnInFlight, s.StepMillis, s.ReportAgeMillis)
 	}
 	fmt.Fprintln(tw)
 	recent.WriteText(tw, st.Refusals)
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -78,7 +78,7 @@
 		if string(text) == string(r.State.Text) {
 			return o.printUnchanged(cmd, r.State.Version, change)
 		}
-		if err := checkPoolsAvailable(text, change); err != nil {
+		if err := checkPoolsAvailable(r.State.Text, text, change); err != nil {
 			return err
 		}
 		result, err := o.publish(cmd.Context(), r.State.Version, text)
@@ -98,19 +98,25 @@
 	})
 }
 
-// checkPoolsAvailable returns an error with ExitUnsafe if text, the document after
-// the change, leaves a pool without a backend server that accepts new work. With
-// --force, and for a change to state "in", it checks nothing.
-func checkPoolsAvailable(text []byte, change stateChange) error {
+// checkPoolsAvailable returns an error with ExitUnsafe if the change takes the last
+// backend server that accepts new work from a pool. before and after are the
+// documents before and after the change. With --force, and for a change to state
+// "in", it checks nothing.
+func checkPoolsAvailable(before, after []byte, change stateChange) error {
 	if change.force || change.state == "in" {
 		return nil
 	}
-	doc, err := config.ParseDocument("document", text)
+	old, err := config.ParseDocument("current document", before)
 	if err != nil {
 		return exit(ExitInvalid, "%v", err)
 	}
+	doc, err := config.ParseDocument("document", after)
+	if err != nil {
+		return exit(ExitInvalid, "%v", err)
+	}
+	oldAvailable := availableBackends(old)
 	for pool, available := range availableBackends(doc) {
-		if available == 0 {
+		if available == 0 && oldAvailable[pool] > 0 {
 			return exit(ExitUnsafe, "no backend server of pool %s would accept new work; use --force to publish anyway", pool)
 		}
 	}
--- a/internal/scenario/counters.go
+++ b/internal/scenario/counters.go
@@ -119,7 +119,7 @@
 	}
 	connected := 0
 	for _, s := range st.Sides {
-		connected += boolToInt(s.Connected)
+		connected += boolToInt(s.Connected && !s.BackendDown)
 	}
 	return counters{
 		"up":        1,
--- a/internal/scenario/daemon.go
+++ b/internal/scenario/daemon.go
@@ -178,7 +178,8 @@
 	Running      int    `json:"running"`
 	Entries      int    `json:"entries"`
 	Sides        []struct {
-		Connected bool `json:"connected"`
+		Connected   bool `json:"connected"`
+		BackendDown bool `json:"backend_down"`
 	} `json:"sides"`
 }
 
--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,9 +42,13 @@
 	verify func(c net.Conn, incarnation string) *api.Error // nil for no verification
 
 	mu      sync.Mutex // guards clients; no other lock is taken while it is held
-	clients *clients   // for the incarnation last requested
+	clients []*clients // for the incarnations last requested, the latest first; at most maxClientSets
 }
 
+// maxClientSets is the number of incarnations for which clients are kept: around a
+// restart of the engine requests admitted under the old and the new one alternate.
+const maxClientSets = 2
+
 // clients are the HTTP clients for one incarnation of the backend server.
 type clients struct {
 	incarnation string // empty for a plain service
@@ -57,24 +62,27 @@
 	return &backendClient{base: strings.TrimSuffix(base, "/"), verify: verify}
 }
 
-// clientsFor returns the clients for an incarnation. Only the set last requested
-// is kept: a request that was admitted under an earlier incarnation gets a new
-// set, which replaces the current one.
+// clientsFor returns the clients for an incarnation. A new set replaces the one
+// requested least recently.
 func (b *backendClient) clientsFor(incarnation string) *clients {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.clients != nil && b.clients.incarnation == incarnation {
-		return b.clients
+	if i := slices.IndexFunc(b.clients, func(c *clients) bool { return c.incarnation == incarnation }); i >= 0 {
+		c := b.clients[i]
+		b.clients = slices.Insert(slices.Delete(b.clients, i, i+1), 0, c)
+		return c
 	}
 	d := &dialer{net: net.Dialer{Timeout: dialTimeout}}
 	if b.verify != nil && incarnation != "" {
 		d.verify = func(c net.Conn) *api.Error { return b.verify(c, incarnation) }
 	}
-	if b.clients != nil {
-		b.clients.pooled.CloseIdleConnections()
+	if len(b.clients) == maxClientSets {
+		b.clients[maxClientSets-1].pooled.CloseIdleConnections()
+		b.clients = b.clients[:maxClientSets-1]
 	}
-	b.clients = &clients{incarnation: incarnation, pooled: newClient(d, false), singleUse: newClient(d, true)}
-	return b.clients
+	c := &clients{incarnation: incarnation, pooled: newClient(d, false), singleUse: newClient(d, true)}
+	b.clients = slices.Insert(b.clients, 0, c)
+	return c
 }
 
 // newClient returns a client without a timeout; the context of each call bounds it.
--- a/side/backend_client_test.go
+++ b/side/backend_client_test.go
@@ -46,3 +46,16 @@
 	e = call()
 	require.Equal(t, api.NotRun, e.Ran, "connection refused: not run")
 }
+
+// Requests admitted under two incarnations in turn, around a restart of the engine,
+// keep the pooled connections of both.
+func TestClientsOfAlternatingIncarnations(t *testing.T) {
+	b := newBackendClient("http://127.0.0.1:1", nil)
+	first, second := b.clientsFor("a"), b.clientsFor("b")
+	require.Same(t, first, b.clientsFor("a"))
+	require.Same(t, second, b.clientsFor("b"))
+	require.NotSame(t, first, second)
+	b.clientsFor("c")
+	require.Same(t, second, b.clientsFor("b"), "the two last requested are kept")
+	require.NotSame(t, first, b.clientsFor("a"))
+}
--- a/side/peer_test.go
+++ b/side/peer_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/api"
+	"marjorampitch/internal/node"
+	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
 
@@ -50,3 +53,23 @@
 	require.True(t, a.orphaned())
 	require.Empty(t, s.streams)
 }
+
+// A response whose last message could not be sent is kept for a resume, also if all
+// its chunks were sent before.
+func TestResponseIsKeptWhenItsEndIsNotSent(t *testing.T) {
+	for name, result := range map[string]*api.Error{"end": nil, "refusal": api.NewError(api.BackendFailed, "")} {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{streams: make(map[streamKey]*subscription), node: node.New(wire.Hello{}, nil), opt: Options{Metrics: telemetry.NewSideMetrics(telemetry.NewRegistry())}}
+			a := newAttempt(&wire.Request{Idempotent: true}, func(error) {})
+			sub := &subscriber{conn: closedConn(t), stream: 1, window: newWindow(100), cancel: func() {}}
+			require.True(t, a.attach(sub))
+			key := streamKey{sub.conn, sub.stream}
+			s.streams[key] = &subscription{attempt: a, sub: sub}
+			a.finish(result)
+
+			s.deliver(context.Background(), key, a, sub)
+
+			require.True(t, a.orphaned(), "the attempt waits for a resume")
+		})
+	}
+}
--- a/side/send.go
+++ b/side/send.go
@@ -26,10 +26,11 @@
 			head := *st.head
 			head.Stream = sub.stream
 			head.Attempt = sub.attempt
-			sub.conn.Send(&head)
+			if sub.conn.Send(&head) != nil {
+				return false
+			}
 		case st.done:
-			s.sendEnd(sub, st)
-			return true
+			return s.sendEnd(sub, st) == nil
 		default:
 			if sub.window.take(ctx, len(st.chunk)) != nil {
 				return false
@@ -44,13 +45,12 @@
 }
 
 // sendEnd sends the last message of an attempt: wire.End, or wire.Refusal if the
-// attempt failed.
-func (s *Server) sendEnd(sub *subscriber, st sendAction) {
+// attempt failed. Errors: those of wire.Conn.Send.
+func (s *Server) sendEnd(sub *subscriber, st sendAction) error {
 	if st.result != nil {
-		s.sendRefusal(sub.conn, sub.stream, sub.attempt, st.result)
-		return
+		return s.sendRefusal(sub.conn, sub.stream, sub.attempt, st.result)
 	}
-	sub.conn.Send(&wire.End{
+	return sub.conn.Send(&wire.End{
 		Stream:  sub.stream,
 		Attempt: sub.attempt,
 		Count:   st.count,
@@ -61,13 +61,14 @@
 // refuse sends e for a request for which no attempt was started or resumed.
 func (s *Server) refuse(c *wire.Conn, stream uint64, number uint32, requestID string, e *api.Error) {
 	s.refusals.Add(requestID, e)
-	s.sendRefusal(c, stream, number, e)
+	s.sendRefusal(c, stream, number, e) //nolint:errcheck // on a closed connection nobody waits for it
 }
 
-// sendRefusal sends e as the last message of the attempt with this number.
-func (s *Server) sendRefusal(c *wire.Conn, stream uint64, number uint32, e *api.Error) {
+// sendRefusal sends e as the last message of the attempt with this number. Errors:
+// those of wire.Conn.Send.
+func (s *Server) sendRefusal(c *wire.Conn, stream uint64, number uint32, e *api.Error) error {
 	s.opt.Metrics.Refused(e.Code)
-	c.Send(&wire.Refusal{
+	return c.Send(&wire.Refusal{
 		Stream:           stream,
 		Attempt:          number,
 		Code:             int(e.Code),
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -321,3 +321,21 @@
 	require.Equal(t, count, len(rb.chunks()))
 	require.ErrorIs(t, rb.closeReason(), io.EOF)
 }
+
+// An engine's map in an answer to a fetch order may be as large as in an order.
+func TestOrderAckCarriesLargeMap(t *testing.T) {
+	sent := &OrderAck{Group: "g", Map: make([]byte, 1<<20)}
+	frame, err := AppendFrame(nil, sent)
+	require.NoError(t, err)
+	var got OrderAck
+	_, err = got.UnmarshalMsg(mustMarshal(t, sent))
+	require.NoError(t, err)
+	require.Len(t, got.Map, len(sent.Map))
+	require.Less(t, len(frame), MaxFrameBytes)
+}
+
+func mustMarshal(t *testing.T, m *OrderAck) []byte {
+	data, err := m.MarshalMsg(nil)
+	require.NoError(t, err)
+	return data
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -253,18 +253,18 @@
 	Group     string `msg:"g"`
 	Rank      int    `msg:"r"`
 	Kind      uint8  `msg:"k"`
-	Code      int    `msg:"code"`  // api.Code
-	Fence     int64  `msg:"fence"` // highest fencing number known to the sidecar
-	Epoch     uint64 `msg:"ep"`    // number of the expert map in force at the rank
-	Staged    uint64 `msg:"stg"`   // number of the staged map; 0 for none
-	Armed     uint64 `msg:"arm"`   // number of the armed map; 0 for none
-	ArmedStep int64  `msg:"astep"` // step at which the armed map takes effect
-	Committed bool   `msg:"com"`   // the armed epoch is committed
-	Step      int64  `msg:"step"`  // last completed step
-	Next      int64  `msg:"next"`  // first step not started
-	Holding   bool   `msg:"hold"`  // the engine starts no step from ArmedStep on
-	Map       []byte `msg:"map"`   // encoded map; only in answers to fetch orders
-	MapHash   string `msg:"mh"`    // hash of the map in force
+	Code      int    `msg:"code"`              // api.Code
+	Fence     int64  `msg:"fence"`             // highest fencing number known to the sidecar
+	Epoch     uint64 `msg:"ep"`                // number of the expert map in force at the rank
+	Staged    uint64 `msg:"stg"`               // number of the staged map; 0 for none
+	Armed     uint64 `msg:"arm"`               // number of the armed map; 0 for none
+	ArmedStep int64  `msg:"astep"`             // step at which the armed map takes effect
+	Committed bool   `msg:"com"`               // the armed epoch is committed
+	Step      int64  `msg:"step"`              // last completed step
+	Next      int64  `msg:"next"`              // first step not started
+	Holding   bool   `msg:"hold"`              // the engine starts no step from ArmedStep on
+	Map       []byte `msg:"map,limit=4194304"` // encoded map; only in answers to fetch orders
+	MapHash   string `msg:"mh"`                // hash of the map in force
 }
 
 // StatusQuery asks a process for its configuration in force.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -4119,7 +4119,7 @@
 				return
 			}
 		case "map":
-			z.Map, err = dc.ReadBytesLimit(z.Map, z2c18a699limitArrays)
+			z.Map, err = dc.ReadBytesLimit(z.Map, 4194304)
 			if err == nil && z.Map == nil {
 				z.Map = []byte{}
 			}
@@ -4478,7 +4478,7 @@
 				err = msgp.WrapError(err, "Map")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0002 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
