tests: three tests check what their names say

TestImproveRespectsLimits: the copies of a set and the required gains, too. TestFlappingServer: a server that is down also resets kept connections, and each turn down is met by a request. provokeFailure: the answer of its own request, and whether that was cut off, not any answer of the run.

--- a/gateway/health_test.go
+++ b/gateway/health_test.go
@@ -40,17 +40,24 @@
 	require.Less(t, failed.Load(), int64(requests/servers/2), "at most half of its share of the requests")
 }
 
-// Every caller gets a response while a server alternates between down and up.
+// Every caller gets a response while a server alternates between down and up. A
+// server that goes down also resets the connections that are kept to it.
 func TestFlappingServer(t *testing.T) {
 	tg := newTestGateway(t)
 	var down atomic.Bool
-	var arrivals atomic.Int64
+	var arrivals, resets atomic.Int64
 	tg.server(func(c *conn) {
 		if down.Load() {
+			resets.Add(1)
 			c.reset()
 			return
 		}
 		for r := c.request(); r != nil; r = c.request() {
+			if down.Load() {
+				resets.Add(1)
+				c.reset()
+				return
+			}
 			arrivals.Add(1)
 			c.write(answer(r, http.StatusOK, "flapping"))
 		}
@@ -69,6 +76,9 @@
 				return arrivals.Load() > before
 			}, 2*maxEjection, 50*time.Millisecond)
 		}
+		if down.Load() {
+			require.Positive(t, resets.Swap(0), "turn %d: no request met the server while it was down", turn)
+		}
 	}
 }
 
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -43,6 +43,8 @@
 	ran       int
 	lastEvent int  // number of the last event that the caller received; -1 for none
 	neverRun  bool // the answer said that the request has not run and never will
+	status    int  // of the answer; 0 for none
+	cut       bool // the answer is missing or truncated
 }
 
 // checker verifies the invariants of a run from what callers and servers observe.
@@ -185,6 +187,7 @@
 	defer c.mu.Unlock()
 	q := c.requests[id]
 	c.counts[fmt.Sprint(resp.StatusCode)]++
+	q.status = resp.StatusCode
 	sealed := resp.Header.Get(platform.HeaderNames.Seal)
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
@@ -273,6 +276,7 @@
 	defer c.mu.Unlock()
 	c.counts["cut"]++
 	q := c.requests[id]
+	q.cut = true
 	serversHealthy := c.impactEnds[impactServers].Before(q.sent) // no server may have aborted it
 	if q.arrivals > 0 && serversHealthy && c.timingBoundsHold(time.Now()) && c.testbed.stopping(gateway) {
 		c.violationLocked("cut by a graceful stop", id+" at "+gateway)
--- a/internal/soak/failures.go
+++ b/internal/soak/failures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -45,10 +44,10 @@
 		}
 	}
 	setLossShare(1)
-	if f.Cut, err = tb.provokeFailure(ctx, "cut", streamed, http.StatusOK); err != nil {
+	if f.Cut, err = tb.provokeFailure(ctx, "cut", streamed, http.StatusOK, true); err != nil {
 		return err
 	}
-	if f.Unknown, err = tb.provokeFailure(ctx, "unknown", once, http.StatusBadGateway); err != nil {
+	if f.Unknown, err = tb.provokeFailure(ctx, "unknown", once, http.StatusBadGateway, false); err != nil {
 		return err
 	}
 	setLossShare(0)
@@ -56,24 +55,24 @@
 		p.setStoreFaults(platformtest.Faults{Hang: true})
 	}
 	sleep(ctx, proofExpiry)
-	if f.Refused, err = tb.provokeFailure(ctx, "refused", idempotent, http.StatusServiceUnavailable); err != nil {
+	if f.Refused, err = tb.provokeFailure(ctx, "refused", idempotent, http.StatusServiceUnavailable, false); err != nil {
 		return err
 	}
 	sleep(ctx, logFlushTime)
 	return show(f)
 }
 
-// provokeFailure sends a request through the first gateway, checks that the run has
-// had an answer with the expected status, and returns id.
-func (tb *testbed) provokeFailure(ctx context.Context, id string, k requestKind, status int) (string, error) {
+// provokeFailure sends a request through the first gateway, checks that its own
+// answer has the expected status and is cut off only if cut is set, and returns id.
+func (tb *testbed) provokeFailure(ctx context.Context, id string, k requestKind, status int, cut bool) (string, error) {
 	r := &request{kind: k, path: platformtest.RoutePrefixes[k] + id, body: id, key: tb.keys[0]}
 	tb.checker.sent(id, r)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	tb.sendRequest(ctx, client, tb.gateways[0], id, r)
 	tb.checker.mu.Lock()
 	defer tb.checker.mu.Unlock()
-	if tb.checker.counts[fmt.Sprint(status)] == 0 {
-		return id, eris.Errorf("request %s: no answer with status %d; answers of the run so far: %v", id, status, tb.checker.counts)
+	if r.status != status || r.cut != cut {
+		return id, eris.Errorf("request %s: status %d, cut off %t; want %d, %t", id, r.status, r.cut, status, cut)
 	}
 	return id, nil
 }
--- a/placement/spread/spread_test.go
+++ b/placement/spread/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -59,30 +60,43 @@
 	}
 }
 
-// TestImproveRespectsLimits checks that no rank makes more copies than allowed,
-// holds more experts than it has slots or holds an expert twice.
+// TestImproveRespectsLimits checks that no rank makes more copies than allowed, in
+// all or in one set, holds more experts than it has slots or holds an expert twice,
+// and that a plan gains what its copies and the switch require.
 func TestImproveRespectsLimits(t *testing.T) {
 	for name, c := range shapes {
 		t.Run(name, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(3, 4))
+			limits := c.limits
+			limits.SwitchCost, limits.CopyCost = 0.05, 0.01
 			var replicas []wire.Replica
 			for range 30 {
 				old := map[wire.Replica]bool{}
 				for _, r := range replicas {
 					old[r] = true
 				}
-				better, _, ok := Improve(c.shape, zipf(c.shape, c.exponent, rnd), replicas, c.limits)
+				loads := zipf(c.shape, c.exponent, rnd)
+				before := Cost(c.shape, loads, replicas)
+				better, after, ok := Improve(c.shape, loads, replicas, limits)
 				require.True(t, ok)
 				replicas = better
-				newPerRank := make([]int, c.shape.Ranks)
+				type place struct{ set, rank uint16 }
+				newPerRank, newPerSet, copies := make([]int, c.shape.Ranks), map[place]int{}, 0
 				for _, r := range replicas {
 					if !old[r] {
 						newPerRank[r.Rank]++
+						newPerSet[place{r.Set, r.Rank}]++
+						copies++
 					}
 				}
-				for _, n := range newPerRank {
-					require.LessOrEqual(t, n, c.limits.CopiesPerRank)
+				most := slices.Max(newPerRank)
+				require.LessOrEqual(t, most, limits.CopiesPerRank)
+				for _, n := range newPerSet {
+					require.LessOrEqual(t, n, limits.SpareSlots)
 				}
+				gain := (before - after) / before
+				require.Greater(t, gain, limits.SwitchCost+float64(most)*limits.CopyCost)
+				require.GreaterOrEqual(t, gain, float64(copies)*limits.MinGainPerCopy)
 				for _, ranks := range c.shape.ExpertsByRank(replicas) {
 					for _, experts := range ranks {
 						require.LessOrEqual(t, len(experts), c.shape.Slots)
