--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,7 +62,7 @@
 	// ServersProof is the same for the entries of the backend servers.
 	ServersProof func() (at time.Duration, ok bool)
 	Log          *log.Logger
-	Registry       prometheus.Registerer
+	Registry     prometheus.Registerer
 	// Directory lists the other instances. It may be nil.
 	Directory *directory.Directory
 }
--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -20,7 +20,7 @@
 	closeOnce sync.Once
 	closing   chan struct{} // closed by Close
 	done      chan struct{} // closed when the last line is written
-	perKind   int // lines accepted of one kind per second
+	perKind   int           // lines accepted of one kind per second
 
 	mu          sync.Mutex     // guards the fields below
 	windowStart time.Time      // start of the current second
