gateway: callers of an instance that cannot serve return to a peer at once

An instance that leaves said 1 s. Change: gateways tell with their loads whether they accept new requests; while a peer does, such a refusal says 0.05 s. Without a serving peer it stays 0.6 s, since callers come back only a few times. The choice answers the loss of single instances; overload has its own Retry-After. TestCallersReturnToServingPeerInTime plays it and checks what callers get.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,7 +54,7 @@
 	view := g.opts.Cache.View()
 	c := &call{id: r.Header.Get(g.opts.Headers.RequestID), w: w, r: r, view: view, arrived: g.now(), lastEventID: -1}
 	if view.Document == nil {
-		return c, retrySoon(api.NotReady, "")
+		return c, g.retryElsewhere(api.NotReady, "")
 	}
 	if limit := view.Document.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return c, api.NewError(api.HeaderTooLarge, "")
@@ -62,7 +62,7 @@
 	c.route = view.Document.Match(r.Host, r.URL.Path)
 	if c.route == nil {
 		if !fresh {
-			return c, retrySoon(api.NotCurrent, "route unknown to an old document")
+			return c, g.retryElsewhere(api.NotCurrent, "route unknown to an old document")
 		}
 		return c, api.NewError(api.UnknownRoute, "")
 	}
@@ -79,7 +79,7 @@
 		}
 	}
 	if g.leaving.Load() {
-		return c, api.NewError(api.Leaving, "")
+		return c, g.retryElsewhere(api.Leaving, "")
 	}
 	c.service = g.service(pickService(c.route.Split))
 	return c, nil
@@ -97,14 +97,25 @@
 	return n
 }
 
-// notReadyRetryAfter is the Retry-After value of a process that has just
-// started or has lost the store. It is short because other instances serve meanwhile.
-const notReadyRetryAfter = 600 * time.Millisecond
+// Retry-After values of an instance that cannot serve itself: it has just started,
+// has lost the store or is leaving.
+const (
+	// peerRetryAfter applies while a peer is known to serve: the platform sends a
+	// caller that returns to another instance.
+	peerRetryAfter = 50 * time.Millisecond
+	// notReadyRetryAfter applies otherwise. It is longer, because callers return only
+	// a few times.
+	notReadyRetryAfter = 600 * time.Millisecond
+)
 
-// retrySoon returns an error with a Retry-After value of notReadyRetryAfter.
-func retrySoon(code api.Code, detail string) *api.Error {
+// retryElsewhere returns the error of an instance that cannot serve the request
+// itself.
+func (g *Gateway) retryElsewhere(code api.Code, detail string) *api.Error {
 	e := api.NewError(code, detail)
 	e.RetryAfter = notReadyRetryAfter
+	if g.peers.serving.any(g.now()) {
+		e.RetryAfter = peerRetryAfter
+	}
 	return e
 }
 
@@ -121,7 +132,7 @@
 		return nil
 	}
 	if !fresh {
-		return retrySoon(api.NotCurrent, "keys cannot be checked")
+		return g.retryElsewhere(api.NotCurrent, "keys cannot be checked")
 	}
 	if org == nil {
 		return api.NewError(api.UnknownAPIKey, "")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,11 +27,14 @@
 // peers exchanges loads with the other gateways by UDP datagrams. Each datagram
 // carries the complete state, so a lost one is replaced by the next.
 type peers struct {
-	g    *Gateway
-	conn *net.UDPConn
+	g       *Gateway
+	conn    *net.UDPConn
+	serving servingPeers
 }
 
-func newPeers(g *Gateway) *peers { return &peers{g: g} }
+func newPeers(g *Gateway) *peers {
+	return &peers{g: g, serving: servingPeers{at: make(map[string]time.Duration)}}
+}
 
 // run announces this instance and starts the exchange of loads; sending ends when
 // ctx is done. Without a port or a directory it does nothing.
@@ -114,9 +118,10 @@
 // The report is repeated more often than that.
 const closedReportTTL = 700 * time.Millisecond
 
-// handleLoad records the loads of a peer.
+// handleLoad records the loads of a peer and whether it serves.
 func (p *peers) handleLoad(l *wire.GatewayLoad) {
 	now := p.g.now()
+	p.serving.record(l.Instance, l.Serving, now)
 	for _, x := range l.Groups {
 		s := p.g.service(x.Service)
 		s.mu.Lock()
@@ -144,7 +149,7 @@
 
 // currentLoads returns the loads of the groups with streams or arrivals.
 func (p *peers) currentLoads() *wire.GatewayLoad {
-	l := &wire.GatewayLoad{Instance: p.g.opts.Settings.Instance}
+	l := &wire.GatewayLoad{Instance: p.g.opts.Settings.Instance, Serving: p.g.Ready()}
 	now := p.g.now()
 	for _, s := range p.g.allServices() {
 		s.mu.Lock()
@@ -217,3 +222,37 @@
 	}
 	return groups
 }
+
+// servingReportTTL is how long a peer counts as serving after it has said so. A peer
+// with streams reports several times a second.
+const servingReportTTL = time.Second
+
+// servingPeers records which peers have reported that they accept new requests. It
+// is safe for concurrent use.
+type servingPeers struct {
+	mu sync.Mutex               // guards at
+	at map[string]time.Duration // time of the last such report, by instance
+}
+
+// record records a peer's report.
+func (s *servingPeers) record(instance string, serving bool, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !serving {
+		delete(s.at, instance)
+		return
+	}
+	s.at[instance] = now
+}
+
+// any reports whether some peer accepts new requests.
+func (s *servingPeers) any(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.at {
+		if now-at <= servingReportTTL {
+			return true
+		}
+	}
+	return false
+}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -22,6 +22,7 @@
 // gateways.
 type GatewayLoad struct {
 	Instance string      `msg:"i"`
+	Serving  bool        `msg:"v"` // accepts new requests, with a current document
 	Groups   []GroupLoad `msg:"g"`
 }
 
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -30,6 +30,12 @@
 				err = msgp.WrapError(err, "Instance")
 				return
 			}
+		case "v":
+			z.Serving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
 		case "g":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -62,9 +68,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GatewayLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "i"
-	err = en.Append(0x82, 0xa1, 0x69)
+	err = en.Append(0x83, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -73,6 +79,16 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Serving)
+	if err != nil {
+		err = msgp.WrapError(err, "Serving")
+		return
+	}
 	// write "g"
 	err = en.Append(0xa1, 0x67)
 	if err != nil {
@@ -96,10 +112,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GatewayLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
+	o = append(o, 0x83, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Instance)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Serving)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
@@ -137,6 +156,12 @@
 				err = msgp.WrapError(err, "Instance")
 				return
 			}
+		case "v":
+			z.Serving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
 		case "g":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -170,7 +195,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GatewayLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Groups {
 		s += z.Groups[za0001].Msgsize()
 	}
