--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
 BIN   := bin
-.PHONY: all build generate fmt lint test demo fuzz soak measure slopes bench
+.PHONY: all build generate fmt lint test demo fuzz soak measure slopes bench scores
 
 all: build
 
@@ -58,3 +58,8 @@
 # processes. One test injects faults for about 20 s and is called a day.
 soak: build
 	$(BIN)/soak --days $(or $(DAYS),10) --parallel 2
+
+# scores plays the standard days of the deployments SITES (site files) with the users'
+# bench BENCH and prints a summary table. OPTIONS=--quick plays a few days.
+scores:
+	BENCH='$(BENCH)' platform/scores.sh $(OPTIONS) $(SITES)
