--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,28 +97,6 @@
 	return n
 }
 
-// Retry-After values of an instance that cannot serve itself: it has just started,
-// has lost the store or is leaving.
-const (
-	// peerRetryAfter applies while a peer is known to serve: the platform sends a
-	// caller that returns to another instance.
-	peerRetryAfter = 50 * time.Millisecond
-	// notReadyRetryAfter applies otherwise. It is longer, because callers return only
-	// a few times.
-	notReadyRetryAfter = 600 * time.Millisecond
-)
-
-// retryElsewhere returns the error of an instance that cannot serve the request
-// itself.
-func (g *Gateway) retryElsewhere(code api.Code, detail string) *api.Error {
-	e := api.NewError(code, detail)
-	e.RetryAfter = notReadyRetryAfter
-	if g.peers.serving.any(g.now()) {
-		e.RetryAfter = peerRetryAfter
-	}
-	return e
-}
-
 // authenticate looks up the organisation of the caller's API key.
 func (g *Gateway) authenticate(c *call, fresh bool) *api.Error {
 	if !c.view.Document.RequiresKeys() {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,7 +12,6 @@
 	"marjorampitch/api"
 	"marjorampitch/backend"
 	"marjorampitch/fleet"
-	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 )
 
@@ -129,20 +127,6 @@
 	return true
 }
 
-// coldPolicy returns how cold servers of the request's service are treated.
-func (g *Gateway) coldPolicy(c *call) coldPolicy {
-	svc := c.view.Document.Services[c.service.name]
-	if svc == nil || svc.ColdPerSecond <= 0 {
-		return coldPolicy{}
-	}
-	p := coldPolicy{perSecond: math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances()))), cacheNow: clock.SinceBoot()}
-	at, ok := g.opts.ServersProof()
-	age, interval := p.cacheNow-at, g.opts.Settings.EntryInterval
-	p.entriesSince = g.now() - age - interval
-	p.outdated = !ok || age > outdatedAfterIntervals*interval
-	return p
-}
-
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
 	if c.headSent {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -222,37 +221,3 @@
 	}
 	return groups
 }
-
-// servingReportTTL is how long a peer counts as serving after it has said so. A peer
-// with streams reports several times a second.
-const servingReportTTL = time.Second
-
-// servingPeers records which peers have reported that they accept new requests. It
-// is safe for concurrent use.
-type servingPeers struct {
-	mu sync.Mutex               // guards at
-	at map[string]time.Duration // time of the last such report, by instance
-}
-
-// record records a peer's report.
-func (s *servingPeers) record(instance string, serving bool, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !serving {
-		delete(s.at, instance)
-		return
-	}
-	s.at[instance] = now
-}
-
-// any reports whether some peer accepts new requests.
-func (s *servingPeers) any(now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, at := range s.at {
-		if now-at <= servingReportTTL {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -21,11 +21,6 @@
 	// maxSkew is the load of the most loaded rank relative to the mean under an
 	// expert map that no longer fits the demand.
 	maxSkew = 5.0
-	// defaultEntryInterval applies if the settings have no EntryInterval.
-	defaultEntryInterval = 1500 * time.Millisecond
-	// outdatedAfterIntervals is the age of the entries, in entry intervals, from
-	// which they do not show which servers are cold.
-	outdatedAfterIntervals = 2
 	// stallRetryInterval is the time after which a stalled group is tried again.
 	stallRetryInterval = 250 * time.Millisecond
 )
@@ -46,18 +41,6 @@
 	windowStart time.Duration
 }
 
-// coldPolicy says how cold servers of a service are treated.
-type coldPolicy struct {
-	perSecond float64       // requests per second that this instance may send to one cold server; 0 for no limit
-	cacheNow  time.Duration // present time on the clock of the Cache, for Member.ColdUntil
-	// entriesSince is the time up to which a failed server's present entry is known
-	// to be newer than its failure. A server that failed later may have restarted
-	// cold under the same id.
-	entriesSince time.Duration
-	// outdated means that the entries are too old to show which servers are cold.
-	outdated bool
-}
-
 // service is the state of one service. mu guards the fields below it; Directory.mu
 // may be taken while it is held.
 type service struct {
@@ -176,13 +159,6 @@
 	return false
 }
 
-// mayBeCold reports whether the server's entry cannot show that it is warm: the
-// entries are outdated, or the server has failed since its entry was read.
-func (s *serverState) mayBeCold(p coldPolicy) bool {
-	failedSince := s.failedAt > 0 && s.failedAt > p.entriesSince
-	return p.perSecond > 0 && (p.outdated || failedSince)
-}
-
 // sentThisSecond returns the number of requests sent in the current window.
 func (s *serverState) sentThisSecond(now time.Duration) float64 {
 	if now-s.windowStart >= time.Second {
--- a/remap/simulation_test.go
+++ b/remap/simulation_test.go
@@ -462,19 +462,9 @@
 		sim.lateFraction = 0
 		sim.term++
 		sim.procs[0].coord = NewCoordinator(sim.term, sim.engines[0].EngineState, 0)
-		round := func() {
-			sim.tick++
-			sim.runProcess(sim.rnd.IntN(len(sim.procs)))
-			for range 6 {
-				sim.deliver()
-			}
-			if sim.rnd.IntN(6) == 0 {
-				sim.beginPass()
-			}
-		}
 		c := sim.procs[0].coord
 		for range 3000 {
-			round()
+			sim.round()
 			if at := c.lastHoldStep; at != None && sim.engines[c.holder].Held == at && sim.rnd.IntN(8) == 0 {
 				break
 			}
@@ -497,7 +487,7 @@
 		sim.procs[1].coord = NewCoordinator(sim.term, sim.engines[1].EngineState, sim.now())
 		before := sim.engines[0].Step
 		for range 3000 {
-			round()
+			sim.round()
 		}
 		require.Greater(t, sim.engines[0].Step, before+20, "seed %d: the group makes no passes", seed)
 		require.Empty(t, sim.violation, "seed %d", seed)
