gateway: each connection that the gateway ends has a line

New lines: idle-connections-closed (count, limit, longest, document), request-aborted, http-server; no_attempt in request-ended; a counter of idle connections closed. Run is split so that a test can bring its own listener. No decision changes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -35,6 +35,7 @@
 	attempts     int      // attempts that a server may have executed
 	mayHaveRun   bool     // a server may have executed the request
 	headSent     bool     // the response head was sent to the caller
+	noAttempt    string   // why no further attempt was made; empty if one was not needed
 	lastEventID  int64    // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
 }
 
@@ -194,6 +195,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !g.inFlight.begin() {
+		g.opts.Log.Warn("request-aborted", "request", r.Header.Get(g.opts.Headers.RequestID), "reason", "shut down")
 		panic(http.ErrAbortHandler) // shutting down; the request was not executed
 	}
 	defer g.inFlight.end()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -99,13 +99,19 @@
 	}
 	var last *api.Error
 	for n := 0; n < maxServerAttempts; n++ {
-		if c.attempts >= c.route.MaxAttempts || c.sentAttempts > 0 && !c.service.takeRetry() {
+		if c.attempts >= c.route.MaxAttempts {
+			c.noAttempt = "attempts used up"
+			break
+		}
+		if c.sentAttempts > 0 && !c.service.takeRetry() {
+			c.noAttempt = "no retry budget"
 			break
 		}
 		// The server list may have changed since the request arrived.
 		members := g.opts.Cache.View().Services[c.service.name]
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
+			c.noAttempt = "no server"
 			break
 		}
 		if c.headSent {
@@ -130,7 +136,7 @@
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
 	if c.headSent {
-		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID)
+		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID, "no_attempt", c.noAttempt)
 		panic(http.ErrAbortHandler) // abort, so that the response does not look complete
 	}
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,7 @@
 // Timing of a gateway.
 const (
 	sweepInterval       = time.Second
+	readHeaderTimeout   = 10 * time.Second       // for the head of a caller's request
 	groupUpdateInterval = 200 * time.Millisecond // between updates of the rank groups from the directory
 	callerUserTimeout   = 4 * time.Second        // TCP_USER_TIMEOUT of caller connections
 	// callerIdleMargin is added to the document's idle timeout before an idle
@@ -191,8 +194,16 @@
 	if err := g.peers.run(ctx); err != nil {
 		return err
 	}
+	return g.serve(ctx, ln)
+}
+
+// serve accepts caller connections from ln until ctx is done, then shuts down.
+func (g *Gateway) serve(ctx context.Context, ln net.Listener) error {
 	idle := newIdleConns()
-	srv := &http.Server{Handler: g, ConnState: idle.stateChanged, ReadHeaderTimeout: 10 * time.Second}
+	srv := &http.Server{
+		Handler: g, ConnState: idle.stateChanged, ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
 	tick := time.NewTicker(sweepInterval)
@@ -222,7 +233,12 @@
 		g.logGate(s)
 	}
 	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
-		idle.closeIdle(view.Document.Limits.IdleTimeout + callerIdleMargin)
+		limit := view.Document.Limits.IdleTimeout + callerIdleMargin
+		if n, longest := idle.closeIdle(limit); n > 0 {
+			g.metrics.idleClosed.Add(float64(n))
+			g.opts.Log.Info("idle-connections-closed", "count", n, "limit_ms", limit.Milliseconds(),
+				"longest_ms", longest.Milliseconds(), "document", view.Document.Version)
+		}
 	}
 }
 
@@ -297,14 +313,28 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
-func (i *idleConns) closeIdle(limit time.Duration) {
+// closeIdle closes the connections that have been idle for longer than limit. It
+// returns their number and the longest time that one was idle.
+func (i *idleConns) closeIdle(limit time.Duration) (n int, longest time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, at := range i.since {
-		if time.Since(at) > limit {
+		if idle := time.Since(at); idle > limit {
 			c.Close()
 			delete(i.since, c)
+			n++
+			longest = max(longest, idle)
 		}
 	}
+	return n, longest
+}
+
+// serverErrors logs what http.Server reports, such as a panic of a handler, as one
+// line each. It implements io.Writer.
+type serverErrors struct{ log *log.Logger }
+
+func (s serverErrors) Write(p []byte) (int, error) {
+	line, _, _ := strings.Cut(string(p), "\n")
+	s.log.Error("http-server", "err", line)
+	return len(p), nil
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 	retries    prometheus.Counter
 	resumes    prometheus.Counter
 	opened     prometheus.Counter
+	idleClosed prometheus.Counter
 	firstEvent prometheus.Histogram
 	eventGap   prometheus.Histogram
 	duration   prometheus.Histogram
@@ -61,6 +62,8 @@
 		retries: counter("retries_total", "Attempts after the first of a request."),
 		resumes: counter("resumes_total", "Streams resumed at another backend server."),
 		opened:  counter("connections_opened_total", "Connections opened to backend servers."),
+		idleClosed: counter("idle_connections_closed_total",
+			"Idle connections of callers closed by the gateway."),
 		firstEvent: histogram("first_event_seconds", "Time from the arrival of a request to the first event of its stream.",
 			[]float64{.05, .1, .2, .3, .4, .5, .7, 1, 2, 4}),
 		eventGap: histogram("pause_seconds", "Time between two events of a stream.",
