--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,6 +41,17 @@
 }
 
 func newTestGateway(t *testing.T) *testGateway {
+	tg := newUnservedGateway(t)
+	tg.front = httptest.NewServer(tg.g)
+	t.Cleanup(func() {
+		tg.front.CloseClientConnections()
+		tg.front.Close()
+	})
+	return tg
+}
+
+// newUnservedGateway returns a testGateway without a listener for callers.
+func newUnservedGateway(t *testing.T) *testGateway {
 	tg := &testGateway{t: t, cache: fleet.NewCache(time.Second)}
 	tg.proof.Store(int64(clock.SinceBoot()))
 	tg.entries.Store(int64(clock.SinceBoot()))
@@ -52,11 +63,6 @@
 		FreshnessProof: func() (time.Duration, bool) { n := tg.proof.Load(); return time.Duration(n), n != 0 },
 		ServersProof:   func() (time.Duration, bool) { n := tg.entries.Load(); return time.Duration(n), n != 0 },
 	})
-	tg.front = httptest.NewServer(tg.g)
-	t.Cleanup(func() {
-		tg.front.CloseClientConnections()
-		tg.front.Close()
-	})
 	tg.document(func(*fleet.Document) {})
 	return tg
 }
