gateway: a lower idle limit applies once callers know of it

Callers saw: after a document that lowers the idle limit, requests on connections that they could use by the former limit ended without an answer. Cause: the limit of the newest document applied, within a second, to connections that had grown old under the former one. A caller learns of a document up to the bound within which documents come into force, and goes on by the former limit. Change: idleLimit keeps the limits seen of late; a lower one applies after the margin for requests on their way plus that bound (config_apply_ms). Connections stay open a few seconds longer after such a document, nothing else changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,6 +200,7 @@
 // serve accepts caller connections from ln until ctx is done, then shuts down.
 func (g *Gateway) serve(ctx context.Context, ln net.Listener) error {
 	conns := newCallerConns()
+	limit := &idleLimit{grace: callerIdleMargin + g.opts.Settings.Bounds.ApplyBound}
 	srv := &http.Server{
 		Handler: g, ConnState: conns.stateChanged, ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
@@ -217,7 +218,7 @@
 		case err := <-failed:
 			return eris.Wrap(err, "serve callers")
 		case <-tick.C:
-			g.sweep(conns)
+			g.sweep(conns, limit)
 		case <-groupTick.C:
 			g.updateAllGroups()
 		}
@@ -225,7 +226,7 @@
 }
 
 // sweep drops state of removed servers, closes idle connections and logs the gates.
-func (g *Gateway) sweep(conns *callerConns) {
+func (g *Gateway) sweep(conns *callerConns, idle *idleLimit) {
 	view := g.opts.Cache.View()
 	g.pool.Sweep()
 	for _, s := range g.allServices() {
@@ -233,7 +234,7 @@
 		g.logGate(s)
 	}
 	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
-		limit := view.Document.Limits.IdleTimeout + callerIdleMargin
+		limit := idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
 		if n, longest := conns.expireIdle(limit); n > 0 {
 			g.metrics.idleClosed.Add(float64(n))
 			g.opts.Log.Info("idle-connections-closed", "count", n, "limit_ms", limit.Milliseconds(),
--- /dev/null
+++ b/gateway/idle_limit.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+)
+
+// idleLimit is the time for which callers' connections may be idle. A document that
+// lowers it takes effect after grace: callers reuse their connections by the former
+// limit until they learn of the new one. It is not safe for concurrent use.
+type idleLimit struct {
+	grace  time.Duration
+	recent []seenLimit // in descending order of limit; the last is the document's
+}
+
+// seenLimit is a limit and the last time at which it was the document's.
+type seenLimit struct {
+	limit  time.Duration
+	seenAt time.Duration
+}
+
+// update records the document's limit and returns the one to apply now.
+func (l *idleLimit) update(limit, now time.Duration) time.Duration {
+	l.recent = slices.DeleteFunc(l.recent, func(s seenLimit) bool {
+		return s.limit <= limit || now-s.seenAt > l.grace
+	})
+	l.recent = append(l.recent, seenLimit{limit, now})
+	return l.recent[0].limit
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -27,6 +27,7 @@
 // Bounds are the guarantees of a deployment.
 type Bounds struct {
 	DrainBound       time.Duration // a draining server gets no new work after this time
+	ApplyBound       time.Duration // an accepted document is in force everywhere after this time
 	GracePeriod      time.Duration // from SIGTERM to SIGKILL
 	RevocationBound  time.Duration // a revoked key is refused after this time
 	StrictRevocation bool          // RevocationBound also applies to partitioned instances
