gateway: a silent stream is cut only if another attempt can follow

Callers saw: a stream ended midway, or a request got 502, while its server was at work. Cause: the watches on silent streams and late first responses reset the connection of an attempt without knowing that another can follow. With the attempts used up, no retry budget, no other server, or a stream that may not be resumed, the reset only ended the answer. Change: a watch reserves the next attempt first: attempts left, a server to choose, one retry taken from the budget. Without it the attempt goes on. Evidence: TestSilentStreamIsNotCutWithoutFurtherAttempt: 6 of its 8 cases failed before (one event of two delivered, or 502 for 200) and pass now; the two others (not resumable and attempts used up, before the response) passed before, too.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"marjorampitch/api"
@@ -35,8 +36,10 @@
 	attempts     int      // attempts that a server may have executed
 	mayHaveRun   bool     // a server may have executed the request
 	headSent     bool     // the response head was sent to the caller
-	noAttempt    string   // why no further attempt was made; empty if one was not needed
-	lastEventID  int64    // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
+	// retryReserved means that the next attempt has been taken from the retry budget.
+	retryReserved atomic.Bool
+	noAttempt     string // why no further attempt was made; empty if one was not needed
+	lastEventID   int64  // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
 }
 
 // group returns the rank group that the request was admitted to; empty for none.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -103,7 +103,7 @@
 			c.noAttempt = "attempts used up"
 			break
 		}
-		if c.sentAttempts > 0 && !c.service.takeRetry() {
+		if c.sentAttempts > 0 && !c.retryReserved.Swap(false) && !c.service.takeRetry() {
 			c.noAttempt = "no retry budget"
 			break
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -205,6 +205,13 @@
 	return members[i]
 }
 
+// hasCandidate reports whether pick could choose a server with these arguments.
+func (s *service) hasCandidate(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.candidates(members, group, tried, now, cold, true), func(c route.Candidate) bool { return !c.Excluded })
+}
+
 // attemptEnded records the result of an attempt.
 func (s *service) attemptEnded(m *fleet.Member, now time.Duration, severity float64) {
 	s.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,23 +38,28 @@
 
 // watchFirstResponse cancels an attempt that has had no response for a while
 // although its group is active, for example because the rank's instance is
-// frozen: another rank may answer before the caller disconnects.
+// frozen: another rank may answer before the caller disconnects. An attempt that no
+// other can follow goes on.
 func (g *Gateway) watchFirstResponse(c *call, cancel func()) *time.Timer {
 	if c.ticket == nil || !c.route.Retryable() || c.attempts+1 >= c.route.MaxAttempts {
 		return time.NewTimer(0) // not watched
 	}
+	group, tried := c.group(), c.tried
 	return time.AfterFunc(firstResponseTimeoutFactor*c.route.TargetLatency, func() {
-		if c.service.activeSince(c.group(), g.now()-groupActivityWindow) {
+		if c.service.activeSince(group, g.now()-groupActivityWindow) && g.reserveAttempt(c, group, tried) {
 			cancel()
 		}
 	})
 }
 
-// watchStream starts the silenceWatch of a stream.
+// watchStream starts the silenceWatch of a stream. It is called once the attempt has
+// been counted.
 func (g *Gateway) watchStream(c *call, resp *backend.Response) *silenceWatch {
 	w := &silenceWatch{}
+	last := !c.route.Retryable() || c.attempts >= c.route.MaxAttempts
+	group, tried := c.group(), c.tried
 	w.timer = time.AfterFunc(silenceTimeout, func() {
-		if c.service.activeSince(c.group(), g.now()-groupActivityWindow) {
+		if !last && c.service.activeSince(group, g.now()-groupActivityWindow) && g.reserveAttempt(c, group, tried) {
 			w.silent.Store(true)
 			resp.Abort()
 			return
@@ -64,6 +69,17 @@
 	return w
 }
 
+// reserveAttempt takes a retry from the budget for the request's next attempt, if a
+// server other than those tried can take it. It reports whether it did.
+func (g *Gateway) reserveAttempt(c *call, group string, tried []string) bool {
+	members := g.opts.Cache.View().Services[c.service.name]
+	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c)) || !c.service.takeRetry() {
+		return false
+	}
+	c.retryReserved.Store(true)
+	return true
+}
+
 // forwardStream forwards the events of a stream as they arrive. done means that
 // the stream was delivered to its end.
 func (g *Gateway) forwardStream(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (done bool, failure *api.Error) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -1,12 +1,19 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+
+	"marjorampitch/admit"
+	"marjorampitch/fleet"
 )
 
 // A stalled group is not active because another group of the same service is.
@@ -22,3 +29,104 @@
 	s.observeGap(4*time.Second, "a", time.Millisecond)
 	require.True(t, s.activeSince("a", 3*time.Second))
 }
+
+// keepActive reports events of another stream of the default group until the test ends.
+func (tg *testGateway) keepActive() {
+	done := make(chan struct{})
+	tg.t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(groupActivityWindow / 6):
+				tg.g.service("s").observeGap(tg.g.now(), defaultGroup, time.Millisecond)
+			}
+		}
+	}()
+}
+
+// event returns a chunk with one event.
+func event(id int) string {
+	e := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+	return fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+}
+
+func streamHead(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") +
+		"\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func TestSilentStreamIsNotCutWithoutFurtherAttempt(t *testing.T) {
+	const pause = 2 * silenceTimeout
+	limited := map[string]struct {
+		path  string
+		setUp func(tg *testGateway)
+	}{
+		"not resumable":   {"/fixed/", func(tg *testGateway) { tg.server(serve("other")) }},
+		"no other server": {"/stream/", func(*testGateway) {}},
+		"no retry budget": {"/stream/", func(tg *testGateway) {
+			tg.server(serve("other"))
+			tg.g.service("s").budget = admit.NewRetryBudget(0, 0)
+		}},
+		"attempts used up": {"/stream/", func(tg *testGateway) { tg.server(serve("other")); tg.singleAttempt() }},
+	}
+	servers := map[string]func(c *conn){
+		"in the stream": func(c *conn) {
+			r := c.request()
+			c.write(streamHead(r) + event(1))
+			time.Sleep(pause)
+			c.write(event(2) + "0\r\n\r\n")
+		},
+		"before the response": func(c *conn) {
+			r := c.request()
+			time.Sleep(pause)
+			c.write(streamHead(r) + event(1) + event(2) + "0\r\n\r\n")
+		},
+	}
+	for limit, l := range limited {
+		for when, handle := range servers {
+			t.Run(limit+", "+when, func(t *testing.T) {
+				t.Parallel()
+				tg := newTestGateway(t)
+				tg.document(func(d *fleet.Document) {
+					d.Version = 2
+					for i := range d.Routes {
+						d.Routes[i].TargetLatency = pause / 4
+					}
+				})
+				slow := tg.server(handle)
+				l.setUp(tg)
+				tg.onlyFirst(slow)
+				tg.keepActive()
+				status, body, _ := tg.call(l.path)
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, 2, strings.Count(body, "data: x"), body)
+				require.NotContains(t, body, "CUT")
+			})
+		}
+	}
+}
+
+// onlyFirst makes the first request go to this server.
+func (tg *testGateway) onlyFirst(id string) {
+	s := tg.g.service("s")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range tg.cache.View().Members {
+		if m.ID != id {
+			s.stateOf(m).inFlight = 1 << 10
+		}
+	}
+}
+
+// singleAttempt publishes a document that allows one attempt.
+func (tg *testGateway) singleAttempt() {
+	d := *tg.cache.View().Document
+	tg.document(func(n *fleet.Document) {
+		n.Version, n.Routes = d.Version+1, slices.Clone(d.Routes)
+		for i := range n.Routes {
+			n.Routes[i].MaxAttempts = 1
+		}
+	})
+}
