gateway: a stream without a length that ends before its first event is broken

Callers would see: an empty answer with status 200, complete, in place of a stream whose server crashed after the head of its response. Cause: a response with neither a length nor chunks ends with its connection, so the end of the connection looks like the end of the stream; within an event it was recognised, before the first event it was not. Change: such a stream without any event counts as broken off: it is tried at another server where its route allows it, else answered 502. Evidence: TestStreamWithoutLength plays whole streams and four ways of breaking one, resumable or not; its two cases before the first event failed before (200 with an empty body) and pass now, the other seven passed before.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -128,13 +128,17 @@
 // Finish ends the exchange after the body was read to the end. The connection is
 // returned to the pool if the server allows its reuse.
 func (r *Response) Finish() {
-	if !r.stop() || r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if !r.stop() || r.Close || !r.Delimited() {
 		r.conn.Close()
 		return
 	}
 	r.pool.Put(r.conn, idleTimeout(r.Header.Get("Keep-Alive")))
 }
 
+// Delimited reports whether the body has a length or is chunked. Otherwise it ends
+// with its connection.
+func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // Abort resets the connection, which makes the server drop the request.
 func (r *Response) Abort() {
 	r.stop()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,10 @@
 		g.attemptFailed(c, m, errors.New("stream response is content-encoded or has no seal header"))
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID}
 	}
-	err := g.copyEvents(c, resp, sent)
+	n, err := g.copyEvents(c, resp, sent)
+	if err == io.EOF && n == 0 && !resp.Delimited() {
+		err = io.ErrUnexpectedEOF // its end cannot be told from a broken connection
+	}
 	if err == io.EOF {
 		resp.Finish()
 		c.service.attemptEnded(m, g.now(), severityNone)
@@ -104,21 +107,21 @@
 	return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 }
 
-// copyEvents forwards complete events until the stream ends. It returns io.EOF
-// when the stream ended normally.
-func (g *Gateway) copyEvents(c *call, resp *backend.Response, sent time.Duration) error {
+// copyEvents forwards complete events until the stream ends. It returns the number of
+// chunks of events, and io.EOF when the stream ended normally.
+func (g *Gateway) copyEvents(c *call, resp *backend.Response, sent time.Duration) (n int, err error) {
 	events := newEventReader(resp.Body)
 	watch := g.watchStream(c, resp)
 	defer watch.timer.Stop()
 	flush := http.NewResponseController(c.w)
 	previous := time.Duration(-1)
-	for {
+	for ; ; n++ {
 		chunk, last, err := events.next()
 		if err != nil {
 			if watch.silent.Load() {
-				return errSilent
+				return n, errSilent
 			}
-			return err
+			return n, err
 		}
 		now := g.now()
 		watch.timer.Reset(silenceTimeout)
@@ -130,10 +133,10 @@
 			c.w.WriteHeader(resp.StatusCode)
 		}
 		if _, err := c.w.Write(chunk); err != nil {
-			return err
+			return n, err
 		}
 		if err := flush.Flush(); err != nil {
-			return err
+			return n, err
 		}
 		if last >= 0 {
 			c.lastEventID = last
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -130,3 +131,49 @@
 		}
 	})
 }
+
+// Streams with neither a length nor chunks end with their connection.
+func TestStreamWithoutLength(t *testing.T) {
+	head := func(r *http.Request) string {
+		return strings.Replace(streamHead(r), "Transfer-Encoding: chunked\r\n", "", 1)
+	}
+	whole := func(c *conn) { c.write(head(c.request()) + events(1, 3)) }
+	broken := map[string]func(c *conn){
+		"within an event":        func(c *conn) { c.write(head(c.request()) + events(1, 2) + "id: 3\nda") },
+		"before the first event": func(c *conn) { c.write(head(c.request())) },
+		"in the head":            func(c *conn) { c.write(strings.TrimSuffix(head(c.request()), "\r\n\r\n")) },
+		"reset": func(c *conn) {
+			c.write(head(c.request()) + events(1, 2))
+			time.Sleep(30 * time.Millisecond)
+			c.reset()
+		},
+	}
+	t.Run("whole", func(t *testing.T) {
+		tg := newTestGateway(t)
+		tg.server(whole)
+		status, body, _ := tg.call("/fixed/")
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, events(1, 3), body)
+	})
+	for name, handle := range broken {
+		t.Run(name+", resumed", func(t *testing.T) {
+			tg := newTestGateway(t)
+			first := tg.server(handle)
+			tg.server(func(c *conn) {
+				r := c.request()
+				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				c.write(head(r) + events(last+1, 3))
+			})
+			tg.onlyFirst(first)
+			status, body, _ := tg.call("/stream/")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, events(1, 3), body)
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			tg := newTestGateway(t)
+			tg.server(handle)
+			status, body, _ := tg.call("/fixed/")
+			require.True(t, status == http.StatusBadGateway || strings.HasSuffix(body, " CUT"), "status %d, body %q", status, body)
+		})
+	}
+}
