gateway: no request is lost between the end of one phase of a connection and the next

A connection is in use from the start of a handler, too. - A connection that Accept had returned was not tracked yet when a shutdown saw none open. The shutdown waits until Serve has returned. - A request that waited in the socket's buffer while the process had no processor time was reset with its idle connection. Such a connection is not idle. - A withdrawn expiry also withdrew the time limit for the head of a request; it restores the deadline of http.Server now. - A part of a head held up the end of a shutdown until the grace period was nearly over; it does so for one second now. - A first limit, after a document without one, applied at once. - A panic of a handler was logged without its stack. The tracker is internal/idleconn now, so that other servers can use it; the in-memory listener of its tests is internal/pipetest.

--- a/gateway/conns_test.go
+++ b/gateway/conns_test.go
@@ -16,64 +16,21 @@
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/fleet"
+	"marjorampitch/internal/idleconn"
+	"marjorampitch/internal/pipetest"
 )
 
-// pipeListener is a listener whose connections are in-memory pipes, so that tests
-// run in virtual time.
-type pipeListener struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// slowConn is the gateway's end of a connection. Its process may stall after it has
-// read data from the socket, before the data is handled.
-type slowConn struct {
-	net.Conn
-	stall time.Duration
-}
-
-func (c *slowConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		time.Sleep(c.stall)
-	}
-	return n, err
-}
-
 // pipeCaller is a caller with one connection.
 type pipeCaller struct {
 	conn   net.Conn
-	server *slowConn
+	server *pipetest.SlowConn
 	br     *bufio.Reader
 	usedAt time.Time // end of the last exchange
 }
 
-func (l *pipeListener) dial() *pipeCaller {
-	client, server := net.Pipe()
-	c := &pipeCaller{conn: client, server: &slowConn{Conn: server}, br: bufio.NewReader(client)}
-	l.conns <- c.server
-	return c
+func dialPipe(l *pipetest.Listener) *pipeCaller {
+	client, server := l.Dial()
+	return &pipeCaller{conn: client, server: server, br: bufio.NewReader(client)}
 }
 
 // call sends a request and returns the status and Connection: close of its answer.
@@ -97,14 +54,14 @@
 
 // serveInBubble runs test in virtual time against a gateway with one backend server.
 // stop begins the shutdown of the gateway; it returns at once.
-func serveInBubble(t *testing.T, test func(t *testing.T, tg *testGateway, ln *pipeListener, stop func())) {
+func serveInBubble(t *testing.T, test func(t *testing.T, tg *testGateway, ln *pipetest.Listener, stop func())) {
 	tg := newUnservedGateway(t)
 	tg.server(serve("answer"))
 	synctest.Test(t, func(t *testing.T) {
 		tg.g.start = time.Now()
 		tg.setIdleLimit(2, testIdleLimit)
 		ctx, cancel := context.WithCancel(context.Background())
-		ln := newPipeListener()
+		ln := pipetest.NewListener()
 		served := make(chan error, 1)
 		go func() { served <- tg.g.serve(ctx, ln) }()
 		defer func() {
@@ -124,13 +81,13 @@
 }
 
 func TestRequestReadAsIdleConnectionExpiresIsAnswered(t *testing.T) {
-	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipeListener, _ func()) {
-		c := ln.dial()
+	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipetest.Listener, _ func()) {
+		c := dialPipe(ln)
 		status, _, err := c.call()
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
 		time.Sleep(testIdleLimit + callerIdleMargin - sweepInterval/2)
-		c.server.stall = 3 * sweepInterval
+		c.server.Stall = 3 * sweepInterval
 		status, _, err = c.call()
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
@@ -138,13 +95,13 @@
 }
 
 func TestRequestReadAsShutdownEndsIsRefused(t *testing.T) {
-	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipeListener, stop func()) {
-		c := ln.dial()
+	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipetest.Listener, stop func()) {
+		c := dialPipe(ln)
 		_, _, err := c.call()
 		require.NoError(t, err)
 		stop()
 		time.Sleep(deregistrationDelay - stopPollInterval)
-		c.server.stall = 5 * stopPollInterval
+		c.server.Stall = 5 * stopPollInterval
 		status, closed, err := c.call()
 		require.NoError(t, err)
 		require.Equal(t, http.StatusServiceUnavailable, status)
@@ -153,8 +110,8 @@
 }
 
 func TestIdleConnectionExpires(t *testing.T) {
-	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipeListener, _ func()) {
-		c := ln.dial()
+	serveInBubble(t, func(t *testing.T, _ *testGateway, ln *pipetest.Listener, _ func()) {
+		c := dialPipe(ln)
 		_, _, err := c.call()
 		require.NoError(t, err)
 		time.Sleep(testIdleLimit + callerIdleMargin + 2*sweepInterval)
@@ -174,7 +131,7 @@
 		loweredAt = 60 * time.Second
 		end       = 100 * time.Second
 	)
-	serveInBubble(t, func(t *testing.T, tg *testGateway, ln *pipeListener, _ func()) {
+	serveInBubble(t, func(t *testing.T, tg *testGateway, ln *pipetest.Listener, _ func()) {
 		began := time.Now()
 		known := func() time.Duration {
 			if time.Since(began) >= loweredAt+learn {
@@ -188,11 +145,11 @@
 		for i := range callers {
 			rnd := rand.New(rand.NewPCG(uint64(i), 24))
 			wg.Go(func() {
-				c := ln.dial()
+				c := dialPipe(ln)
 				for time.Since(began) < end {
 					if !c.usedAt.IsZero() && time.Since(c.usedAt) > time.Duration(reuse*float64(known())) {
 						c.conn.Close()
-						c = ln.dial()
+						c = dialPipe(ln)
 					}
 					status, _, err := c.call()
 					mu.Lock()
@@ -204,7 +161,7 @@
 					}
 					mu.Unlock()
 					if c == nil {
-						c = ln.dial()
+						c = dialPipe(ln)
 					}
 					time.Sleep(time.Duration(rnd.Float64() * reuse * float64(testIdleLimit)))
 				}
@@ -218,3 +175,94 @@
 		require.Zero(t, cut, "requests on connections that the callers could use by the limit they knew")
 	})
 }
+
+func TestFirstIdleLimitCutsNoCaller(t *testing.T) {
+	serveInBubble(t, func(t *testing.T, tg *testGateway, ln *pipetest.Listener, _ func()) {
+		tg.setIdleLimit(3, 0)
+		time.Sleep(time.Minute)
+		c := dialPipe(ln)
+		_, _, err := c.call()
+		require.NoError(t, err)
+		time.Sleep(30 * time.Second)
+		tg.setIdleLimit(4, 2*time.Second)
+		time.Sleep(3 * sweepInterval / 2)
+		_, _, err = c.call()
+		require.NoError(t, err)
+	})
+}
+
+// lateListener stalls after it has accepted a connection, as a process without
+// processor time does.
+type lateListener struct {
+	net.Listener
+	stall time.Duration
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(l.stall)
+	}
+	return c, err
+}
+
+func TestConnectionAcceptedAsShutdownEndsIsRefused(t *testing.T) {
+	tg := newUnservedGateway(t)
+	tg.server(serve("answer"))
+	synctest.Test(t, func(t *testing.T) {
+		tg.g.start = time.Now()
+		tg.setIdleLimit(2, testIdleLimit)
+		ctx, stop := context.WithCancel(context.Background())
+		ln := pipetest.NewListener()
+		served := make(chan error, 1)
+		go func() { served <- tg.g.serve(ctx, &lateListener{ln, 10 * stopPollInterval}) }()
+		time.Sleep(time.Second)
+		stop()
+		time.Sleep(deregistrationDelay - 2*stopPollInterval)
+		c := dialPipe(ln)
+		status, closed, err := c.call()
+		<-served
+		time.Sleep(time.Minute) // goroutines of connections end
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.True(t, closed)
+	})
+}
+
+func TestShutdownDoesNotWaitForPartOfAHead(t *testing.T) {
+	for name, prepare := range map[string]func(t *testing.T, c *pipeCaller){
+		"new":          func(*testing.T, *pipeCaller) {},
+		"idle":         func(t *testing.T, c *pipeCaller) { _, _, err := c.call(); require.NoError(t, err) },
+		"partial head": func(_ *testing.T, c *pipeCaller) { io.WriteString(c.conn, "POST /again/ HT") },
+		"idle, then partial head": func(t *testing.T, c *pipeCaller) {
+			_, _, err := c.call()
+			require.NoError(t, err)
+			io.WriteString(c.conn, "POST /again/ HT")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newUnservedGateway(t)
+			tg.server(serve("answer"))
+			synctest.Test(t, func(t *testing.T) {
+				tg.g.start = time.Now()
+				tg.setIdleLimit(2, testIdleLimit)
+				ctx, stop := context.WithCancel(context.Background())
+				ln := pipetest.NewListener()
+				served := make(chan error, 1)
+				go func() { served <- tg.g.serve(ctx, ln) }()
+				for range 20 {
+					c := dialPipe(ln)
+					prepare(t, c)
+					go io.Copy(io.Discard, c.br)
+				}
+				time.Sleep(time.Second)
+				began := time.Now()
+				stop()
+				require.NoError(t, <-served)
+				took := time.Since(began)
+				time.Sleep(time.Minute) // goroutines of connections end
+				require.Less(t, took, deregistrationDelay+idleconn.HeadTimeout)
+			})
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"marjorampitch/directory"
 	"marjorampitch/fleet"
 	"marjorampitch/internal/clock"
+	"marjorampitch/internal/idleconn"
 	"marjorampitch/internal/sockopt"
 	"marjorampitch/pace"
 )
@@ -199,14 +200,14 @@
 
 // serve accepts caller connections from ln until ctx is done, then shuts down.
 func (g *Gateway) serve(ctx context.Context, ln net.Listener) error {
-	conns := newCallerConns()
 	limit := &idleLimit{grace: callerIdleMargin + g.opts.Settings.Bounds.ApplyBound}
 	srv := &http.Server{
-		Handler: g, ConnState: conns.stateChanged, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
+	conns := idleconn.Track(srv)
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(conns.listener(ln)) }()
+	go func() { failed <- srv.Serve(conns.Listener(ln)) }()
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	groupTick := time.NewTicker(groupUpdateInterval)
@@ -214,7 +215,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return g.stop(srv, ln, conns)
+			return g.stop(srv, ln, conns, failed)
 		case err := <-failed:
 			return eris.Wrap(err, "serve callers")
 		case <-tick.C:
@@ -226,16 +227,16 @@
 }
 
 // sweep drops state of removed servers, closes idle connections and logs the gates.
-func (g *Gateway) sweep(conns *callerConns, idle *idleLimit) {
+func (g *Gateway) sweep(conns *idleconn.Tracker, idle *idleLimit) {
 	view := g.opts.Cache.View()
 	g.pool.Sweep()
 	for _, s := range g.allServices() {
 		s.prune(view)
 		g.logGate(s)
 	}
-	if view.Document != nil && view.Document.Limits.IdleTimeout > 0 {
+	if view.Document != nil {
 		limit := idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
-		if n, longest := conns.expireIdle(limit); n > 0 {
+		if n, longest := conns.ExpireIdle(limit); n > 0 {
 			g.metrics.idleClosed.Add(float64(n))
 			g.opts.Log.Info("idle-connections-closed", "count", n, "limit_ms", limit.Milliseconds(),
 				"longest_ms", longest.Milliseconds(), "document", view.Document.Version)
@@ -274,7 +275,7 @@
 // in flight, because a request may already be on its way on one of them; a request
 // that arrives after deregistrationDelay is refused so that the running ones can
 // finish in time.
-func (g *Gateway) stop(srv *http.Server, ln net.Listener, conns *callerConns) error {
+func (g *Gateway) stop(srv *http.Server, ln net.Listener, conns *idleconn.Tracker, served <-chan error) error {
 	g.stopping.Store(true)
 	g.opts.Log.Info("stopping")
 	began := g.now()
@@ -284,10 +285,12 @@
 		since := g.now() - began
 		if since >= deregistrationDelay && !g.leaving.Swap(true) {
 			ln.Close()
+			<-served // from now on every accepted connection is tracked
 		}
 		if since >= deregistrationDelay && g.inFlight.none() {
-			conns.expireIdle(0)
-			if conns.count() == 0 {
+			conns.ExpireIdle(0)
+			conns.ExpireReading(idleconn.HeadTimeout)
+			if conns.Open() == 0 {
 				return srv.Close()
 			}
 		}
@@ -299,12 +302,15 @@
 	}
 }
 
+// maxLoggedStack bounds the stack of a panic in a log line, in bytes.
+const maxLoggedStack = 2 << 10
+
 // serverErrors logs what http.Server reports, such as a panic of a handler, as one
 // line each. It implements io.Writer.
 type serverErrors struct{ log *log.Logger }
 
 func (s serverErrors) Write(p []byte) (int, error) {
-	line, _, _ := strings.Cut(string(p), "\n")
-	s.log.Error("http-server", "err", line)
+	line, stack, _ := strings.Cut(string(p), "\n")
+	s.log.Error("http-server", "err", line, "stack", stack[:min(len(stack), maxLoggedStack)])
 	return len(p), nil
 }
--- a/gateway/idle_limit.go
+++ b/gateway/idle_limit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -19,8 +20,14 @@
 	seenAt time.Duration
 }
 
-// update records the document's limit and returns the one to apply now.
+// noIdleLimit is the limit of a document that sets none.
+const noIdleLimit = time.Duration(math.MaxInt64 / 2)
+
+// update records the document's limit, 0 for none, and returns the one to apply now.
 func (l *idleLimit) update(limit, now time.Duration) time.Duration {
+	if limit <= 0 {
+		limit = noIdleLimit
+	}
 	l.recent = slices.DeleteFunc(l.recent, func(s seenLimit) bool {
 		return s.limit <= limit || now-s.seenAt > l.grace
 	})
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -40,3 +40,18 @@
 	})
 	return err == nil && idle
 }
+
+// HasUnread reports whether a connection has bytes to read. Unlike CanReuse it may be
+// called while a read is in progress. It does not block and does not consume bytes.
+func HasUnread(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
