gateway: a failing test of a prompt part that crashes servers

Three gateways that exchange datagrams and five servers. A server that begins an answer on a request with the part resets its connections, refuses new ones and comes back as another incarnation, every second one under another id. Sound requests with the same organisation and the same other parts go on beside it, also at the server that crashes.

No change of logic: Options.PromptParts is read by nothing yet.

--- FAIL: TestPromptPartThatCrashesServersIsContained/stream (4.12s) Error: "42" is not less than or equal to "3" Messages: requests that reached servers after five crashes were known --- FAIL: TestPromptPartThatCrashesServersIsContained/stream_after_head (4.41s) Error: "42" is not less than or equal to "3" --- FAIL: TestPromptPartThatCrashesServersIsContained/plain (4.18s) Error: "42" is not less than or equal to "3"

Each of the 21 requests left reached two servers. The other checks of the test pass: sound requests are served at the first attempt, no refusal of one that has run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,10 @@
 type Options struct {
 	Settings Settings
 	Headers  HeaderNames
-	Cache    *fleet.Cache
+	// PromptParts returns the ids of the parts of a request's prompt that other
+	// requests may share. It may be nil.
+	PromptParts func(http.Header) []uint64
+	Cache       *fleet.Cache
 	// FreshnessProof returns the latest time, on the clock of package clock, at
 	// which the cached document was known to be the newest one; ok is false
 	// before the first complete read.
