admit, wire: find the parts of prompts that crash backend servers

Cause: a part of a prompt that crashes each server that begins an answer on it comes in requests that are never alike, at all gateways. Nothing attributed the crashes to the part, so its requests were sent on, and repeated, without end.

Change: admit.PartQuarantine keeps, per part, the crashes of servers under requests that had no answer yet, and refuses a part after two of them in succession, for ten minutes. wire.PartReport carries the evidence between gateways. Details that differ from a plain count: - A part in use within the last minute needs four strikes, not two: it may have turned bad, and a start before the crash cannot show that it did not. - A crash that a rarer quarantined part explains does not count against the others. At a cold start with several routes, no route's first part is carried by most requests, so the share among the arrivals alone does not protect it. - Evidence is sent at growing intervals, and in answer to a peer that lacks a flag, so that it can be asked for often at little cost. Quarantine and PartQuarantine share makeRoom, which evicts entries.

--- /dev/null
+++ b/admit/part_quarantine.go
@@ -0,0 +1,527 @@
+package admit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"marjorampitch/route"
+	"marjorampitch/wire"
+)
+
+// Limits of a PartQuarantine.
+const (
+	// partStrikeLimit is the number of strikes at which a part is quarantined, and
+	// partInUseLimit the number for a part that was in use shortly before.
+	partStrikeLimit = 2
+	partInUseLimit  = 4
+	// partInUseWindow is how long a part counts as in use after a server has begun
+	// an answer on it.
+	partInUseWindow = time.Minute
+	// PartTTL is how long the evidence against a part counts after its newest strike.
+	PartTTL = 10 * time.Minute
+	// partResendMargin is the remaining lifetime below which evidence is no longer
+	// sent, so that peers with a slightly later estimate of its age do not prolong it.
+	partResendMargin = 10 * time.Second
+	// partConfirmWindow is the longest time between a broken request and the
+	// confirmation that its server crashed.
+	partConfirmWindow = 10 * time.Second
+	// partAnswerDelay is the longest time between the arrival of an answer and the
+	// call of Started; an answer that is observed later after a crash refutes it.
+	partAnswerDelay = 500 * time.Millisecond
+	// partGuardArrivals is the number of recent arrivals from which a part that more
+	// than half of them carry is exempt.
+	partGuardArrivals = 16
+
+	maxPartStrikes  = 8    // strikes kept for one part
+	maxPartSuspects = 1024 // parts with strikes
+	maxServerEvents = 256  // unconfirmed crashes, and servers seen down
+	maxPartEvidence = 128  // pieces of evidence returned by one call of Evidence
+
+	// Evidence is sent again at intervals that double from the first to the second.
+	partFirstResend = 50 * time.Millisecond
+	partMaxResend   = 5 * time.Second
+)
+
+// ServerIncarnation identifies one incarnation of a backend server.
+type ServerIncarnation struct {
+	ID        string
+	StartedAt int64 // in ms of Unix time, as the server reports it
+}
+
+// crashID returns the id of the crash that ends the incarnation. It is the same on
+// all gateways.
+func (s ServerIncarnation) crashID() uint64 {
+	return route.Mix(route.HashName(s.ID), uint64(s.StartedAt))
+}
+
+// PartQuarantine finds the parts of prompts that crash the backend servers that
+// begin an answer on them, and refuses requests that carry one. Every gateway keeps
+// one, and they exchange what Evidence returns. Merging evidence is commutative and
+// idempotent. A PartQuarantine is not safe for concurrent use.
+//
+// A strike against a part is a crash of a server under a request that carries the
+// part and had no answer yet. A broken connection alone is no crash: it has to be
+// confirmed by ServerDown. Strikes are cleared when a server begins an answer on the
+// part. A part is quarantined by a number of strikes, each of a request that was
+// sent after the one before was broken off, so that servers that crash together
+// are one strike. Two rules protect parts that share requests with the one at fault:
+//
+//   - A crash does not count against a part if a quarantined part that is rarer among
+//     the recent arrivals has a strike by the same crash.
+//   - A part that most of the recent arrivals carry is exempt.
+type PartQuarantine struct {
+	suspects map[uint64]*partSuspect
+	changed  bool                // strikes have changed since the next two were computed
+	accused  []*partSuspect      // with enough strikes to be quarantined if no rule protects them
+	crashes  map[uint64]struct{} // crashes of strikes that are not cleared
+	starts   recentStarts
+	arrivals recentArrivals
+	pending  []serverEvent // unconfirmed crashes
+	down     []serverEvent // servers seen down
+}
+
+// serverEvent is an event of a server.
+type serverEvent struct {
+	id    string
+	crash uint64 // unless the incarnation is not known
+	at    time.Duration
+}
+
+// partSuspect is the evidence against one part.
+type partSuspect struct {
+	part     uint64
+	strikes  []partStrike  // in ascending order of brokeAt
+	arrivals int           // among the recent arrivals
+	until    time.Duration // end of the quarantine; 0 for none
+}
+
+// partStrike is one crash under a request with the part. Merging takes the minimum
+// of each time and the disjunction of the flags of wire.PartEvidence.
+type partStrike struct {
+	crash     uint64
+	sentAt    time.Duration
+	brokeAt   time.Duration
+	confirmed bool
+	inUse     bool
+	cleared   bool
+	resendAt  time.Duration
+	resend    time.Duration // interval after that
+}
+
+// lastUpdate returns the time of the newest strike.
+func (s *partSuspect) lastUpdate() time.Duration {
+	if len(s.strikes) == 0 {
+		return 0
+	}
+	return s.strikes[len(s.strikes)-1].brokeAt
+}
+
+// NewPartQuarantine returns an empty PartQuarantine.
+func NewPartQuarantine() *PartQuarantine {
+	return &PartQuarantine{
+		suspects: map[uint64]*partSuspect{},
+		crashes:  map[uint64]struct{}{},
+		starts:   newRecentStarts(),
+	}
+}
+
+// Arrived records the arrival of a request, before Check.
+func (q *PartQuarantine) Arrived(parts []uint64, _ time.Duration) {
+	if len(parts) == 0 {
+		return
+	}
+	replaced := q.arrivals.add(parts)
+	if len(q.suspects) == 0 {
+		return
+	}
+	q.countArrivals(replaced.list(), -1)
+	q.countArrivals(parts[:min(len(parts), maxArrivalParts)], 1)
+	q.judge()
+}
+
+func (q *PartQuarantine) countArrivals(parts []uint64, n int) {
+	for _, p := range parts {
+		if s := q.suspects[p]; s != nil {
+			s.arrivals += n
+		}
+	}
+}
+
+// Check reports whether a request must be refused because one of its parts is
+// quarantined, and for how long.
+func (q *PartQuarantine) Check(parts []uint64, now time.Duration) (retryAfter time.Duration, refuse bool) {
+	if len(q.suspects) == 0 {
+		return 0, false
+	}
+	q.update()
+	for _, p := range parts {
+		if s := q.suspects[p]; s != nil {
+			retryAfter = max(retryAfter, s.until-now)
+		}
+	}
+	return retryAfter, retryAfter > 0
+}
+
+// MayRepeat reports whether a request whose attempt broke off may be sent to another
+// server. It is called after Broke. The first strike against a part does not
+// prevent the repeat: most requests that a crash breaks off are not its cause.
+func (q *PartQuarantine) MayRepeat(parts []uint64, now time.Duration) bool {
+	if _, refuse := q.Check(parts, now); refuse {
+		return false
+	}
+	for _, p := range parts {
+		s := q.suspects[p]
+		if s != nil && !q.inUse(p, now) && !q.exempt(s) && s.suspicions(now) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// suspicions returns the number of crashes that may be due to the part, including
+// those that may still be confirmed.
+func (s *partSuspect) suspicions(now time.Duration) int {
+	n := 0
+	for i := range s.strikes {
+		k := &s.strikes[i]
+		if !k.cleared && (k.confirmed || now-k.brokeAt <= partConfirmWindow) {
+			n++
+		}
+	}
+	return n
+}
+
+// Started records that a server has begun an answer: its first event has arrived.
+// It clears the strikes against the parts, and those by an earlier crash of the same
+// incarnation, which cannot have crashed.
+func (q *PartQuarantine) Started(parts []uint64, server ServerIncarnation, now time.Duration) {
+	for _, p := range parts {
+		q.starts.record(p, now)
+		if s := q.suspects[p]; s != nil {
+			q.clear(s, now, func(k *partStrike) bool { return k.brokeAt <= now })
+		}
+	}
+	if len(q.suspects) == 0 {
+		return
+	}
+	q.update()
+	if len(q.crashes) == 0 {
+		return
+	}
+	crash := server.crashID()
+	if _, known := q.crashes[crash]; !known {
+		return
+	}
+	for _, s := range q.suspects {
+		q.clear(s, now, func(k *partStrike) bool { return k.crash == crash && k.brokeAt+partAnswerDelay < now })
+	}
+}
+
+// clear clears the strikes that match.
+func (q *PartQuarantine) clear(s *partSuspect, now time.Duration, match func(*partStrike) bool) {
+	for i := range s.strikes {
+		if k := &s.strikes[i]; !k.cleared && match(k) {
+			k.cleared = true
+			k.sendFrom(now)
+			q.changed = true
+		}
+	}
+}
+
+// Broke records that a request that was sent to a server at sentAt was broken off
+// before its answer had begun.
+func (q *PartQuarantine) Broke(parts []uint64, server ServerIncarnation, sentAt, now time.Duration) {
+	crash := server.crashID()
+	confirmed := slices.ContainsFunc(q.down, func(e serverEvent) bool { return e.id == server.ID && e.at >= sentAt })
+	if !confirmed {
+		q.pending = appendEvent(q.pending, serverEvent{id: server.ID, crash: crash, at: now})
+	}
+	for _, p := range parts {
+		k := partStrike{crash: crash, sentAt: sentAt, brokeAt: now, confirmed: confirmed}
+		k.sendFrom(now)
+		q.add(p, k, now)
+	}
+}
+
+// appendEvent adds an event, in place of an earlier one of the same server and
+// incarnation or, if there are too many, of the oldest.
+func appendEvent(list []serverEvent, e serverEvent) []serverEvent {
+	i := slices.IndexFunc(list, func(o serverEvent) bool { return o.id == e.id && o.crash == e.crash })
+	if i < 0 && len(list) >= maxServerEvents {
+		i = 0
+	}
+	if i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	return append(list, e)
+}
+
+// ServerDown records that a server has crashed, as is evident from refused
+// connections, from the answers of other servers or from a new incarnation. It
+// confirms the crash for the requests that broke off shortly before.
+func (q *PartQuarantine) ServerDown(id string, now time.Duration) {
+	q.down = appendEvent(q.down, serverEvent{id: id, at: now})
+	q.pending = slices.DeleteFunc(q.pending, func(e serverEvent) bool {
+		if e.id != id {
+			return false
+		}
+		if now-e.at <= partConfirmWindow {
+			q.confirm(e.crash, now)
+		}
+		return true
+	})
+}
+
+func (q *PartQuarantine) confirm(crash uint64, now time.Duration) {
+	for _, s := range q.suspects {
+		for i := range s.strikes {
+			if k := &s.strikes[i]; k.crash == crash && !k.confirmed {
+				k.confirmed = true
+				k.sendFrom(now)
+				q.changed = true
+			}
+		}
+	}
+}
+
+// Merge adds evidence received from a peer.
+func (q *PartQuarantine) Merge(evidence []wire.PartEvidence, now time.Duration) {
+	for i := range evidence {
+		e := &evidence[i]
+		sent, broke := time.Duration(e.SentAge)*time.Millisecond, time.Duration(e.BrokeAge)*time.Millisecond
+		if broke < 0 || sent < broke || broke > PartTTL || sent > 2*PartTTL {
+			continue
+		}
+		q.add(e.Part, partStrike{
+			crash: e.Crash, sentAt: now - sent, brokeAt: now - broke,
+			confirmed: true, inUse: e.InUse, cleared: e.Cleared,
+			resendAt: now + partMaxResend, resend: partMaxResend,
+		}, now)
+	}
+}
+
+// add adds a strike against a part, or merges it with what is known of it.
+func (q *PartQuarantine) add(part uint64, k partStrike, now time.Duration) {
+	s := q.suspect(part, now)
+	received := k
+	if last, ok := q.starts.last(part); ok {
+		k.cleared = k.cleared || last > k.brokeAt
+		k.inUse = k.inUse || last <= k.brokeAt && k.brokeAt-last <= partInUseWindow
+	}
+	i := slices.IndexFunc(s.strikes, func(o partStrike) bool { return o.crash == k.crash })
+	if i < 0 {
+		i = s.insert(k)
+		q.changed = true
+	} else if s.strikes[i].merge(&k) {
+		q.changed = true
+	}
+	if known := &s.strikes[i]; known.cleared && !received.cleared || known.inUse && !received.inUse {
+		known.resendAt = min(known.resendAt, now) // the sender does not know it yet
+	}
+	s.sort()
+}
+
+// suspect returns the evidence against a part, which may be empty.
+func (q *PartQuarantine) suspect(part uint64, now time.Duration) *partSuspect {
+	s := q.suspects[part]
+	if s != nil && now-s.lastUpdate() <= PartTTL {
+		return s
+	}
+	makeRoom(q.suspects, maxPartSuspects, PartTTL, now)
+	s = &partSuspect{part: part, arrivals: q.arrivals.count(part)}
+	q.suspects[part] = s
+	q.changed = true
+	return s
+}
+
+// insert adds a strike and returns its index. If there are too many, it replaces the
+// oldest, preferably of those that do not count.
+func (s *partSuspect) insert(k partStrike) int {
+	if len(s.strikes) < maxPartStrikes {
+		s.strikes = append(s.strikes, k)
+		return len(s.strikes) - 1
+	}
+	i := max(0, slices.IndexFunc(s.strikes, func(o partStrike) bool { return !o.counts() }))
+	s.strikes[i] = k
+	return i
+}
+
+func (s *partSuspect) sort() {
+	slices.SortFunc(s.strikes, func(a, b partStrike) int {
+		return cmp.Or(cmp.Compare(a.brokeAt, b.brokeAt), cmp.Compare(a.crash, b.crash))
+	})
+}
+
+// merge adds what another observer knows of the same crash and reports whether it
+// changes anything.
+func (k *partStrike) merge(o *partStrike) bool {
+	before := *k
+	k.sentAt, k.brokeAt = min(k.sentAt, o.sentAt), min(k.brokeAt, o.brokeAt)
+	k.inUse, k.cleared = k.inUse || o.inUse, k.cleared || o.cleared
+	if o.confirmed && !k.confirmed {
+		k.confirmed, k.resendAt, k.resend = true, o.resendAt, o.resend
+	}
+	return *k != before
+}
+
+// counts reports whether the strike counts against its part.
+func (k *partStrike) counts() bool { return k.confirmed && !k.cleared }
+
+// sendFrom schedules the strike to be sent at once, and then at growing intervals.
+func (k *partStrike) sendFrom(now time.Duration) { k.resendAt, k.resend = now, partFirstResend }
+
+// update computes what follows from the strikes if they have changed.
+func (q *PartQuarantine) update() {
+	if !q.changed {
+		return
+	}
+	q.changed = false
+	q.accused = q.accused[:0]
+	clear(q.crashes)
+	for _, s := range q.suspects {
+		s.until = 0
+		for i := range s.strikes {
+			if !s.strikes[i].cleared {
+				q.crashes[s.strikes[i].crash] = struct{}{}
+			}
+		}
+		if s.suffices(func(*partStrike) bool { return true }) {
+			q.accused = append(q.accused, s)
+		}
+	}
+	q.judge()
+}
+
+// judge decides which of the accused parts are quarantined, the rarest first.
+func (q *PartQuarantine) judge() {
+	if len(q.accused) == 0 {
+		return
+	}
+	slices.SortFunc(q.accused, func(a, b *partSuspect) int {
+		return cmp.Or(cmp.Compare(a.arrivals, b.arrivals), cmp.Compare(a.part, b.part))
+	})
+	explained := map[uint64]int{} // lowest number of arrivals of a quarantined part, by crash
+	for _, s := range q.accused {
+		s.until = 0
+		if q.exempt(s) || !s.suffices(func(k *partStrike) bool {
+			rarest, ok := explained[k.crash]
+			return !ok || rarest >= s.arrivals
+		}) {
+			continue
+		}
+		for i := range s.strikes {
+			k := &s.strikes[i]
+			if !k.counts() {
+				continue
+			}
+			s.until = max(s.until, k.brokeAt+PartTTL)
+			if _, ok := explained[k.crash]; !ok {
+				explained[k.crash] = s.arrivals
+			}
+		}
+	}
+}
+
+// suffices reports whether the strikes that count and match are enough to
+// quarantine the part.
+func (s *partSuspect) suffices(match func(*partStrike) bool) bool {
+	return s.successive(func(k *partStrike) bool { return !k.inUse && match(k) }) >= partStrikeLimit ||
+		s.successive(match) >= partInUseLimit
+}
+
+// successive returns the largest number of matching strikes of which each request
+// was sent after the one before was broken off.
+func (s *partSuspect) successive(match func(*partStrike) bool) int {
+	n, last := 0, time.Duration(0)
+	for i := range s.strikes {
+		k := &s.strikes[i]
+		if k.counts() && match(k) && (n == 0 || k.sentAt >= last) {
+			n, last = n+1, k.brokeAt
+		}
+	}
+	return n
+}
+
+// exempt reports whether most of the recent arrivals carry the part, so that
+// refusing it would be an outage.
+func (q *PartQuarantine) exempt(s *partSuspect) bool {
+	return q.arrivals.len >= partGuardArrivals && 2*s.arrivals > q.arrivals.len
+}
+
+// inUse reports whether a server has recently begun an answer on the part.
+func (q *PartQuarantine) inUse(part uint64, now time.Duration) bool {
+	last, ok := q.starts.last(part)
+	return ok && now-last <= partInUseWindow
+}
+
+// Evidence returns the evidence that is due to be sent to all peers. It is called
+// periodically. New evidence is due at once, and all evidence that counts is due
+// again and again, so that lost datagrams and restarted peers make no difference.
+func (q *PartQuarantine) Evidence(now time.Duration) []wire.PartEvidence {
+	if len(q.suspects) == 0 {
+		return nil
+	}
+	q.expire(now)
+	type dueStrike struct {
+		part uint64
+		*partStrike
+	}
+	var due []dueStrike
+	for part, s := range q.suspects {
+		for i := range s.strikes {
+			if k := &s.strikes[i]; k.due(now) {
+				due = append(due, dueStrike{part, k})
+			}
+		}
+	}
+	slices.SortFunc(due, func(a, b dueStrike) int {
+		return cmp.Or(cmp.Compare(a.resendAt, b.resendAt), cmp.Compare(a.part, b.part), cmp.Compare(a.crash, b.crash))
+	})
+	due = due[:min(len(due), maxPartEvidence)]
+	evidence := make([]wire.PartEvidence, 0, len(due))
+	for _, d := range due {
+		evidence = append(evidence, d.evidence(d.part, now))
+		d.sent(now)
+	}
+	return evidence
+}
+
+// expire removes strikes that were not confirmed, and parts without new strikes.
+func (q *PartQuarantine) expire(now time.Duration) {
+	for part, s := range q.suspects {
+		n := len(s.strikes)
+		s.strikes = slices.DeleteFunc(s.strikes, func(k partStrike) bool {
+			return !k.confirmed && now-k.brokeAt > partConfirmWindow
+		})
+		q.changed = q.changed || len(s.strikes) < n
+		if len(s.strikes) == 0 || now-s.lastUpdate() > PartTTL {
+			delete(q.suspects, part)
+			q.changed = true
+		}
+	}
+}
+
+// due reports whether the strike is to be sent.
+func (k *partStrike) due(now time.Duration) bool {
+	return k.confirmed && now >= k.resendAt && now-k.brokeAt <= PartTTL-partResendMargin
+}
+
+// sent schedules the next time that the strike is sent. Once the peers are likely to
+// know that it is cleared, it is sent only in answer to one that does not.
+func (k *partStrike) sent(now time.Duration) {
+	if k.cleared && k.resend == partMaxResend {
+		k.resendAt = time.Duration(math.MaxInt64)
+		return
+	}
+	k.resendAt, k.resend = now+k.resend, min(2*k.resend, partMaxResend)
+}
+
+func (k *partStrike) evidence(part uint64, now time.Duration) wire.PartEvidence {
+	return wire.PartEvidence{
+		Part: part, Crash: k.crash,
+		SentAge: (now - k.sentAt).Milliseconds(), BrokeAge: (now - k.brokeAt).Milliseconds(),
+		InUse: k.inUse, Cleared: k.cleared,
+	}
+}
--- a/admit/quarantine.go
+++ b/admit/quarantine.go
@@ -51,6 +51,8 @@
 	updatedAt time.Duration
 }
 
+func (s *suspect) lastUpdate() time.Duration { return s.updatedAt }
+
 // change is one new or updated piece of evidence, in the order of arrival.
 type change struct {
 	seq      uint64
@@ -101,7 +103,7 @@
 func (q *Quarantine) merge(e wire.Suspect, now time.Duration) {
 	s := q.suspects[e.Fingerprint]
 	if s == nil {
-		q.evict(now)
+		makeRoom(q.suspects, maxSuspects, SuspectTTL, now)
 		s = &suspect{}
 		q.suspects[e.Fingerprint] = s
 	}
@@ -153,27 +155,6 @@
 	q.changes = kept
 }
 
-// evict makes room for one more fingerprint: it removes those that have
-// expired and, if that is not enough, the least recently updated one.
-func (q *Quarantine) evict(now time.Duration) {
-	if len(q.suspects) < maxSuspects {
-		return
-	}
-	oldest, oldestAt := uint64(0), time.Duration(1<<62)
-	for fp, s := range q.suspects {
-		if now-s.updatedAt > SuspectTTL {
-			delete(q.suspects, fp)
-			continue
-		}
-		if s.updatedAt < oldestAt || s.updatedAt == oldestAt && fp < oldest {
-			oldest, oldestAt = fp, s.updatedAt
-		}
-	}
-	if len(q.suspects) >= maxSuspects {
-		delete(q.suspects, oldest)
-	}
-}
-
 // Check returns the verdict on a request with this fingerprint.
 func (q *Quarantine) Check(fingerprint uint64, now time.Duration) Verdict {
 	s, ok := q.suspects[fingerprint]
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -39,3 +39,16 @@
 		require.NoError(t, err, "%T", in)
 	}
 }
+
+func TestPartReport(t *testing.T) {
+	sent := PartReport{Instance: "gateway-1", Evidence: []PartEvidence{
+		{Part: 1 << 63, Crash: 2, SentAge: 3000, BrokeAge: 2000, InUse: true},
+		{Part: 3, Crash: 4, Cleared: true},
+	}}
+	data, err := sent.MarshalMsg(nil)
+	require.NoError(t, err)
+	var received PartReport
+	_, err = received.UnmarshalMsg(data)
+	require.NoError(t, err)
+	require.Equal(t, sent, received)
+}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -2,6 +2,8 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -file instance.go -o instance_gen.go -tests=false
 
+//msgp:limit arrays:4096
+
 // Instance is the record of one process in the directory, through which processes
 // discover each other.
 type Instance struct {
@@ -42,10 +44,32 @@
 	Open  bool   `msg:"o"` // the group runs forward passes
 }
 
+// PartReport is the datagram in which a gateway sends evidence against parts of
+// prompts to the other gateways; see admit.PartQuarantine.
+type PartReport struct {
+	Instance string         `msg:"i"`
+	Evidence []PartEvidence `msg:"v"`
+}
+
+//msgp:tuple PartEvidence
+
+// PartEvidence states that a backend server crashed under a request with a part of
+// a prompt. Times are given as ages when the datagram is sent, since instances do
+// not share a clock.
+type PartEvidence struct {
+	Part     uint64 `msg:"p"`
+	Crash    uint64 `msg:"c"` // hash of the server's id and incarnation
+	SentAge  int64  `msg:"s"` // in ms, since the request was sent to the server
+	BrokeAge int64  `msg:"b"` // in ms, since the request was broken off
+	InUse    bool   `msg:"u"` // the part had been in use shortly before: a server had begun an answer on it
+	Cleared  bool   `msg:"x"` // the part did not cause the crash
+}
+
 // Kinds of datagrams, encoded as the first byte.
 const (
-	KindMapGoal     byte = 1
-	KindRankReport  byte = 2
-	KindGatewayLoad byte = 3
-	KindGroupState  byte = 4
+	KindMapGoal      byte = 1
+	KindRankReport   byte = 2
+	KindGatewayLoad  byte = 3
+	KindGroupState   byte = 4
+	KindPartEvidence byte = 5
 )
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	za81f7b74limitArrays = 4096
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *GatewayLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -43,6 +48,10 @@
 				err = msgp.WrapError(err, "Groups")
 				return
 			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Groups) >= int(zb0002) {
 				z.Groups = (z.Groups)[:zb0002]
 			} else {
@@ -169,6 +178,10 @@
 				err = msgp.WrapError(err, "Groups")
 				return
 			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Groups) >= int(zb0002) {
 				z.Groups = (z.Groups)[:zb0002]
 			} else {
@@ -735,3 +748,337 @@
 	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine)
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *PartEvidence) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za81f7b74limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Part, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.Crash, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Crash")
+		return
+	}
+	z.SentAge, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "SentAge")
+		return
+	}
+	z.BrokeAge, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "BrokeAge")
+		return
+	}
+	z.InUse, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "InUse")
+		return
+	}
+	z.Cleared, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Cleared")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PartEvidence) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	err = en.WriteUint64(z.Crash)
+	if err != nil {
+		err = msgp.WrapError(err, "Crash")
+		return
+	}
+	err = en.WriteInt64(z.SentAge)
+	if err != nil {
+		err = msgp.WrapError(err, "SentAge")
+		return
+	}
+	err = en.WriteInt64(z.BrokeAge)
+	if err != nil {
+		err = msgp.WrapError(err, "BrokeAge")
+		return
+	}
+	err = en.WriteBool(z.InUse)
+	if err != nil {
+		err = msgp.WrapError(err, "InUse")
+		return
+	}
+	err = en.WriteBool(z.Cleared)
+	if err != nil {
+		err = msgp.WrapError(err, "Cleared")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PartEvidence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint64(o, z.Part)
+	o = msgp.AppendUint64(o, z.Crash)
+	o = msgp.AppendInt64(o, z.SentAge)
+	o = msgp.AppendInt64(o, z.BrokeAge)
+	o = msgp.AppendBool(o, z.InUse)
+	o = msgp.AppendBool(o, z.Cleared)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartEvidence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.Crash, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crash")
+		return
+	}
+	z.SentAge, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SentAge")
+		return
+	}
+	z.BrokeAge, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BrokeAge")
+		return
+	}
+	z.InUse, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InUse")
+		return
+	}
+	z.Cleared, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cleared")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartEvidence) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PartReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "v":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Evidence")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evidence) >= int(zb0002) {
+				z.Evidence = (z.Evidence)[:zb0002]
+			} else {
+				z.Evidence = make([]PartEvidence, zb0002)
+			}
+			for za0001 := range z.Evidence {
+				err = z.Evidence[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Evidence", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PartReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "i"
+	err = en.Append(0x82, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Instance)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Evidence)))
+	if err != nil {
+		err = msgp.WrapError(err, "Evidence")
+		return
+	}
+	for za0001 := range z.Evidence {
+		err = z.Evidence[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PartReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evidence)))
+	for za0001 := range z.Evidence {
+		o, err = z.Evidence[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "v":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evidence")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evidence) >= int(zb0002) {
+				z.Evidence = (z.Evidence)[:zb0002]
+			} else {
+				z.Evidence = make([]PartEvidence, zb0002)
+			}
+			for za0001 := range z.Evidence {
+				bts, err = z.Evidence[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evidence", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evidence {
+		s += z.Evidence[za0001].Msgsize()
+	}
+	return
+}
