gateway: refuse requests with a part that crashes backend servers

Cause: a gateway keeps what it learns of a crash in the state of the one request, and attributes it to the server only. A further request with the part, at any gateway, goes to the next server; a request that a crash has broken off is sent to a second server at once. Class: evidence of a fault that belongs to the input is kept against the place where it shows, and dropped with the request.

Change: crashGuard keeps admit.PartQuarantine across requests and exchanges its evidence with the other gateways by datagrams of their own. A request with a quarantined part is refused on arrival, when it leaves the admission queue and before each further attempt; one that may have run still gets 502. The refusal is 503 with the time for which the evidence stands (new code 216), because evidence can be wrong; the gate's Retry-After does not replace it. The same holds for a request that is sent again unchanged, by the fingerprint that the entry uses too (moved to package route).

Details found while it was built: - Parts and whole requests need evidence of their own.

Why it works: a sound part is cleared by the next answer that begins on it, at any gateway; the part at fault never is, so that two crashes in succession, confirmed by more than a broken connection, are enough, and they come to all gateways within one interval of the exchange.

--- a/api/code.go
+++ b/api/code.go
@@ -45,6 +45,7 @@
 	NotReady         Code = 212
 	Unreachable      Code = 214
 	GroupStalled     Code = 215
+	CrashSuspect     Code = 216
 
 	Unresolved       Code = 301
 	StreamBroken     Code = 302
@@ -108,6 +109,7 @@
 	NotReady:         {"not-ready", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process has no configuration yet"},
 	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
+	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,14 +22,24 @@
 // Errors of Pool.Do.
 var (
 	// ErrNoResponse means that the request may have reached the server, but no
-	// response to it was received.
+	// response to it was received. Do returns it together with its cause.
 	ErrNoResponse = eris.New("backend: no whole answer")
 	// ErrMismatchedResponse means that the responses on the connection belong to other
-	// requests. Do returns it only as text within ErrNoResponse; errors.Is does not
-	// find it.
+	// requests.
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
 )
 
+// ClosedByServer reports whether an exchange failed with err because the server
+// closed or reset the connection.
+func ClosedByServer(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// Refused reports whether err is an ErrDial because nothing listens at the address.
+func Refused(err error) bool {
+	return errors.Is(err, ErrDial) && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Request is a request to a backend server.
 type Request struct {
 	Method     string
@@ -64,7 +77,7 @@
 	fail := func(err error) (*Response, error) {
 		stop()
 		conn.reset()
-		return nil, eris.Wrap(ErrNoResponse, err.Error())
+		return nil, fmt.Errorf("%w: %w", err, ErrNoResponse)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := conn.SetDeadline(deadline); err != nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -99,7 +100,7 @@
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, eris.Wrap(ErrDial, err.Error())
+		return nil, fmt.Errorf("%w: %w", err, ErrDial)
 	}
 	if p.OnOpen != nil {
 		p.OnOpen()
--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
+	"marjorampitch/route"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -191,16 +192,9 @@
 	return xxhash.Sum64(first[:min(len(first), prefixBytes)])
 }
 
-// contentHash returns the fingerprint of the request. It depends only on the
-// method, path, organisation and body, so a resent request has the same one.
+// contentHash returns the fingerprint of the request.
 func (c *call) contentHash() uint64 {
-	d := xxhash.New()
-	for _, part := range []string{c.method, c.path, c.organisation} {
-		d.WriteString(part)
-		d.Write([]byte{0})
-	}
-	d.Write(c.body)
-	return d.Sum64()
+	return route.Fingerprint(c.method, c.path, c.organisation, c.body)
 }
 
 // wireRequest returns the message for attempt number n.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,11 +29,13 @@
 	retried       bool          // the caller was probably refused before
 	queueTime     time.Duration // time spent waiting for admission
 	ticket        *pace.Ticket  // admission at the service's gate; nil for requests that are not paced
+	features      crashFeatures // by which crashes are attributed
 
 	tried        []string // ids of servers that were sent the request or could not be reached
 	sentAttempts int      // attempts that had a connection; the request may have reached the server
 	attempts     int      // attempts that a server may have executed
 	mayHaveRun   bool     // a server may have executed the request
+	brokenOff    bool     // a server closed the connection before it had begun an answer
 	headSent     bool     // the response head was sent to the caller
 	lastEventID  int64    // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
 }
@@ -81,6 +83,11 @@
 	if g.leaving.Load() {
 		return c, g.retryElsewhere(api.Leaving, "")
 	}
+	c.features = g.crashFeatures(c)
+	g.crashes.arrived(c, g.now())
+	if refusal := g.crashes.check(c, g.now()); refusal != nil {
+		return c, refusal
+	}
 	c.service = g.service(pickService(c.route.Split))
 	return c, nil
 }
@@ -232,7 +239,8 @@
 func (g *Gateway) reject(c *call, e *api.Error) {
 	info := e.Code.Info()
 	after := e.RetryAfter
-	if c.service != nil && c.route.Kind == fleet.Stream && info.Ran == api.NotRun && after > 0 {
+	paced := c.service != nil && c.route.Kind == fleet.Stream
+	if paced && info.Ran == api.NotRun && after > 0 && e.Code != api.CrashSuspect {
 		after = g.retryAfter(c)
 	}
 	h := c.w.Header()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -102,6 +102,10 @@
 		if c.attempts >= c.route.MaxAttempts || c.sentAttempts > 0 && !c.service.takeRetry() {
 			break
 		}
+		if refusal := g.crashes.check(c, g.now()); refusal != nil && !c.headSent {
+			last = refusal
+			break
+		}
 		// The server list may have changed since the request arrived.
 		members := g.opts.Cache.View().Services[c.service.name]
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
@@ -122,6 +126,9 @@
 		if g.expired(ctx, c) || failure.Ran != api.NotRun && !c.route.Retryable() {
 			break
 		}
+		if c.brokenOff && !g.crashes.mayRepeat(c, g.now()) {
+			break
+		}
 	}
 	g.fail(ctx, c, last)
 	return true
@@ -182,6 +189,9 @@
 		} else {
 			c.service.dialFailed(m, g.now())
 		}
+		if backend.Refused(err) {
+			g.crashes.serverDown(m.ID, "refused", g.now())
+		}
 		return false, api.NewError(api.Unreachable, m.ID)
 	}
 	c.sentAttempts++
@@ -191,7 +201,7 @@
 	if err != nil {
 		c.mayHaveRun = true
 		c.attempts++
-		g.attemptFailed(c, m, err)
+		g.attemptFailed(ctx, c, m, began, err)
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 	}
 	if g.notExecuted(resp) {
@@ -202,12 +212,12 @@
 	if isStream(resp.Response) && resp.StatusCode == http.StatusOK {
 		return g.forwardStream(ctx, c, m, resp, began)
 	}
-	return g.forwardResponse(ctx, c, m, resp)
+	return g.forwardResponse(ctx, c, m, resp, began)
 }
 
 // attemptFailed records an attempt without a complete response. If the caller
 // has disconnected, the server is not at fault.
-func (g *Gateway) attemptFailed(c *call, m *fleet.Member, err error) {
+func (g *Gateway) attemptFailed(ctx context.Context, c *call, m *fleet.Member, sent time.Duration, err error) {
 	if c.r.Context().Err() != nil {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		return
@@ -215,6 +225,10 @@
 	c.service.attemptEnded(m, g.now(), severityFailed)
 	g.opts.Log.Warn("attempt-failed", "request", c.id, "server", m.ID, "attempt", c.attempts,
 		"last_event", c.lastEventID, "err", err)
+	if ctx.Err() == nil && !c.headSent && backend.ClosedByServer(err) {
+		c.brokenOff = true
+		g.crashes.broke(c, m, sent, g.now())
+	}
 }
 
 // attemptTimeout returns the time for one attempt: all the time left, unless
@@ -275,11 +289,13 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && at != "" && c.route.Kind == fleet.Stream {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		c.service.markStalled(g.now(), c.group(), at)
+		g.serverAtFault(m, at)
 		g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
 		return api.NewError(api.GroupStalled, at)
 	}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.service.misdirected(m, g.now())
+		g.crashes.serverDown(m.ID, "misdirected", g.now())
 	} else {
 		c.service.attemptEnded(m, g.now(), severityRefused)
 	}
@@ -287,6 +303,16 @@
 	return api.NewError(api.Overloaded, m.ID+" answered "+strconv.Itoa(resp.StatusCode))
 }
 
+// serverAtFault records that m has named a server, by address or id, because of
+// which its group has stalled. Servers also name themselves.
+func (g *Gateway) serverAtFault(m *fleet.Member, at string) {
+	for id, o := range g.opts.Cache.View().Members {
+		if (id == at || o.Address == at) && o.Address != m.Address {
+			g.crashes.serverDown(id, "group-stalled", g.now())
+		}
+	}
+}
+
 // validResponse reports whether a response is not content-encoded and, if it is
 // successful, carries the server's seal.
 func (g *Gateway) validResponse(resp *http.Response) bool {
@@ -297,7 +323,7 @@
 }
 
 // forwardResponse reads a complete response and forwards it to the caller.
-func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response) (bool, *api.Error) {
+func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
@@ -308,10 +334,13 @@
 	}
 	if err != nil {
 		resp.Abort()
-		g.attemptFailed(c, m, err)
+		g.attemptFailed(ctx, c, m, sent, err)
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 	}
 	resp.Finish()
+	if !impliesNotExecuted(resp.StatusCode) {
+		g.crashes.started(c, m, g.now())
+	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotExecuted(resp.StatusCode) {
 		c.service.attemptEnded(m, g.now(), severityError)
 		if g.shouldRetry(ctx, c) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	start    time.Time
 	metrics  *metrics
 	peers    *peers
+	crashes  *crashGuard
 	stopping atomic.Bool // reported as not ready, still accepts requests
 	leaving  atomic.Bool // refuses new requests
 	inFlight inFlightRequests
@@ -99,6 +100,7 @@
 		metrics:  newMetrics(opts.Registry),
 	}
 	g.peers = newPeers(g)
+	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -212,6 +214,7 @@
 			g.sweep(idle)
 		case <-groupTick.C:
 			g.updateAllGroups()
+			g.crashes.observe(g.opts.Cache.View(), g.now())
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,14 +24,16 @@
 // metrics holds the counters and histograms of a gateway. The number of label
 // sets is bounded by the result codes and maxRoutes.
 type metrics struct {
-	answers    *prometheus.CounterVec
-	queueTime  prometheus.Histogram
-	retries    prometheus.Counter
-	resumes    prometheus.Counter
-	opened     prometheus.Counter
-	firstEvent prometheus.Histogram
-	eventGap   prometheus.Histogram
-	duration   prometheus.Histogram
+	answers          *prometheus.CounterVec
+	queueTime        prometheus.Histogram
+	retries          prometheus.Counter
+	resumes          prometheus.Counter
+	opened           prometheus.Counter
+	crashesSuspected prometheus.Counter
+	crashesConfirmed prometheus.Counter
+	firstEvent       prometheus.Histogram
+	eventGap         prometheus.Histogram
+	duration         prometheus.Histogram
 
 	mu     sync.Mutex // guards routes
 	routes map[string]bool
@@ -58,9 +60,11 @@
 		routes: make(map[string]bool),
 		queueTime: histogram("queue_seconds", "Time that a request waited for admission.",
 			[]float64{.01, .03, .06, .12, .25, .5, 1}),
-		retries: counter("retries_total", "Attempts after the first of a request."),
-		resumes: counter("resumes_total", "Streams resumed at another backend server."),
-		opened:  counter("connections_opened_total", "Connections opened to backend servers."),
+		retries:          counter("retries_total", "Attempts after the first of a request."),
+		resumes:          counter("resumes_total", "Streams resumed at another backend server."),
+		opened:           counter("connections_opened_total", "Connections opened to backend servers."),
+		crashesSuspected: counter("crashes_suspected_total", "Attempts that a backend server broke off before it had begun an answer."),
+		crashesConfirmed: counter("crashes_confirmed_total", "Backend servers suspected of a crash that turned out to be gone."),
 		firstEvent: histogram("first_event_seconds", "Time from the arrival of a request to the first event of its stream.",
 			[]float64{.05, .1, .2, .3, .4, .5, .7, 1, 2, 4}),
 		eventGap: histogram("pause_seconds", "Time between two events of a stream.",
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
 
 	"marjorampitch/pace"
 	"marjorampitch/wire"
@@ -52,7 +53,7 @@
 	}
 	go p.g.opts.Directory.Announce(ctx, st.Instance, wire.Instance{Role: wire.RoleGateway, Address: addr})
 	go p.receive()
-	go p.broadcastLoads(ctx)
+	go p.broadcast(ctx)
 	return nil
 }
 
@@ -92,12 +93,26 @@
 			return eris.Wrap(err, "decode group state")
 		}
 		p.handleGroupState(&s)
+	case wire.KindPartEvidence:
+		return p.handleEvidence(causePart, data[1:])
+	case wire.KindRequestEvidence:
+		return p.handleEvidence(causeRequest, data[1:])
 	default:
 		return eris.Errorf("unknown datagram kind %d", data[0])
 	}
 	return nil
 }
 
+// handleEvidence merges a peer's evidence of crashes.
+func (p *peers) handleEvidence(cause crashCause, data []byte) error {
+	var r wire.PartReport
+	if _, err := r.UnmarshalMsg(data); err != nil {
+		return eris.Wrap(err, "decode evidence of crashes")
+	}
+	p.g.crashes.merge(cause, r.Evidence, p.g.now())
+	return nil
+}
+
 // handleGroupState records whether a group executes passes.
 func (p *peers) handleGroupState(x *wire.GroupState) {
 	now := p.g.now()
@@ -132,15 +147,21 @@
 	}
 }
 
-// broadcastLoads sends this instance's loads to its peers until ctx ends. When
-// there are none any more, it sends one empty message and then pauses.
-func (p *peers) broadcastLoads(ctx context.Context) {
+// broadcast sends this instance's loads and its evidence of crashes to its peers
+// until ctx ends. When there are no loads any more, it sends one empty message and
+// then pauses.
+func (p *peers) broadcast(ctx context.Context) {
 	busy := false
 	for ctx.Err() == nil {
 		addrs := p.addresses()
 		if l := p.currentLoads(); busy || len(l.Groups) > 0 {
 			busy = len(l.Groups) > 0
-			p.send(l, addrs)
+			p.send(wire.KindGatewayLoad, l, addrs)
+		}
+		for cause := range crashCauses {
+			if evidence := p.g.crashes.evidence(cause, p.g.now()); len(evidence) > 0 {
+				p.send(cause.datagram(), &wire.PartReport{Instance: p.g.opts.Settings.Instance, Evidence: evidence}, addrs)
+			}
 		}
 		time.Sleep(broadcastInterval + time.Duration(len(addrs))*broadcastIntervalPerPeer)
 	}
@@ -169,10 +190,11 @@
 // group without streams is not reported.
 const minReportedRate = 0.2
 
-func (p *peers) send(l *wire.GatewayLoad, addrs []*net.UDPAddr) {
-	data, err := l.MarshalMsg([]byte{wire.KindGatewayLoad})
+// send sends a message to the addresses.
+func (p *peers) send(kind byte, message msgp.Marshaler, addrs []*net.UDPAddr) {
+	data, err := message.MarshalMsg([]byte{kind})
 	if err != nil {
-		p.g.opts.Log.Error("load-not-encoded", "err", err)
+		p.g.opts.Log.Error("datagram-not-encoded", "kind", kind, "err", err)
 		return
 	}
 	for _, a := range addrs {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,10 +69,10 @@
 func (g *Gateway) forwardStream(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (done bool, failure *api.Error) {
 	if !g.validResponse(resp.Response) {
 		resp.Abort()
-		g.attemptFailed(c, m, errors.New("stream response is content-encoded or has no seal header"))
+		g.attemptFailed(ctx, c, m, sent, errors.New("stream response is content-encoded or has no seal header"))
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID}
 	}
-	err := g.copyEvents(c, resp, sent)
+	err := g.copyEvents(c, m, resp, sent)
 	if err == io.EOF {
 		resp.Finish()
 		c.service.attemptEnded(m, g.now(), severityNone)
@@ -84,13 +84,13 @@
 		return true, nil
 	}
 	resp.Abort()
-	g.attemptFailed(c, m, err)
+	g.attemptFailed(ctx, c, m, sent, err)
 	return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 }
 
 // copyEvents forwards complete events until the stream ends. It returns io.EOF
 // when the stream ended normally.
-func (g *Gateway) copyEvents(c *call, resp *backend.Response, sent time.Duration) error {
+func (g *Gateway) copyEvents(c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) error {
 	events := newEventReader(resp.Body)
 	watch := g.watchStream(c, resp)
 	defer watch.timer.Stop()
@@ -106,6 +106,9 @@
 		}
 		now := g.now()
 		watch.timer.Reset(silenceTimeout)
+		if previous < 0 {
+			g.crashes.started(c, m, now)
+		}
 		g.recordEvent(c, now, previous, sent)
 		previous = now
 		if !c.headSent {
--- a/route/route.go
+++ b/route/route.go
@@ -84,6 +84,18 @@
 // HashName returns the hash of a server name for Candidate.Hash.
 func HashName(name string) uint64 { return xxhash.Sum64String(name) }
 
+// Fingerprint identifies a request by its content, so that one that is sent again
+// unchanged has the same fingerprint.
+func Fingerprint(method, path, organisation string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{method, path, organisation} {
+		d.WriteString(s)
+		d.Write([]byte{0})
+	}
+	d.Write(body)
+	return d.Sum64()
+}
+
 // Mix combines two hashes into one with well distributed bits.
 func Mix(a, b uint64) uint64 {
 	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -72,4 +72,6 @@
 	KindGatewayLoad  byte = 3
 	KindGroupState   byte = 4
 	KindPartEvidence byte = 5
+	// KindRequestEvidence is a PartReport on whole requests, identified by route.Fingerprint.
+	KindRequestEvidence byte = 6
 )
