--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,10 @@
 type Options struct {
 	Settings Settings
 	Headers  HeaderNames
-	Cache    *fleet.Cache
+	// PromptParts returns the ids of the parts of a request's prompt that other
+	// requests may share. It may be nil.
+	PromptParts func(http.Header) []uint64
+	Cache       *fleet.Cache
 	// FreshnessProof returns the latest time, on the clock of package clock, at
 	// which the cached document was known to be the newest one; ok is false
 	// before the first complete read.
@@ -78,6 +81,7 @@
 	start    time.Time
 	metrics  *metrics
 	peers    *peers
+	crashes  *crashGuard
 	stopping atomic.Bool // reported as not ready, still accepts requests
 	leaving  atomic.Bool // refuses new requests
 	inFlight inFlightRequests
@@ -100,6 +104,7 @@
 		metrics:  newMetrics(opts.Registry),
 	}
 	g.peers = newPeers(g)
+	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -222,6 +227,7 @@
 			g.sweep(conns, limit)
 		case <-groupTick.C:
 			g.updateAllGroups()
+			g.crashes.observe(g.opts.Cache.View(), g.now())
 		}
 	}
 }
