--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -85,10 +85,10 @@
 func (g *Gateway) forwardStream(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (done bool, failure *api.Error) {
 	if !g.validResponse(resp.Response) {
 		resp.Abort()
-		g.attemptFailed(c, m, errors.New("stream response is content-encoded or has no seal header"))
+		g.attemptFailed(ctx, c, m, sent, errors.New("stream response is content-encoded or has no seal header"))
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID}
 	}
-	n, err := g.copyEvents(c, resp, sent)
+	n, err := g.copyEvents(c, m, resp, sent)
 	if err == io.EOF && n == 0 && !resp.Delimited() {
 		err = io.ErrUnexpectedEOF // its end cannot be told from a broken connection
 	}
@@ -103,13 +103,13 @@
 		return true, nil
 	}
 	resp.Abort()
-	g.attemptFailed(c, m, err)
+	g.attemptFailed(ctx, c, m, sent, err)
 	return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 }
 
 // copyEvents forwards complete events until the stream ends. It returns the number of
 // chunks of events, and io.EOF when the stream ended normally.
-func (g *Gateway) copyEvents(c *call, resp *backend.Response, sent time.Duration) (n int, err error) {
+func (g *Gateway) copyEvents(c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (n int, err error) {
 	events := newEventReader(resp.Body)
 	watch := g.watchStream(c, resp)
 	defer watch.timer.Stop()
@@ -125,6 +125,9 @@
 		}
 		now := g.now()
 		watch.timer.Reset(silenceTimeout)
+		if previous < 0 {
+			g.crashes.started(c, m, now)
+		}
 		g.recordEvent(c, now, previous, sent)
 		previous = now
 		if !c.headSent {
