gateway: the silence of a stream is judged by its reader

Callers saw: a stream that was well under way ended midway; so did the stream of a caller that read slowly. Cause: the watch was a timer whose callback ran beside the reading of the stream. A callback that was running when the stream ended came too late for Timer.Stop: it armed the timer again, and later reset the connection, which by then served another caller. While the gateway waited for its own caller to take an event, the timer ran on, as if the server were silent. Change: the wait for data is the read deadline of the connection, set as a read begins, and the goroutine that reads judges the silence between two reads. No watch outlives its stream, and nothing but a wait for data counts. Silence now means that no data arrives; part of an event ends it, too. Evidence: TestWatchOfEndedStreamDoesNotCutNextStream failed before (the second stream ended after its event 6 of 20: "id: 6\ndata: x\n\n CUT") and passes now. TestCallerThatDoesNotReadIsNotSilenceOfServer failed before ("unexpected EOF") and passes now. Both pass five times with -race, and twice with GOMAXPROCS=1.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +28,8 @@
 	// requests. Do returns it only as text within ErrNoResponse; errors.Is does not
 	// find it.
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
+	// ErrSilent reports a server whose silence a watch has ended.
+	ErrSilent = eris.New("backend: no data from the server")
 )
 
 // Request is a request to a backend server.
@@ -45,9 +50,39 @@
 // Abort.
 type Response struct {
 	*http.Response
-	conn *Conn
-	pool *Pool
-	stop func() bool
+	conn   *Conn
+	reader *exchangeReader
+	pool   *Pool
+	stop   func() bool
+}
+
+// exchangeReader reads the responses of one exchange from its connection.
+type exchangeReader struct {
+	conn     net.Conn
+	deadline time.Time // of the exchange; zero for none
+	silence  time.Duration
+	onSilent func() bool // nil for no watch
+}
+
+// Read implements io.Reader. Silence is judged between reads, so that neither a read
+// nor the end of the exchange can overlap with it.
+func (r *exchangeReader) Read(p []byte) (int, error) {
+	for {
+		deadline := r.deadline
+		if r.onSilent != nil {
+			deadline = time.Now().Add(r.silence)
+		}
+		if err := r.conn.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+		n, err := r.conn.Read(p)
+		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if r.onSilent() {
+			return 0, ErrSilent
+		}
+	}
 }
 
 // Do sends the request and reads the head of the response. ctx bounds the exchange
@@ -60,6 +95,8 @@
 	if err != nil {
 		return nil, err
 	}
+	reader := &exchangeReader{conn: conn.Conn}
+	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
 		stop()
@@ -67,6 +104,7 @@
 		return nil, eris.Wrap(ErrNoResponse, err.Error())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
+		reader.deadline = deadline
 		if err := conn.SetDeadline(deadline); err != nil {
 			return fail(err)
 		}
@@ -78,7 +116,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	return &Response{Response: resp, conn: conn, pool: p, stop: stop}, nil
+	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
 }
 
 // encode returns the head and body of the request in one buffer.
@@ -135,6 +173,12 @@
 	r.pool.Put(r.conn, idleTimeout(r.Header.Get("Keep-Alive")))
 }
 
+// WatchSilence calls onSilent each time a read of the body has waited this long for data.
+// If it returns true the read fails with ErrSilent. It is called by the reading goroutine.
+func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
+	r.reader.silence, r.reader.onSilent = silence, onSilent
+}
+
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
 func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"marjorampitch/api"
@@ -15,7 +14,7 @@
 
 // Limits of streams.
 const (
-	// silenceTimeout is the time without an event after which a stream's connection is
+	// silenceTimeout is the time without data after which a stream's connection is
 	// aborted if its group is active.
 	silenceTimeout = 700 * time.Millisecond
 	// firstResponseTimeoutFactor is the time without a response after which an attempt
@@ -27,15 +26,6 @@
 	groupActivityWindow = 300 * time.Millisecond
 )
 
-// errSilent reports a connection that silenceWatch has aborted.
-var errSilent = errors.New("gateway: connection silent while the group goes on")
-
-// silenceWatch aborts a stream whose connection is silent while its group is active.
-type silenceWatch struct {
-	timer  *time.Timer
-	silent atomic.Bool
-}
-
 // watchFirstResponse cancels an attempt that has had no response for a while
 // although its group is active, for example because the rank's instance is
 // frozen: another rank may answer before the caller disconnects. An attempt that no
@@ -52,21 +42,15 @@
 	})
 }
 
-// watchStream starts the silenceWatch of a stream. It is called once the attempt has
-// been counted.
-func (g *Gateway) watchStream(c *call, resp *backend.Response) *silenceWatch {
-	w := &silenceWatch{}
-	last := !c.route.Retryable() || c.attempts >= c.route.MaxAttempts
-	group, tried := c.group(), c.tried
-	w.timer = time.AfterFunc(silenceTimeout, func() {
-		if !last && c.service.activeSince(group, g.now()-groupActivityWindow) && g.reserveAttempt(c, group, tried) {
-			w.silent.Store(true)
-			resp.Abort()
-			return
-		}
-		w.timer.Reset(silenceTimeout)
+// watchStream ends the attempt when its connection is silent while its group is active
+// and another attempt can follow. It is called once the attempt has been counted.
+func (g *Gateway) watchStream(c *call, resp *backend.Response) {
+	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
+		return
+	}
+	resp.WatchSilence(silenceTimeout, func() bool {
+		return c.service.activeSince(c.group(), g.now()-groupActivityWindow) && g.reserveAttempt(c, c.group(), c.tried)
 	})
-	return w
 }
 
 // reserveAttempt takes a retry from the budget for the request's next attempt, if a
@@ -111,20 +95,15 @@
 // chunks of events, and io.EOF when the stream ended normally.
 func (g *Gateway) copyEvents(c *call, resp *backend.Response, sent time.Duration) (n int, err error) {
 	events := newEventReader(resp.Body)
-	watch := g.watchStream(c, resp)
-	defer watch.timer.Stop()
+	g.watchStream(c, resp)
 	flush := http.NewResponseController(c.w)
 	previous := time.Duration(-1)
 	for ; ; n++ {
 		chunk, last, err := events.next()
 		if err != nil {
-			if watch.silent.Load() {
-				return n, errSilent
-			}
 			return n, err
 		}
 		now := g.now()
-		watch.timer.Reset(silenceTimeout)
 		g.recordEvent(c, now, previous, sent)
 		previous = now
 		if !c.headSent {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,3 +178,98 @@
 		})
 	}
 }
+
+// serveStreams answers streams; script writes the events of the nth one.
+func serveStreams(script func(n int, c *conn)) func(c *conn) {
+	var served atomic.Int64
+	return func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			c.write(strings.Replace(streamHead(r), "\r\n\r\n", "\r\nKeep-Alive: timeout=9\r\n\r\n", 1))
+			script(int(served.Add(1)), c)
+			c.write("0\r\n\r\n")
+		}
+	}
+}
+
+func resetRequest(c *conn) {
+	c.request()
+	c.reset()
+}
+
+// preferInOrder makes the gateway try the servers in this order.
+func (tg *testGateway) preferInOrder(ids ...string) {
+	s := tg.g.service("s")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, id := range ids {
+		s.stateOf(tg.cache.View().Members[id]).inFlight = i << 10
+	}
+}
+
+// The second stream uses the connection of the first, which was silent until it ended.
+func TestWatchOfEndedStreamDoesNotCutNextStream(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	silent, finish := make(chan struct{}), make(chan struct{})
+	first := tg.server(serveStreams(func(n int, c *conn) {
+		c.write(event(0))
+		if n == 1 {
+			close(silent)
+			<-finish
+			return
+		}
+		for id := 1; id <= 20; id++ {
+			time.Sleep(100 * time.Millisecond)
+			c.write(event(id))
+		}
+	}))
+	tg.preferInOrder(first, tg.server(resetRequest))
+	s := tg.g.service("s")
+	ended := make(chan string, 1)
+	go func() {
+		_, body, _ := tg.call("/stream/")
+		ended <- body
+	}()
+	<-silent
+	time.Sleep(silenceTimeout - 100*time.Millisecond)
+	s.mu.Lock() // delays the judgement of the silence
+	time.Sleep(200 * time.Millisecond)
+	close(finish)
+	time.Sleep(200 * time.Millisecond)
+	s.mu.Unlock()
+	require.NotContains(t, <-ended, "CUT")
+	_, body, _ := tg.call("/stream/")
+	require.NotContains(t, body, "CUT")
+	require.Contains(t, body, "id: 20")
+}
+
+func TestCallerThatDoesNotReadIsNotSilenceOfServer(t *testing.T) {
+	t.Parallel()
+	tg := newUnservedGateway(t)
+	var resumed atomic.Bool
+	first := tg.server(serveStreams(func(_ int, c *conn) {
+		for id := 1; id <= 30; id++ {
+			c.write(event(id))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}))
+	other := tg.server(func(c *conn) {
+		resumed.Store(true)
+		resetRequest(c)
+	})
+	tg.preferInOrder(first, other)
+	tg.keepActive()
+	ln := newPipeListener()
+	tg.serveOn(ln)
+	c := ln.dial()
+	go io.WriteString(c.conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Id: ff\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n")
+	resp, err := http.ReadResponse(c.br, nil)
+	require.NoError(t, err)
+	_, err = resp.Body.Read(make([]byte, 10))
+	require.NoError(t, err)
+	time.Sleep(2 * silenceTimeout)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), "id: 30")
+	require.False(t, resumed.Load())
+}
