gateway: a stream whose data has arrived is not silent

Callers saw: after a short pause of the gateway's process, streams ended midway although their servers had been sending all the time; so did a single stream whose event arrived just as its silence was judged. Cause: a deadline that has passed says that the gateway has not read for so long, not that the server was silent. While the process is paused, or the judgement waits for a lock, events arrive and stay in the socket. Change: before and after the judgement the watch looks whether the connection has data or has ended, and if so reads on. A retry that was reserved meanwhile remains reserved for the request's next attempt and is not taken twice.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"marjorampitch/internal/sockopt"
 )
 
 // maxSkippedResponses is the number of responses, informational ones and those to
@@ -58,7 +60,7 @@
 
 // exchangeReader reads the responses of one exchange from its connection.
 type exchangeReader struct {
-	conn     net.Conn
+	conn     *net.TCPConn
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
 	onSilent func() bool // nil for no watch
@@ -79,12 +81,21 @@
 		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if r.onSilent() {
+		// A deadline also passes while this process is paused.
+		if r.waiting() && r.onSilent() && r.waiting() {
 			return 0, ErrSilent
 		}
 	}
 }
 
+// waiting reports whether the connection is open and no data has arrived.
+func (r *exchangeReader) waiting() bool {
+	if err := r.conn.SetReadDeadline(time.Time{}); err != nil { // CanReuse fails after a deadline
+		return false
+	}
+	return sockopt.CanReuse(r.conn)
+}
+
 // Do sends the request and reads the head of the response. ctx bounds the exchange
 // including the response body: when it ends, the connection is reset, which makes
 // the server drop the request. Errors: ErrDial if nothing was sent, otherwise
@@ -95,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn}
+	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn)}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -174,7 +185,8 @@
 }
 
 // WatchSilence calls onSilent each time a read of the body has waited this long for data.
-// If it returns true the read fails with ErrSilent. It is called by the reading goroutine.
+// If it returns true and no data has arrived meanwhile, the read fails with ErrSilent.
+// It is called by the reading goroutine.
 func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
 	r.reader.silence, r.reader.onSilent = silence, onSilent
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,7 +57,10 @@
 // server other than those tried can take it. It reports whether it did.
 func (g *Gateway) reserveAttempt(c *call, group string, tried []string) bool {
 	members := g.opts.Cache.View().Services[c.service.name]
-	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c)) || !c.service.takeRetry() {
+	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c)) {
+		return false
+	}
+	if !c.retryReserved.Load() && !c.service.takeRetry() {
 		return false
 	}
 	c.retryReserved.Store(true)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -110,6 +110,36 @@
 	}
 }
 
+func TestSilentStreamGoesOnAtAnotherServer(t *testing.T) {
+	for when, begin := range map[string]func(c *conn, r *http.Request){
+		"in the stream":       func(c *conn, r *http.Request) { c.write(streamHead(r) + event(1)) },
+		"before the response": func(*conn, *http.Request) {},
+	} {
+		t.Run(when, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGateway(t)
+			first := tg.server(func(c *conn) {
+				begin(c, c.request())
+				c.request() // returns when the gateway closes the connection
+			})
+			other := tg.server(func(c *conn) {
+				r := c.request()
+				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				c.write(streamHead(r))
+				for id := last + 1; id <= 3; id++ {
+					c.write(event(id))
+				}
+				c.write("0\r\n\r\n")
+			})
+			tg.preferInOrder(first, other)
+			tg.keepActive()
+			status, body, _ := tg.call("/stream/")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n", body)
+		})
+	}
+}
+
 // onlyFirst makes the first request go to this server.
 func (tg *testGateway) onlyFirst(id string) {
 	s := tg.g.service("s")
@@ -273,3 +303,36 @@
 	require.Contains(t, string(rest), "id: 30")
 	require.False(t, resumed.Load())
 }
+
+// The event arrives while the watch is judging the silence.
+func TestEventThatArrivesAsSilenceIsJudgedSparesStream(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	silent, resume := make(chan struct{}), make(chan struct{})
+	first := tg.server(serveStreams(func(_ int, c *conn) {
+		c.write(event(0))
+		close(silent)
+		<-resume
+		c.write(event(1))
+		time.Sleep(silenceTimeout / 2)
+		c.write(event(2))
+	}))
+	tg.preferInOrder(first, tg.server(resetRequest))
+	s := tg.g.service("s")
+	ended := make(chan string, 1)
+	go func() {
+		_, body, _ := tg.call("/stream/")
+		ended <- body
+	}()
+	<-silent
+	time.Sleep(silenceTimeout - 100*time.Millisecond)
+	s.mu.Lock() // delays the judgement of the silence
+	time.Sleep(200 * time.Millisecond)
+	close(resume)
+	time.Sleep(100 * time.Millisecond)
+	s.lastEvent[defaultGroup] = tg.g.now() // an event of another stream
+	s.mu.Unlock()
+	body := <-ended
+	require.NotContains(t, body, "CUT")
+	require.Contains(t, body, "id: 2")
+}
