gateway: the attempt reserved for a silent stream is made

Callers saw: a stream was ended midway as silent although another server could have gone on with it, when three servers had not been reachable before. Cause: the watch reserves the next attempt by the route's attempts, the retry budget and the servers left, but forward also bounds its passes, failed dials included, by maxServerAttempts. In the last pass the reserved attempt was never made. Change: a reserved attempt is made beyond that bound. Each reservation allows one, and the route's attempts still bound those that reach a server. Evidence: TestSilentStreamAfterFailedDialsGoesOnAtAnotherServer failed before ("id: 1\ndata: x\n\n CUT", the second event missing) and passes now, five times with -race and once with GOMAXPROCS=1.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -18,7 +18,8 @@
 // Limits of forwarding.
 const (
 	// maxServerAttempts bounds the attempts of one call of forward, including those
-	// that fail to connect. A stream that queues for admission again starts anew.
+	// that fail to connect. A stream that queues for admission again starts anew; an
+	// attempt for which a silent one was ended is made in any case.
 	maxServerAttempts = 4
 	// firstAttemptShare is the fraction of the remaining time that the first
 	// attempt of a plain request gets when another attempt may follow.
@@ -98,7 +99,7 @@
 		c.service.depositRetry()
 	}
 	var last *api.Error
-	for n := 0; n < maxServerAttempts; n++ {
+	for n := 0; n < maxServerAttempts || c.retryReserved.Load(); n++ {
 		if c.attempts >= c.route.MaxAttempts {
 			c.noAttempt = "attempts used up"
 			break
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -336,3 +336,31 @@
 	require.NotContains(t, body, "CUT")
 	require.Contains(t, body, "id: 2")
 }
+
+// unreachableServer adds a server at whose address nothing listens and returns its id.
+func (tg *testGateway) unreachableServer() string {
+	tg.servers++
+	id := fmt.Sprint("i-", tg.servers)
+	tg.cache.Apply([]fleet.Change{&fleet.Server{ID: id, Service: "s", Address: fmt.Sprintf("127.0.0.%d:1", tg.servers), Slots: 4, Seq: 1}}, 1)
+	return id
+}
+
+// The failed dials leave one attempt within maxServerAttempts.
+func TestSilentStreamAfterFailedDialsGoesOnAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	var order []string
+	for range maxServerAttempts - 1 {
+		order = append(order, tg.unreachableServer())
+	}
+	silent := tg.server(func(c *conn) {
+		c.write(streamHead(c.request()) + event(1))
+		c.request() // returns when the gateway closes the connection
+	})
+	next := tg.server(func(c *conn) { c.write(streamHead(c.request()) + event(2) + "0\r\n\r\n") })
+	tg.preferInOrder(append(order, silent, next)...)
+	tg.keepActive()
+	status, body, _ := tg.call("/stream/")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
+}
