gateway: a response that arrives as its lateness is judged goes on

Callers saw: a stream whose response had just arrived, late but whole, was cancelled and ended midway. Cause: the watch was a timer that cancelled the attempt's context. Timer.Stop was called once the head had arrived, but its result was not looked at: a callback that was already judging cancelled the context, which ends the body, too. The cancel also hit a connection that was still being opened, which then counted as unreachable. Change: the wait for the head is watched by the reader of the connection, as is the wait for events. The wait begins once the request has been sent; it is judged again after each further wait of the same length. A route without a latency objective is not watched: its wait was 0. Five runs with -race and one with GOMAXPROCS=1 pass.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -46,6 +46,9 @@
 	IDHeader string // response header in which the server returns ID
 	ID       string
 	NoReuse  bool // use a new connection, for a request that must not be repeated if a reused one fails
+
+	Silence  time.Duration // see Response.WatchSilence; applies to the head of the response
+	OnSilent func() bool   // nil for no watch
 }
 
 // Response is a response whose head has been read. The caller must call Finish or
@@ -106,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn)}
+	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -127,6 +130,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	reader.onSilent = nil
 	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -180,9 +180,9 @@
 	ctx, cancel := context.WithTimeout(ctx, g.attemptTimeout(c))
 	defer cancel()
 	began := g.now()
-	watch := g.watchFirstResponse(c, cancel)
-	resp, err := g.pool.Do(ctx, m.Address, g.request(c, m))
-	watch.Stop()
+	request := g.request(c, m)
+	g.watchFirstResponse(c, request)
+	resp, err := g.pool.Do(ctx, m.Address, request)
 	if errors.Is(err, backend.ErrDial) {
 		if c.r.Context().Err() != nil {
 			c.service.attemptEnded(m, g.now(), severityNone)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,7 +18,7 @@
 	// aborted if its group is active.
 	silenceTimeout = 700 * time.Millisecond
 	// firstResponseTimeoutFactor is the time without a response after which an attempt
-	// is cancelled if its group is active, as a multiple of the latency objective.
+	// is ended if its group is active, as a multiple of the latency objective.
 	// Callers disconnect after four times the objective.
 	firstResponseTimeoutFactor = 2
 	// groupActivityWindow is the age of another stream's event up to which its
@@ -26,20 +26,16 @@
 	groupActivityWindow = 300 * time.Millisecond
 )
 
-// watchFirstResponse cancels an attempt that has had no response for a while
+// watchFirstResponse ends an attempt that has had no response for a while
 // although its group is active, for example because the rank's instance is
 // frozen: another rank may answer before the caller disconnects. An attempt that no
 // other can follow goes on.
-func (g *Gateway) watchFirstResponse(c *call, cancel func()) *time.Timer {
-	if c.ticket == nil || !c.route.Retryable() || c.attempts+1 >= c.route.MaxAttempts {
-		return time.NewTimer(0) // not watched
+func (g *Gateway) watchFirstResponse(c *call, r *backend.Request) {
+	if c.ticket == nil || !c.route.Retryable() || c.attempts+1 >= c.route.MaxAttempts || c.route.TargetLatency <= 0 {
+		return
 	}
-	group, tried := c.group(), c.tried
-	return time.AfterFunc(firstResponseTimeoutFactor*c.route.TargetLatency, func() {
-		if c.service.activeSince(group, g.now()-groupActivityWindow) && g.reserveAttempt(c, group, tried) {
-			cancel()
-		}
-	})
+	r.Silence = firstResponseTimeoutFactor * c.route.TargetLatency
+	r.OnSilent = func() bool { return g.endSilent(c) }
 }
 
 // watchStream ends the attempt when its connection is silent while its group is active
@@ -48,9 +44,13 @@
 	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
 		return
 	}
-	resp.WatchSilence(silenceTimeout, func() bool {
-		return c.service.activeSince(c.group(), g.now()-groupActivityWindow) && g.reserveAttempt(c, c.group(), c.tried)
-	})
+	resp.WatchSilence(silenceTimeout, func() bool { return g.endSilent(c) })
+}
+
+// endSilent reports whether to end an attempt whose server is silent: its group is
+// active and the next attempt has been reserved.
+func (g *Gateway) endSilent(c *call) bool {
+	return c.service.activeSince(c.group(), g.now()-groupActivityWindow) && g.reserveAttempt(c, c.group(), c.tried)
 }
 
 // reserveAttempt takes a retry from the budget for the request's next attempt, if a
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -304,37 +304,59 @@
 	require.False(t, resumed.Load())
 }
 
-// The event arrives while the watch is judging the silence.
-func TestEventThatArrivesAsSilenceIsJudgedSparesStream(t *testing.T) {
-	t.Parallel()
-	tg := newTestGateway(t)
-	silent, resume := make(chan struct{}), make(chan struct{})
-	first := tg.server(serveStreams(func(_ int, c *conn) {
-		c.write(event(0))
-		close(silent)
-		<-resume
-		c.write(event(1))
-		time.Sleep(silenceTimeout / 2)
-		c.write(event(2))
-	}))
-	tg.preferInOrder(first, tg.server(resetRequest))
-	s := tg.g.service("s")
-	ended := make(chan string, 1)
-	go func() {
-		_, body, _ := tg.call("/stream/")
-		ended <- body
-	}()
-	<-silent
-	time.Sleep(silenceTimeout - 100*time.Millisecond)
-	s.mu.Lock() // delays the judgement of the silence
-	time.Sleep(200 * time.Millisecond)
-	close(resume)
-	time.Sleep(100 * time.Millisecond)
-	s.lastEvent[defaultGroup] = tg.g.now() // an event of another stream
-	s.mu.Unlock()
-	body := <-ended
-	require.NotContains(t, body, "CUT")
-	require.Contains(t, body, "id: 2")
+// The data arrives while the watch is judging the silence.
+func TestDataThatArrivesAsSilenceIsJudgedSparesStream(t *testing.T) {
+	for when, write := range map[string]struct {
+		before, late func(c *conn, r *http.Request)
+	}{
+		"in the stream": {
+			func(c *conn, r *http.Request) { c.write(streamHead(r) + event(0)) },
+			func(c *conn, _ *http.Request) { c.write(event(1)) },
+		},
+		"before the response": {
+			func(*conn, *http.Request) {},
+			func(c *conn, r *http.Request) { c.write(streamHead(r) + event(0) + event(1)) },
+		},
+	} {
+		t.Run(when, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGateway(t)
+			tg.document(func(d *fleet.Document) {
+				d.Version = 2
+				for i := range d.Routes {
+					d.Routes[i].TargetLatency = silenceTimeout / firstResponseTimeoutFactor
+				}
+			})
+			silent, resume := make(chan struct{}), make(chan struct{})
+			first := tg.server(func(c *conn) {
+				r := c.request()
+				write.before(c, r)
+				close(silent)
+				<-resume
+				write.late(c, r)
+				time.Sleep(silenceTimeout / 2)
+				c.write(event(2) + "0\r\n\r\n")
+			})
+			tg.preferInOrder(first, tg.server(resetRequest))
+			s := tg.g.service("s")
+			ended := make(chan string, 1)
+			go func() {
+				_, body, _ := tg.call("/stream/")
+				ended <- body
+			}()
+			<-silent
+			time.Sleep(silenceTimeout - 100*time.Millisecond)
+			s.mu.Lock() // delays the judgement of the silence
+			time.Sleep(200 * time.Millisecond)
+			close(resume)
+			time.Sleep(100 * time.Millisecond)
+			s.lastEvent[defaultGroup] = tg.g.now() // an event of another stream
+			s.mu.Unlock()
+			body := <-ended
+			require.NotContains(t, body, "CUT")
+			require.Contains(t, body, "id: 2")
+		})
+	}
 }
 
 // unreachableServer adds a server at whose address nothing listens and returns its id.
