gateway: failing test of a silent stream ended for an attempt that fails

Callers saw: a stream whose server paused for 1.4 s ended midway. Cause: the watch ends the stream before it knows that another server goes on with it. If that server refuses or resets the attempt, or no server is left by then, the stream that was at work is lost. The same holds for an attempt that waits for its first response; no test shows it yet. Not mended here: the next server's response has to begin while the silent stream is still read, so that a stream that resumes is not delayed. That attempt would be made outside forward, whose checks have to apply to it as well.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
 BIN   := bin
+# Tests that make test passes over; KNOWN-RED.txt says why.
+KNOWN_RED := ^TestSilentStreamIsNotCutForAnAttemptThatFails$$
 .PHONY: all build generate fmt lint test demo fuzz soak measure slopes bench scores
 
 all: build
@@ -27,7 +29,7 @@
 # test runs every test with fixed seeds, and the commands of docs/OPERATING.md and
 # docs/OPERATIONS.md as written.
 test: build
-	$(GO) test -race -timeout 9m ./...
+	$(GO) test -race -timeout 9m -skip '$(KNOWN_RED)' ./...
 	scripts/operating.sh >out/operating.log 2>&1 || { tail -n 30 out/operating.log; exit 1; }
 	@tail -n 1 out/operating.log
 	scripts/operations.sh >out/operations.log 2>&1 || { tail -n 30 out/operations.log; exit 1; }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -386,3 +386,30 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
 }
+
+// The only server that could go on with the silent stream does not.
+func TestSilentStreamIsNotCutForAnAttemptThatFails(t *testing.T) {
+	for name, handle := range map[string]func(c *conn){
+		"refuses": func(c *conn) {
+			for r := c.request(); r != nil; r = c.request() {
+				c.write("HTTP/1.1 503 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Not-Run: full\r\nContent-Length: 0\r\n\r\n")
+			}
+		},
+		"resets": resetRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGateway(t)
+			slow := tg.server(func(c *conn) {
+				c.write(streamHead(c.request()) + event(1))
+				time.Sleep(2 * silenceTimeout)
+				c.write(event(2) + "0\r\n\r\n")
+			})
+			tg.preferInOrder(slow, tg.server(handle))
+			tg.keepActive()
+			status, body, _ := tg.call("/stream/")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
+		})
+	}
+}
