entry: an answer that arrives while a slow caller reads is not broken off

Callers saw: an answer broken off with "no progress", although the sidecar had sent all of it, when the caller took longer than progressTimeout (10 s) to read what had arrived. Cause: the timer for progress was started before the received chunks were written to the caller, so it had expired when receiveAnswer waited again, and select picked at random between the expired timer and the messages in the inbox. The same happened when the process was paused between starting the timer and waiting. Change: the timer starts after the chunks have been written, and an expired timer ends the attempt only if the inbox is empty.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,7 +10,7 @@
 
 // Timeouts of attempts.
 const (
-	progressTimeout  = 10 * time.Second // a stream that receives no message for this long is cancelled
+	progressTimeout  = 10 * time.Second // an attempt is cancelled if no message arrives for this long while none is being passed on
 	reconnectTimeout = 2 * time.Second  // how long a resume waits for a lost connection to be re-established
 	linkPollInterval = 20 * time.Millisecond
 )
@@ -43,11 +43,12 @@
 			cs.cancel(asm.attempt)
 			return outcome{err: contextError(ctx), firstChunk: firstChunk}
 		case <-timer.C:
-			cs.cancel(asm.attempt)
-			return outcome{err: api.NewError(api.StreamBroken, "no progress"), firstChunk: firstChunk}
+			if cs.inbox.empty() {
+				cs.cancel(asm.attempt)
+				return outcome{err: api.NewError(api.StreamBroken, "no progress"), firstChunk: firstChunk}
+			}
 		case <-cs.inbox.ready:
 		}
-		timer.Reset(progressTimeout)
 		messages, connErr := cs.inbox.take()
 		if firstChunk == 0 && hasChunk(messages) {
 			firstChunk = time.Since(start)
@@ -59,6 +60,7 @@
 		if connErr != nil {
 			return outcome{err: api.NewError(api.StreamBroken, connErr.Error()), connLost: true, firstChunk: firstChunk}
 		}
+		timer.Reset(progressTimeout) // the time that the caller took to read does not count
 	}
 }
 
