side: an attempt that was resumed is not cancelled by the timer of an earlier loss

Callers saw: an answer broken off, or begun again at another backend server, after its connection to the sidecar was lost twice within resumeGrace (5 s): the attempt was cancelled 5 s after the first loss, which can be at once after the second one. Cause: the timer of a loss asked only whether the attempt had no subscriber, not whether it was still the same loss. It also asked and cancelled in two steps, so an attempt that was resumed in between was cancelled, and handleCancel did the same. Change: attach counts the subscribers (generation), detach returns the count, and close, under the mutex of the attempt, closes it to subscribers only if the count has not changed. Both places cancel only what they have closed; a resume that comes later gets NotResumable. orphaned is used by tests only and moves there, unchanged. Evidence: with the tests on the code before: --- FAIL: TestResumeGraceCountsFromLatestLoss Should be false: cancelled 100 ms after its connection was lost --- FAIL: TestCancelledAttemptIsNotResumed/grace_period_over Should be false --- FAIL: TestCancelledAttemptIsNotResumed/caller_gone Should be false Now they pass, 20 runs with the race detector. go test -race ./entry ./side ./backend and make lint pass.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -35,6 +35,8 @@
 	result      *api.Error // set with done; nil if the response is complete
 	done        bool
 	sub         *subscriber
+	generation  uint64        // number of subscribers attached so far
+	closed      bool          // no further subscriber may be attached
 	changed     chan struct{} // closed and replaced on each change
 }
 
@@ -125,29 +127,42 @@
 }
 
 // attach makes s the subscriber and cancels the previous one. It returns false
-// if the chunks from s.next on are not available.
+// if the attempt is closed or the chunks from s.next on are not available.
 func (a *attempt) attach(s *subscriber) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s.next < a.first || s.next > a.first+uint64(len(a.chunks)) {
+	if a.closed || s.next < a.first || s.next > a.first+uint64(len(a.chunks)) {
 		return false
 	}
 	if a.sub != nil {
 		a.sub.cancel()
 	}
 	a.sub = s
+	a.generation++
 	return true
 }
 
-// detach removes s and reports whether s was the current subscriber, so that the
-// attempt now has none.
-func (a *attempt) detach(s *subscriber) bool {
+// detach removes s. ok reports whether s was the current subscriber, so that the
+// attempt now has none; generation identifies this state in a call of close.
+func (a *attempt) detach(s *subscriber) (generation uint64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sub != s {
-		return false
+		return 0, false
 	}
 	a.sub = nil
+	return a.generation, true
+}
+
+// close closes the attempt to subscribers, unless one was attached after the
+// detach that returned generation. It reports whether the attempt is closed.
+func (a *attempt) close(generation uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.generation != generation {
+		return false
+	}
+	a.closed = true
 	return true
 }
 
@@ -191,13 +206,6 @@
 	}
 }
 
-// orphaned reports whether the attempt has no subscriber.
-func (a *attempt) orphaned() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.sub == nil
-}
-
 // incarnation returns the incarnation of the engine whose load report admitted
 // the attempt; empty for a plain service.
 func (a *attempt) incarnation() string {
--- a/side/attempt_test.go
+++ b/side/attempt_test.go
@@ -25,3 +25,10 @@
 	require.NoError(t, a.addChunk(ctx, block))
 	require.Zero(t, a.completeResponse().Status, "larger than maxStoredBody")
 }
+
+// orphaned reports whether the attempt has no subscriber.
+func (a *attempt) orphaned() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sub == nil
+}
--- a/side/peer.go
+++ b/side/peer.go
@@ -55,11 +55,12 @@
 func (s *Server) awaitResume(sn *subscription) {
 	sn.sub.cancel()
 	a := sn.attempt
-	if !a.detach(sn.sub) {
+	generation, ok := a.detach(sn.sub)
+	if !ok {
 		return
 	}
 	time.AfterFunc(resumeGrace, func() {
-		if !a.orphaned() {
+		if !a.close(generation) {
 			return
 		}
 		if a.req.Idempotent {
@@ -69,8 +70,8 @@
 	})
 }
 
-// cancelAttempt ends an attempt without a subscriber: it removes the attempt from
-// the queue or cancels the call to the backend server.
+// cancelAttempt ends an attempt that is closed to subscribers: it removes the attempt
+// from the queue or cancels the call to the backend server.
 func (s *Server) cancelAttempt(a *attempt, reason string) {
 	e := api.NewError(api.Cancelled, reason)
 	l := s.limiter.Load()
@@ -103,8 +104,10 @@
 		return
 	}
 	sn.sub.cancel()
-	if sn.attempt.detach(sn.sub) && sn.attempt.req.Idempotent {
-		s.cancelAttempt(sn.attempt, "caller went away")
+	a := sn.attempt
+	generation, ok := a.detach(sn.sub)
+	if ok && a.req.Idempotent && a.close(generation) {
+		s.cancelAttempt(a, "caller went away")
 	}
 }
 
@@ -182,7 +185,7 @@
 }
 
 // subscribe starts to send the response of a to the stream of m. It returns false
-// if the chunks from m.ResumeFrom on are not available.
+// if a is closed or the chunks from m.ResumeFrom on are not available.
 func (s *Server) subscribe(c *wire.Conn, m *wire.Request, a *attempt) bool {
 	ctx, stop := context.WithCancel(context.Background())
 	sub := &subscriber{
