backend: a request whose caller has gone is not sent on a pooled connection

Servers saw: requests that reached them after their caller had gone or their time was over, and ran for nobody. The request also counted as one that may have run. Cause: Pool.Do took an idle connection and wrote to it without looking at ctx; only opening a connection failed when ctx was done. The reset that follows the end of ctx runs beside the write. Change: Do checks ctx first and returns ErrDial, since nothing is sent. The pooled connection stays in the pool.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -56,6 +56,9 @@
 // ErrNoResponse. After ErrNoResponse the request may have run, unless the
 // connection was closed before any of the request was written.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, eris.Wrap(ErrDial, err.Error())
+	}
 	conn, err := p.Get(ctx, address, r.NoReuse)
 	if err != nil {
 		return nil, err
