entry: reports read from a lost connection do not replace those of the active one

Callers would see: requests placed by an outdated load report, for up to as long as the sidecar's new incarnation takes to reach the sequence numbers of the former one, and attempts that fail at once because the link's connection is a closed one, for up to a heartbeat interval (1 s). Cause: messages that were received before a connection was closed are handled until its reader returns, which can be after the link has dialled again. A heartbeat among them made the closed connection the active one; the report of a heartbeat or of the end of an answer replaced that of the new incarnation, and its higher sequence number hid all that followed. Change: a closed connection is not activated and does not say whether the sidecar is leaving; a report counts only on the active connection. Evidence: on the code before: --- FAIL: TestLinkIgnoresReportsOfLostConnection expected 1, actual 101 (after the end of an answer on the lost connection) expected 1, actual 102 (after a heartbeat on the lost connection) Should be false (leaving) expected "i2", actual "i1" (incarnation of the active connection) Now it passes, 10 runs with the race detector. go test -race ./entry ./side ./backend and make lint pass.

--- a/entry/link.go
+++ b/entry/link.go
@@ -110,16 +110,31 @@
 	return len(l.streams) == 0
 }
 
-// activate makes c the connection on which streams are opened. It is called after
-// the first heartbeat on c, which carries the sidecar's evidence about requests
+// activate makes c the connection on which streams are opened, unless it is closed.
+// It reports whether c was not that connection before. It is called after a
+// heartbeat on c, because the first one carries the sidecar's evidence about requests
 // that crash backend servers.
-func (l *link) activate(c *wire.Conn) {
-	l.log.Info("side-connected", "side", l.name, "incarnation", c.Peer().Incarnation)
+func (l *link) activate(c *wire.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.conn == c || isClosed(c) {
+		return false
+	}
 	l.conn = c
 	l.report = wire.Report{}
 	l.reportedAt = time.Time{}
+	return true
+}
+
+// isClosed reports whether c is closed. Messages received before may still be
+// handled, even after a newer connection has been activated.
+func isClosed(c *wire.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
 }
 
 // Handle implements wire.Handler.
@@ -137,10 +152,10 @@
 	case *wire.Chunk:
 		l.deliver(c, m.Stream, m)
 	case *wire.End:
-		l.setReport(&m.Report)
+		l.setReport(c, &m.Report)
 		l.deliver(c, m.Stream, m)
 	case *wire.Refusal:
-		l.setReport(&m.Report)
+		l.setReport(c, &m.Report)
 		l.deliver(c, m.Stream, m)
 	case *wire.KeyAnswer:
 		l.deliver(c, m.Stream, m)
@@ -155,15 +170,16 @@
 // first heartbeat on c activates c.
 func (l *link) heartbeat(c *wire.Conn, hb *wire.Heartbeat) {
 	l.mu.Lock()
-	l.leaving = hb.Leaving
-	first := l.conn != c
+	if l.conn == c || !isClosed(c) {
+		l.leaving = hb.Leaving
+	}
 	l.mu.Unlock()
-	if first {
-		l.activate(c)
+	if l.activate(c) {
+		l.log.Info("side-connected", "side", l.name, "incarnation", c.Peer().Incarnation)
 		l.resolveTrial(c)
 	}
 	if hb.Report != nil {
-		l.setReport(hb.Report)
+		l.setReport(c, hb.Report)
 	}
 }
 
@@ -194,10 +210,12 @@
 	return lost
 }
 
-func (l *link) setReport(r *wire.Report) {
+// setReport stores a report received on c. Reports on other connections than the
+// active one may be of an earlier incarnation, whose sequence numbers are higher.
+func (l *link) setReport(c *wire.Conn, r *wire.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Seq <= l.report.Seq {
+	if l.conn != c || r.Seq <= l.report.Seq {
 		return
 	}
 	l.report = *r
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/internal/node"
@@ -50,3 +51,22 @@
 	require.True(t, st.Connected)
 	require.True(t, st.BackendDown)
 }
+
+// Messages that are read from a lost connection after a newer one is active do not
+// replace that connection or its reports.
+func TestLinkIgnoresReportsOfLostConnection(t *testing.T) {
+	l := newLink("s1", "", "", node.New(wire.Hello{}, noConfig{}), log.New(io.Discard))
+	older, newer := connTo(t, "i1"), connTo(t, "i2")
+	l.heartbeat(older, &wire.Heartbeat{Report: &wire.Report{Seq: 100}})
+	older.Close(nil)
+	l.heartbeat(newer, &wire.Heartbeat{Report: &wire.Report{Seq: 1, Running: 1}})
+
+	l.Handle(older, &wire.End{Report: wire.Report{Seq: 101, Running: 101}})
+	assert.Equal(t, 1, l.report.Running, "after the end of an answer on the lost connection")
+	l.heartbeat(older, &wire.Heartbeat{Leaving: true, Report: &wire.Report{Seq: 102, Running: 102}})
+	assert.Equal(t, 1, l.report.Running, "after a heartbeat on the lost connection")
+	assert.False(t, l.leaving)
+	assert.Equal(t, "i2", l.incarnation())
+	l.heartbeat(newer, &wire.Heartbeat{Report: &wire.Report{Seq: 2, Running: 2}})
+	assert.Equal(t, 2, l.report.Running)
+}
