side: the attempt of a cancelled request is removed

Operators would see: a sidecar whose memory grows with each request that is not a stream and whose caller went away: its attempt, with request and response, stayed in the table until a request with the same id ended. Cause: delivery removes such an attempt when the response was sent to the end, and the loss of a connection removes it after resumeGrace; nothing removed it after a cancel. Change: handleCancel abandons the attempt as the end of the grace period does: closed to subscribers, cancelled if idempotent, and removed. Evidence: on the code before: --- FAIL: TestCancelledAttemptIsRemoved/idempotent Should be empty, but was map[r:0xc0000ba090] --- FAIL: TestCancelledAttemptIsRemoved/not_idempotent Should be empty, but was map[r:0xc0000ba240] (its case of a stream passed before). Now all pass, 10 runs with the race detector. go test -race ./entry ./side ./backend and make lint pass.

--- a/side/peer.go
+++ b/side/peer.go
@@ -49,9 +49,8 @@
 	}
 }
 
-// awaitResume detaches the subscriber of sn from its attempt. If the attempt is
-// not resumed within resumeGrace, it is cancelled and removed. A non-idempotent
-// call is removed but keeps running, because its outcome is stored under its key.
+// awaitResume detaches the subscriber of sn from its attempt, and abandons the
+// attempt if it is not resumed within resumeGrace.
 func (s *Server) awaitResume(sn *subscription) {
 	sn.sub.cancel()
 	a := sn.attempt
@@ -59,15 +58,20 @@
 	if !ok {
 		return
 	}
-	time.AfterFunc(resumeGrace, func() {
-		if !a.close(generation) {
-			return
-		}
-		if a.req.Idempotent {
-			s.cancelAttempt(a, "no receiver")
-		}
-		s.removeAttempt(a)
-	})
+	time.AfterFunc(resumeGrace, func() { s.abandonAttempt(a, generation, "no receiver") })
+}
+
+// abandonAttempt cancels and removes an attempt that has had no subscriber since the
+// detach that returned generation. A non-idempotent call is removed but keeps
+// running, because its outcome is stored under its key.
+func (s *Server) abandonAttempt(a *attempt, generation uint64, reason string) {
+	if !a.close(generation) {
+		return
+	}
+	if a.req.Idempotent {
+		s.cancelAttempt(a, reason)
+	}
+	s.removeAttempt(a)
 }
 
 // cancelAttempt ends an attempt that is closed to subscribers: it removes the attempt
@@ -92,8 +96,7 @@
 	}
 }
 
-// handleCancel removes the subscriber of a request whose caller disconnected. It
-// cancels the attempt if the request is idempotent.
+// handleCancel abandons the attempt of a request whose caller disconnected.
 func (s *Server) handleCancel(c *wire.Conn, m *wire.Cancel) {
 	key := streamKey{c, m.Stream}
 	s.mu.Lock()
@@ -105,9 +108,8 @@
 	}
 	sn.sub.cancel()
 	a := sn.attempt
-	generation, ok := a.detach(sn.sub)
-	if ok && a.req.Idempotent && a.close(generation) {
-		s.cancelAttempt(a, "caller went away")
+	if generation, ok := a.detach(sn.sub); ok {
+		s.abandonAttempt(a, generation, "caller went away")
 	}
 }
 
--- a/side/resume_test.go
+++ b/side/resume_test.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/api"
 	"marjorampitch/wire"
 )
 
@@ -69,3 +71,46 @@
 		})
 	}
 }
+
+// An attempt whose caller has gone is not kept.
+func TestCancelledAttemptIsRemoved(t *testing.T) {
+	for name, req := range map[string]*wire.Request{
+		"idempotent":     {RequestID: "r", Idempotent: true},
+		"stream":         {RequestID: "r", Idempotent: true, Streaming: true},
+		"not idempotent": {RequestID: "r", Key: "k"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{streams: make(map[streamKey]*subscription), attempts: make(map[string]*attempt), keys: newKeyTable("i1")}
+				ctx, cancel := context.WithCancelCause(context.Background())
+				a := newAttempt(req, cancel)
+				s.attempts["r"] = a
+				stop := s.deliverTo(newSubscriber(1), a)
+				s.handleCancel(nil, &wire.Cancel{Stream: 1})
+				require.Equal(t, req.Idempotent, ctx.Err() != nil)
+				s.finishAttempt(a, api.NewError(api.Cancelled, "")) // as the call to the backend server ends
+				<-stop
+				time.Sleep(2 * resumeGrace)
+				synctest.Wait()
+				require.Empty(t, s.attempts)
+			})
+		})
+	}
+}
+
+// deliverTo starts to deliver the response of a to sub. The channel is closed when
+// the delivery has ended.
+func (s *Server) deliverTo(sub *subscriber, a *attempt) <-chan struct{} {
+	ctx, cancel := context.WithCancel(context.Background())
+	sub.cancel = cancel
+	a.attach(sub)
+	key := streamKey{nil, sub.stream}
+	s.streams[key] = &subscription{attempt: a, sub: sub}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.deliver(ctx, key, a, sub)
+	}()
+	synctest.Wait()
+	return ended
+}
