side: a stream that is delivered slowly can be resumed after its end

Callers would see: a stream that they read slowly broken off, or begun again at another backend server, when its connection to the sidecar was lost more than resumeGrace (5 s) after the backend server had ended it, although the sidecar had the rest. Cause: the end of a stream started a timer that removed the attempt, whatever its subscriber was doing by then. Change: the grace period starts when the end was sent, or the connection was lost (awaitResume), and a later subscriber ends it. Every attempt is removed by deliver, awaitResume or handleCancel. Evidence: on the code before: --- FAIL: TestSlowlyDeliveredStreamIsKeptForResume Should be true (while it is delivered) Now it passes, 20 runs with the race detector, and it checks that the attempt is removed after the grace period. go test -race ./entry ./side ./backend and make lint pass.

--- a/side/peer.go
+++ b/side/peer.go
@@ -214,8 +214,10 @@
 }
 
 // deliver sends the response of a to sub. If that fails, because the connection is
-// closed or another subscriber has replaced sub, it calls awaitResume. Either
-// deliver or Closed may be the first to detect a closed connection.
+// closed or another subscriber has replaced sub, it calls awaitResume, and also at the
+// end of a stream, since the connection may be lost before its peer has received the
+// end. Any other attempt is removed once its response was sent. Either deliver or
+// Closed may be the first to detect a closed connection.
 func (s *Server) deliver(ctx context.Context, key streamKey, a *attempt, sub *subscriber) {
 	complete := s.sendResponse(ctx, a, sub)
 	s.mu.Lock()
@@ -225,7 +227,7 @@
 	switch {
 	case complete && !a.req.Streaming:
 		s.removeAttempt(a)
-	case !complete && sn != nil:
+	case sn != nil:
 		s.awaitResume(sn)
 	}
 }
--- a/side/resume_test.go
+++ b/side/resume_test.go
@@ -98,6 +98,36 @@
 	}
 }
 
+// A stream that a slow caller reads after its end can be resumed when it is lost.
+func TestSlowlyDeliveredStreamIsKeptForResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{streams: make(map[streamKey]*subscription), attempts: make(map[string]*attempt)}
+		a := newAttempt(&wire.Request{RequestID: "r", Idempotent: true, Streaming: true}, func(error) {})
+		s.attempts["r"] = a
+		require.NoError(t, a.addChunk(t.Context(), []byte("token")))
+		sub := newSubscriber(1)
+		sub.window = newWindow(0)
+		ended := s.deliverTo(sub, a)
+		s.finishAttempt(a, nil)
+		time.Sleep(resumeGrace + time.Second)
+		synctest.Wait()
+		require.True(t, s.keeps(a), "while it is delivered")
+		s.awaitResume(s.streams[streamKey{nil, 1}]) // as the connection is lost
+		<-ended
+		time.Sleep(resumeGrace - time.Second)
+		require.True(t, s.keeps(a), "within the grace period")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Empty(t, s.attempts)
+	})
+}
+
+func (s *Server) keeps(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts[a.req.RequestID] == a
+}
+
 // deliverTo starts to deliver the response of a to sub. The channel is closed when
 // the delivery has ended.
 func (s *Server) deliverTo(sub *subscriber, a *attempt) <-chan struct{} {
--- a/side/run.go
+++ b/side/run.go
@@ -57,17 +57,13 @@
 	return e != nil && ctx.Err() != nil
 }
 
-// finishAttempt ends an attempt. A streaming attempt is kept for resumeGrace, since
-// its connection may be lost before the end of the response was delivered; any
-// other is removed once its response was sent.
+// finishAttempt ends an attempt. It is removed by deliver, awaitResume or
+// handleCancel.
 func (s *Server) finishAttempt(a *attempt, e *api.Error) {
 	if !a.req.Idempotent {
 		s.keys.finish(a, e)
 	}
 	a.finish(e)
-	if a.req.Streaming {
-		time.AfterFunc(resumeGrace, func() { s.removeAttempt(a) })
-	}
 }
 
 // removeAttempt removes a, which can no longer be resumed afterwards.
