side: a shutdown waits for a request that is being accepted

Callers would see: a request that the sidecar had read and not refused ended with the loss of its connection, and may have run as far as the front proxy knows, when the sidecar shut down at that moment. Cause: a request that had passed the check of the leaving state was neither queued nor a stream yet when Shutdown found the sidecar idle and closed the connections; once queued, it could not start, because the pool was stopped. Change: requests being accepted are counted, from before that check, and the sidecar is idle only without any.

--- a/side/peer.go
+++ b/side/peer.go
@@ -115,6 +115,8 @@
 
 // handleRequest starts, resumes or refuses an attempt.
 func (s *Server) handleRequest(c *wire.Conn, m *wire.Request) {
+	s.accepting.Add(1) // before the check of the leaving state, so that Shutdown waits for what passes it
+	defer s.accepting.Add(-1)
 	if m.Resume {
 		s.resume(c, m)
 		return
--- a/side/server.go
+++ b/side/server.go
@@ -58,6 +58,8 @@
 
 	refusals recent.RefusalBuffer
 
+	accepting atomic.Int64 // requests that are neither queued nor refused yet
+
 	crashMu sync.Mutex // held while a crash is recorded and announced; taken before any other lock
 
 	mu       sync.Mutex
@@ -154,7 +156,12 @@
 	return nil
 }
 
+// idle reports whether no request is being accepted, queued, running or delivered.
+// It checks accepting first: a request leaves it only for one of the other states.
 func (s *Server) idle() bool {
+	if s.accepting.Load() > 0 {
+		return false
+	}
 	if l := s.limiter.Load(); l != nil && l.busy() {
 		return false
 	}
