entry: a caller that disconnects does not turn a lost connection into a crash

Callers would see: a request that may only run alone, or is refused (if it ran alone before), without any crash of a backend server: connections to sidecars were lost for a moment, and the callers of that request disconnected or ran out of time meanwhile. Cause: awaitReconnect also fails when the request's context is done, and that counted as a sidecar that had not returned within reconnectTimeout (2 s), at once. Change: in that case the wait goes on in the background before the crash is recorded. Evidence: on the code before, two runs: --- FAIL: TestReturningSideIsNoCrashAfterCallerDisconnected/returns expected 0x0 (Run), actual 0x1 (RunAlone) Its case of sidecars that do not return passed before and passes now; 5 runs with the race detector. go test -race ./entry ./side ./backend and make lint pass.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 
 	"marjorampitch/wire"
@@ -20,6 +22,20 @@
 	return xxhash.Sum64String(side + "/" + incarnation + "/gone")
 }
 
+// recordLoss records a crash after awaitReconnect has failed. If that was because ctx
+// is done, reconnectTimeout may not be over, and recordLoss waits in the background.
+func (l *link) recordLoss(ctx context.Context, old *wire.Conn, c *call) {
+	if ctx.Err() == nil {
+		l.recordCrash(old, c)
+		return
+	}
+	go func() {
+		if !l.awaitReconnect(context.WithoutCancel(ctx), old) {
+			l.recordCrash(old, c)
+		}
+	}()
+}
+
 // recordCrash records that the sidecar at the other end of old was lost with the
 // request c in flight. If c ran alone, the link also keeps it as a trial.
 func (l *link) recordCrash(old *wire.Conn, c *call) {
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"marjorampitch/admit"
+	"marjorampitch/config"
 	"marjorampitch/internal/node"
 	"marjorampitch/wire"
 )
@@ -58,3 +65,44 @@
 	three.resolveTrial(connTo(t, "d"))
 	require.Equal(t, admit.Refuse, n.Quarantine().Check(7))
 }
+
+// A sidecar that returns within reconnectTimeout has not crashed, even if the caller
+// disconnects before.
+func TestReturningSideIsNoCrashAfterCallerDisconnected(t *testing.T) {
+	for name, c := range map[string]struct {
+		returns bool
+		want    admit.Verdict
+	}{
+		"returns": {true, admit.Run},
+		"lost":    {false, admit.RunAlone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := node.New(wire.Hello{Role: wire.RoleEntry}, noConfig{})
+			lost := []*wire.Conn{connTo(t, "a"), connTo(t, "b")}
+			returned := []*wire.Conn{connTo(t, "a"), connTo(t, "b")}
+			synctest.Test(t, func(t *testing.T) {
+				request := &call{route: &config.Route{Idempotent: true}, deadline: time.Now().Add(time.Minute), fingerprint: 1}
+				for i := range lost {
+					l := newLink(fmt.Sprint("s", i), "", "", n, log.New(io.Discard))
+					l.activate(lost[i])
+					ctx, disconnect := context.WithCancel(context.Background())
+					go func() {
+						time.Sleep(time.Second)
+						l.Closed(lost[i], io.EOF)
+						time.Sleep(100 * time.Millisecond)
+						disconnect()
+						time.Sleep(100 * time.Millisecond)
+						if c.returns {
+							l.activate(returned[i])
+						}
+					}()
+					r := &retryLoop{call: request, resp: newResponse(httptest.NewRecorder(), "id"), asm: newAssembler(), attemptNumber: 1}
+					out := r.sendWithResume(ctx, l)
+					require.NotNil(t, out.err)
+				}
+				time.Sleep(2 * reconnectTimeout)
+				require.Equal(t, c.want, n.Quarantine().Check(request.fingerprint))
+			})
+		})
+	}
+}
--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -170,7 +170,7 @@
 			return out
 		}
 		if !l.awaitReconnect(ctx, cs.conn) {
-			l.recordCrash(cs.conn, r.call)
+			l.recordLoss(ctx, cs.conn, r.call)
 			return out
 		}
 		resumed = true
