--- a/backend/pool.go
+++ b/backend/pool.go
@@ -37,7 +37,8 @@
 	idleMargin = 700 * time.Millisecond
 )
 
-// ErrDial means that no connection could be opened, so nothing was sent.
+// ErrDial means that no connection could be opened, or that the time of the request was
+// over before it was sent. Nothing was sent.
 var ErrDial = eris.New("backend: no connection")
 
 // Conn is a connection to a backend server. One request uses it at a time.
