gateway: a request whose time is over before it is sent ejects no server

Cause: an attempt with no time left failed to dial, which was held against the server and ejected it. With pooled connections it was sent without time. Change: nothing is sent, and the server's health is left alone. Evidence: TestExpiredRequestEjectsNoServer is red without the change ("the server is ejected").

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -187,6 +187,10 @@
 	c.tried = append(c.tried, m.ID)
 	ctx, cancel := context.WithTimeout(ctx, g.attemptTimeout(c))
 	defer cancel()
+	if ctx.Err() != nil { // nothing was sent, and the server is not at fault
+		c.service.attemptEnded(m, g.now(), severityNone)
+		return false, api.NewError(api.Unreachable, m.ID)
+	}
 	began := g.now()
 	request := g.request(c, m)
 	g.watchFirstResponse(c, request)
--- a/gateway/health_test.go
+++ b/gateway/health_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -150,3 +152,20 @@
 	require.Equal(t, events(1, 3), body)
 	require.EqualValues(t, 2, requests.Load())
 }
+
+func TestExpiredRequestEjectsNoServer(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.server(serve("ok"))
+	view := tg.cache.View()
+	c := &call{
+		id: "r", w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/once/x", nil),
+		route: &view.Document.Routes[0], view: view, service: tg.g.service("s"), lastEventID: -1,
+	}
+	c.deadline = tg.g.now() - time.Millisecond
+	members := view.Services["s"]
+	m := c.service.pick(members, "", nil, tg.g.now(), tg.g.coldPolicy(c))
+	require.NotNil(t, m)
+	done, _ := tg.g.attempt(context.Background(), c, m)
+	require.False(t, done)
+	require.NotNil(t, c.service.pick(members, "", nil, tg.g.now(), tg.g.coldPolicy(c)), "the server is ejected")
+}
