--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -414,3 +414,99 @@
 		})
 	}
 }
+
+// setGroups assigns the servers to rank groups, as the directory would.
+func (tg *testGateway) setGroups(groups map[string]string) {
+	byAddress := make(map[string]string)
+	for id, group := range groups {
+		byAddress[tg.cache.View().Members[id].Address] = group
+	}
+	s, view := tg.g.service("s"), tg.cache.View()
+	tg.g.gate(s, view, view.Document.Match("h", "/stream/"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateGroups(tg.cache.View().Services["s"], byAddress, nil, time.Second)
+}
+
+// The gateway learns the groups after it has admitted streams, as one does that starts
+// while the store is away. One group is held while the other goes on.
+func TestStreamOfHeldGroupIsNotSilentWhileAnotherGroupGoesOn(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	var arrivals atomic.Int64
+	grouped := make(chan struct{})
+	held := tg.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			arrivals.Add(1)
+			c.write(streamHead(r) + event(1))
+			<-grouped
+			time.Sleep(2 * silenceTimeout)
+			c.write(event(2) + "0\r\n\r\n")
+		}
+	})
+	busy := tg.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			arrivals.Add(1)
+			c.write(streamHead(r))
+			for id := range 60 {
+				c.write(event(id + 1))
+				time.Sleep(groupActivityWindow / 6)
+			}
+			c.write("0\r\n\r\n")
+		}
+	})
+	bodies := make(chan string, 3)
+	for _, order := range [][]string{{held, busy}, {busy, held}} {
+		tg.preferInOrder(order...)
+		resp := tg.open("/stream/")
+		go func() {
+			body, err := io.ReadAll(resp.Body)
+			bodies <- fmt.Sprint(string(body), err)
+		}()
+	}
+	tg.setGroups(map[string]string{held: "a", busy: "b"})
+	close(grouped)
+	for range 2 {
+		require.Contains(t, <-bodies, "<nil>")
+	}
+	require.EqualValues(t, 2, arrivals.Load(), "a stream was sent on to the other server")
+}
+
+// Both streams of a group are held; one of them has its next event a little earlier.
+func TestStreamIsNotSilentAsItsGroupGoesOn(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	var arrivals atomic.Int64
+	release := make(chan struct{})
+	server := func(delay time.Duration) func(c *conn) {
+		return func(c *conn) {
+			for r := c.request(); r != nil; r = c.request() {
+				arrivals.Add(1)
+				c.write(streamHead(r) + event(1))
+				<-release
+				time.Sleep(delay)
+				c.write(event(2))
+				time.Sleep(groupActivityWindow)
+				c.write(event(3) + "0\r\n\r\n")
+			}
+		}
+	}
+	first, second := tg.server(server(0)), tg.server(server(groupActivityWindow/2))
+	third := tg.server(serve("other"))
+	bodies := make(chan string, 2)
+	for _, order := range [][]string{{first, second, third}, {second, first, third}} {
+		tg.setGroups(map[string]string{first: "a", second: "a", third: "a"})
+		tg.preferInOrder(order...)
+		resp := tg.open("/stream/")
+		go func() {
+			body, err := io.ReadAll(resp.Body)
+			bodies <- fmt.Sprint(string(body), err)
+		}()
+	}
+	time.Sleep(2*silenceTimeout - groupActivityWindow/4)
+	close(release)
+	for range 2 {
+		require.Contains(t, <-bodies, "<nil>")
+	}
+	require.EqualValues(t, 2, arrivals.Load(), "a stream was sent on to another server")
+}
--- a/pace/load_test.go
+++ b/pace/load_test.go
@@ -362,3 +362,27 @@
 	}
 	require.Greater(t, g.groups["g"].running, 50)
 }
+
+func TestVanishedGroupAdmitsNothing(t *testing.T) {
+	g := NewGate(rand.New(rand.NewPCG(1, 1)))
+	build := func(string) *CapacityEstimator {
+		return NewCapacityEstimator(100*time.Millisecond, CostModel{BaseGap: time.Millisecond, MaxStreamCost: time.Millisecond, EventsPerStream: 20})
+	}
+	ticket := func() *Ticket { return &Ticket{Objective: 500 * time.Millisecond} }
+	g.SetGroups([]string{"guessed"}, build)
+	running := ticket()
+	require.True(t, g.AdmitOrQueue(time.Second, running))
+	require.Equal(t, "guessed", running.Group)
+	g.SetGroups([]string{"a", "b"}, build)
+	for i := range 6 {
+		next := ticket()
+		require.True(t, g.AdmitOrQueue(time.Second+time.Duration(i)*time.Millisecond, next))
+		require.NotEqual(t, "guessed", next.Group)
+	}
+	g.SetOpen(2*time.Second, "a", false, time.Second)
+	g.SetOpen(2*time.Second, "b", false, time.Second)
+	require.True(t, g.AllStalled())
+	g.Release(3*time.Second, running)
+	g.SetGroups([]string{"a", "b"}, build)
+	require.Len(t, g.Status(3*time.Second), 2)
+}
