gateway: an answer of a restarted server does not refute its crash

Cause: an answer that begins at a server clears what an earlier broken connection of the same incarnation counts against prompts. The incarnation was that of the entry at hand, which is up to a reading interval and a heartbeat old. A server that crashes and runs again under its id thus cleared its own crash, and the part at fault could go on.

Change: the answer counts only if the entry is known to be newer than the request that was broken off, the rule by which cold servers are told.

TestAnswerAfterRestartDoesNotRefuteCrash failed before ("Expected value not to be nil"); TestAnswerRefutesCrash shows that a server that lives is still cleared. go test -race ./gateway and make lint pass.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -36,13 +36,24 @@
 		return p
 	}
 	p.perSecond = math.Max(1, math.Floor(svc.ColdPerSecond/float64(g.instances())))
-	at, ok := g.opts.ServersProof()
-	age, interval := p.cacheNow-at, g.opts.Settings.EntryInterval
-	p.entriesSince = g.now() - age - interval
-	p.outdated = !ok || age > outdatedAfterIntervals*interval
+	age, ok := g.entriesAge()
+	p.entriesSince = g.entriesSince(age)
+	p.outdated = !ok || age > outdatedAfterIntervals*g.opts.Settings.EntryInterval
 	return p
 }
 
+// entriesAge returns the time since the servers' entries were known to be the newest.
+func (g *Gateway) entriesAge() (age time.Duration, ok bool) {
+	at, ok := g.opts.ServersProof()
+	return clock.SinceBoot() - at, ok
+}
+
+// entriesSince returns the time up to which the entries, of this age, show what
+// happened to their servers.
+func (g *Gateway) entriesSince(age time.Duration) time.Duration {
+	return g.now() - age - g.opts.Settings.EntryInterval
+}
+
 // mayBeCold reports whether the server's entry cannot show that it is warm: the
 // entries are outdated, or the server has failed since its entry was read.
 func (s *serverState) mayBeCold(p coldPolicy) bool {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -139,11 +139,24 @@
 }
 
 // started records that a server has begun an answer to the request.
-func (x *crashGuard) started(c *call, m *fleet.Member, now time.Duration) {
+func (g *Gateway) started(c *call, m *fleet.Member, now time.Duration) {
+	age, _ := g.entriesAge()
+	g.crashes.started(c, m, g.entriesSince(age), now)
+}
+
+// started implements Gateway.started. An answer shows that the incarnation of a
+// suspected server has not crashed only if its entry is known to be newer than the
+// broken request; otherwise the server may have restarted under its id.
+func (x *crashGuard) started(c *call, m *fleet.Member, entriesSince, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	alive := admit.ServerIncarnation{} // none
+	if s, ok := x.suspected[m.ID]; ok && s.member.StartedAt == m.StartedAt && s.at < entriesSince {
+		delete(x.suspected, m.ID)
+		alive = incarnationOf(m)
+	}
 	for k, l := range x.ledgers {
-		l.Started(c.features[k], incarnationOf(m), now)
+		l.Started(c.features[k], alive, now)
 	}
 }
 
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -382,3 +382,32 @@
 	tg.g.serverAtFault(members[other], members[broken].Address)
 	require.NotContains(t, tg.g.crashes.suspected, broken)
 }
+
+// An answer of a server that has crashed and runs again under its id, which its entry
+// does not show yet, must not refute the crash.
+func TestAnswerAfterRestartDoesNotRefuteCrash(t *testing.T) {
+	tg := newTestGateway(t)
+	first, second := tg.server(serve("ok")), tg.server(serve("ok"))
+	members := tg.cache.View().Members
+	bad, sound := &call{features: crashFeatures{{1}, {2}}}, &call{features: crashFeatures{{3}, {4}}}
+	tg.entries.Store(1)
+	tg.g.crashes.broke(bad, members[first], 0, time.Second)
+	tg.g.started(sound, members[first], 2*time.Second)
+	tg.g.crashes.serverDown(first, "entry", 3*time.Second)
+	tg.g.crashes.broke(bad, members[second], 4*time.Second, 5*time.Second)
+	tg.g.crashes.serverDown(second, "entry", 6*time.Second)
+	require.NotNil(t, tg.g.crashes.check(bad, 7*time.Second))
+}
+
+// A server that answers although its entry is newer than the request that it broke off
+// has not crashed.
+func TestAnswerRefutesCrash(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = tg.g.start.Add(-time.Minute)
+	id := tg.server(serve("ok"))
+	m := tg.cache.View().Members[id]
+	tg.g.crashes.broke(&call{features: crashFeatures{{1}, {2}}}, m, time.Second, 2*time.Second)
+	require.Contains(t, tg.g.crashes.suspected, id)
+	tg.g.started(&call{features: crashFeatures{{3}, {4}}}, m, tg.g.now())
+	require.NotContains(t, tg.g.crashes.suspected, id)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -339,7 +339,7 @@
 	}
 	resp.Finish()
 	if !impliesNotExecuted(resp.StatusCode) {
-		g.crashes.started(c, m, g.now())
+		g.started(c, m, g.now())
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotExecuted(resp.StatusCode) {
 		c.service.attemptEnded(m, g.now(), severityError)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -107,7 +107,7 @@
 		now := g.now()
 		watch.timer.Reset(silenceTimeout)
 		if previous < 0 {
-			g.crashes.started(c, m, now)
+			g.started(c, m, now)
 		}
 		g.recordEvent(c, now, previous, sent)
 		previous = now
