--- a/admit/part_quarantine.go
+++ b/admit/part_quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -30,9 +29,17 @@
 	// partAnswerDelay is the longest time between the arrival of an answer and the
 	// call of Started; an answer that is observed later after a crash refutes it.
 	partAnswerDelay = 500 * time.Millisecond
+	// partAgeError is the largest error of a time that was received as an age.
+	partAgeError = 25 * time.Millisecond
 	// partGuardArrivals is the number of recent arrivals from which a part that more
 	// than half of them carry is exempt.
 	partGuardArrivals = 16
+	// partCommonShare is the number such that a part of more than one in so many recent
+	// arrivals is common: most crashes hit some request with it.
+	partCommonShare = 4
+
+	// PartRepeatDelay is the least time between a broken attempt and its repeat.
+	PartRepeatDelay = 2 * partAgeError
 
 	maxPartStrikes  = 8    // strikes kept for one part
 	maxPartSuspects = 1024 // parts with strikes
@@ -42,6 +49,8 @@
 	// Evidence is sent again at intervals that double from the first to the second.
 	partFirstResend = 50 * time.Millisecond
 	partMaxResend   = 5 * time.Second
+	// partQuarantinedResend is the longest interval for a quarantined part.
+	partQuarantinedResend = 500 * time.Millisecond
 )
 
 // ServerIncarnation identifies one incarnation of a backend server.
@@ -61,6 +70,9 @@
 // one, and they exchange what Evidence returns. Merging evidence is commutative and
 // idempotent. A PartQuarantine is not safe for concurrent use.
 //
+// The parts of a request are those of its prompt that it may share with other
+// requests, without the last one, which is its own or its session's.
+//
 // A strike against a part is a crash of a server under a request that carries the
 // part and had no answer yet. A broken connection alone is no crash: it has to be
 // confirmed by ServerDown. Strikes are cleared when a server begins an answer on the
@@ -68,14 +80,14 @@
 // sent after the one before was broken off, so that servers that crash together
 // are one strike. Two rules protect parts that share requests with the one at fault:
 //
-//   - A crash does not count against a part if a quarantined part that is rarer among
-//     the recent arrivals has a strike by the same crash.
+//   - Crashes do not count against a part if a quarantined part explains them: one
+//     that has more strikes or is rarer among the recent arrivals.
 //   - A part that most of the recent arrivals carry is exempt.
 type PartQuarantine struct {
 	suspects map[uint64]*partSuspect
-	changed  bool                // strikes have changed since the next two were computed
-	accused  []*partSuspect      // with enough strikes to be quarantined if no rule protects them
-	crashes  map[uint64]struct{} // crashes of strikes that are not cleared
+	changed  bool            // strikes have changed since the next two were computed
+	accused  []*partSuspect  // with enough strikes to be quarantined unless a rule protects them
+	crashes  map[uint64]bool // crashes of strikes that are not cleared, and whether they are confirmed
 	starts   recentStarts
 	arrivals recentArrivals
 	pending  []serverEvent // unconfirmed crashes
@@ -94,6 +106,9 @@
 	part     uint64
 	strikes  []partStrike  // in ascending order of brokeAt
 	arrivals int           // among the recent arrivals
+	counting int           // number of strikes that count
+	firm     int           // those of them while the part was not in use
+	common   bool          // carried by many of the recent arrivals, of an accused part
 	until    time.Duration // end of the quarantine; 0 for none
 }
 
@@ -106,8 +121,9 @@
 	confirmed bool
 	inUse     bool
 	cleared   bool
-	resendAt  time.Duration
-	resend    time.Duration // interval after that
+	lastSent  time.Duration
+	resend    time.Duration // longest interval until it is sent again
+	asked     bool          // a peer has sent less than is known
 }
 
 // lastUpdate returns the time of the newest strike.
@@ -122,7 +138,7 @@
 func NewPartQuarantine() *PartQuarantine {
 	return &PartQuarantine{
 		suspects: map[uint64]*partSuspect{},
-		crashes:  map[uint64]struct{}{},
+		crashes:  map[uint64]bool{},
 		starts:   newRecentStarts(),
 	}
 }
@@ -165,7 +181,8 @@
 }
 
 // MayRepeat reports whether a request whose attempt broke off may be sent to another
-// server. It is called after Broke. The first strike against a part does not
+// server. It is called after Broke. The repeat has to be sent at least PartRepeatDelay
+// later, so that what becomes of it counts. The first strike against a part does not
 // prevent the repeat: most requests that a crash breaks off are not its cause.
 func (q *PartQuarantine) MayRepeat(parts []uint64, now time.Duration) bool {
 	if _, refuse := q.Check(parts, now); refuse {
@@ -224,7 +241,7 @@
 	for i := range s.strikes {
 		if k := &s.strikes[i]; !k.cleared && match(k) {
 			k.cleared = true
-			k.sendFrom(now)
+			k.resend = 0
 			q.changed = true
 		}
 	}
@@ -234,14 +251,13 @@
 // before its answer had begun.
 func (q *PartQuarantine) Broke(parts []uint64, server ServerIncarnation, sentAt, now time.Duration) {
 	crash := server.crashID()
-	confirmed := slices.ContainsFunc(q.down, func(e serverEvent) bool { return e.id == server.ID && e.at >= sentAt })
+	q.update()
+	confirmed := q.crashes[crash] || slices.ContainsFunc(q.down, func(e serverEvent) bool { return e.id == server.ID && e.at >= sentAt })
 	if !confirmed {
 		q.pending = appendEvent(q.pending, serverEvent{id: server.ID, crash: crash, at: now})
 	}
 	for _, p := range parts {
-		k := partStrike{crash: crash, sentAt: sentAt, brokeAt: now, confirmed: confirmed}
-		k.sendFrom(now)
-		q.add(p, k, now)
+		q.add(p, partStrike{crash: crash, sentAt: sentAt, brokeAt: now, confirmed: confirmed}, now)
 	}
 }
 
@@ -263,30 +279,36 @@
 // confirms the crash for the requests that broke off shortly before.
 func (q *PartQuarantine) ServerDown(id string, now time.Duration) {
 	q.down = appendEvent(q.down, serverEvent{id: id, at: now})
+	q.confirmPending(now, func(e serverEvent) bool { return e.id == id })
+}
+
+// confirmPending confirms the crashes that match, unless it is too late.
+func (q *PartQuarantine) confirmPending(now time.Duration, match func(serverEvent) bool) {
 	q.pending = slices.DeleteFunc(q.pending, func(e serverEvent) bool {
-		if e.id != id {
+		if !match(e) {
 			return false
 		}
 		if now-e.at <= partConfirmWindow {
-			q.confirm(e.crash, now)
+			q.confirm(e.crash)
 		}
 		return true
 	})
 }
 
-func (q *PartQuarantine) confirm(crash uint64, now time.Duration) {
+func (q *PartQuarantine) confirm(crash uint64) {
 	for _, s := range q.suspects {
 		for i := range s.strikes {
 			if k := &s.strikes[i]; k.crash == crash && !k.confirmed {
 				k.confirmed = true
-				k.sendFrom(now)
+				k.resend = 0
 				q.changed = true
 			}
 		}
 	}
 }
 
-// Merge adds evidence received from a peer.
+// Merge adds evidence received from a peer. It confirms the crashes that the evidence
+// names for the requests that broke off at this gateway.
 func (q *PartQuarantine) Merge(evidence []wire.PartEvidence, now time.Duration) {
 	for i := range evidence {
 		e := &evidence[i]
@@ -297,8 +319,11 @@
 		q.add(e.Part, partStrike{
 			crash: e.Crash, sentAt: now - sent, brokeAt: now - broke,
 			confirmed: true, inUse: e.InUse, cleared: e.Cleared,
-			resendAt: now + partMaxResend, resend: partMaxResend,
+			lastSent: now, resend: partMaxResend,
 		}, now)
+		if !e.Cleared && len(q.pending) > 0 {
+			q.confirmPending(now, func(p serverEvent) bool { return p.crash == e.Crash })
+		}
 	}
 }
 
@@ -318,7 +343,7 @@
 		q.changed = true
 	}
 	if known := &s.strikes[i]; known.cleared && !received.cleared || known.inUse && !received.inUse {
-		known.resendAt = min(known.resendAt, now) // the sender does not know it yet
+		known.asked = true
 	}
 	s.sort()
 }
@@ -361,7 +386,7 @@
 	k.sentAt, k.brokeAt = min(k.sentAt, o.sentAt), min(k.brokeAt, o.brokeAt)
 	k.inUse, k.cleared = k.inUse || o.inUse, k.cleared || o.cleared
 	if o.confirmed && !k.confirmed {
-		k.confirmed, k.resendAt, k.resend = true, o.resendAt, o.resend
+		k.confirmed, k.lastSent, k.resend = true, o.lastSent, o.resend
 	}
 	return *k != before
 }
@@ -369,9 +394,6 @@
 // counts reports whether the strike counts against its part.
 func (k *partStrike) counts() bool { return k.confirmed && !k.cleared }
 
-// sendFrom schedules the strike to be sent at once, and then at growing intervals.
-func (k *partStrike) sendFrom(now time.Duration) { k.resendAt, k.resend = now, partFirstResend }
-
 // update computes what follows from the strikes if they have changed.
 func (q *PartQuarantine) update() {
 	if !q.changed {
@@ -383,45 +405,95 @@
 	for _, s := range q.suspects {
 		s.until = 0
 		for i := range s.strikes {
-			if !s.strikes[i].cleared {
-				q.crashes[s.strikes[i].crash] = struct{}{}
+			if k := &s.strikes[i]; !k.cleared {
+				q.crashes[k.crash] = q.crashes[k.crash] || k.confirmed
 			}
 		}
-		if s.suffices(func(*partStrike) bool { return true }) {
+		if s.counting, s.firm = s.count(); s.counting >= partStrikeLimit {
 			q.accused = append(q.accused, s)
 		}
 	}
 	q.judge()
 }
 
-// judge decides which of the accused parts are quarantined, the rarest first.
+// judge decides which of the accused parts are quarantined.
 func (q *PartQuarantine) judge() {
 	if len(q.accused) == 0 {
 		return
 	}
-	slices.SortFunc(q.accused, func(a, b *partSuspect) int {
-		return cmp.Or(cmp.Compare(a.arrivals, b.arrivals), cmp.Compare(a.part, b.part))
-	})
-	explained := map[uint64]int{} // lowest number of arrivals of a quarantined part, by crash
 	for _, s := range q.accused {
 		s.until = 0
-		if q.exempt(s) || !s.suffices(func(k *partStrike) bool {
-			rarest, ok := explained[k.crash]
-			return !ok || rarest >= s.arrivals
-		}) {
+		s.common = s.arrivals*partCommonShare > q.arrivals.len
+
+	}
+	slices.SortFunc(q.accused, compareAccused)
+	for i, s := range q.accused {
+		if q.exempt(s) || !s.suffices(func(k *partStrike) bool { return !s.explained(k, q.accused[:i]) }) {
 			continue
 		}
 		for i := range s.strikes {
-			k := &s.strikes[i]
-			if !k.counts() {
-				continue
+			if k := &s.strikes[i]; k.counts() {
+				s.until = max(s.until, k.brokeAt+PartTTL)
 			}
-			s.until = max(s.until, k.brokeAt+PartTTL)
-			if _, ok := explained[k.crash]; !ok {
-				explained[k.crash] = s.arrivals
+		}
+	}
+}
+
+// compareAccused orders parts such that each can only be explained by earlier ones.
+func compareAccused(a, b *partSuspect) int {
+	switch {
+	case a.common != b.common && b.common:
+		return -1
+	case a.common != b.common:
+		return 1
+	case !a.common && a.counting != b.counting:
+		return b.counting - a.counting
+	}
+	return cmp.Or(cmp.Compare(a.arrivals, b.arrivals), cmp.Compare(a.part, b.part))
+}
+
+// explained reports whether a crash does not count against the part because one of
+// the earlier parts explains it. A common part is innocent of each crash of a rarer
+// quarantined one, since most crashes hit some request that carries it. Any part is
+// innocent if another one has all its strikes and is rarer, or is quarantined and has
+// more.
+func (s *partSuspect) explained(k *partStrike, earlier []*partSuspect) bool {
+	return slices.ContainsFunc(earlier, func(o *partSuspect) bool {
+		rarer, quarantined := o.arrivals < s.arrivals, o.until > 0
+		if s.common && rarer && quarantined && o.has(k) {
+			return true
+		}
+		return (rarer && o.firm >= s.firm || quarantined && o.counting > s.counting) && o.hasAll(s)
+	})
+}
+
+// count returns the number of strikes that count, and of those while the part was not
+// in use.
+func (s *partSuspect) count() (counting, firm int) {
+	for i := range s.strikes {
+		if k := &s.strikes[i]; k.counts() {
+			counting++
+			if !k.inUse {
+				firm++
 			}
 		}
 	}
+	return counting, firm
+}
+
+// has reports whether the crash of k counts against the part.
+func (s *partSuspect) has(k *partStrike) bool {
+	return slices.ContainsFunc(s.strikes, func(o partStrike) bool { return o.crash == k.crash && o.counts() })
+}
+
+// hasAll reports whether all crashes that count against o count against the part.
+func (s *partSuspect) hasAll(o *partSuspect) bool {
+	for i := range o.strikes {
+		if k := &o.strikes[i]; k.counts() && !s.has(k) {
+			return false
+		}
+	}
+	return true
 }
 
 // suffices reports whether the strikes that count and match are enough to
@@ -437,7 +509,7 @@
 	n, last := 0, time.Duration(0)
 	for i := range s.strikes {
 		k := &s.strikes[i]
-		if k.counts() && match(k) && (n == 0 || k.sentAt >= last) {
+		if k.counts() && match(k) && (n == 0 || k.sentAt >= last+partAgeError) {
 			n, last = n+1, k.brokeAt
 		}
 	}
@@ -464,6 +536,7 @@
 		return nil
 	}
 	q.expire(now)
+	q.update()
 	type dueStrike struct {
 		part uint64
 		*partStrike
@@ -471,19 +544,20 @@
 	var due []dueStrike
 	for part, s := range q.suspects {
 		for i := range s.strikes {
-			if k := &s.strikes[i]; k.due(now) {
+			if k := &s.strikes[i]; k.due(s.until > now, now) {
 				due = append(due, dueStrike{part, k})
 			}
 		}
 	}
 	slices.SortFunc(due, func(a, b dueStrike) int {
-		return cmp.Or(cmp.Compare(a.resendAt, b.resendAt), cmp.Compare(a.part, b.part), cmp.Compare(a.crash, b.crash))
+		return cmp.Or(cmp.Compare(a.resend, b.resend), cmp.Compare(a.lastSent, b.lastSent), cmp.Compare(a.part, b.part), cmp.Compare(a.crash, b.crash))
 	})
 	due = due[:min(len(due), maxPartEvidence)]
 	evidence := make([]wire.PartEvidence, 0, len(due))
 	for _, d := range due {
 		evidence = append(evidence, d.evidence(d.part, now))
-		d.sent(now)
+		d.lastSent, d.asked = now, false
+		d.resend = min(max(2*d.resend, partFirstResend), partMaxResend)
 	}
 	return evidence
 }
@@ -503,19 +577,17 @@
 	}
 }
 
-// due reports whether the strike is to be sent.
-func (k *partStrike) due(now time.Duration) bool {
-	return k.confirmed && now >= k.resendAt && now-k.brokeAt <= PartTTL-partResendMargin
-}
-
-// sent schedules the next time that the strike is sent. Once the peers are likely to
-// know that it is cleared, it is sent only in answer to one that does not.
-func (k *partStrike) sent(now time.Duration) {
-	if k.cleared && k.resend == partMaxResend {
-		k.resendAt = time.Duration(math.MaxInt64)
-		return
+// due reports whether the strike is to be sent. Once the peers are likely to know
+// that it is cleared, it is sent only in answer to one that does not.
+func (k *partStrike) due(quarantined bool, now time.Duration) bool {
+	if !k.confirmed || now-k.brokeAt > PartTTL-partResendMargin {
+		return false
+	}
+	interval := k.resend
+	if quarantined {
+		interval = min(interval, partQuarantinedResend)
 	}
-	k.resendAt, k.resend = now+k.resend, min(2*k.resend, partMaxResend)
+	return k.asked || now >= k.lastSent+interval && (!k.cleared || k.resend < partMaxResend)
 }
 
 func (k *partStrike) evidence(part uint64, now time.Duration) wire.PartEvidence {
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestPartReport(t *testing.T) {
-	sent := PartReport{Instance: "gateway-1", Evidence: []PartEvidence{
+	sent := PartReport{Instance: "gateway-1", Incarnation: 5, SentAt: 6, Evidence: []PartEvidence{
 		{Part: 1 << 63, Crash: 2, SentAge: 3000, BrokeAge: 2000, InUse: true},
 		{Part: 3, Crash: 4, Cleared: true},
 	}}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -47,8 +47,10 @@
 // PartReport is the datagram in which a gateway sends evidence against parts of
 // prompts to the other gateways; see admit.PartQuarantine.
 type PartReport struct {
-	Instance string         `msg:"i"`
-	Evidence []PartEvidence `msg:"v"`
+	Instance    string         `msg:"i"`
+	Incarnation int64          `msg:"b"` // of the sender; differs after a restart
+	SentAt      int64          `msg:"t"` // in ms, on the clock of this incarnation
+	Evidence    []PartEvidence `msg:"v"`
 }
 
 //msgp:tuple PartEvidence
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -928,6 +928,18 @@
 				err = msgp.WrapError(err, "Instance")
 				return
 			}
+		case "b":
+			z.Incarnation, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "t":
+			z.SentAt, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SentAt")
+				return
+			}
 		case "v":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -964,9 +976,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PartReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 4
 	// write "i"
-	err = en.Append(0x82, 0xa1, 0x69)
+	err = en.Append(0x84, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -975,6 +987,26 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SentAt)
+	if err != nil {
+		err = msgp.WrapError(err, "SentAt")
+		return
+	}
 	// write "v"
 	err = en.Append(0xa1, 0x76)
 	if err != nil {
@@ -998,10 +1030,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PartReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
+	o = append(o, 0x84, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Instance)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt64(o, z.Incarnation)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.SentAt)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evidence)))
@@ -1039,6 +1077,18 @@
 				err = msgp.WrapError(err, "Instance")
 				return
 			}
+		case "b":
+			z.Incarnation, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "t":
+			z.SentAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SentAt")
+				return
+			}
 		case "v":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1076,7 +1126,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PartReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Evidence {
 		s += z.Evidence[za0001].Msgsize()
 	}
