--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,6 +28,7 @@
 	mu        sync.Mutex // guards all below
 	ledgers   [crashCauses]crashLedger
 	suspected map[string]suspectedServer // by id
+	delays    admit.DelayFilter
 }
 
 // crashCause is a kind of feature of requests that may crash servers.
@@ -240,11 +241,13 @@
 	return x.ledgers[k].Evidence(now)
 }
 
-// merge adds evidence of another gateway.
-func (x *crashGuard) merge(k crashCause, evidence []wire.PartEvidence, now time.Duration) {
+// merge adds evidence of another gateway, unless it comes late: its ages would be too low.
+func (x *crashGuard) merge(k crashCause, r *wire.PartReport, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ledgers[k].Merge(evidence, now)
+	if x.delays.Accept(r.Instance, r.Incarnation, time.Duration(r.SentAt)*time.Millisecond, now) {
+		x.ledgers[k].Merge(r.Evidence, now)
+	}
 }
 
 func incarnationOf(m *fleet.Member) admit.ServerIncarnation {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,9 +9,11 @@
 	"strings"
 	"time"
 
+	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/backend"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 )
 
@@ -126,7 +128,7 @@
 		if g.expired(ctx, c) || failure.Ran != api.NotRun && !c.route.Retryable() {
 			break
 		}
-		if c.brokenOff && !g.crashes.mayRepeat(c, g.now()) {
+		if c.brokenOff && !(g.crashes.mayRepeat(c, g.now()) && g.awaitRepeat(ctx, c)) {
 			break
 		}
 	}
@@ -134,6 +136,18 @@
 	return true
 }
 
+// awaitRepeat waits until the repeat of a request that a server has broken off tells
+// its crashes apart. It returns false if the request ends meanwhile. Requests without a
+// prompt are not delayed: their objectives are short, and faults other than crashes
+// break them off, too.
+func (g *Gateway) awaitRepeat(ctx context.Context, c *call) bool {
+	if len(c.features[causePart]) == 0 {
+		return true
+	}
+	clock.Sleep(ctx, admit.PartRepeatDelay)
+	return !g.expired(ctx, c)
+}
+
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
 	if c.headSent {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,6 +22,9 @@
 	broadcastInterval        = 25 * time.Millisecond
 	broadcastIntervalPerPeer = 4 * time.Millisecond
 	maxDatagram              = 8 << 10
+	// reportInterval is the longest time between two reports of evidence, which may be
+	// empty: the receiver needs the delay of punctual ones to tell which are late.
+	reportInterval = time.Second
 )
 
 // peers exchanges loads with the other gateways by UDP datagrams. Each datagram
@@ -109,7 +112,7 @@
 	if _, err := r.UnmarshalMsg(data); err != nil {
 		return eris.Wrap(err, "decode evidence of crashes")
 	}
-	p.g.crashes.merge(cause, r.Evidence, p.g.now())
+	p.g.crashes.merge(cause, &r, p.g.now())
 	return nil
 }
 
@@ -152,6 +155,7 @@
 // then pauses.
 func (p *peers) broadcast(ctx context.Context) {
 	busy := false
+	reported := -reportInterval // time of the last evidence
 	for ctx.Err() == nil {
 		addrs := p.addresses()
 		if l := p.currentLoads(); busy || len(l.Groups) > 0 {
@@ -159,14 +163,23 @@
 			p.send(wire.KindGatewayLoad, l, addrs)
 		}
 		for cause := range crashCauses {
-			if evidence := p.g.crashes.evidence(cause, p.g.now()); len(evidence) > 0 {
-				p.send(cause.datagram(), &wire.PartReport{Instance: p.g.opts.Settings.Instance, Evidence: evidence}, addrs)
+			now := p.g.now()
+			if evidence := p.g.crashes.evidence(cause, now); len(evidence) > 0 || now-reported >= reportInterval {
+				reported = now
+				p.send(cause.datagram(), p.report(evidence, now), addrs)
 			}
 		}
 		time.Sleep(broadcastInterval + time.Duration(len(addrs))*broadcastIntervalPerPeer)
 	}
 }
 
+// report returns the message that carries evidence of crashes.
+func (p *peers) report(evidence []wire.PartEvidence, now time.Duration) *wire.PartReport {
+	return &wire.PartReport{
+		Instance: p.g.opts.Settings.Instance, Incarnation: p.g.start.UnixNano(), SentAt: now.Milliseconds(), Evidence: evidence,
+	}
+}
+
 // currentLoads returns the loads of the groups with streams or arrivals.
 func (p *peers) currentLoads() *wire.GatewayLoad {
 	l := &wire.GatewayLoad{Instance: p.g.opts.Settings.Instance, Serving: p.g.Ready()}
