--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,6 +28,7 @@
 	mu        sync.Mutex // guards all below
 	ledgers   [crashCauses]crashLedger
 	suspected map[string]suspectedServer // by id
+	delays    admit.DelayFilter
 }
 
 // crashCause is a kind of feature of requests that may crash servers.
@@ -139,11 +140,24 @@
 }
 
 // started records that a server has begun an answer to the request.
-func (x *crashGuard) started(c *call, m *fleet.Member, now time.Duration) {
+func (g *Gateway) started(c *call, m *fleet.Member, now time.Duration) {
+	age, _ := g.entriesAge()
+	g.crashes.started(c, m, g.entriesSince(age), now)
+}
+
+// started implements Gateway.started. An answer shows that the incarnation of a
+// suspected server has not crashed only if its entry is known to be newer than the
+// broken request; otherwise the server may have restarted under its id.
+func (x *crashGuard) started(c *call, m *fleet.Member, entriesSince, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	alive := admit.ServerIncarnation{} // none
+	if s, ok := x.suspected[m.ID]; ok && s.member.StartedAt == m.StartedAt && s.at < entriesSince {
+		delete(x.suspected, m.ID)
+		alive = incarnationOf(m)
+	}
 	for k, l := range x.ledgers {
-		l.Started(c.features[k], incarnationOf(m), now)
+		l.Started(c.features[k], alive, now)
 	}
 }
 
@@ -227,11 +241,13 @@
 	return x.ledgers[k].Evidence(now)
 }
 
-// merge adds evidence of another gateway.
-func (x *crashGuard) merge(k crashCause, evidence []wire.PartEvidence, now time.Duration) {
+// merge adds evidence of another gateway, unless it comes late: its ages would be too low.
+func (x *crashGuard) merge(k crashCause, r *wire.PartReport, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ledgers[k].Merge(evidence, now)
+	if x.delays.Accept(r.Instance, r.Incarnation, time.Duration(r.SentAt)*time.Millisecond, now) {
+		x.ledgers[k].Merge(r.Evidence, now)
+	}
 }
 
 func incarnationOf(m *fleet.Member) admit.ServerIncarnation {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,7 +106,7 @@
 		}
 		now := g.now()
 		if previous < 0 {
-			g.crashes.started(c, m, now)
+			g.started(c, m, now)
 		}
 		g.recordEvent(c, m, now, previous, sent)
 		previous = now
