--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -6,19 +6,27 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"marjorampitch/internal/sockopt"
 )
 
 // maxSkippedResponses is the number of responses, informational ones and those to
 // other requests, that are skipped before the connection is closed.
 const maxSkippedResponses = 3
 
+// silenceRechecks is how often a silence that goes on is judged again within the time
+// of the first judgement.
+const silenceRechecks = 4
+
 // Errors of Pool.Do.
 var (
 	// ErrNoResponse means that the request may have reached the server, but no
@@ -27,6 +35,8 @@
 	// ErrMismatchedResponse means that the responses on the connection belong to other
 	// requests.
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
+	// ErrSilent reports a server whose silence a watch has ended.
+	ErrSilent = eris.New("backend: no data from the server")
 )
 
 // ClosedByServer reports whether an exchange failed with err because the server
@@ -52,15 +62,57 @@
 	IDHeader string // response header in which the server returns ID
 	ID       string
 	NoReuse  bool // use a new connection, for a request that must not be repeated if a reused one fails
+
+	Silence  time.Duration // see Response.WatchSilence; applies to the head of the response
+	OnSilent func() bool   // nil for no watch
 }
 
 // Response is a response whose head has been read. The caller must call Finish or
 // Abort.
 type Response struct {
 	*http.Response
-	conn *Conn
-	pool *Pool
-	stop func() bool
+	conn   *Conn
+	reader *exchangeReader
+	pool   *Pool
+	stop   func() bool
+}
+
+// exchangeReader reads the responses of one exchange from its connection.
+type exchangeReader struct {
+	conn     *net.TCPConn
+	deadline time.Time // of the exchange; zero for none
+	silence  time.Duration
+	onSilent func() bool // nil for no watch
+}
+
+// Read implements io.Reader. Silence is judged between reads, so that neither a read
+// nor the end of the exchange can overlap with it.
+func (r *exchangeReader) Read(p []byte) (int, error) {
+	for silence := r.silence; ; silence = r.silence / silenceRechecks {
+		deadline := r.deadline
+		if r.onSilent != nil {
+			deadline = time.Now().Add(silence)
+		}
+		if err := r.conn.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+		n, err := r.conn.Read(p)
+		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		// A deadline also passes while this process is paused.
+		if r.waiting() && r.onSilent() && r.waiting() {
+			return 0, ErrSilent
+		}
+	}
+}
+
+// waiting reports whether the connection is open and no data has arrived.
+func (r *exchangeReader) waiting() bool {
+	if err := r.conn.SetReadDeadline(time.Time{}); err != nil { // CanReuse fails after a deadline
+		return false
+	}
+	return sockopt.CanReuse(r.conn)
 }
 
 // Do sends the request and reads the head of the response. ctx bounds the exchange
@@ -69,10 +121,15 @@
 // ErrNoResponse. After ErrNoResponse the request may have run, unless the
 // connection was closed before any of the request was written.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, eris.Wrap(ErrDial, err.Error())
+	}
 	conn, err := p.Get(ctx, address, r.NoReuse)
 	if err != nil {
 		return nil, err
 	}
+	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent}
+	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
 		stop()
@@ -80,6 +137,7 @@
 		return nil, fmt.Errorf("%w: %w", err, ErrNoResponse)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
+		reader.deadline = deadline
 		if err := conn.SetDeadline(deadline); err != nil {
 			return fail(err)
 		}
@@ -91,7 +149,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	return &Response{Response: resp, conn: conn, pool: p, stop: stop}, nil
+	reader.onSilent = nil
+	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
 }
 
 // encode returns the head and body of the request in one buffer.
@@ -148,6 +207,14 @@
 	r.pool.Put(r.conn, idleTimeout(r.Header.Get("Keep-Alive")))
 }
 
+// WatchSilence calls onSilent when a read of the body has waited this long for data, and
+// then silenceRechecks times as often.
+// If it returns true and no data has arrived meanwhile, the read fails with ErrSilent.
+// It is called by the reading goroutine.
+func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
+	r.reader.silence, r.reader.onSilent = silence, onSilent
+}
+
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
 func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,16 +9,19 @@
 	"strings"
 	"time"
 
+	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/backend"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 )
 
 // Limits of forwarding.
 const (
 	// maxServerAttempts bounds the attempts of one call of forward, including those
-	// that fail to connect. A stream that queues for admission again starts anew.
+	// that fail to connect. A stream that queues for admission again starts anew; an
+	// attempt for which a silent one was ended is made in any case.
 	maxServerAttempts = 4
 	// firstAttemptShare is the fraction of the remaining time that the first
 	// attempt of a plain request gets when another attempt may follow.
@@ -98,7 +101,7 @@
 		c.service.depositRetry()
 	}
 	var last *api.Error
-	for n := 0; n < maxServerAttempts; n++ {
+	for n := 0; n < maxServerAttempts || c.retryReserved.Load(); n++ {
 		if c.attempts >= c.route.MaxAttempts {
 			c.noAttempt = "attempts used up"
 			break
@@ -132,7 +135,7 @@
 		if g.expired(ctx, c) || failure.Ran != api.NotRun && !c.route.Retryable() {
 			break
 		}
-		if c.brokenOff && !g.crashes.mayRepeat(c, g.now()) {
+		if c.brokenOff && !(g.crashes.mayRepeat(c, g.now()) && g.awaitRepeat(ctx, c)) {
 			c.noAttempt = "crash suspected"
 			break
 		}
@@ -141,6 +144,18 @@
 	return true
 }
 
+// awaitRepeat waits until the repeat of a request that a server has broken off tells
+// its crashes apart. It returns false if the request ends meanwhile. Requests without a
+// prompt are not delayed: their objectives are short, and faults other than crashes
+// break them off, too.
+func (g *Gateway) awaitRepeat(ctx context.Context, c *call) bool {
+	if len(c.features[causePart]) == 0 {
+		return true
+	}
+	clock.Sleep(ctx, admit.PartRepeatDelay)
+	return !g.expired(ctx, c)
+}
+
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
 	if c.headSent {
@@ -186,10 +201,14 @@
 	c.tried = append(c.tried, m.ID)
 	ctx, cancel := context.WithTimeout(ctx, g.attemptTimeout(c))
 	defer cancel()
+	if ctx.Err() != nil { // nothing was sent, and the server is not at fault
+		c.service.attemptEnded(m, g.now(), severityNone)
+		return false, api.NewError(api.Unreachable, m.ID)
+	}
 	began := g.now()
-	watch := g.watchFirstResponse(c, cancel)
-	resp, err := g.pool.Do(ctx, m.Address, g.request(c, m))
-	watch.Stop()
+	request := g.request(c, m)
+	g.watchFirstResponse(c, m, request)
+	resp, err := g.pool.Do(ctx, m.Address, request)
 	if errors.Is(err, backend.ErrDial) {
 		if c.r.Context().Err() != nil {
 			c.service.attemptEnded(m, g.now(), severityNone)
@@ -346,7 +365,7 @@
 	}
 	resp.Finish()
 	if !impliesNotExecuted(resp.StatusCode) {
-		g.crashes.started(c, m, g.now())
+		g.started(c, m, g.now())
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotExecuted(resp.StatusCode) {
 		c.service.attemptEnded(m, g.now(), severityError)
--- a/side/peer.go
+++ b/side/peer.go
@@ -49,28 +49,33 @@
 	}
 }
 
-// awaitResume detaches the subscriber of sn from its attempt. If the attempt is
-// not resumed within resumeGrace, it is cancelled and removed. A non-idempotent
-// call is removed but keeps running, because its outcome is stored under its key.
+// awaitResume detaches the subscriber of sn from its attempt, and abandons the
+// attempt if it is not resumed within resumeGrace.
 func (s *Server) awaitResume(sn *subscription) {
 	sn.sub.cancel()
 	a := sn.attempt
-	if !a.detach(sn.sub) {
+	generation, ok := a.detach(sn.sub)
+	if !ok {
 		return
 	}
-	time.AfterFunc(resumeGrace, func() {
-		if !a.orphaned() {
-			return
-		}
-		if a.req.Idempotent {
-			s.cancelAttempt(a, "no receiver")
-		}
-		s.removeAttempt(a)
-	})
+	time.AfterFunc(resumeGrace, func() { s.abandonAttempt(a, generation, "no receiver") })
 }
 
-// cancelAttempt ends an attempt without a subscriber: it removes the attempt from
-// the queue or cancels the call to the backend server.
+// abandonAttempt cancels and removes an attempt that has had no subscriber since the
+// detach that returned generation. A non-idempotent call is removed but keeps
+// running, because its outcome is stored under its key.
+func (s *Server) abandonAttempt(a *attempt, generation uint64, reason string) {
+	if !a.close(generation) {
+		return
+	}
+	if a.req.Idempotent {
+		s.cancelAttempt(a, reason)
+	}
+	s.removeAttempt(a)
+}
+
+// cancelAttempt ends an attempt that is closed to subscribers: it removes the attempt
+// from the queue or cancels the call to the backend server.
 func (s *Server) cancelAttempt(a *attempt, reason string) {
 	e := api.NewError(api.Cancelled, reason)
 	l := s.limiter.Load()
@@ -91,8 +96,7 @@
 	}
 }
 
-// handleCancel removes the subscriber of a request whose caller disconnected. It
-// cancels the attempt if the request is idempotent.
+// handleCancel abandons the attempt of a request whose caller disconnected.
 func (s *Server) handleCancel(c *wire.Conn, m *wire.Cancel) {
 	key := streamKey{c, m.Stream}
 	s.mu.Lock()
@@ -103,13 +107,16 @@
 		return
 	}
 	sn.sub.cancel()
-	if sn.attempt.detach(sn.sub) && sn.attempt.req.Idempotent {
-		s.cancelAttempt(sn.attempt, "caller went away")
+	a := sn.attempt
+	if generation, ok := a.detach(sn.sub); ok {
+		s.abandonAttempt(a, generation, "caller went away")
 	}
 }
 
 // handleRequest starts, resumes or refuses an attempt.
 func (s *Server) handleRequest(c *wire.Conn, m *wire.Request) {
+	s.accepting.Add(1) // before the check of the leaving state, so that Shutdown waits for what passes it
+	defer s.accepting.Add(-1)
 	if m.Resume {
 		s.resume(c, m)
 		return
@@ -182,7 +189,7 @@
 }
 
 // subscribe starts to send the response of a to the stream of m. It returns false
-// if the chunks from m.ResumeFrom on are not available.
+// if a is closed or the chunks from m.ResumeFrom on are not available.
 func (s *Server) subscribe(c *wire.Conn, m *wire.Request, a *attempt) bool {
 	ctx, stop := context.WithCancel(context.Background())
 	sub := &subscriber{
@@ -209,8 +216,10 @@
 }
 
 // deliver sends the response of a to sub. If that fails, because the connection is
-// closed or another subscriber has replaced sub, it calls awaitResume. Either
-// deliver or Closed may be the first to detect a closed connection.
+// closed or another subscriber has replaced sub, it calls awaitResume, and also at the
+// end of a stream, since the connection may be lost before its peer has received the
+// end. Any other attempt is removed once its response was sent. Either deliver or
+// Closed may be the first to detect a closed connection.
 func (s *Server) deliver(ctx context.Context, key streamKey, a *attempt, sub *subscriber) {
 	complete := s.sendResponse(ctx, a, sub)
 	s.mu.Lock()
@@ -220,7 +229,7 @@
 	switch {
 	case complete && !a.req.Streaming:
 		s.removeAttempt(a)
-	case !complete && sn != nil:
+	case sn != nil:
 		s.awaitResume(sn)
 	}
 }
