gateway: evidence of a peer counts after one of the two was suspended

Found on reading: reports of evidence were dated by the monotonic clock, which stands still while an instance is suspended. After that, for one to two minutes, the delay filter took every report between the two for late and dropped it. Change: the reports are dated, and their delays measured, by the clock since boot. Evidence: TestEvidenceIsAcceptedAfterSuspension is red with the monotonic clock (the part is not quarantined) and passes.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -10,6 +10,7 @@
 	"marjorampitch/admit"
 	"marjorampitch/api"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/clock"
 	"marjorampitch/route"
 	"marjorampitch/wire"
 )
@@ -245,7 +246,7 @@
 func (x *crashGuard) merge(k crashCause, r *wire.PartReport, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.delays.Accept(r.Instance, r.Incarnation, time.Duration(r.SentAt)*time.Millisecond, now) {
+	if x.delays.Accept(r.Instance, r.Incarnation, time.Duration(r.SentAt)*time.Millisecond, clock.SinceBoot()) {
 		x.ledgers[k].Merge(r.Evidence, now)
 	}
 }
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -411,3 +411,17 @@
 	tg.g.started(&call{features: crashFeatures{{3}, {4}}}, m, tg.g.now())
 	require.NotContains(t, tg.g.crashes.suspected, id)
 }
+
+// The monotonic clocks of two instances drift apart while one of them is suspended.
+func TestEvidenceIsAcceptedAfterSuspension(t *testing.T) {
+	sender, receiver := newTestGateway(t), newTestGateway(t)
+	receive := func(evidence ...wire.PartEvidence) {
+		data, err := sender.g.peers.report(evidence).MarshalMsg([]byte{wire.KindPartEvidence})
+		require.NoError(t, err)
+		require.NoError(t, receiver.g.peers.handleDatagram(data))
+	}
+	receive()
+	receiver.g.start = receiver.g.start.Add(-4 * time.Second)
+	receive(wire.PartEvidence{Part: 1, Crash: 1, SentAge: 3000, BrokeAge: 2900}, wire.PartEvidence{Part: 1, Crash: 2, SentAge: 200, BrokeAge: 100})
+	require.NotNil(t, receiver.g.crashes.check(&call{features: crashFeatures{{1}, {2}}}, receiver.g.now()))
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
 
+	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 	"marjorampitch/wire"
 )
@@ -166,17 +167,18 @@
 			now := p.g.now()
 			if evidence := p.g.crashes.evidence(cause, now); len(evidence) > 0 || now-reported >= reportInterval {
 				reported = now
-				p.send(cause.datagram(), p.report(evidence, now), addrs)
+				p.send(cause.datagram(), p.report(evidence), addrs)
 			}
 		}
 		time.Sleep(broadcastInterval + time.Duration(len(addrs))*broadcastIntervalPerPeer)
 	}
 }
 
-// report returns the message that carries evidence of crashes.
-func (p *peers) report(evidence []wire.PartEvidence, now time.Duration) *wire.PartReport {
+// report returns the message that carries evidence of crashes. It is dated by a clock
+// that goes on while the instance is suspended.
+func (p *peers) report(evidence []wire.PartEvidence) *wire.PartReport {
 	return &wire.PartReport{
-		Instance: p.g.opts.Settings.Instance, Incarnation: p.g.start.UnixNano(), SentAt: now.Milliseconds(), Evidence: evidence,
+		Instance: p.g.opts.Settings.Instance, Incarnation: p.g.start.UnixNano(), SentAt: clock.SinceBoot().Milliseconds(), Evidence: evidence,
 	}
 }
 
