--- a/admit/part_quarantine.go
+++ b/admit/part_quarantine.go
@@ -20,7 +20,7 @@
 	partInUseWindow = time.Minute
 	// PartTTL is how long the evidence against a part counts after its newest strike.
 	PartTTL = 10 * time.Minute
-	// partResendMargin is the remaining lifetime below which evidence is no longer
+	// partResendMargin is the time before the end of PartTTL from which evidence is no longer
 	// sent, so that peers with a slightly later estimate of its age do not prolong it.
 	partResendMargin = 10 * time.Second
 	// partConfirmWindow is the longest time between a broken request and the
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -23,7 +23,7 @@
 // startPausingServer starts the backend server in a process of its own and returns its
 // address. The process ends with the test.
 func startPausingServer(t *testing.T) (address string) {
-	cmd := exec.Command(os.Args[0], "-test.run=^TestPausingServer$")
+	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), pausingServerEnv+"=1")
 	in, err := cmd.StdinPipe()
 	require.NoError(t, err)
@@ -39,13 +39,21 @@
 	return strings.TrimSpace(address)
 }
 
-// TestPausingServer is the backend server of TestPauseOfGatewayIsNotSilenceOfServer.
-func TestPausingServer(t *testing.T) {
-	if os.Getenv(pausingServerEnv) == "" {
-		t.Skip("runs only as a process of another test")
+// TestMain runs the tests, or the backend server of startPausingServer.
+func TestMain(m *testing.M) {
+	if os.Getenv(pausingServerEnv) != "" {
+		runPausingServer()
+		return
 	}
+	os.Exit(m.Run())
+}
+
+// runPausingServer serves until its standard input is closed.
+func runPausingServer() {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	if err != nil {
+		panic(err)
+	}
 	fmt.Println(ln.Addr())
 	var once sync.Once
 	pauseParent := func() {
