admit, gateway: copies of a request suspected of crashes run alone

Other copies are refused, not run, with 0.5 s. An answer ends that, so sound copies are not held long. Each gateway counts by itself; copies in flight at several gateways at once remain.

--- a/admit/part_quarantine.go
+++ b/admit/part_quarantine.go
@@ -83,7 +83,13 @@
 //   - Crashes do not count against a part if a quarantined part explains them: one
 //     that has more strikes or is rarer among the recent arrivals.
 //   - A part that most of the recent arrivals carry is exempt.
+//
+// One that NewRequestQuarantine returns holds whole requests instead: its only part
+// is the fingerprint of the request. Copies of one request then run alone once it is
+// suspected of more than one crash, because copies that overlap are one strike.
 type PartQuarantine struct {
+	whole    bool           // features are whole requests
+	running  map[uint64]int // requests in flight, by feature; only if whole
 	suspects map[uint64]*partSuspect
 	changed  bool            // strikes have changed since the next two were computed
 	accused  []*partSuspect  // with enough strikes to be quarantined unless a rule protects them
@@ -143,6 +149,50 @@
 	}
 }
 
+// NewRequestQuarantine returns an empty PartQuarantine of whole requests.
+func NewRequestQuarantine() *PartQuarantine {
+	q := NewPartQuarantine()
+	q.whole, q.running = true, map[uint64]int{}
+	return q
+}
+
+// Begin reports whether a request may be sent to a server now, and records that it is
+// in flight if so; End has to be called then. It returns false for a whole request
+// that is suspected of more than one crash while a copy of it is in flight. It is
+// called after Check.
+func (q *PartQuarantine) Begin(parts []uint64, now time.Duration) bool {
+	if !q.whole {
+		return true
+	}
+	for _, p := range parts {
+		if q.suspected(p, now) && (q.running[p] > 0 || now-q.suspects[p].lastUpdate() < PartRepeatDelay) {
+			return false
+		}
+	}
+	for _, p := range parts {
+		q.running[p]++
+	}
+	return true
+}
+
+// End records that a request for which Begin returned true is no longer in flight.
+func (q *PartQuarantine) End(parts []uint64) {
+	if !q.whole {
+		return
+	}
+	for _, p := range parts {
+		if q.running[p]--; q.running[p] <= 0 {
+			delete(q.running, p)
+		}
+	}
+}
+
+// suspected reports whether a part may be the cause of more than one crash.
+func (q *PartQuarantine) suspected(part uint64, now time.Duration) bool {
+	s := q.suspects[part]
+	return s != nil && s.suspicions(now) > 1
+}
+
 // Arrived records the arrival of a request, before Check.
 func (q *PartQuarantine) Arrived(parts []uint64, _ time.Duration) {
 	if len(parts) == 0 {
@@ -188,13 +238,9 @@
 	if _, refuse := q.Check(parts, now); refuse {
 		return false
 	}
-	for _, p := range parts {
-		s := q.suspects[p]
-		if s != nil && !q.inUse(p, now) && !q.exempt(s) && s.suspicions(now) > 1 {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(parts, func(p uint64) bool {
+		return q.suspected(p, now) && (q.whole || !q.inUse(p, now) && !q.exempt(q.suspects[p]))
+	})
 }
 
 // suspicions returns the number of crashes that may be due to the part, including
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -69,8 +69,8 @@
 
 func newCrashGuard(logger *log.Logger, m *metrics) *crashGuard {
 	x := &crashGuard{log: logger, metrics: m, suspected: make(map[string]suspectedServer)}
-	for k := range x.ledgers {
-		x.ledgers[k] = crashLedger{admit.NewPartQuarantine(), make(map[uint64]struct{})}
+	for k, q := range [crashCauses]*admit.PartQuarantine{admit.NewPartQuarantine(), admit.NewRequestQuarantine()} {
+		x.ledgers[k] = crashLedger{q, make(map[uint64]struct{})}
 	}
 	return x
 }
@@ -105,6 +105,41 @@
 	return nil
 }
 
+// trialRetryAfter is when to return with a request of which a copy runs alone.
+const trialRetryAfter = 500 * time.Millisecond
+
+// begin returns the refusal of an attempt because of a feature of its request; nil for
+// none. Without one, the attempt counts as in flight until end.
+func (x *crashGuard) begin(c *call, now time.Duration) *api.Error {
+	if refusal := x.check(c, now); refusal != nil {
+		return refusal
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for k, l := range x.ledgers {
+		if l.Begin(c.features[k], now) {
+			continue
+		}
+		for j := range k {
+			x.ledgers[j].End(c.features[j])
+		}
+		x.log.Warn("copy-refused", "request", c.id, "cause", crashCause(k), "feature", featureNames(c.features[k]))
+		e := api.NewError(api.CrashSuspect, "a copy runs alone: "+crashCause(k).String()+" "+featureName(c.features[k][0]))
+		e.RetryAfter = trialRetryAfter
+		return e
+	}
+	return nil
+}
+
+// end records the end of an attempt for which begin returned nil.
+func (x *crashGuard) end(c *call) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for k, l := range x.ledgers {
+		l.End(c.features[k])
+	}
+}
+
 // refusal returns the refusal of a request because of one of its features. Callers
 // hold mu.
 func (x *crashGuard) refusal(k crashCause, features []uint64, now time.Duration) *api.Error {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,21 +110,30 @@
 			c.noAttempt = "no retry budget"
 			break
 		}
-		if refusal := g.crashes.check(c, g.now()); refusal != nil && !c.headSent {
-			last = refusal
-			break
+		guarded := !c.headSent // a stream that goes on has had an answer
+		if guarded {
+			if refusal := g.crashes.begin(c, g.now()); refusal != nil {
+				last = refusal
+				break
+			}
 		}
 		// The server list may have changed since the request arrived.
 		members := g.opts.Cache.View().Services[c.service.name]
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
 			c.noAttempt = "no server"
+			if guarded {
+				g.crashes.end(c)
+			}
 			break
 		}
 		if c.headSent {
 			g.metrics.resumes.Inc()
 		}
 		done, failure := g.attempt(ctx, c, m)
+		if guarded {
+			g.crashes.end(c)
+		}
 		if done {
 			return true
 		}
