gateway: a crash that the servers' entries show counts for the next request

Cause: entries were compared with suspected servers on a tick of 200 ms only. When nobody dials a crashed server, the entry of its successor is the first proof of the crash, and the same entry makes the successor eligible, so that a request could be sent within the tick. Change: the check of a request confirms from the view, too. Evidence: TestCrashShownByEntriesCountsAtOnce fails without it.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -89,7 +89,7 @@
 	}
 	c.features = g.crashFeatures(c)
 	g.crashes.arrived(c, g.now())
-	if refusal := g.crashes.check(c, g.now()); refusal != nil {
+	if refusal := g.crashes.check(c, view, g.now()); refusal != nil {
 		return c, refusal
 	}
 	c.service = g.service(pickService(c.route.Split))
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -93,10 +93,12 @@
 	}
 }
 
-// check returns the refusal of a request with a quarantined feature; nil for none.
-func (x *crashGuard) check(c *call, now time.Duration) *api.Error {
+// check returns the refusal of a request with a quarantined feature; nil for none. A
+// crash that the view shows counts.
+func (x *crashGuard) check(c *call, view *fleet.View, now time.Duration) *api.Error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.confirmReplaced(view, now)
 	for k, l := range x.ledgers {
 		if _, refuse := l.Check(c.features[k], now); refuse {
 			return x.refusal(crashCause(k), c.features[k], now)
@@ -110,8 +112,8 @@
 
 // begin returns the refusal of an attempt because of a feature of its request; nil for
 // none. Without one, the attempt counts as in flight until end.
-func (x *crashGuard) begin(c *call, now time.Duration) *api.Error {
-	if refusal := x.check(c, now); refusal != nil {
+func (x *crashGuard) begin(c *call, view *fleet.View, now time.Duration) *api.Error {
+	if refusal := x.check(c, view, now); refusal != nil {
 		return refusal
 	}
 	x.mu.Lock()
@@ -237,14 +239,7 @@
 func (x *crashGuard) observe(view *fleet.View, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for id, s := range x.suspected {
-		switch {
-		case now-s.at > crashSuspicionTTL:
-			delete(x.suspected, id)
-		case replaced(view, s.member):
-			x.markDown(id, "entry", now)
-		}
-	}
+	x.confirmReplaced(view, now)
 	for k, l := range x.ledgers {
 		for f := range l.refused {
 			if _, refuse := l.Check([]uint64{f}, now); !refuse {
@@ -255,6 +250,19 @@
 	}
 }
 
+// confirmReplaced takes from the view which of the suspected servers are gone. Callers
+// hold mu.
+func (x *crashGuard) confirmReplaced(view *fleet.View, now time.Duration) {
+	for id, s := range x.suspected {
+		switch {
+		case now-s.at > crashSuspicionTTL:
+			delete(x.suspected, id)
+		case replaced(view, s.member):
+			x.markDown(id, "entry", now)
+		}
+	}
+}
+
 // replaced reports whether the view shows that an incarnation of a server has ended:
 // its entry is gone, or a later one has its id or address.
 func replaced(view *fleet.View, m *fleet.Member) bool {
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -396,7 +396,7 @@
 	tg.g.crashes.serverDown(first, "entry", 3*time.Second)
 	tg.g.crashes.broke(bad, members[second], 4*time.Second, 5*time.Second)
 	tg.g.crashes.serverDown(second, "entry", 6*time.Second)
-	require.NotNil(t, tg.g.crashes.check(bad, 7*time.Second))
+	require.NotNil(t, tg.g.crashes.check(bad, tg.cache.View(), 7*time.Second))
 }
 
 // A server that answers although its entry is newer than the request that it broke off
@@ -423,5 +423,19 @@
 	receive()
 	receiver.g.start = receiver.g.start.Add(-4 * time.Second)
 	receive(wire.PartEvidence{Part: 1, Crash: 1, SentAge: 3000, BrokeAge: 2900}, wire.PartEvidence{Part: 1, Crash: 2, SentAge: 200, BrokeAge: 100})
-	require.NotNil(t, receiver.g.crashes.check(&call{features: crashFeatures{{1}, {2}}}, receiver.g.now()))
+	require.NotNil(t, receiver.g.crashes.check(&call{features: crashFeatures{{1}, {2}}}, receiver.cache.View(), receiver.g.now()))
+}
+
+// A crash that the servers' entries show must count for the next request, not only from the next tick on.
+func TestCrashShownByEntriesCountsAtOnce(t *testing.T) {
+	tg := newTestGateway(t)
+	bad := &call{features: crashFeatures{{1}, {2}}}
+	for i := range time.Duration(2) {
+		id := tg.server(serve("ok"))
+		m := tg.cache.View().Members[id]
+		tg.g.crashes.broke(bad, m, 2*i*time.Second, (2*i+1)*time.Second)
+		restarted := &fleet.Server{ID: id, Service: m.Service, Address: m.Address, Slots: 4, Seq: 1, StartedAt: m.StartedAt + 1}
+		tg.cache.Apply([]fleet.Change{restarted}, 1)
+	}
+	require.NotNil(t, tg.g.crashes.check(bad, tg.cache.View(), 4*time.Second))
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,15 +110,15 @@
 			c.noAttempt = "no retry budget"
 			break
 		}
-		guarded := !c.headSent // a stream that goes on has had an answer
+		view := g.opts.Cache.View() // may have changed since the request arrived
+		guarded := !c.headSent      // a stream that goes on has had an answer
 		if guarded {
-			if refusal := g.crashes.begin(c, g.now()); refusal != nil {
+			if refusal := g.crashes.begin(c, view, g.now()); refusal != nil {
 				last = refusal
 				break
 			}
 		}
-		// The server list may have changed since the request arrived.
-		members := g.opts.Cache.View().Services[c.service.name]
+		members := view.Services[c.service.name]
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
 			c.noAttempt = "no server"
