gateway, admit: the request rates that backend servers state are kept to

Cause: nothing read the statement; each gateway chose servers by its own requests in flight. Class: a limit that holds for all instances together, and that no instance counts. Change: admit.ServerLimits, without a clock or network, keeps what the answers of each incarnation state and counts the requests of all gateways in one leaky bucket per server; gateways send each other what they were told and how many requests they have sent (wire.LimitReport), so that a gateway knows a limit before it had an answer itself. A server at its limit is no candidate; where none is left, the caller is refused at once, not run, with when to return. Where all gateways could exceed the tolerance before they know of each other, only some use a server. The rate stated last holds until an answer comes without one.

--- a/admit/part_quarantine.go
+++ b/admit/part_quarantine.go
@@ -59,9 +59,9 @@
 	StartedAt int64 // in ms of Unix time, as the server reports it
 }
 
-// crashID returns the id of the crash that ends the incarnation. It is the same on
-// all gateways.
-func (s ServerIncarnation) crashID() uint64 {
+// hash returns a hash of the incarnation, which also identifies the crash that ends
+// it. It is the same on all gateways.
+func (s ServerIncarnation) hash() uint64 {
 	return route.Mix(route.HashName(s.ID), uint64(s.StartedAt))
 }
 
@@ -273,7 +273,7 @@
 	if len(q.crashes) == 0 {
 		return
 	}
-	crash := server.crashID()
+	crash := server.hash()
 	if _, known := q.crashes[crash]; !known {
 		return
 	}
@@ -296,7 +296,7 @@
 // Broke records that a request that was sent to a server at sentAt was broken off
 // before its answer had begun.
 func (q *PartQuarantine) Broke(parts []uint64, server ServerIncarnation, sentAt, now time.Duration) {
-	crash := server.crashID()
+	crash := server.hash()
 	q.update()
 	confirmed := q.crashes[crash] || slices.ContainsFunc(q.down, func(e serverEvent) bool { return e.id == server.ID && e.at >= sentAt })
 	if !confirmed {
--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -16,6 +16,7 @@
 	proofAgeDesc = newDesc("proof_age_seconds", "Age of the freshness proof of the cached document.")
 	documentDesc = newDesc("document_version", "Version of the cached document.")
 	serversDesc  = newDesc("servers", "Backend servers of a service in use, by health as seen by this gateway.", "service", "health")
+	limitedDesc  = newDesc("servers_limited", "Backend servers of a service that state a limit of requests per second.", "service")
 	runningDesc  = newDesc("streams_running", "Streams running in a group, including those of other gateways.", "service", "group")
 	limitDesc    = newDesc("streams_limit", "Maximum number of streams in a group.", "service", "group")
 	waitingDesc  = newDesc("streams_waiting", "Requests of a service waiting for admission at this gateway.", "service")
@@ -23,7 +24,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, runningDesc, limitDesc, waitingDesc} {
+	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, runningDesc, limitDesc, waitingDesc} {
 		out <- d
 	}
 }
@@ -45,6 +46,7 @@
 		usable, ejected := s.countHealth(view.Services[s.name], now)
 		gauge(serversDesc, float64(usable), s.name, "usable")
 		gauge(serversDesc, float64(ejected), s.name, "ejected")
+		gauge(limitedDesc, float64(c.g.limits.limited(view.Services[s.name])), s.name)
 		list := s.status(now)
 		for _, x := range list {
 			gauge(runningDesc, float64(x.RunningTotal), s.name, x.Group)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,6 +122,9 @@
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
 			c.noAttempt = "no server"
+			if last == nil {
+				last = g.limits.refusal(c.service.name, members, g.now())
+			}
 			if guarded {
 				g.crashes.end(c)
 			}
@@ -233,6 +236,9 @@
 	if c.sentAttempts > 1 {
 		g.metrics.retries.Inc()
 	}
+	if err == nil {
+		g.limits.observe(m, resp.Response, g.now())
+	}
 	if err != nil {
 		c.mayHaveRun = true
 		c.attempts++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	metrics  *metrics
 	peers    *peers
 	crashes  *crashGuard
+	limits   *serverLimits
 	stopping atomic.Bool // reported as not ready, still accepts requests
 	leaving  atomic.Bool // refuses new requests
 	inFlight inFlightRequests
@@ -105,6 +106,7 @@
 	}
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
+	g.limits = newServerLimits(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -142,7 +144,7 @@
 	if s == nil {
 		b := g.opts.Settings.Bounds
 		budget := admit.NewRetryBudget(retryRatioShare*b.RetryRatio, int(b.RetryBurst)/g.instances())
-		s = newService(name, budget, g.opts.Log)
+		s = newService(name, budget, g.limits, g.opts.Log)
 		g.services[name] = s
 	}
 	return s
@@ -228,6 +230,7 @@
 		case <-groupTick.C:
 			g.updateAllGroups()
 			g.crashes.observe(g.opts.Cache.View(), g.now())
+			g.limits.update(g.peers.gateways(), g.opts.Cache.View(), g.now())
 		}
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,7 +26,7 @@
 
 var headerNames = HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectServer: "X-Expect",
-	NotExecuted: "X-Not-Run", AtServer: "X-At", Seal: "X-Seal", LastEvent: "Last-Event-Id", Reserved: []string{"X-Reserved"},
+	NotExecuted: "X-Not-Run", AtServer: "X-At", Limit: "X-Limit", Seal: "X-Seal", LastEvent: "Last-Event-Id", Reserved: []string{"X-Reserved"},
 }
 
 // testGateway is a gateway whose backend servers are implemented by the tests.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -101,6 +101,8 @@
 		return p.handleEvidence(causePart, data[1:])
 	case wire.KindRequestEvidence:
 		return p.handleEvidence(causeRequest, data[1:])
+	case wire.KindLimitReport:
+		return p.handleLimits(data[1:])
 	default:
 		return eris.Errorf("unknown datagram kind %d", data[0])
 	}
@@ -151,7 +153,7 @@
 	}
 }
 
-// broadcast sends this instance's loads and its evidence of crashes to its peers
+// broadcast sends this instance's loads, its evidence of crashes and the limits of servers to its peers
 // until ctx ends. When there are no loads any more, it sends one empty message and
 // then pauses.
 func (p *peers) broadcast(ctx context.Context) {
@@ -170,6 +172,9 @@
 				p.send(cause.datagram(), p.report(evidence), addrs)
 			}
 		}
+		if limits := p.g.limits.report(p.g.now()); len(limits) > 0 {
+			p.send(wire.KindLimitReport, p.limitReport(limits), addrs)
+		}
 		time.Sleep(broadcastInterval + time.Duration(len(addrs))*broadcastIntervalPerPeer)
 	}
 }
@@ -232,17 +237,20 @@
 }
 
 // gatewayCount returns the number of gateways in the directory; 0 while none is known.
-func (p *peers) gatewayCount() int {
+func (p *peers) gatewayCount() int { return len(p.gateways()) }
+
+// gateways returns the names of the gateways in the directory.
+func (p *peers) gateways() []string {
 	if p.g.opts.Directory == nil {
-		return 0
+		return nil
 	}
-	n := 0
-	for _, e := range p.g.opts.Directory.Entries() {
+	var names []string
+	for name, e := range p.g.opts.Directory.Entries() {
 		if e.Role == wire.RoleGateway {
-			n++
+			names = append(names, name)
 		}
 	}
-	return n
+	return names
 }
 
 // engineGroups returns the group of each engine by its address.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -44,8 +44,9 @@
 // service is the state of one service. mu guards the fields below it; Directory.mu
 // may be taken while it is held.
 type service struct {
-	name string
-	log  *log.Logger
+	name   string
+	log    *log.Logger
+	limits *serverLimits
 
 	mu        sync.Mutex
 	picker    route.Picker
@@ -59,7 +60,7 @@
 	activity  groupActivity // by activityKey
 }
 
-func newService(name string, budget *admit.RetryBudget, logger *log.Logger) *service {
+func newService(name string, budget *admit.RetryBudget, limits *serverLimits, logger *log.Logger) *service {
 	picker, err := route.Build(routingPolicy, rand.Uint64())
 	if err != nil {
 		panic(err) // the policy is registered by the import above
@@ -67,6 +68,7 @@
 	return &service{
 		name:     name,
 		log:      logger,
+		limits:   limits,
 		picker:   picker,
 		servers:  make(map[serverKey]*serverState),
 		budget:   budget,
@@ -148,6 +150,7 @@
 			c.Cold = true
 			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentThisSecond(now) >= cold.perSecond
 		}
+		c.Excluded = c.Excluded || !s.limits.allows(m, now)
 		list = append(list, c)
 	}
 	return list
@@ -206,6 +209,7 @@
 	st.inFlight++
 	st.recordSent(now)
 	st.health.requestSent(now)
+	s.limits.sent(members[i], now)
 	return members[i]
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -45,6 +45,7 @@
 	ExpectServer string   // id of the intended server; other servers refuse the request
 	NotExecuted  string   // in a response: the server did not execute the request
 	AtServer     string   // in a refusal: id of the server at fault
+	Limit        string   // in a response: requests per second that the server takes from all gateways together
 	Seal         string   // in a response: proof that the backend server produced it
 	LastEvent    string   // id of the event after which a stream resumes
 	Reserved     []string // further headers that are removed from callers' requests
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -67,6 +67,27 @@
 	Cleared  bool   `msg:"x"` // the part did not cause the crash
 }
 
+// LimitReport is the datagram in which a gateway tells the other gateways which rates
+// backend servers have stated, and what it has sent them; see admit.ServerLimits.
+type LimitReport struct {
+	Instance    string        `msg:"i"`
+	Incarnation int64         `msg:"b"` // of the sender; differs after a restart
+	SentAt      int64         `msg:"t"` // in ms, on the clock of this incarnation
+	Limits      []ServerLimit `msg:"l"`
+}
+
+//msgp:tuple ServerLimit
+
+// ServerLimit is the rate of requests that one incarnation of a backend server takes
+// from all gateways together, as it has stated in an answer.
+type ServerLimit struct {
+	Server  uint64  `msg:"s"` // hash of the server's id and incarnation
+	Rate    float64 `msg:"r"` // requests per second
+	Limited bool    `msg:"l"` // false if the server's newest answer states no limit
+	Age     int64   `msg:"a"` // in ms, of the answer that says so
+	Sent    uint64  `msg:"n"` // requests that the sender has sent since it knows of the limit
+}
+
 // Kinds of datagrams, encoded as the first byte.
 const (
 	KindMapGoal      byte = 1
@@ -76,4 +97,5 @@
 	KindPartEvidence byte = 5
 	// KindRequestEvidence is a PartReport on whole requests, identified by route.Fingerprint.
 	KindRequestEvidence byte = 6
+	KindLimitReport     byte = 7
 )
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -749,6 +749,235 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LimitReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "b":
+			z.Incarnation, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "t":
+			z.SentAt, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SentAt")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0002) {
+				z.Limits = (z.Limits)[:zb0002]
+			} else {
+				z.Limits = make([]ServerLimit, zb0002)
+			}
+			for za0001 := range z.Limits {
+				err = z.Limits[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LimitReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "i"
+	err = en.Append(0x84, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Instance)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SentAt)
+	if err != nil {
+		err = msgp.WrapError(err, "SentAt")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Limits)))
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	for za0001 := range z.Limits {
+		err = z.Limits[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LimitReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "i"
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt64(o, z.Incarnation)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.SentAt)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0001 := range z.Limits {
+		o, err = z.Limits[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LimitReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "b":
+			z.Incarnation, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "t":
+			z.SentAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SentAt")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0002) {
+				z.Limits = (z.Limits)[:zb0002]
+			} else {
+				z.Limits = make([]ServerLimit, zb0002)
+			}
+			for za0001 := range z.Limits {
+				bts, err = z.Limits[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LimitReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Limits {
+		s += z.Limits[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *PartEvidence) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -1132,3 +1361,142 @@
 	}
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *ServerLimit) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za81f7b74limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Server, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	z.Rate, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Limited, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	z.Age, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Sent, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServerLimit) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Server)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	err = en.WriteFloat64(z.Rate)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	err = en.WriteBool(z.Limited)
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	err = en.WriteInt64(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	err = en.WriteUint64(z.Sent)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Server)
+	o = msgp.AppendFloat64(o, z.Rate)
+	o = msgp.AppendBool(o, z.Limited)
+	o = msgp.AppendInt64(o, z.Age)
+	o = msgp.AppendUint64(o, z.Sent)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Server, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Sent, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerLimit) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Float64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size
+	return
+}
