gateway: a cold server gets its share in any second

Cause: requests to a cold server were counted in seconds that follow each other, so that a second across the border of two could hold twice the share of a gateway: with 5 gateways and 36 a second 70 requests, where 59 are tolerated. Change: the requests of the last second are counted. Evidence: TestColdServerGetsItsShareInAnySecond failed before (4 requests where 1 is left).

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -128,3 +128,15 @@
 		require.Equal(t, http.StatusOK, status, body)
 	}
 }
+
+// A cold server must not get the share of two seconds within one.
+func TestColdServerGetsItsShareInAnySecond(t *testing.T) {
+	const limit, requests = 4, 30
+	s := newService("s", admit.NewRetryBudget(1, 100), unlimited(), log.New(io.Discard))
+	m := &fleet.Member{Server: fleet.Server{ID: "i", Service: "s"}, ColdUntil: time.Hour}
+	cold := coldPolicy{perSecond: limit}
+	require.Equal(t, 1, picks(s, m, 1, 10*time.Second, cold))
+	require.Equal(t, limit-1, picks(s, m, requests, 10900*time.Millisecond, cold))
+	require.Equal(t, 1, picks(s, m, requests, 11100*time.Millisecond, cold), "of the last second, only the first is over")
+	require.Equal(t, limit-1, picks(s, m, requests, 11900*time.Millisecond, cold))
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -34,11 +34,10 @@
 // serverState is what this instance has observed of one backend server by its
 // own requests.
 type serverState struct {
-	health      health
-	inFlight    int           // requests in flight
-	failedAt    time.Duration // last attempt without a complete response; 0 for none
-	windowSent  int           // requests sent in the second that began at windowStart
-	windowStart time.Duration
+	health     health
+	inFlight   int             // requests in flight
+	failedAt   time.Duration   // last attempt without a complete response; 0 for none
+	recentSent []time.Duration // when requests were sent, at least those of the last second
 }
 
 // service is the state of one service. mu guards the fields below it; Directory.mu
@@ -148,7 +147,7 @@
 		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
 			c.Cold = true
-			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentThisSecond(now) >= cold.perSecond
+			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentLastSecond(now) >= cold.perSecond
 		}
 		c.Excluded = c.Excluded || !s.limits.allows(m, now)
 		list = append(list, c)
@@ -166,20 +165,25 @@
 	return false
 }
 
-// sentThisSecond returns the number of requests sent in the current window.
-func (s *serverState) sentThisSecond(now time.Duration) float64 {
-	if now-s.windowStart >= time.Second {
-		return 0
-	}
-	return float64(s.windowSent)
+// sentLastSecond returns the number of requests sent in the last second.
+func (s *serverState) sentLastSecond(now time.Duration) float64 {
+	s.dropSent(now)
+	return float64(len(s.recentSent))
 }
 
-// recordSent counts a request in the current window.
+// recordSent records that a request is being sent.
 func (s *serverState) recordSent(now time.Duration) {
-	if now-s.windowStart >= time.Second {
-		s.windowStart, s.windowSent = now, 0
+	s.dropSent(now)
+	s.recentSent = append(s.recentSent, now)
+}
+
+// dropSent drops the requests that were sent more than a second ago.
+func (s *serverState) dropSent(now time.Duration) {
+	n := 0
+	for n < len(s.recentSent) && now-s.recentSent[n] >= time.Second {
+		n++
 	}
-	s.windowSent++
+	s.recentSent = slices.Delete(s.recentSent, 0, n)
 }
 
 // stateOf returns the state of a member's incarnation. Callers hold mu.
