--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -57,6 +57,8 @@
 	revoked      map[string]time.Time   // by key: when the store had a document without it
 	added        map[string]time.Time   // by key: when the store had the first document with it
 	coldArrivals map[string][]time.Time // by server: requests of the last second
+	limited      map[string][]time.Time // by server: requests within limitWindow
+	gatewayStart time.Time              // when a gateway was last started
 	violations   []string
 	counts       map[string]int       // answers by status; complete streams; cut answers
 	served       map[requestKind]int  // complete answers since startRecoveryWindow
@@ -66,7 +68,7 @@
 func newChecker(tb *testbed) *checker {
 	return &checker{
 		testbed: tb, requests: make(map[string]*request), revoked: make(map[string]time.Time), added: make(map[string]time.Time),
-		coldArrivals: make(map[string][]time.Time), counts: make(map[string]int), served: make(map[requestKind]int), impactEnds: make(map[impact]time.Time),
+		coldArrivals: make(map[string][]time.Time), limited: make(map[string][]time.Time), counts: make(map[string]int), served: make(map[requestKind]int), impactEnds: make(map[impact]time.Time),
 	}
 }
 
@@ -120,6 +122,7 @@
 	now := time.Now()
 	leaving, out := c.testbed.leavingSince(b.ID), c.testbed.outSince(b.Centre)
 	announced := c.testbed.coldSince(b.ID)
+	rate, stated, limited := b.StatedLimit()
 	cold := now.Before(b.State().ColdUntil) && !announced.IsZero() && now.Sub(announced) > announceDelay
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,6 +152,11 @@
 	if cold {
 		c.coldRequestArrived(b.ID, now)
 	}
+	if limited {
+		c.limitedRequestArrived(b.ID, rate, stated, now)
+	} else {
+		delete(c.limited, b.ID)
+	}
 }
 
 // coldRequestArrived checks the number of requests that a cold server received in
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -148,6 +148,7 @@
 	if err := p.start(); err != nil {
 		tb.checker.Violation("test harness", err.Error())
 	}
+	tb.checker.started(p)
 }
 
 // stopGracefully sends SIGTERM to a process, checks that it exits within its
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -184,6 +184,7 @@
 	for n := range opts.Callers {
 		tb.background.Go(func() { tb.runCaller(ctx, n) })
 	}
+	tb.background.Go(func() { tb.stateLimits(ctx) })
 	tb.injectFaults(ctx)
 	sleep(ctx, faultFreeEnd-recoveryWindow)
 	tb.checker.startRecoveryWindow()
