admit: a gateway accepts limits that were stated before it started

Cause: the newest statement of a server counts, and the time of the first was taken to be the start of the gateway, so that a peer's older one was dropped: a gateway that had just started did not know the limit of a server that had given no answer since.

--- a/admit/server_limits.go
+++ b/admit/server_limits.go
@@ -148,7 +148,7 @@
 	if len(l.servers) >= maxLimitedServers {
 		l.dropOldest()
 	}
-	s := &serverLimit{statedAt: -1, seenAt: now, peers: make(map[string]peerCount)}
+	s := &serverLimit{statedAt: math.MinInt64, seenAt: now, peers: make(map[string]peerCount)}
 	l.servers[key] = s
 	return s
 }
@@ -306,7 +306,7 @@
 	l.senders[r.Instance] = limitSender{r.Incarnation, r.SentAt}
 	for i := range r.Limits {
 		x := &r.Limits[i]
-		if x.Age < 0 || math.IsNaN(x.Rate) || x.Rate < 0 {
+		if x.Age < 0 || math.IsNaN(x.Rate) || math.IsInf(x.Rate, 0) || x.Rate < 0 {
 			continue
 		}
 		s := l.servers[x.Server]
