admit, gateway: gateways take turns with a request suspected of crashes

Seen: in a trial, 5 gateways, three servers, copies of a crashing request at gateways drawn at random; each gateway ran its one copy by itself. Change: turns of 2 s, counted from the newest crash, which all gateways know from the evidence; a hash of the request and the turn chooses the gateway.

--- a/admit/part_quarantine.go
+++ b/admit/part_quarantine.go
@@ -41,6 +41,12 @@
 	// PartRepeatDelay is the least time between a broken attempt and its repeat.
 	PartRepeatDelay = 2 * partAgeError
 
+	// requestTurn is how long one gateway has the turn to run copies of a suspected
+	// request. In the pause at its start copies of the turn before come to their end, and
+	// all gateways learn of it.
+	requestTurn      = 2 * time.Second
+	requestTurnPause = 500 * time.Millisecond
+
 	maxPartStrikes  = 8    // strikes kept for one part
 	maxPartSuspects = 1024 // parts with strikes
 	maxServerEvents = 256  // unconfirmed crashes, and servers seen down
@@ -86,10 +92,13 @@
 //
 // One that NewRequestQuarantine returns holds whole requests instead: its only part
 // is the fingerprint of the request. Copies of one request then run alone once it is
-// suspected of more than one crash, because copies that overlap are one strike.
+// suspected of more than one crash, because copies that overlap are one strike. The
+// gateways take turns with them.
 type PartQuarantine struct {
 	whole    bool           // features are whole requests
 	running  map[uint64]int // requests in flight, by feature; only if whole
+	gateways []uint64       // hashes of the names of all gateways
+	self     uint64         // of this one
 	suspects map[uint64]*partSuspect
 	changed  bool            // strikes have changed since the next two were computed
 	accused  []*partSuspect  // with enough strikes to be quarantined unless a rule protects them
@@ -156,16 +165,38 @@
 	return q
 }
 
+// SetGateways sets the names of this gateway and of all gateways.
+func (q *PartQuarantine) SetGateways(self string, all []string) {
+	q.self = route.HashName(self)
+	q.gateways = q.gateways[:0]
+	for _, name := range all {
+		q.gateways = append(q.gateways, route.HashName(name))
+	}
+}
+
+// hasTurn reports whether it is the turn of this gateway to run copies of a suspected
+// request. Turns are counted from the newest crash, which all gateways know, and begin
+// with a pause.
+func (q *PartQuarantine) hasTurn(s *partSuspect, now time.Duration) bool {
+	age := now - s.lastUpdate()
+	if age%requestTurn < requestTurnPause {
+		return false
+	}
+	turn := route.Mix(s.part, uint64(age/requestTurn))
+	own := route.Mix(turn, q.self)
+	return !slices.ContainsFunc(q.gateways, func(g uint64) bool { return route.Mix(turn, g) > own })
+}
+
 // Begin reports whether a request may be sent to a server now, and records that it is
 // in flight if so; End has to be called then. It returns false for a whole request
-// that is suspected of more than one crash while a copy of it is in flight. It is
-// called after Check.
+// that is suspected of more than one crash while a copy of it is in flight, and while
+// it is not the turn of this gateway. It is called after Check.
 func (q *PartQuarantine) Begin(parts []uint64, now time.Duration) bool {
 	if !q.whole {
 		return true
 	}
 	for _, p := range parts {
-		if q.suspected(p, now) && (q.running[p] > 0 || now-q.suspects[p].lastUpdate() < PartRepeatDelay) {
+		if q.suspected(p, now) && (q.running[p] > 0 || !q.hasTurn(q.suspects[p], now)) {
 			return false
 		}
 	}
--- a/api/code.go
+++ b/api/code.go
@@ -109,7 +109,7 @@
 	NotReady:         {"not-ready", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process has no configuration yet"},
 	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
-	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands, or while a copy of the suspected request runs"},
+	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands, or because copies of the suspected request run one at a time"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// trialRetryAfter is when to return with a request of which a copy runs alone.
+// trialRetryAfter is when to return with a request of which copies run one at a time.
 const trialRetryAfter = 500 * time.Millisecond
 
 // begin returns the refusal of an attempt because of a feature of its request; nil for
@@ -126,7 +126,7 @@
 			x.ledgers[j].End(c.features[j])
 		}
 		x.log.Warn("copy-refused", "request", c.id, "cause", crashCause(k), "feature", featureNames(c.features[k]))
-		e := api.NewError(api.CrashSuspect, "a copy runs alone: "+crashCause(k).String()+" "+featureName(c.features[k][0]))
+		e := api.NewError(api.CrashSuspect, "copies run one at a time: "+crashCause(k).String()+" "+featureName(c.features[k][0]))
 		e.RetryAfter = trialRetryAfter
 		return e
 	}
@@ -234,6 +234,13 @@
 	x.log.Warn("crash-confirmed", "server", id, "by", by, "after_ms", (now - s.at).Milliseconds())
 }
 
+// setGateways sets the names of this gateway and of all gateways.
+func (x *crashGuard) setGateways(self string, all []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ledgers[causeRequest].SetGateways(self, all)
+}
+
 // observe takes from the view which of the suspected servers are gone, and logs the
 // features whose quarantine has ended. It is called periodically.
 func (x *crashGuard) observe(view *fleet.View, now time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -229,8 +229,10 @@
 			g.sweep(conns, limit)
 		case <-groupTick.C:
 			g.updateAllGroups()
+			gateways := g.peers.gateways()
+			g.crashes.setGateways(g.opts.Settings.Instance, gateways)
 			g.crashes.observe(g.opts.Cache.View(), g.now())
-			g.limits.update(g.peers.gateways(), g.opts.Cache.View(), g.now())
+			g.limits.update(gateways, g.opts.Cache.View(), g.now())
 		}
 	}
 }
