admit: the lowest rate that a server states holds until it states none

No other rule. The bound counts from the first statement. Change: while a server states a limit, the lowest one counts, also if it was stated earlier and a peer reports it later; an answer without a limit ends it. Price: a server that raises its limit step by step gets the lowest rate until it states none. TestRaisedServerLimitHoldsUntilItsEnd failed before.

--- a/admit/server_limits.go
+++ b/admit/server_limits.go
@@ -39,7 +39,9 @@
 // Every gateway has one, and they exchange what Report returns. A ServerLimits is not
 // safe for concurrent use.
 //
-// A limit holds until an answer of the same incarnation comes without one. Each gateway
+// A limit holds until an answer of the same incarnation comes without one. Until then
+// the lowest rate stated counts: what the platform tolerates counts from the first
+// statement, and a higher one does not take that back. Each gateway
 // counts its own requests and those that its peers report in one leaky bucket per
 // server, which leaks at the stated rate. Its capacity allows for requests that are not
 // reported yet. Where all gateways together could exceed the tolerance, only some use the
@@ -61,7 +63,7 @@
 
 // serverLimit is the state of one incarnation of a server.
 type serverLimit struct {
-	rate     float64 // requests per second; meaningless unless limited
+	rate     float64 // lowest stated, in requests per second; meaningless unless limited
 	limited  bool
 	statedAt time.Duration // when the newest answer that says so arrived
 	seenAt   time.Duration // when the server was last known to be in the directory
@@ -166,11 +168,13 @@
 
 // state applies a statement and reports whether it changes anything.
 func (s *serverLimit) state(rate float64, limited bool, at time.Duration) (changed bool) {
-	if at < s.statedAt {
-		return false
+	if s.limited && limited { // also if it is older than the newest
+		changed = rate < s.rate
+		rate = min(rate, s.rate)
+	} else {
+		changed = s.limited != limited && at >= s.statedAt
 	}
-	s.statedAt = at
-	changed = limited != s.limited || limited && rate != s.rate
+	s.statedAt = max(s.statedAt, at)
 	if changed {
 		s.rate, s.limited, s.reported = rate, limited, false
 	}
--- a/admit/server_limits_test.go
+++ b/admit/server_limits_test.go
@@ -72,6 +72,25 @@
 	assert.Len(t, l.servers, maxLimitedServers)
 }
 
+// A server that states a higher rate must not get more before it states none.
+func TestRaisedServerLimitHoldsUntilItsEnd(t *testing.T) {
+	server := ServerIncarnation{ID: "a"}
+	l := newTestLimits("self")
+	rate := func() float64 { return l.servers[server.hash()].rate }
+	l.Stated(server, 2, true, time.Second)
+	assert.False(t, l.Stated(server, 5, true, 2*time.Second))
+	assert.InDelta(t, 2, rate(), 0)
+	assert.True(t, l.Stated(server, 1, true, 3*time.Second))
+	assert.InDelta(t, 1, rate(), 0)
+	older := wire.ServerLimit{Server: server.hash(), Rate: 0.5, Limited: true, Age: 2000}
+	l.Merge(&wire.LimitReport{Instance: "peer", Limits: []wire.ServerLimit{older}}, 3*time.Second)
+	assert.InDelta(t, 0.5, rate(), 0, "stated before, to a peer")
+	assert.True(t, l.Stated(server, 0, false, 4*time.Second))
+	assert.True(t, l.Allows(server, 4*time.Second))
+	assert.True(t, l.Stated(server, 5, true, 5*time.Second))
+	assert.InDelta(t, 5, rate(), 0)
+}
+
 func newTestLimits(instance string) *ServerLimits {
 	return NewServerLimits(instance, rand.New(rand.NewPCG(1, 1)))
 }
