--- a/admit/server_limits.go
+++ b/admit/server_limits.go
@@ -40,12 +40,13 @@
 // safe for concurrent use.
 //
 // A limit holds until an answer of the same incarnation comes without one. Until then
-// the lowest rate stated counts: what the platform tolerates counts from the first
-// statement, and a higher one does not take that back. Each gateway
-// counts its own requests and those that its peers report in one leaky bucket per
-// server, which leaks at the stated rate. Its capacity allows for requests that are not
-// reported yet. Where all gateways together could exceed the tolerance, only some use the
-// server, chosen by a hash of the server and the gateway.
+// the lowest rate stated counts: the platform's tolerance is judged from the first
+// statement on, and a higher one does not take that back.
+//
+// Each gateway counts its own requests and those that its peers report in one leaky
+// bucket per server, which leaks at that rate. Its capacity allows for requests that
+// are not reported yet. Where all gateways together could exceed the tolerance, only
+// some use the server, chosen by a hash of the server and the gateway.
 type ServerLimits struct {
 	instance  string
 	gateways  []uint64 // hashes of the names of all gateways
@@ -186,22 +187,14 @@
 
 // Allows reports whether the server may get a request now. It is called before Sent.
 func (l *ServerLimits) Allows(server ServerIncarnation, now time.Duration) bool {
-	s := l.servers[server.hash()]
-	return s == nil || !s.limited || l.waitFor(server.hash(), s, now) <= 0
-}
-
-// unusable is the result of waitFor for a server that other gateways use.
-const unusable = time.Duration(math.MaxInt64)
-
-// waitFor returns the time until the server may get a request of this gateway.
-func (l *ServerLimits) waitFor(key uint64, s *serverLimit, now time.Duration) time.Duration {
-	p, rate := l.planFor(key, s), s.effectiveRate()
-	if !p.use {
-		return unusable
+	key := server.hash()
+	s := l.servers[key]
+	if s == nil || !s.limited {
+		return true
 	}
-	s.bucket.leak(rate, now)
-	excess := s.bucket.level + 1 - p.burst
-	return time.Duration(math.Ceil(excess / rate * float64(time.Second)))
+	s.bucket.leak(s.effectiveRate(), now)
+	p := l.planFor(key, s)
+	return p.use && s.bucket.level+1 <= p.burst
 }
 
 // planFor returns the plan of a server, which depends on its rate and the gateways.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
 
 	"marjorampitch/admit"
 	"marjorampitch/api"
@@ -146,7 +147,7 @@
 func (p *peers) handleLimits(data []byte) error {
 	var r wire.LimitReport
 	if _, err := r.UnmarshalMsg(data); err != nil {
-		return err
+		return eris.Wrap(err, "decode limits of servers")
 	}
 	p.g.limits.merge(&r, p.g.now())
 	return nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// broadcast sends this instance's loads, its evidence of crashes and the limits of servers to its peers
-// until ctx ends. When there are no loads any more, it sends one empty message and
+// broadcast sends this instance's loads, its evidence of crashes and the limits of
+// servers to its peers until ctx ends. When there are no loads any more, it sends one empty message and
 // then pauses.
 func (p *peers) broadcast(ctx context.Context) {
 	busy := false
