soak: runs beside each other use different addresses

Change: a run reserves its subnet by listening on a port in it, and takes the next one if another run has it.

--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -57,6 +58,7 @@
 	group       *platformtest.Group
 	gateways    []*process
 	rebalancers []*process
+	reservation net.Listener   // of the run's subnet
 	background  sync.WaitGroup // goroutines that run until the run's context ends
 
 	mu          sync.Mutex // guards the fields below; no other lock is taken while it is held
@@ -210,14 +212,16 @@
 			return err
 		}
 	}
-	subnet := 1 + tb.opts.Seed%200 // parallel runs use different addresses
+	subnet, err := tb.reserveSubnet()
+	if err != nil {
+		return err
+	}
 	for i := range tb.opts.Gateways {
 		p := &process{role: "gateway", binary: tb.opts.Binary}
 		p.Name, p.Centre, p.IP = fmt.Sprint("gateway-", i), centres[i%len(centres)], fmt.Sprintf("127.%d.1.%d", subnet, i+1)
 		if err := tb.startProcess(p); err != nil {
 			return err
 		}
-		var err error
 		if p.frontRelay, err = relay.New(p.FrontAddress()); err != nil {
 			return err
 		}
@@ -239,6 +243,23 @@
 	return nil
 }
 
+// Subnets 127.N.0.0/16 of the loopback network, of which each run uses one.
+const (
+	subnets         = 200
+	reservationPort = 7099 // on which a run listens as long as it uses its subnet
+)
+
+// reserveSubnet returns the number of a subnet that no other run on the machine uses.
+func (tb *testbed) reserveSubnet() (n uint64, err error) {
+	for i := range uint64(subnets) {
+		n = 1 + (tb.opts.Seed+i)%subnets
+		if tb.reservation, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, reservationPort)); err == nil {
+			return n, nil
+		}
+	}
+	return 0, eris.Wrap(err, "no subnet is free")
+}
+
 // startProcess connects a process to the store, writes its settings and starts it.
 func (tb *testbed) startProcess(p *process) error {
 	p.Store, p.setStoreFaults = tb.store.AddListener()
@@ -312,4 +333,7 @@
 		b.Close()
 	}
 	tb.store.Close()
+	if tb.reservation != nil {
+		tb.reservation.Close()
+	}
 }
