--- a/admit/server_limits_sim_test.go
+++ b/admit/server_limits_sim_test.go
@@ -214,8 +214,7 @@
 	return most
 }
 
-// A server must not get more than its limit tolerates from all gateways together, and callers must get
-// most of what it takes.
+// A server must not get more than its limit tolerates, and callers must get most of what it takes.
 func TestServerLimitIsKeptByAllGateways(t *testing.T) {
 	for _, c := range []struct {
 		name   string
