--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -3,8 +3,9 @@
 // deployment comes from the platform's store and from its own requests.
 //
 // Decisions are made in other packages: fleet (state of the deployment), pace
-// (admission and queueing of streams), route (choice of a server) and admit
-// (retry budget). This package connects them.
+// (admission and queueing of streams), route (choice of a server) and admit (retry
+// budget, stated limits of servers, requests that crash servers). This package
+// connects them.
 package gateway
 
 import "time"
