--- a/gateway/call.go
+++ b/gateway/call.go
@@ -254,7 +254,7 @@
 		h.Set(g.opts.Headers.RequestID, c.id)
 	}
 	if after > 0 && info.Ran == api.NotRun {
-		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		h.Set(retryAfterHeader, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	c.w.WriteHeader(info.Status)
 	io.WriteString(c.w, e.Error()+"\n") //nolint:errcheck // the caller may have disconnected
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,6 +33,9 @@
 	maxResponseBytes = 16 << 20
 )
 
+// retryAfterHeader says when to return with a request that was turned away.
+const retryAfterHeader = "Retry-After"
+
 // hopByHopHeaders are not forwarded, since they apply to a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -331,7 +334,8 @@
 		c.service.attemptEnded(m, g.now(), severityNone)
 		c.service.markStalled(g.now(), c.group(), at)
 		g.serverAtFault(m, at)
-		g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
+		g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at,
+			"retry_after", resp.Header.Get(retryAfterHeader))
 		return api.NewError(api.GroupStalled, at)
 	}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -340,7 +344,8 @@
 	} else {
 		c.service.attemptEnded(m, g.now(), severityRefused)
 	}
-	g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at)
+	g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at,
+		"retry_after", resp.Header.Get(retryAfterHeader))
 	return api.NewError(api.Overloaded, m.ID+" answered "+strconv.Itoa(resp.StatusCode))
 }
 
