gateway: one type keeps what backend servers state in their answers

serverLimits becomes serverStatements, which reads an answer once; limits.go keeps what is about limits and their exchange.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -42,7 +42,7 @@
 		"refusal":                       {severityRefused, failure - time.Second, requests},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newService("s", admit.NewRetryBudget(1, 100), unlimited(), log.New(io.Discard))
+			s := newService("s", admit.NewRetryBudget(1, 100), noStatements(), log.New(io.Discard))
 			m := &fleet.Member{Server: fleet.Server{ID: "i", Service: "s"}}
 			require.NotNil(t, s.pick([]*fleet.Member{m}, "", nil, failure, coldPolicy{}))
 			s.attemptEnded(m, failure, c.severity)
@@ -51,7 +51,7 @@
 		})
 	}
 	t.Run("unreachable", func(t *testing.T) {
-		s := newService("s", admit.NewRetryBudget(1, 100), unlimited(), log.New(io.Discard))
+		s := newService("s", admit.NewRetryBudget(1, 100), noStatements(), log.New(io.Discard))
 		m := &fleet.Member{Server: fleet.Server{ID: "i", Service: "s"}}
 		require.NotNil(t, s.pick([]*fleet.Member{m}, "", nil, failure, coldPolicy{}))
 		s.dialFailed(m, failure)
@@ -93,7 +93,7 @@
 // before the gateway's.
 func TestColdStartEnds(t *testing.T) {
 	const limit, requests = 2, 30
-	s := newService("s", admit.NewRetryBudget(1, 100), unlimited(), log.New(io.Discard))
+	s := newService("s", admit.NewRetryBudget(1, 100), noStatements(), log.New(io.Discard))
 	m := &fleet.Member{Server: fleet.Server{ID: "i", Service: "s"}, ColdUntil: time.Hour}
 	now := time.Second
 	require.Equal(t, limit, picks(s, m, requests, now, coldPolicy{perSecond: limit, cacheNow: time.Hour - 1, entriesSince: now}))
@@ -132,7 +132,7 @@
 // A cold server must not get the share of two seconds within one.
 func TestColdServerGetsItsShareInAnySecond(t *testing.T) {
 	const limit, requests = 4, 30
-	s := newService("s", admit.NewRetryBudget(1, 100), unlimited(), log.New(io.Discard))
+	s := newService("s", admit.NewRetryBudget(1, 100), noStatements(), log.New(io.Discard))
 	m := &fleet.Member{Server: fleet.Server{ID: "i", Service: "s"}, ColdUntil: time.Hour}
 	cold := coldPolicy{perSecond: limit}
 	require.Equal(t, 1, picks(s, m, 1, 10*time.Second, cold))
--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -46,7 +46,7 @@
 		usable, ejected := s.countHealth(view.Services[s.name], now)
 		gauge(serversDesc, float64(usable), s.name, "usable")
 		gauge(serversDesc, float64(ejected), s.name, "ejected")
-		gauge(limitedDesc, float64(c.g.limits.limited(view.Services[s.name])), s.name)
+		gauge(limitedDesc, float64(c.g.statements.limited(view.Services[s.name])), s.name)
 		list := s.status(now)
 		for _, x := range list {
 			gauge(runningDesc, float64(x.RunningTotal), s.name, x.Group)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -126,7 +126,7 @@
 		if m == nil {
 			c.noAttempt = "no server"
 			if last == nil {
-				last = g.limits.refusal(c.service.name, members, g.now())
+				last = g.statements.refusal(c.service.name, members, g.now())
 			}
 			if guarded {
 				g.crashes.end(c)
@@ -240,7 +240,7 @@
 		g.metrics.retries.Inc()
 	}
 	if err == nil {
-		g.limits.observe(m, resp.Response, g.now())
+		g.statements.observe(m, resp.Response, g.now())
 	}
 	if err != nil {
 		c.mayHaveRun = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,16 +76,16 @@
 
 // Gateway forwards callers' requests to backend servers. It implements http.Handler.
 type Gateway struct {
-	opts     Options
-	pool     *backend.Pool
-	start    time.Time
-	metrics  *metrics
-	peers    *peers
-	crashes  *crashGuard
-	limits   *serverLimits
-	stopping atomic.Bool // reported as not ready, still accepts requests
-	leaving  atomic.Bool // refuses new requests
-	inFlight inFlightRequests
+	opts       Options
+	pool       *backend.Pool
+	start      time.Time
+	metrics    *metrics
+	peers      *peers
+	crashes    *crashGuard
+	statements *serverStatements
+	stopping   atomic.Bool // reported as not ready, still accepts requests
+	leaving    atomic.Bool // refuses new requests
+	inFlight   inFlightRequests
 
 	mu       sync.Mutex // guards services; Directory.mu may be taken while it is held
 	services map[string]*service
@@ -106,7 +106,7 @@
 	}
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
-	g.limits = newServerLimits(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
+	g.statements = newServerStatements(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -144,7 +144,7 @@
 	if s == nil {
 		b := g.opts.Settings.Bounds
 		budget := admit.NewRetryBudget(retryRatioShare*b.RetryRatio, int(b.RetryBurst)/g.instances())
-		s = newService(name, budget, g.limits, g.opts.Log)
+		s = newService(name, budget, g.statements, g.opts.Log)
 		g.services[name] = s
 	}
 	return s
@@ -232,7 +232,7 @@
 			gateways := g.peers.gateways()
 			g.crashes.setGateways(g.opts.Settings.Instance, gateways)
 			g.crashes.observe(g.opts.Cache.View(), g.now())
-			g.limits.update(gateways, g.opts.Cache.View(), g.now())
+			g.statements.update(gateways, g.opts.Cache.View(), g.now())
 		}
 	}
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -14,8 +14,8 @@
 	"marjorampitch/wire"
 )
 
-// unlimited returns the limits of a deployment whose servers state none.
-func unlimited() *serverLimits { return newServerLimits("", "", log.New(io.Discard)) }
+// noStatements returns the statements of a deployment whose servers make none.
+func noStatements() *serverStatements { return newServerStatements("", "", log.New(io.Discard)) }
 
 // limiting answers each request and states a limit.
 func limiting(limit string) func(c *conn) {
@@ -64,11 +64,11 @@
 	id := receiver.server(limiting("1.0"))
 	sender.g.opts.Settings.Instance = "sender"
 	m := receiver.cache.View().Members[id]
-	sender.g.limits.observe(m, &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Limit": {"1.0"}}}, time.Second)
+	sender.g.statements.observe(m, &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Limit": {"1.0"}}}, time.Second)
 	for range 100 {
-		sender.g.limits.sent(m, time.Second)
+		sender.g.statements.sent(m, time.Second)
 	}
-	data, err := sender.g.peers.limitReport(sender.g.limits.report(time.Second)).MarshalMsg([]byte{wire.KindLimitReport})
+	data, err := sender.g.peers.limitReport(sender.g.statements.report(time.Second)).MarshalMsg([]byte{wire.KindLimitReport})
 	require.NoError(t, err)
 	require.NoError(t, receiver.g.peers.handleDatagram(data))
 	status, _, _ := receiver.call("/again/x")
@@ -97,8 +97,8 @@
 		{"with a unit", []string{"2/s"}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			x := newServerLimits("", "X-Limit", log.New(io.Discard))
-			rate, limited := x.parse(&fleet.Member{}, http.Header{"X-Limit": c.values})
+			x := newServerStatements("", "X-Limit", log.New(io.Discard))
+			rate, limited := x.parseLimit(&fleet.Member{}, http.Header{"X-Limit": c.values})
 			assert.InDelta(t, c.rate, rate, 0)
 			assert.Equal(t, c.limited, limited)
 		})
@@ -107,7 +107,7 @@
 
 // The answer of another server at the address says nothing of the one that was meant.
 func TestServerLimitOfMisdirectedRequest(t *testing.T) {
-	x := newServerLimits("", "X-Limit", log.New(io.Discard))
+	x := newServerStatements("", "X-Limit", log.New(io.Discard))
 	m := &fleet.Member{}
 	x.observe(m, &http.Response{StatusCode: http.StatusMisdirectedRequest, Header: http.Header{"X-Limit": {"1"}}}, time.Second)
 	require.Zero(t, x.limited([]*fleet.Member{m}))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -172,7 +172,7 @@
 				p.send(cause.datagram(), p.report(evidence), addrs)
 			}
 		}
-		if limits := p.g.limits.report(p.g.now()); len(limits) > 0 {
+		if limits := p.g.statements.report(p.g.now()); len(limits) > 0 {
 			p.send(wire.KindLimitReport, p.limitReport(limits), addrs)
 		}
 		time.Sleep(broadcastInterval + time.Duration(len(addrs))*broadcastIntervalPerPeer)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -43,9 +43,9 @@
 // service is the state of one service. mu guards the fields below it; Directory.mu
 // may be taken while it is held.
 type service struct {
-	name   string
-	log    *log.Logger
-	limits *serverLimits
+	name       string
+	log        *log.Logger
+	statements *serverStatements
 
 	mu        sync.Mutex
 	picker    route.Picker
@@ -59,20 +59,20 @@
 	activity  groupActivity // by activityKey
 }
 
-func newService(name string, budget *admit.RetryBudget, limits *serverLimits, logger *log.Logger) *service {
+func newService(name string, budget *admit.RetryBudget, statements *serverStatements, logger *log.Logger) *service {
 	picker, err := route.Build(routingPolicy, rand.Uint64())
 	if err != nil {
 		panic(err) // the policy is registered by the import above
 	}
 	return &service{
-		name:     name,
-		log:      logger,
-		limits:   limits,
-		picker:   picker,
-		servers:  make(map[serverKey]*serverState),
-		budget:   budget,
-		waiters:  make(map[*pace.Ticket]chan struct{}),
-		activity: make(groupActivity),
+		name:       name,
+		log:        logger,
+		statements: statements,
+		picker:     picker,
+		servers:    make(map[serverKey]*serverState),
+		budget:     budget,
+		waiters:    make(map[*pace.Ticket]chan struct{}),
+		activity:   make(groupActivity),
 	}
 }
 
@@ -149,7 +149,7 @@
 			c.Cold = true
 			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentLastSecond(now) >= cold.perSecond
 		}
-		c.Excluded = c.Excluded || !s.limits.allows(m, now)
+		c.Excluded = c.Excluded || !s.statements.allows(m, now)
 		list = append(list, c)
 	}
 	return list
@@ -213,7 +213,7 @@
 	st.inFlight++
 	st.recordSent(now)
 	st.health.requestSent(now)
-	s.limits.sent(members[i], now)
+	s.statements.sent(members[i], now)
 	return members[i]
 }
 
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -24,7 +24,7 @@
 // a simulated day of bryllupslyd-dk-grown on the users' test bench (quiet-1 seed
 // 825167132052).
 func TestGroupActivityIsPerGroup(t *testing.T) {
-	s := newService("s", nil, unlimited(), log.New(io.Discard))
+	s := newService("s", nil, noStatements(), log.New(io.Discard))
 	s.listed = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
 	s.observeFirstEvent(time.Second, "a1", time.Millisecond)
 	s.observeGap(3*time.Second, "b", "b1", time.Millisecond)
