admit, gateway: servers that ask for rest get none of the requests

Such servers have nothing in flight, so that the choice by fewest connections even prefers them, and one request visits several. Cause, class: what a server says of itself in an answer is dropped with the request that it answers. Ruled out: that knowledge ends with a change of the document (arrivals are the same in seconds without one), and late arrivals of older requests (callers sent them after the answer). Change: admit.ServerRests keeps the end of the rest of each incarnation; no attempt goes to the server until then. While all rest, requests are refused before they queue, code 217, to return spread over the time after the first end.

--- /dev/null
+++ b/admit/server_rests.go
@@ -0,0 +1,105 @@
+package admit
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+)
+
+// Settings of ServerRests.
+const (
+	// maxRestReturnSpread is the longest span after the end of a rest over which the
+	// callers refused during it return.
+	maxRestReturnSpread = 2 * time.Second
+	maxRestingServers   = 4096
+)
+
+// ServerRests keeps the rests that backend servers ask for as they turn a request away:
+// times in which a server wants no requests from this gateway. What a server asks of one
+// gateway does not concern the others. A ServerRests is not safe for concurrent use.
+//
+// A rest belongs to one incarnation of a server and stands to its end, whatever the
+// server answers or asks for meanwhile, and however the directory changes.
+type ServerRests struct {
+	source *rand.Rand
+	rests  map[ServerIncarnation]serverRest
+}
+
+// serverRest is a rest of one server.
+type serverRest struct {
+	until  time.Duration
+	length time.Duration // as asked for
+}
+
+// NewServerRests returns a ServerRests without rests. source draws the jitter of
+// RetryAfter.
+func NewServerRests(source *rand.Rand) *ServerRests {
+	return &ServerRests{source: source, rests: make(map[ServerIncarnation]serverRest)}
+}
+
+// TurnedAway records that a server has turned a request away and wants none for length.
+// It reports whether the server rests longer than was known.
+func (r *ServerRests) TurnedAway(server ServerIncarnation, length, now time.Duration) (changed bool) {
+	last, known := r.rests[server]
+	if length <= 0 || now+length <= last.until {
+		return false
+	}
+	if !known && len(r.rests) >= maxRestingServers {
+		r.dropFirst()
+	}
+	r.rests[server] = serverRest{now + length, length}
+	return true
+}
+
+// dropFirst drops the rest that ends first.
+func (r *ServerRests) dropFirst() {
+	var first ServerIncarnation
+	for server, rest := range r.rests {
+		if f, ok := r.rests[first]; !ok || cmp.Or(cmp.Compare(rest.until, f.until), cmp.Compare(server.ID, first.ID)) < 0 {
+			first = server
+		}
+	}
+	delete(r.rests, first)
+}
+
+// Allows reports whether the server may get a request now.
+func (r *ServerRests) Allows(server ServerIncarnation, now time.Duration) bool {
+	return now >= r.rests[server].until
+}
+
+// Resting returns the number of the servers that rest.
+func (r *ServerRests) Resting(servers []ServerIncarnation, now time.Duration) int {
+	n := 0
+	for _, server := range servers {
+		if !r.Allows(server, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// RetryAfter returns when the caller of a request should return that was refused because
+// of rests; 0 if no server rests. Callers return after the first rest has ended, spread
+// over a time as long as that rest, so that they do not come all at once.
+func (r *ServerRests) RetryAfter(servers []ServerIncarnation, now time.Duration) time.Duration {
+	var first serverRest
+	for _, server := range servers {
+		if rest := r.rests[server]; rest.until > now && (first.until == 0 || rest.until < first.until) {
+			first = rest
+		}
+	}
+	if first.until == 0 {
+		return 0
+	}
+	spread := min(first.length, maxRestReturnSpread)
+	return first.until - now + time.Duration(r.source.Float64()*float64(spread))
+}
+
+// Prune drops the rests that have ended. It is called periodically.
+func (r *ServerRests) Prune(now time.Duration) {
+	for server, rest := range r.rests {
+		if now >= rest.until {
+			delete(r.rests, server)
+		}
+	}
+}
--- a/api/code.go
+++ b/api/code.go
@@ -46,6 +46,7 @@
 	Unreachable      Code = 214
 	GroupStalled     Code = 215
 	CrashSuspect     Code = 216
+	ServersResting   Code = 217
 
 	Unresolved       Code = 301
 	StreamBroken     Code = 302
@@ -110,6 +111,7 @@
 	Unreachable:      {"unreachable", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "no connection to the backend server's side process; the request was not sent"},
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
 	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands, or because copies of the suspected request run one at a time"},
+	ServersResting:   {"servers-resting", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the backend servers that could take the request have asked for rest"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -231,6 +231,10 @@
 // stream forwards a streaming request once the gate admits it. It reports false
 // when the request should queue for admission again.
 func (g *Gateway) stream(ctx context.Context, c *call) (ended bool) {
+	if refusal := g.allResting(c); refusal != nil {
+		g.reject(c, refusal)
+		return true
+	}
 	release, refusal := g.acquireSlot(ctx, c)
 	if refusal != nil {
 		g.reject(c, refusal)
@@ -240,12 +244,22 @@
 	return g.forward(ctx, c)
 }
 
+// allResting returns the refusal of a request while all servers of its service rest;
+// nil if one of them does not.
+func (g *Gateway) allResting(c *call) *api.Error {
+	members := g.opts.Cache.View().Services[c.service.name]
+	if len(members) == 0 || g.statements.resting(members, g.now()) < len(members) {
+		return nil
+	}
+	return g.statements.restRefusal(members, g.now())
+}
+
 // reject sends an error as the final response.
 func (g *Gateway) reject(c *call, e *api.Error) {
 	info := e.Code.Info()
 	after := e.RetryAfter
 	paced := c.service != nil && c.route.Kind == fleet.Stream
-	if paced && info.Ran == api.NotRun && after > 0 && e.Code != api.CrashSuspect {
+	if paced && info.Ran == api.NotRun && after > 0 && e.Code != api.CrashSuspect && e.Code != api.ServersResting {
 		after = g.retryAfter(c)
 	}
 	h := c.w.Header()
--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -17,6 +17,7 @@
 	documentDesc = newDesc("document_version", "Version of the cached document.")
 	serversDesc  = newDesc("servers", "Backend servers of a service in use, by health as seen by this gateway.", "service", "health")
 	limitedDesc  = newDesc("servers_limited", "Backend servers of a service that state a limit of requests per second.", "service")
+	restingDesc  = newDesc("servers_resting", "Backend servers of a service that have asked this gateway for rest.", "service")
 	runningDesc  = newDesc("streams_running", "Streams running in a group, including those of other gateways.", "service", "group")
 	limitDesc    = newDesc("streams_limit", "Maximum number of streams in a group.", "service", "group")
 	waitingDesc  = newDesc("streams_waiting", "Requests of a service waiting for admission at this gateway.", "service")
@@ -24,7 +25,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, runningDesc, limitDesc, waitingDesc} {
+	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, restingDesc, runningDesc, limitDesc, waitingDesc} {
 		out <- d
 	}
 }
@@ -47,6 +48,7 @@
 		gauge(serversDesc, float64(usable), s.name, "usable")
 		gauge(serversDesc, float64(ejected), s.name, "ejected")
 		gauge(limitedDesc, float64(c.g.statements.limited(view.Services[s.name])), s.name)
+		gauge(restingDesc, float64(c.g.statements.resting(view.Services[s.name], now)), s.name)
 		list := s.status(now)
 		for _, x := range list {
 			gauge(runningDesc, float64(x.RunningTotal), s.name, x.Group)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -125,9 +125,7 @@
 		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
 		if m == nil {
 			c.noAttempt = "no server"
-			if last == nil {
-				last = g.statements.refusal(c.service.name, members, g.now())
-			}
+			last = g.noServer(c, members, last)
 			if guarded {
 				g.crashes.end(c)
 			}
@@ -159,6 +157,20 @@
 	return true
 }
 
+// noServer returns the refusal of a request for which no server is left. last is the
+// failure of its last attempt; nil for none.
+func (g *Gateway) noServer(c *call, members []*fleet.Member, last *api.Error) *api.Error {
+	switch {
+	case last == nil:
+		return g.statements.refusal(c.service.name, members, g.now())
+	case last.Ran == api.NotRun: // the ends of rests tell when to return, its failure does not
+		if refusal := g.statements.restRefusal(members, g.now()); refusal != nil {
+			return refusal
+		}
+	}
+	return last
+}
+
 // awaitRepeat waits until the repeat of a request that a server has broken off tells
 // its crashes apart. It returns false if the request ends meanwhile. Requests without a
 // prompt are not delayed: their objectives are short, and faults other than crashes
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -21,13 +21,17 @@
 	log         *log.Logger
 	limitHeader string // of answers; empty if servers state no limits
 
-	mu     sync.Mutex // guards limits
+	mu     sync.Mutex // guards limits and rests
 	limits *admit.ServerLimits
+	rests  *admit.ServerRests
 }
 
 func newServerStatements(instance, limitHeader string, logger *log.Logger) *serverStatements {
 	source := rand.New(rand.NewPCG(rand.Uint64(), 0))
-	return &serverStatements{log: logger, limitHeader: limitHeader, limits: admit.NewServerLimits(instance, source)}
+	return &serverStatements{
+		log: logger, limitHeader: limitHeader,
+		limits: admit.NewServerLimits(instance, source), rests: admit.NewServerRests(source),
+	}
 }
 
 // observe records what an answer of a server states.
@@ -36,13 +40,15 @@
 		return
 	}
 	x.observeLimit(m, answer.Header, now)
+	x.observeRest(m, answer, now)
 }
 
 // allows reports whether a server may get a request now.
 func (x *serverStatements) allows(m *fleet.Member, now time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.limits.Allows(incarnationOf(m), now)
+	server := incarnationOf(m)
+	return x.rests.Allows(server, now) && x.limits.Allows(server, now)
 }
 
 // sent records that a request is being sent to a server.
@@ -52,9 +58,18 @@
 	x.limits.Sent(incarnationOf(m), now)
 }
 
-// refusal returns the refusal of a request because servers of its service have reached
-// their limits and no other can take it; nil if none of them has.
+// refusal returns the refusal of a request that no server of its service can take
+// because of what they state; nil if that is not the reason.
 func (x *serverStatements) refusal(service string, members []*fleet.Member, now time.Duration) *api.Error {
+	if e := x.limitRefusal(service, members, now); e != nil {
+		return e
+	}
+	return x.restRefusal(members, now)
+}
+
+// limitRefusal returns the refusal of a request because servers of its service have
+// reached their limits and no other can take it; nil if none of them has.
+func (x *serverStatements) limitRefusal(service string, members []*fleet.Member, now time.Duration) *api.Error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	servers := incarnationsOf(members)
@@ -71,6 +86,7 @@
 func (x *serverStatements) update(gateways []string, view *fleet.View, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.rests.Prune(now)
 	x.limits.SetGateways(gateways)
 	if x.limits.Empty() {
 		return
