soak, platformtest: servers that turn requests away and ask for rest

The soak counts the requests of each gateway from half a second after an answer to the end of the rest: two are allowed.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -43,7 +43,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		g := tb.gateways[int(tb.randomFloat()*float64(len(tb.gateways)))]
 		id := fmt.Sprintf("%d-%d", n, i)
-		r := &request{kind: requestKind(tb.randomFloat() * 3), body: "body of " + id, key: tb.key()}
+		r := &request{kind: requestKind(tb.randomFloat() * 3), gateway: g.Name, body: "body of " + id, key: tb.key()}
 		r.path = platformtest.RoutePrefixes[r.kind] + id
 		tb.checker.sent(id, r)
 		tb.sendRequest(ctx, client, g, id, r)
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -35,6 +35,7 @@
 // request is the state of one request.
 type request struct {
 	kind      requestKind
+	gateway   string // name of the gateway to which it is sent
 	path      string
 	body      string
 	key       string
@@ -58,6 +59,7 @@
 	added        map[string]time.Time   // by key: when the store had the first document with it
 	coldArrivals map[string][]time.Time // by server: requests of the last second
 	limited      map[string][]time.Time // by server: requests within limitWindow
+	rests        map[restKey][]rest
 	gatewayStart time.Time              // when a gateway was last started
 	violations   []string
 	counts       map[string]int       // answers by status; complete streams; cut answers
@@ -68,7 +70,7 @@
 func newChecker(tb *testbed) *checker {
 	return &checker{
 		testbed: tb, requests: make(map[string]*request), revoked: make(map[string]time.Time), added: make(map[string]time.Time),
-		coldArrivals: make(map[string][]time.Time), limited: make(map[string][]time.Time), counts: make(map[string]int), served: make(map[requestKind]int), impactEnds: make(map[impact]time.Time),
+		coldArrivals: make(map[string][]time.Time), limited: make(map[string][]time.Time), rests: make(map[restKey][]rest), counts: make(map[string]int), served: make(map[requestKind]int), impactEnds: make(map[impact]time.Time),
 	}
 }
 
@@ -132,6 +134,7 @@
 		return
 	}
 	q.arrivals++
+	c.restingRequestArrived(restKey{b.ID, q.gateway}, now)
 	switch {
 	case r.Method != http.MethodPost || r.URL.Path != q.path || string(body) != q.body:
 		c.violationLocked("request changed", fmt.Sprintf("%s %s", id, r.URL.Path))
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -187,6 +187,7 @@
 		tb.background.Go(func() { tb.runCaller(ctx, n) })
 	}
 	tb.background.Go(func() { tb.stateLimits(ctx) })
+	tb.background.Go(func() { tb.askForRest(ctx) })
 	tb.injectFaults(ctx)
 	sleep(ctx, faultFreeEnd-recoveryWindow)
 	tb.checker.startRecoveryWindow()
