--- a/gateway/rests_test.go
+++ b/gateway/rests_test.go
@@ -173,3 +173,34 @@
 		})
 	}
 }
+
+// Servers whose rests have ended are tried again with one request at a time, which others serve if need be.
+func TestRequestIsNotTurnedAwayByServerAfterServer(t *testing.T) {
+	for _, path := range []string{"/again/x", "/once/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			tg := newTestGateway(t)
+			var arrived [4]atomic.Int64
+			for i := range arrived {
+				tg.server(resting("0.0001", &arrived[i]))
+			}
+			tg.server(serve("ok"))
+			total := func() (n int64) {
+				for i := range arrived {
+					n += arrived[i].Load()
+				}
+				return n
+			}
+			for i := range arrived {
+				for arrived[i].Load() == 0 {
+					tg.call(path)
+				}
+			}
+			for range 30 {
+				before := total()
+				status, body, _ := tg.call(path)
+				assert.Equal(t, http.StatusOK, status, body)
+				assert.LessOrEqual(t, total()-before, int64(1), "servers that turned the request away")
+			}
+		})
+	}
+}
