admit, gateway: a request is turned away by one server after its rest at most

Class: several places that failed together are tried again together, by the same request. Change: after its rest a server gets single first attempts, and no repeat, until it has accepted one; where no other server can take a request, all may go there. TestRestsAreDropped asked for a rest to be forgotten at its end; it is now remembered for a minute, as the server is still to be tried.

--- a/admit/server_rests.go
+++ b/admit/server_rests.go
@@ -11,7 +11,12 @@
 	// maxRestReturnSpread is the longest span after the end of a rest over which the
 	// callers refused during it return.
 	maxRestReturnSpread = 2 * time.Second
-	maxRestingServers   = 4096
+	// restTrialInterval is the least time between two requests that try a server whose
+	// rest has ended.
+	restTrialInterval = 500 * time.Millisecond
+	// restTTL is how long after its end a rest is remembered if no answer follows it.
+	restTTL           = time.Minute
+	maxRestingServers = 4096
 )
 
 // ServerRests keeps the rests that backend servers ask for as they turn a request away:
@@ -19,7 +24,8 @@
 // gateway does not concern the others. A ServerRests is not safe for concurrent use.
 //
 // A rest belongs to one incarnation of a server and stands to its end, whatever the
-// server answers or asks for meanwhile, and however the directory changes.
+// server answers or asks for meanwhile, and however the directory changes. From then on
+// the server is tried with single requests until it has accepted one.
 type ServerRests struct {
 	source *rand.Rand
 	rests  map[ServerIncarnation]serverRest
@@ -29,6 +35,7 @@
 type serverRest struct {
 	until  time.Duration
 	length time.Duration // as asked for
+	trial  time.Duration // when the next request may try the server
 }
 
 // NewServerRests returns a ServerRests without rests. source draws the jitter of
@@ -47,7 +54,8 @@
 	if !known && len(r.rests) >= maxRestingServers {
 		r.dropFirst()
 	}
-	r.rests[server] = serverRest{now + length, length}
+	until := now + length
+	r.rests[server] = serverRest{until: until, length: length, trial: until}
 	return true
 }
 
@@ -67,6 +75,33 @@
 	return now >= r.rests[server].until
 }
 
+// Prefers reports whether the server should get a request while others can take it. A
+// server whose rest has ended gets the first attempt of a request now and then, and no
+// repeat: it may turn it away again.
+func (r *ServerRests) Prefers(server ServerIncarnation, repeat bool, now time.Duration) bool {
+	rest, known := r.rests[server]
+	return !known || !repeat && now >= rest.trial
+}
+
+// Sent records that a request is being sent to the server.
+func (r *ServerRests) Sent(server ServerIncarnation, now time.Duration) {
+	if rest, known := r.rests[server]; known {
+		rest.trial = now + restTrialInterval
+		r.rests[server] = rest
+	}
+}
+
+// Accepted records that the server has answered a request that it has not turned away.
+// It reports whether that ends the trials of the server.
+func (r *ServerRests) Accepted(server ServerIncarnation, now time.Duration) (ended bool) {
+	rest, known := r.rests[server]
+	if !known || now < rest.until { // the request was sent before the rest
+		return false
+	}
+	delete(r.rests, server)
+	return true
+}
+
 // Resting returns the number of the servers that rest.
 func (r *ServerRests) Resting(servers []ServerIncarnation, now time.Duration) int {
 	n := 0
@@ -95,10 +130,10 @@
 	return first.until - now + time.Duration(r.source.Float64()*float64(spread))
 }
 
-// Prune drops the rests that have ended. It is called periodically.
+// Prune drops the rests that ended long ago. It is called periodically.
 func (r *ServerRests) Prune(now time.Duration) {
 	for server, rest := range r.rests {
-		if now >= rest.until {
+		if now >= rest.until+restTTL {
 			delete(r.rests, server)
 		}
 	}
--- a/admit/server_rests_test.go
+++ b/admit/server_rests_test.go
@@ -52,10 +52,39 @@
 	}
 	assert.Len(t, r.rests, maxRestingServers)
 	assert.True(t, r.Allows(ServerIncarnation{ID: "0"}, 0), "the first to end is dropped")
-	r.Prune((maxRestingServers + 1) * time.Second)
+	last := (maxRestingServers + 1) * time.Second
+	r.Prune(last + restTTL - 1)
+	assert.Len(t, r.rests, 1, "servers whose rests have ended are to be tried")
+	r.Prune(last + restTTL)
 	assert.Empty(t, r.rests)
 }
 
+func TestServerIsTriedAfterItsRest(t *testing.T) {
+	const end = 3 * time.Second
+	server := ServerIncarnation{ID: "a"}
+	r := newTestRests()
+	r.TurnedAway(server, end, 0)
+	assert.False(t, r.Prefers(server, false, end-1))
+	assert.True(t, r.Prefers(server, false, end), "the first request tries it")
+	assert.False(t, r.Prefers(server, true, end), "no repeat does")
+	r.Sent(server, end)
+	assert.False(t, r.Prefers(server, false, end+1), "one is enough")
+	assert.True(t, r.Allows(server, end+1), "if no other server takes requests, all may go there")
+	assert.True(t, r.Prefers(server, false, end+restTrialInterval), "its answer may be lost")
+	assert.True(t, r.Accepted(server, end+restTrialInterval))
+	assert.True(t, r.Prefers(server, true, end+restTrialInterval))
+	assert.False(t, r.Accepted(server, end+restTrialInterval))
+}
+
+// The answer to a request that was sent before the server asked for rest does not end it.
+func TestOlderAnswerDoesNotEndARest(t *testing.T) {
+	server := ServerIncarnation{ID: "a"}
+	r := newTestRests()
+	r.TurnedAway(server, time.Second, 0)
+	assert.False(t, r.Accepted(server, time.Second-1))
+	assert.False(t, r.Allows(server, time.Second-1))
+}
+
 // All servers of a service ask for rest at once, and callers are refused for as long.
 func TestCallersReturnOneAfterTheOtherAfterRests(t *testing.T) {
 	const (
--- a/gateway/rests.go
+++ b/gateway/rests.go
@@ -15,9 +15,13 @@
 // is asked again.
 const maxRest = 24 * time.Hour
 
-// observeRest records the rest that an answer of a server asks for.
+// observeRest records the rest that an answer of a server asks for, or that the server
+// has accepted a request.
 func (x *serverStatements) observeRest(m *fleet.Member, answer *http.Response, now time.Duration) {
 	if answer.StatusCode != http.StatusServiceUnavailable {
+		if !impliesNotExecuted(answer.StatusCode) {
+			x.accepted(m, now)
+		}
 		return
 	}
 	length := x.parseRest(m, answer.Header)
@@ -29,6 +33,16 @@
 	}
 }
 
+// accepted records that a server has accepted a request.
+func (x *serverStatements) accepted(m *fleet.Member, now time.Duration) {
+	x.mu.Lock()
+	ended := x.rests.Accepted(incarnationOf(m), now)
+	x.mu.Unlock()
+	if ended {
+		x.log.Info("server-rest-ended", "server", m.ID, "started_at", m.StartedAt, "service", m.Service)
+	}
+}
+
 // parseRest returns the longest rest that the head of an answer asks for; 0 for none.
 // Values that cannot be read are logged and do not count.
 func (x *serverStatements) parseRest(m *fleet.Member, h http.Header) (longest time.Duration) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -133,9 +133,20 @@
 	})
 }
 
-// candidates lists the servers for the routing policy. Ejected servers that are
-// reachable but fail are included if allowFailing is set. Callers hold mu.
-func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy, allowFailing bool) []route.Candidate {
+// serverTier is a set of servers among which one is chosen. Each tier includes the one
+// before it, and is used if no server of that one can take the request.
+type serverTier int
+
+// Values of serverTier.
+const (
+	preferredServers serverTier = iota // those that seem to accept requests
+	restedServers                      // and those that may turn them away again after a rest
+	failingServers                     // and ejected ones that are reachable
+	serverTiers
+)
+
+// candidates lists the servers of a tier for the routing policy. Callers hold mu.
+func (s *service) candidates(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy, tier serverTier) []route.Candidate {
 	if !s.hasGroup(group) {
 		group = "" // the groups have changed since the request was admitted
 	}
@@ -143,13 +154,13 @@
 	for _, m := range members {
 		st := s.stateOf(m)
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
-		unhealthy := !st.health.usable(now) && (st.health.absent || !allowFailing)
+		unhealthy := !st.health.usable(now) && (st.health.absent || tier < failingServers)
 		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
 			c.Cold = true
 			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentLastSecond(now) >= cold.perSecond
 		}
-		c.Excluded = c.Excluded || !s.statements.allows(m, now)
+		c.Excluded = c.Excluded || !s.statements.allows(m, now) || tier == preferredServers && !s.statements.prefers(m, len(tried) > 0, now)
 		list = append(list, c)
 	}
 	return list
@@ -202,9 +213,9 @@
 func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) *fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i, ok := s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, false))
-	if !ok { // a server that sometimes fails is better than none
-		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, true))
+	i, ok := -1, false
+	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
+		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, tier))
 	}
 	if !ok {
 		return nil
@@ -221,7 +232,7 @@
 func (s *service) hasCandidate(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.candidates(members, group, tried, now, cold, true), func(c route.Candidate) bool { return !c.Excluded })
+	return slices.ContainsFunc(s.candidates(members, group, tried, now, cold, failingServers), func(c route.Candidate) bool { return !c.Excluded })
 }
 
 // attemptEnded records the result of an attempt.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -51,11 +51,21 @@
 	return x.rests.Allows(server, now) && x.limits.Allows(server, now)
 }
 
+// prefers reports whether a server should get a request while others can take it. A
+// repeat follows an attempt that a server did not execute or answer.
+func (x *serverStatements) prefers(m *fleet.Member, repeat bool, now time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rests.Prefers(incarnationOf(m), repeat, now)
+}
+
 // sent records that a request is being sent to a server.
 func (x *serverStatements) sent(m *fleet.Member, now time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.limits.Sent(incarnationOf(m), now)
+	server := incarnationOf(m)
+	x.limits.Sent(server, now)
+	x.rests.Sent(server, now)
 }
 
 // refusal returns the refusal of a request that no server of its service can take
