admit, gateway: servers that turn requests away without asking for rest are not preferred

Refusals alone never eject a server, it has nothing in flight, and fewest connections prefers it. Change: a refusal counts as a rest of no length, after which the server gets single first attempts, half a second apart, while others take requests. Not counted: refusals because the rank group has stalled, and of another server (421).

--- a/admit/server_rests.go
+++ b/admit/server_rests.go
@@ -11,27 +11,29 @@
 	// maxRestReturnSpread is the longest span after the end of a rest over which the
 	// callers refused during it return.
 	maxRestReturnSpread = 2 * time.Second
-	// restTrialInterval is the least time between two requests that try a server whose
-	// rest has ended.
+	// restTrialInterval is the least time between two requests to a server that turns
+	// them away without asking for rest, or whose rest has ended.
 	restTrialInterval = 500 * time.Millisecond
-	// restTTL is how long after its end a rest is remembered if no answer follows it.
+	// restTTL is how long a server is remembered after its rest or its last refusal if no
+	// answer follows.
 	restTTL           = time.Minute
 	maxRestingServers = 4096
 )
 
-// ServerRests keeps the rests that backend servers ask for as they turn a request away:
-// times in which a server wants no requests from this gateway. What a server asks of one
-// gateway does not concern the others. A ServerRests is not safe for concurrent use.
+// ServerRests keeps which backend servers turn requests away, and the rests that they ask
+// for: times in which a server wants no requests from this gateway. What a server asks
+// of one gateway does not concern the others. A ServerRests is not safe for concurrent use.
 //
 // A rest belongs to one incarnation of a server and stands to its end, whatever the
-// server answers or asks for meanwhile, and however the directory changes. From then on
-// the server is tried with single requests until it has accepted one.
+// server answers or asks for meanwhile, and however the directory changes. From then on,
+// or from the refusal on if the server has not asked for rest, it is tried with single
+// requests until it has accepted one.
 type ServerRests struct {
 	source *rand.Rand
 	rests  map[ServerIncarnation]serverRest
 }
 
-// serverRest is a rest of one server.
+// serverRest is the state of a server whose newest answer turned a request away.
 type serverRest struct {
 	until  time.Duration
 	length time.Duration // as asked for
@@ -44,19 +46,20 @@
 	return &ServerRests{source: source, rests: make(map[ServerIncarnation]serverRest)}
 }
 
-// TurnedAway records that a server has turned a request away and wants none for length.
-// It reports whether the server rests longer than was known.
-func (r *ServerRests) TurnedAway(server ServerIncarnation, length, now time.Duration) (changed bool) {
-	last, known := r.rests[server]
-	if length <= 0 || now+length <= last.until {
-		return false
-	}
+// TurnedAway records that a server has turned a request away and wants none for length,
+// which may be 0. It reports whether the server rests longer than was known.
+func (r *ServerRests) TurnedAway(server ServerIncarnation, length, now time.Duration) (longer bool) {
+	rest, known := r.rests[server]
 	if !known && len(r.rests) >= maxRestingServers {
 		r.dropFirst()
 	}
-	until := now + length
-	r.rests[server] = serverRest{until: until, length: length, trial: until}
-	return true
+	if longer = length > 0 && now+length > rest.until; longer {
+		rest.until, rest.length = now+length, length
+	}
+	rest.until = max(rest.until, now)
+	rest.trial = max(rest.until, now+restTrialInterval)
+	r.rests[server] = rest
+	return longer
 }
 
 // dropFirst drops the rest that ends first.
@@ -76,8 +79,8 @@
 }
 
 // Prefers reports whether the server should get a request while others can take it. A
-// server whose rest has ended gets the first attempt of a request now and then, and no
-// repeat: it may turn it away again.
+// server that has turned one away gets the first attempt of a request now and then, and
+// no repeat: it may do so again.
 func (r *ServerRests) Prefers(server ServerIncarnation, repeat bool, now time.Duration) bool {
 	rest, known := r.rests[server]
 	return !known || !repeat && now >= rest.trial
--- a/admit/server_rests_sim_test.go
+++ b/admit/server_rests_sim_test.go
@@ -14,7 +14,7 @@
 type restSimConfig struct {
 	shedding int           // servers that do so
 	others   int           // servers that do not
-	rest     time.Duration // that they ask for
+	rest     time.Duration // that they ask for; 0 for none
 	declines float64       // share of the requests that they turn away
 	demand   float64       // requests per second at this gateway
 }
@@ -187,6 +187,8 @@
 		{"1 of 3", restSimConfig{shedding: 1, others: 2, rest: 3 * time.Second, declines: 1, demand: 60}},
 		{"2 of 3, short rests", restSimConfig{shedding: 2, others: 1, rest: 700 * time.Millisecond, declines: 1, demand: 60}},
 		{"2 of 3, rests of no length to speak of", restSimConfig{shedding: 2, others: 1, rest: time.Millisecond, declines: 1, demand: 60}},
+		{"4 of 12, no rest asked for", restSimConfig{shedding: 4, others: 8, declines: 1, demand: 10}},
+		{"1 of 3, no rest asked for", restSimConfig{shedding: 1, others: 2, declines: 1, demand: 60}},
 		{"4 of 12, some requests", restSimConfig{shedding: 4, others: 8, rest: 3 * time.Second, declines: 0.3, demand: 10}},
 		{"30 of 90", restSimConfig{shedding: 30, others: 60, rest: 3 * time.Second, declines: 1, demand: 200}},
 	} {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -355,6 +355,7 @@
 		g.crashes.serverDown(m.ID, "misdirected", g.now())
 	} else {
 		c.service.attemptEnded(m, g.now(), severityRefused)
+		g.statements.turnedAway(m, 0, g.now())
 	}
 	g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at,
 		"retry_after", resp.Header.Get(retryAfterHeader))
--- a/gateway/rests.go
+++ b/gateway/rests.go
@@ -18,17 +18,23 @@
 // observeRest records the rest that an answer of a server asks for, or that the server
 // has accepted a request.
 func (x *serverStatements) observeRest(m *fleet.Member, answer *http.Response, now time.Duration) {
-	if answer.StatusCode != http.StatusServiceUnavailable {
-		if !impliesNotExecuted(answer.StatusCode) {
-			x.accepted(m, now)
+	switch {
+	case !impliesNotExecuted(answer.StatusCode):
+		x.accepted(m, now)
+	case answer.StatusCode == http.StatusServiceUnavailable:
+		if length := x.parseRest(m, answer.Header); length > 0 {
+			x.turnedAway(m, length, now)
 		}
-		return
 	}
-	length := x.parseRest(m, answer.Header)
+}
+
+// turnedAway records that a server has turned a request away and wants none for length;
+// 0 if it has not asked for rest.
+func (x *serverStatements) turnedAway(m *fleet.Member, length, now time.Duration) {
 	x.mu.Lock()
-	changed := x.rests.TurnedAway(incarnationOf(m), length, now)
+	longer := x.rests.TurnedAway(incarnationOf(m), length, now)
 	x.mu.Unlock()
-	if changed {
+	if longer {
 		x.log.Info("server-rests", "server", m.ID, "started_at", m.StartedAt, "service", m.Service, "for_ms", length.Milliseconds())
 	}
 }
@@ -39,7 +45,7 @@
 	ended := x.rests.Accepted(incarnationOf(m), now)
 	x.mu.Unlock()
 	if ended {
-		x.log.Info("server-rest-ended", "server", m.ID, "started_at", m.StartedAt, "service", m.Service)
+		x.log.Info("server-accepts-again", "server", m.ID, "started_at", m.StartedAt, "service", m.Service)
 	}
 }
 
--- a/gateway/rests_test.go
+++ b/gateway/rests_test.go
@@ -13,13 +13,17 @@
 	"marjorampitch/fleet"
 )
 
-// resting turns every request away with this Retry-After and counts them.
+// resting turns every request away with this Retry-After, if any, and counts them.
 func resting(retryAfter string, arrived *atomic.Int64) func(c *conn) {
+	header := ""
+	if retryAfter != "" {
+		header = "Retry-After: " + retryAfter + "\r\n"
+	}
 	return func(c *conn) {
 		for r := c.request(); r != nil; r = c.request() {
 			arrived.Add(1)
-			c.write("HTTP/1.1 503 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nRetry-After: " + retryAfter +
-				"\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+			c.write("HTTP/1.1 503 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\n" + header +
+				"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
 		}
 	}
 }
@@ -174,14 +178,21 @@
 	}
 }
 
-// Servers whose rests have ended are tried again with one request at a time, which others serve if need be.
+// Servers that turn requests away are tried again with one request at a time, which others serve if need be.
 func TestRequestIsNotTurnedAwayByServerAfterServer(t *testing.T) {
-	for _, path := range []string{"/again/x", "/once/x", "/stream/x"} {
-		t.Run(path, func(t *testing.T) {
+	for _, c := range []struct{ name, path, retryAfter string }{
+		{"idempotent, after a rest", "/again/x", "0.0001"},
+		{"not to be repeated, after a rest", "/once/x", "0.0001"},
+		{"stream, after a rest", "/stream/x", "0.0001"},
+		{"idempotent, without one", "/again/x", ""},
+		{"not to be repeated, without one", "/once/x", ""},
+		{"stream, without one", "/stream/x", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			tg := newTestGateway(t)
 			var arrived [4]atomic.Int64
 			for i := range arrived {
-				tg.server(resting("0.0001", &arrived[i]))
+				tg.server(resting(c.retryAfter, &arrived[i]))
 			}
 			tg.server(serve("ok"))
 			total := func() (n int64) {
@@ -192,12 +203,12 @@
 			}
 			for i := range arrived {
 				for arrived[i].Load() == 0 {
-					tg.call(path)
+					tg.call(c.path)
 				}
 			}
 			for range 30 {
 				before := total()
-				status, body, _ := tg.call(path)
+				status, body, _ := tg.call(c.path)
 				assert.Equal(t, http.StatusOK, status, body)
 				assert.LessOrEqual(t, total()-before, int64(1), "servers that turned the request away")
 			}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -140,7 +140,7 @@
 // Values of serverTier.
 const (
 	preferredServers serverTier = iota // those that seem to accept requests
-	restedServers                      // and those that may turn them away again after a rest
+	decliningServers                   // and those that have turned one away and accepted none since
 	failingServers                     // and ejected ones that are reachable
 	serverTiers
 )
