admit: servers that go on turning requests away are tried less and less

Cause: each gateway tried such a server twice a second, so that the number of refused first attempts grew with the gateways: 880 a second at each such server for 440 of them. Change: the intervals double from 0.5 s to 4 s while the server goes on, and start anew once it has accepted a request. TestServerThatGoesOnTurningRequestsAwayIsTriedLessAndLess: 54 trials in 30 s before, 12 allowed.

--- a/admit/server_rests.go
+++ b/admit/server_rests.go
@@ -11,9 +11,10 @@
 	// maxRestReturnSpread is the longest span after the end of a rest over which the
 	// callers refused during it return.
 	maxRestReturnSpread = 2 * time.Second
-	// restTrialInterval is the least time between two requests to a server that turns
-	// them away without asking for rest, or whose rest has ended.
-	restTrialInterval = 500 * time.Millisecond
+	// A server that turns requests away without asking for rest, or whose rest has ended,
+	// is tried at intervals that double from the first to the second.
+	minTrialInterval = 500 * time.Millisecond
+	maxTrialInterval = 4 * time.Second
 	// restTTL is how long a server is remembered after its rest or its last refusal if no
 	// answer follows.
 	restTTL           = time.Minute
@@ -35,9 +36,10 @@
 
 // serverRest is the state of a server whose newest answer turned a request away.
 type serverRest struct {
-	until  time.Duration
-	length time.Duration // as asked for
-	trial  time.Duration // when the next request may try the server
+	until    time.Duration
+	length   time.Duration // as asked for
+	trial    time.Duration // when the next request may try the server
+	interval time.Duration // from that trial to the next
 }
 
 // NewServerRests returns a ServerRests without rests. source draws the jitter of
@@ -53,11 +55,14 @@
 	if !known && len(r.rests) >= maxRestingServers {
 		r.dropFirst()
 	}
+	if !known {
+		rest.interval = minTrialInterval
+	}
 	if longer = length > 0 && now+length > rest.until; longer {
-		rest.until, rest.length = now+length, length
+		rest.until, rest.length, rest.trial = now+length, length, 0
 	}
 	rest.until = max(rest.until, now)
-	rest.trial = max(rest.until, now+restTrialInterval)
+	rest.trial = max(rest.until, rest.trial, now+minTrialInterval)
 	r.rests[server] = rest
 	return longer
 }
@@ -89,7 +94,8 @@
 // Sent records that a request is being sent to the server.
 func (r *ServerRests) Sent(server ServerIncarnation, now time.Duration) {
 	if rest, known := r.rests[server]; known {
-		rest.trial = now + restTrialInterval
+		rest.trial = now + rest.interval
+		rest.interval = min(2*rest.interval, maxTrialInterval)
 		r.rests[server] = rest
 	}
 }
--- a/admit/server_rests_test.go
+++ b/admit/server_rests_test.go
@@ -70,10 +70,10 @@
 	r.Sent(server, end)
 	assert.False(t, r.Prefers(server, false, end+1), "one is enough")
 	assert.True(t, r.Allows(server, end+1), "if no other server takes requests, all may go there")
-	assert.True(t, r.Prefers(server, false, end+restTrialInterval), "its answer may be lost")
-	assert.True(t, r.Accepted(server, end+restTrialInterval))
-	assert.True(t, r.Prefers(server, true, end+restTrialInterval))
-	assert.False(t, r.Accepted(server, end+restTrialInterval))
+	assert.True(t, r.Prefers(server, false, end+minTrialInterval), "its answer may be lost")
+	assert.True(t, r.Accepted(server, end+minTrialInterval))
+	assert.True(t, r.Prefers(server, true, end+minTrialInterval))
+	assert.False(t, r.Accepted(server, end+minTrialInterval))
 }
 
 // The answer to a request that was sent before the server asked for rest does not end it.
@@ -113,3 +113,23 @@
 	assert.Equal(t, 149, refused)
 	assert.Zero(t, r.RetryAfter(servers, rest+time.Second))
 }
+
+// Each gateway tries such a server, so that the rate must fall while nothing changes.
+func TestServerThatGoesOnTurningRequestsAwayIsTriedLessAndLess(t *testing.T) {
+	server := ServerIncarnation{ID: "a"}
+	r := newTestRests()
+	r.TurnedAway(server, 0, 0)
+	var trials []time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += 50 * time.Millisecond {
+		if r.Prefers(server, false, now) {
+			trials = append(trials, now)
+			r.Sent(server, now)
+			r.TurnedAway(server, 0, now+10*time.Millisecond)
+		}
+	}
+	assert.LessOrEqual(t, len(trials), 12)
+	last := trials[len(trials)-1]
+	assert.GreaterOrEqual(t, last, 30*time.Second-maxTrialInterval, "it is still tried")
+	assert.True(t, r.Accepted(server, last+time.Second))
+	assert.True(t, r.Prefers(server, true, last+time.Second))
+}
