--- a/admit/server_rests.go
+++ b/admit/server_rests.go
@@ -48,6 +48,9 @@
 	return &ServerRests{source: source, rests: make(map[ServerIncarnation]serverRest)}
 }
 
+// Empty reports whether no server is known to turn requests away.
+func (r *ServerRests) Empty() bool { return len(r.rests) == 0 }
+
 // TurnedAway records that a server has turned a request away and wants none for length,
 // which may be 0. It reports whether the server rests longer than was known.
 func (r *ServerRests) TurnedAway(server ServerIncarnation, length, now time.Duration) (longer bool) {
--- a/gateway/rests_test.go
+++ b/gateway/rests_test.go
@@ -139,11 +139,11 @@
 	}
 	for _, status := range []int{http.StatusOK, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusInternalServerError} {
 		x.observe(m, answer(status), time.Second)
-		require.True(t, x.allows(m, time.Second), status)
+		require.Zero(t, x.resting([]*fleet.Member{m}, time.Second), status)
 	}
 	x.observe(m, answer(http.StatusServiceUnavailable), time.Second)
-	require.False(t, x.allows(m, 4*time.Second-1))
-	require.True(t, x.allows(m, 4*time.Second))
+	require.Equal(t, 1, x.resting([]*fleet.Member{m}, 4*time.Second-1))
+	require.Zero(t, x.resting([]*fleet.Member{m}, 4*time.Second))
 }
 
 func TestRestHeader(t *testing.T) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -150,8 +150,9 @@
 	if !s.hasGroup(group) {
 		group = "" // the groups have changed since the request was admitted
 	}
+	excluded := s.statements.excluded(members, tier >= decliningServers, len(tried) > 0, now)
 	list := make([]route.Candidate, 0, len(members))
-	for _, m := range members {
+	for i, m := range members {
 		st := s.stateOf(m)
 		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
 		unhealthy := !st.health.usable(now) && (st.health.absent || tier < failingServers)
@@ -160,7 +161,7 @@
 			c.Cold = true
 			c.Excluded = c.Excluded || cold.perSecond > 0 && st.sentLastSecond(now) >= cold.perSecond
 		}
-		c.Excluded = c.Excluded || !s.statements.allows(m, now) || tier == preferredServers && !s.statements.prefers(m, len(tried) > 0, now)
+		c.Excluded = c.Excluded || excluded != nil && excluded[i]
 		list = append(list, c)
 	}
 	return list
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -43,20 +43,22 @@
 	x.observeRest(m, answer, now)
 }
 
-// allows reports whether a server may get a request now.
-func (x *serverStatements) allows(m *fleet.Member, now time.Duration) bool {
+// excluded returns for each member whether it may not get a request now; nil if all may.
+// Unless declining is set, those are included that should not get it while others can
+// take it. A repeat follows an attempt that a server did not execute or answer.
+func (x *serverStatements) excluded(members []*fleet.Member, declining, repeat bool, now time.Duration) []bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	server := incarnationOf(m)
-	return x.rests.Allows(server, now) && x.limits.Allows(server, now)
-}
-
-// prefers reports whether a server should get a request while others can take it. A
-// repeat follows an attempt that a server did not execute or answer.
-func (x *serverStatements) prefers(m *fleet.Member, repeat bool, now time.Duration) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.rests.Prefers(incarnationOf(m), repeat, now)
+	if x.rests.Empty() && x.limits.Empty() {
+		return nil
+	}
+	list := make([]bool, len(members))
+	for i, m := range members {
+		server := incarnationOf(m)
+		list[i] = !x.rests.Allows(server, now) || !x.limits.Allows(server, now) ||
+			!declining && !x.rests.Prefers(server, repeat, now)
+	}
+	return list
 }
 
 // sent records that a request is being sent to a server.
