--- a/gateway/rests_test.go
+++ b/gateway/rests_test.go
@@ -215,3 +215,47 @@
 		})
 	}
 }
+
+// A rest holds whatever the reason of the refusal, here a stalled rank group.
+func TestServersOfAStalledGroupGetTheirRest(t *testing.T) {
+	tg := newTestGateway(t)
+	var arrived [2]atomic.Int64
+	for i := range arrived {
+		tg.server(func(c *conn) {
+			for r := c.request(); r != nil; r = c.request() {
+				arrived[i].Add(1)
+				c.write("HTTP/1.1 503 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nX-At: i-1\r\nRetry-After: 30\r\n" +
+					"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+	}
+	for range 5 {
+		status, _, h := tg.call("/stream/x")
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.NotEmpty(t, h.Get("Retry-After"))
+	}
+	for i := range arrived {
+		require.LessOrEqual(t, arrived[i].Load(), int64(1))
+	}
+}
+
+// While one server is at its limit and the other rests, neither gets more.
+func TestRestBesideALimit(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = time.Now().Add(-time.Minute)
+	var arrived atomic.Int64
+	tg.server(resting("30", &arrived))
+	tg.server(limiting("1.0"))
+	served := 0
+	for range 50 {
+		status, _, h := tg.call("/again/x")
+		if status == http.StatusOK {
+			served++
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.NotEmpty(t, h.Get("Retry-After"))
+	}
+	require.LessOrEqual(t, served, 11, "requests in 4 s at 1 a second, with half as much again and 5 tolerated")
+	require.EqualValues(t, 1, arrived.Load())
+}
