gateway: a refusal because of the request is not held against its server

Cause: a server that answers 400 and says that it has not run the request counted as one that turns requests away, so that malformed requests of one caller took the preference from each server that they reached. Change: only 408, 429 and 503 count. TestServerThatRefusesAMalformedRequestStaysPreferred, red before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -163,7 +163,7 @@
 	switch {
 	case last == nil:
 		return g.statements.refusal(c.service.name, members, g.now())
-	case last.Ran == api.NotRun: // the ends of rests tell when to return, its failure does not
+	case last.Ran == api.NotRun: // the ends of rests say better when to return
 		if refusal := g.statements.restRefusal(members, g.now()); refusal != nil {
 			return refusal
 		}
@@ -355,7 +355,9 @@
 		g.crashes.serverDown(m.ID, "misdirected", g.now())
 	} else {
 		c.service.attemptEnded(m, g.now(), severityRefused)
-		g.statements.turnedAway(m, 0, g.now())
+		if impliesNotExecuted(resp.StatusCode) { // another status is about the request
+			g.statements.turnedAway(m, 0, g.now())
+		}
 	}
 	g.opts.Log.Warn("attempt-declined", "request", c.id, "server", m.ID, "status", resp.StatusCode, "at_server", at,
 		"retry_after", resp.Header.Get(retryAfterHeader))
--- a/gateway/rests_test.go
+++ b/gateway/rests_test.go
@@ -259,3 +259,16 @@
 	require.LessOrEqual(t, served, 11, "requests in 4 s at 1 a second, with half as much again and 5 tolerated")
 	require.EqualValues(t, 1, arrived.Load())
 }
+
+// A refusal because of the request says nothing of what the server does with others.
+func TestServerThatRefusesAMalformedRequestStaysPreferred(t *testing.T) {
+	tg := newTestGateway(t)
+	id := tg.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			c.write("HTTP/1.1 400 X\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	tg.call("/again/x")
+	m := tg.cache.View().Members[id]
+	require.Nil(t, tg.g.statements.excluded([]*fleet.Member{m}, false, true, tg.g.now()))
+}
