--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -60,7 +60,7 @@
 	coldArrivals map[string][]time.Time // by server: requests of the last second
 	limited      map[string][]time.Time // by server: requests within limitWindow
 	rests        map[restKey][]rest
-	gatewayStart time.Time              // when a gateway was last started
+	gatewayStart time.Time // when a gateway was last started
 	violations   []string
 	counts       map[string]int       // answers by status; complete streams; cut answers
 	served       map[requestKind]int  // complete answers since startRecoveryWindow
