--- a/admit/server_rests.go
+++ b/admit/server_rests.go
@@ -70,7 +70,7 @@
 	return longer
 }
 
-// dropFirst drops the rest that ends first.
+// dropFirst drops the server whose rest ends first or has ended longest ago.
 func (r *ServerRests) dropFirst() {
 	var first ServerIncarnation
 	for server, rest := range r.rests {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -4,8 +4,8 @@
 //
 // Decisions are made in other packages: fleet (state of the deployment), pace
 // (admission and queueing of streams), route (choice of a server) and admit (retry
-// budget, stated limits of servers, requests that crash servers). This package
-// connects them.
+// budget, limits and rests that servers state, requests that crash servers). This
+// package connects them.
 package gateway
 
 import "time"
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -43,9 +43,9 @@
 	x.observeRest(m, answer, now)
 }
 
-// excluded returns for each member whether it may not get a request now; nil if all may.
-// Unless declining is set, those are included that should not get it while others can
-// take it. A repeat follows an attempt that a server did not execute or answer.
+// excluded returns for each member whether it may not get a request now; nil while no
+// server states anything. Unless declining is set, those are included that should not get
+// it while others can take it. A repeat follows an attempt that no server has answered.
 func (x *serverStatements) excluded(members []*fleet.Member, declining, repeat bool, now time.Duration) []bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
