pace, gateway: gateways learn the pace of a group from their peers

Cause: each gateway estimated how many streams a group takes from the gaps of its own streams alone. A gateway that starts had the limit of the cost model.

Change: loads carry the mean gap of the streams in the last averaging period, and a gateway without recent gaps of its own in a group takes those of its peers. Own gaps go first.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -146,7 +146,9 @@
 		s := p.g.service(x.Service)
 		s.mu.Lock()
 		if s.gate != nil {
-			s.gate.SetPeerLoad(now, l.Instance, x.Group, pace.Load{Running: x.Running, Rate: x.Rate})
+			s.gate.SetPeerLoad(now, l.Instance, x.Group, pace.Load{
+				Running: x.Running, Rate: x.Rate, Gap: time.Duration(x.Gap) * time.Microsecond,
+			})
 			s.notifyAdmitted(s.gate.AdmitWaiting(now))
 		}
 		s.mu.Unlock()
@@ -197,7 +199,9 @@
 			s.notifyAdmitted(s.gate.AdmitWaiting(now)) // a stalled group may be open again
 			for name, x := range s.gate.Loads(now) {
 				if x.Running > 0 || x.Rate > minReportedRate {
-					l.Groups = append(l.Groups, wire.GroupLoad{Service: s.name, Group: name, Running: x.Running, Rate: x.Rate})
+					l.Groups = append(l.Groups, wire.GroupLoad{
+						Service: s.name, Group: name, Running: x.Running, Rate: x.Rate, Gap: x.Gap.Microseconds(),
+					})
 				}
 			}
 		}
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -36,6 +36,9 @@
 	// sharedFraction is the fraction of a group's capacity that every instance
 	// may use; the rest is divided between the instances by demand.
 	sharedFraction = 0.9
+	// gapValidity is how long the mean gap between events of the streams that an
+	// instance has in a group says something about the group.
+	gapValidity = 300 * time.Millisecond
 	// maxPeerLoadAge is the age at which a peer's load is discarded.
 	maxPeerLoadAge = time.Second
 	// rateWindow is the time over which the arrival rate is averaged.
@@ -71,6 +74,9 @@
 type Load struct {
 	Running int     // streams
 	Rate    float64 // requests per second that arrive for the whole service
+	// Gap is the mean gap between events of these streams in the last averaging
+	// period; 0 if there were none within gapValidity.
+	Gap time.Duration
 }
 
 // group is the state of one rank group.
@@ -80,6 +86,7 @@
 	peers        map[string]peerLoad
 	closedUntil  time.Duration // no admission before this time; 0 while open
 	stalledSince time.Duration // since when the group has made no passes; 0 while it does
+	gapAt        time.Duration // when a stream of this instance last had two events
 	vanished     bool          // not among the names of SetGroups any more; kept for its running streams
 }
 
@@ -204,15 +211,32 @@
 func (g *Gate) Loads(now time.Duration) map[string]Load {
 	loads := make(map[string]Load, len(g.groups))
 	for name, gr := range g.groups {
-		loads[name] = Load{Running: gr.running, Rate: g.rateAt(now)}
+		loads[name] = Load{Running: gr.running, Rate: g.rateAt(now), Gap: gr.recentGap(now)}
 	}
 	return loads
 }
 
-// SetPeerLoad records the load of a peer instance on a group.
+// recentGap returns the mean gap that streams of this instance observed; 0 if they
+// had none within gapValidity.
+func (gr *group) recentGap(now time.Duration) time.Duration {
+	if gr.gapAt == 0 || now-gr.gapAt > gapValidity {
+		return 0
+	}
+	return gr.capacity.Gap()
+}
+
+// SetPeerLoad records the load of a peer instance on a group. While this instance
+// has no streams there that show the pace of the group, the gaps of its peers do:
+// it neither sends many requests to a group that has become slow, nor keeps away
+// from one that is fast again.
 func (g *Gate) SetPeerLoad(now time.Duration, peer, name string, l Load) {
-	if gr := g.groups[name]; gr != nil {
-		gr.peers[peer] = peerLoad{l, now}
+	gr := g.groups[name]
+	if gr == nil {
+		return
+	}
+	gr.peers[peer] = peerLoad{l, now}
+	if l.Gap > 0 && gr.recentGap(now) == 0 {
+		gr.capacity.Observe(now, l.Gap, gr.totalRunning(now))
 	}
 }
 
@@ -399,6 +423,7 @@
 		return nil
 	}
 	gr.closedUntil, gr.stalledSince = 0, 0
+	gr.gapAt = max(now, 1)
 	gr.capacity.Observe(now, gap, gr.totalRunning(now))
 	return g.AdmitWaiting(now)
 }
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -34,6 +34,7 @@
 	Group   string  `msg:"g"`
 	Running int     `msg:"n"` // streams in progress
 	Rate    float64 `msg:"r"` // arrival rate of requests for the service, per second
+	Gap     int64   `msg:"p"` // recent mean gap between events of these streams, microseconds; 0 if not known
 }
 
 // GroupState is the datagram in which the rebalancer of a rank reports the state
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -257,6 +257,12 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "p":
+			z.Gap, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Gap")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -270,9 +276,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GroupLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x85, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -311,15 +317,25 @@
 		err = msgp.WrapError(err, "Rate")
 		return
 	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Gap)
+	if err != nil {
+		err = msgp.WrapError(err, "Gap")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *GroupLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x85, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -330,6 +346,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendFloat64(o, z.Rate)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt64(o, z.Gap)
 	return
 }
 
@@ -375,6 +394,12 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "p":
+			z.Gap, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gap")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -389,7 +414,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GroupLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Float64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size
 	return
 }
 
