daemon: smaller heaps of gateways and rebalancers

Change: garbage is collected at a growth of 20 percent in rebalancers and 35 in gateways, and the table of heap profiles, which these roles do not serve, stays unused.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -37,7 +38,10 @@
 	directoryPause   = 400 * time.Millisecond  // between reads of the directory
 	storeTimeout     = 1200 * time.Millisecond // for one call to the store, in addition to its long-poll time
 	memoryLimitShare = 0.7                     // of the instance's memory, as the soft limit of the garbage collector
-	logFlushTimeout  = 200 * time.Millisecond  // for writing the queued lines at exit
+	// gatewayGCPercent is the growth of the heap after which garbage is collected.
+	// Heaps are a few MB, so that collections are cheap and memory is not.
+	gatewayGCPercent = 35
+	logFlushTimeout  = 200 * time.Millisecond // for writing the queued lines at exit
 	// missingServerShare is the time for which a server whose record disappeared
 	// without notice stays usable, as a share of the drain bound.
 	missingServerShare = 0.5
@@ -49,6 +53,7 @@
 // unknown, an address cannot be listened on, those of gateway.Gateway.Run.
 func RunGateway(ctx context.Context, path, logLevel string, out io.Writer) error {
 	return runOnPlatform(ctx, path, logLevel, out, "gateway", func(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+		debug.SetGCPercent(gatewayGCPercent)
 		if m := st.Gateway.MemoryLimit; m > 0 {
 			debug.SetMemoryLimit(int64(memoryLimitShare * float64(m)))
 		}
@@ -61,6 +66,7 @@
 func runOnPlatform(ctx context.Context, path, logLevel string, out io.Writer, role string,
 	run func(ctx context.Context, st *platform.Settings, logger *log.Logger) error,
 ) error {
+	runtime.MemProfileRate = 0 // these roles serve no heap profile, whose table takes more than a MB
 	st, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -25,6 +26,7 @@
 	documentWait             = 20 * time.Second // long-poll time of a read of the operator's stream
 	documentPause            = time.Minute      // between reads of it after the first document
 	rebalancerDirectoryPause = 2 * time.Second  // between reads of the directory
+	rebalancerGCPercent      = 20               // as gatewayGCPercent; there are many more rebalancers
 )
 
 // RunRebalancer runs the rebalancer of one rank with the platform's settings file
@@ -37,6 +39,7 @@
 
 // serveRebalancer runs a rebalancer with settings st.
 func serveRebalancer(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
+	debug.SetGCPercent(rebalancerGCPercent)
 	registry := telemetry.NewRegistry()
 	s := platform.NewStore(st.StoreAddress, logger)
 	s.Observe = telemetry.NewStoreMetrics(registry).Call
