rebalance: coordinators pace the goals that carry maps

Cause: in a group of 72 ranks a map is 2 to 4 KB, and the coordinator sent it to all ranks at once, and again each 100 ms to those that had not answered, over a link of 8 Mbit/s.

Change: maps go out as the link takes them (mapPacer, of limits.link_mbps), ranks that have the goal get heartbeats meanwhile, and a rank that does not answer gets the map again after all others had the time to get theirs. Without a stated bandwidth, or in small groups, all go out at once as before.

--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -57,6 +57,7 @@
 		EngineAddress: st.BackendAddress,
 		Remote:        func(address string) rebalance.Engine { return platform.NewEngine(address) },
 		Store:         s,
+		LinkRate:      st.LinkRate,
 		Directory:     dir,
 		MapConfig:     func() (rebalance.MapConfig, bool) { return mapConfig(cache.View(), st.BackendService) },
 		Log:           logger,
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -162,33 +162,73 @@
 		interval = prepareGoalInterval
 	}
 	if g.Seq == p.sentGoalSeq && g.Final == p.sentFinal && now-p.sentGoalAt < interval {
+		p.sendMaps(&g, interval, now)
 		return
 	}
 	p.sentGoalSeq, p.sentFinal, p.sentGoalAt, p.coordSeenAt = g.Seq, g.Final, now, now
+	p.sendToRanks(&g)
+	p.sendMaps(&g, interval, now)
+	if p.driver.SetGoal(g) {
+		p.coord.HandleReport(p.driver.Report(), now)
+	}
+}
+
+// sendToRanks sends a goal without a map to all ranks, or a heartbeat to those that have
+// one with a map: sendMaps sends it to the others.
+func (p *Process) sendToRanks(g *wire.MapGoal) {
 	heartbeat := p.coord.Heartbeat()
-	goalData, err := g.MarshalMsg([]byte{wire.KindMapGoal})
-	if err == nil && len(g.Replicas) == 0 {
-		heartbeat = g // short without a map
+	short := len(g.Replicas) == 0
+	if short {
+		heartbeat = *g
 	}
-	heartbeatData, err2 := heartbeat.MarshalMsg([]byte{wire.KindMapGoal})
-	if err := errors.Join(err, err2); err != nil {
+	heartbeatData, err := heartbeat.MarshalMsg([]byte{wire.KindMapGoal})
+	if err != nil {
 		p.opts.Log.Error("goal-not-encoded", "err", err)
 		return
 	}
-	e, _ := p.driver.EngineState()
-	for name, entry := range p.opts.Directory.Entries() {
-		if entry.Group != e.Group || name == p.opts.Instance {
-			continue
+	for _, entry := range p.otherRanks() {
+		if short || p.coord.KnowsGoal(entry.Rank) {
+			p.sendTo(heartbeatData, entry.Address)
 		}
+	}
+}
+
+// sendMaps sends a goal with its map to those ranks that do not have it, as far as the
+// link has room. A rank that does not answer gets it again after interval, and the
+// time that all maps need on the link.
+func (p *Process) sendMaps(g *wire.MapGoal, interval, now time.Duration) {
+	if len(g.Replicas) == 0 {
+		return
+	}
+	var data []byte
+	ranks := p.otherRanks()
+	for _, entry := range ranks {
 		if p.coord.KnowsGoal(entry.Rank) {
-			p.sendTo(heartbeatData, entry.Address)
-		} else {
-			p.sendTo(goalData, entry.Address)
+			continue
+		}
+		if data == nil {
+			var err error
+			if data, err = g.MarshalMsg([]byte{wire.KindMapGoal}); err != nil {
+				p.opts.Log.Error("goal-not-encoded", "err", err)
+				return
+			}
+		}
+		if p.maps.take(g.Seq, entry.Rank, len(data), interval+p.maps.time(len(ranks)*len(data)), now) {
+			p.sendTo(data, entry.Address)
 		}
 	}
-	if p.driver.SetGoal(g) {
-		p.coord.HandleReport(p.driver.Report(), now)
+}
+
+// otherRanks returns the directory entries of the group's other ranks.
+func (p *Process) otherRanks() []wire.Instance {
+	e, _ := p.driver.EngineState()
+	var list []wire.Instance
+	for name, entry := range p.opts.Directory.Entries() {
+		if entry.Group == e.Group && name != p.opts.Instance {
+			list = append(list, entry)
+		}
 	}
+	return list
 }
 
 // reportRank reports this process's rank to the coordinator if rankReportInterval
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -99,6 +99,7 @@
 	// EngineAddress is the host and port of Engine.
 	EngineAddress string
 	Store         store.Log
+	LinkRate      float64 // bandwidth of the instance's link, bytes per second; 0 if not known
 	Directory     *directory.Directory
 	// MapConfig returns the configuration of the service's maps; ok is false while
 	// there is none.
@@ -145,6 +146,7 @@
 	sentGoalSeq    uint64
 	sentFinal      bool // MapGoal.Final of the last goal sent
 	sentGoalAt     time.Duration
+	maps           *mapPacer
 	engineDown     bool            // the last read from the engine failed
 	engineFailures int             // consecutive failed reads
 	sentState      wire.GroupState // last state sent to gateways
@@ -165,7 +167,7 @@
 // New returns a process; Run starts it.
 func New(opts Options) *Process {
 	return &Process{
-		opts: opts, metrics: newMetrics(opts.Registry), start: time.Now(), driver: remap.NewRankDriver(), claimResults: make(chan claimResult, 1),
+		opts: opts, metrics: newMetrics(opts.Registry), start: time.Now(), driver: remap.NewRankDriver(), maps: newMapPacer(opts.LinkRate), claimResults: make(chan claimResult, 1),
 		substitutes: make(map[int]*substituteDriver), remoteEngines: make(map[string]Engine), substituteReports: make(chan wire.RankReport, 8),
 	}
 }
