rebalance: a claim does not supersede a coordinator that is not known yet

Change: a claim names the offset after the newest term known, one call instead of two, and fails if another claim is there already. The process then waits for that coordinator as for any. One that knows no term, or whose last claim was not answered, claims at the end of the topic as before.

Measured: claim_test.go, two claims at once: one coordinator, three store calls (five before).

--- /dev/null
+++ b/rebalance/claim_test.go
@@ -0,0 +1,85 @@
+package rebalance
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/remap"
+	"marjorampitch/store"
+)
+
+// claimLog is a log of claims.
+type claimLog struct {
+	store.Log
+	claims []string
+	calls  int
+	fail   error // answer of the next append, which takes effect
+}
+
+func (l *claimLog) AppendAt(_ context.Context, _ string, offset int64, record []byte) (int64, error) {
+	l.calls++
+	if offset != int64(len(l.claims)) {
+		return int64(len(l.claims)), eris.Wrap(store.ErrOffsetMismatch, "append")
+	}
+	l.claims = append(l.claims, string(record))
+	err := l.fail
+	l.fail = nil
+	return 0, err
+}
+
+func newClaimant() *Process {
+	p := New(Options{Log: log.New(io.Discard)})
+	p.driver.Observe(remap.EngineState{Group: "g", Epoch: 1, Size: 8, Open: true})
+	return p
+}
+
+// claim lets p claim, and returns whether it became the coordinator.
+func (l *claimLog) claim(p *Process, name string) bool {
+	p.handleClaimResult(appendClaim(context.Background(), l, "t", []byte(name), p.expectedClaimEnd()))
+	return p.coord != nil
+}
+
+// Two processes that know term 0 claim at the same time. The second does not supersede
+// the first, whose goal it has not received yet; it does if that one stays silent.
+func TestClaimDoesNotSupersedeUnknownCoordinator(t *testing.T) {
+	l := &claimLog{}
+	old := newClaimant()
+	require.True(t, l.claim(old, "old"))
+	first, second := newClaimant(), newClaimant()
+	for _, p := range []*Process{first, second} {
+		require.True(t, p.driver.SetGoal(old.coord.Goal()))
+	}
+	calls := l.calls
+	require.True(t, l.claim(first, "first"))
+	require.Equal(t, calls+1, l.calls, "one call to the store")
+	require.False(t, l.claim(second, "second"))
+	require.Equal(t, []string{"old", "first"}, l.claims)
+	require.True(t, l.claim(second, "second"), "nothing was heard of the first")
+	require.Greater(t, second.coord.Term(), first.coord.Term())
+}
+
+// A process that has just started knows no claim, and claims at the end of the topic.
+func TestClaimAfterStart(t *testing.T) {
+	l := &claimLog{claims: []string{"a", "b", "c"}}
+	p := newClaimant()
+	require.True(t, l.claim(p, "d"))
+	require.Equal(t, int64(3), p.coord.Term())
+}
+
+// A claim whose answer was lost may have taken effect; the next one comes after it.
+func TestClaimAfterLostAnswer(t *testing.T) {
+	l := &claimLog{}
+	old := newClaimant()
+	require.True(t, l.claim(old, "old"))
+	p := newClaimant()
+	require.True(t, p.driver.SetGoal(old.coord.Goal()))
+	l.fail = eris.New("no answer")
+	require.False(t, l.claim(p, "p"))
+	require.True(t, l.claim(p, "p"))
+	require.Equal(t, int64(2), p.coord.Term())
+}
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -294,28 +294,40 @@
 		return
 	}
 	p.claiming = true
+	expected := p.expectedClaimEnd()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		term, err := appendClaim(ctx, p.opts.Store, claimTopicPrefix+e.Group, []byte(p.opts.Instance))
-		p.claimResults <- claimResult{term, err}
+		p.claimResults <- appendClaim(ctx, p.opts.Store, claimTopicPrefix+e.Group, []byte(p.opts.Instance), expected)
 	}()
 }
 
-// appendClaim appends a claim at the end of a group's topic and returns its offset,
-// the term. It fails if another claim is appended first, which then takes effect.
-func appendClaim(ctx context.Context, s store.Log, topic string, name []byte) (int64, error) {
-	// Offset 0 fails on a topic that is not empty, and returns its end.
-	end, err := s.AppendAt(ctx, topic, 0, name)
-	if errors.Is(err, store.ErrOffsetMismatch) {
-		_, err = s.AppendAt(ctx, topic, end, name)
-	} else {
-		end = 0
-	}
-	if err != nil {
-		return 0, eris.Wrapf(err, "append claim to %s", topic)
+// expectedClaimEnd returns the offset at which the group's topic ends if this process
+// knows of every claim; remap.None if it cannot tell: it knows of none, or does not know
+// whether its own last one took effect.
+func (p *Process) expectedClaimEnd() int64 {
+	if p.claimUnanswered || p.driver.Term() == remap.None && p.claimEnd == 0 {
+		return remap.None
+	}
+	return max(p.driver.Term()+1, p.claimEnd)
+}
+
+// appendClaim appends a claim to a group's topic at offset expected. It fails with
+// store.ErrOffsetMismatch if another claim is there, whose coordinator has not been
+// heard yet. If expected is remap.None, it appends the claim at the end of the topic,
+// and fails only if another one is appended meanwhile.
+func appendClaim(ctx context.Context, s store.Log, topic string, name []byte, expected int64) claimResult {
+	end, err := s.AppendAt(ctx, topic, max(expected, 0), name) // offset 0 fails on a topic that is not empty
+	if err == nil {
+		return claimResult{term: max(expected, 0)}
+	}
+	if expected == remap.None && errors.Is(err, store.ErrOffsetMismatch) {
+		at := end
+		if end, err = s.AppendAt(ctx, topic, at, name); err == nil {
+			return claimResult{term: at}
+		}
 	}
-	return end, nil
+	return claimResult{end: end, err: eris.Wrapf(err, "append claim to %s", topic)}
 }
 
 // handleClaimResult makes this process the coordinator if its claim succeeded and
@@ -323,7 +335,14 @@
 func (p *Process) handleClaimResult(c claimResult) {
 	p.claiming = false
 	p.coordSeenAt = p.now()
+	p.claimUnanswered = false
+	if errors.Is(c.err, store.ErrOffsetMismatch) {
+		p.claimEnd = c.end
+		p.opts.Log.Info("claim-late", "end", c.end, "err", c.err)
+		return
+	}
 	if c.err != nil {
+		p.claimUnanswered = true
 		p.opts.Log.Warn("claim-failed", "err", c.err)
 		return
 	}
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -123,7 +123,11 @@
 	coordSeenAt  time.Duration // time of the last goal received or sent, or of the last claim's result
 	claiming     bool
 	claimResults chan claimResult
-	announced    bool // in the directory
+	claimEnd     int64 // end of the topic of claims when a claim came too late; 0 if none has
+	// claimUnanswered means that the last claim failed without an answer, so that it may
+	// have taken effect.
+	claimUnanswered bool
+	announced       bool // in the directory
 
 	remoteEngines     map[string]Engine // by address
 	lastOrder         remap.Order       // last order of coord
@@ -156,6 +160,7 @@
 // claimResult is the result of a claim to coordinate the group.
 type claimResult struct {
 	term int64
+	end  int64 // end of the topic, with store.ErrOffsetMismatch
 	err  error
 }
 
