pace: admit streams by priority where SetPrioritized is on

Cause: the gate admitted in order of arrival, so that in a burst of less urgent requests the urgent ones waited behind them, and were refused more often, as the objective of the less urgent ones lets them wait longer.

Waiting requests are admitted by Ticket.Priority, within one as before. A request is refused at once if those that go before it, waiting and to come, probably take all that becomes free while it may wait; a waiting one that an arrival puts out of reach is displaced.

Without SetPrioritized the decisions are the same as before on the same events (TestUnprioritizedGateDecidesInOrderOfArrival, against the former code).

--- a/pace/gate.go
+++ b/pace/gate.go
@@ -50,9 +50,12 @@
 	Objective    time.Duration // for the first event, counted from the caller's first attempt
 	Retry        bool          // the caller was refused before
 	Group        string        // group that runs the request, set on admission
+	Priority     int           // 0 is the highest; counts if SetPrioritized is on
 	arrived      time.Duration
 	waitDeadline time.Duration
 	admitted     bool
+	admittedAt   time.Duration
+	counted      bool // in the load of its priority, as admitted in time
 }
 
 // Admitted reports whether the request may run.
@@ -90,17 +93,21 @@
 
 // Gate admits the streams of one service to its groups.
 type Gate struct {
-	groups      map[string]*group
-	queue       []*Ticket     // in order of arrival
-	firstEvent  time.Duration // mean time to first event; 0 before the first
-	rate        float64       // arrivals per second at lastArrival
-	lastArrival time.Duration
-	rnd         *rand.Rand
+	groups     map[string]*group
+	queue      []*Ticket     // in order of arrival
+	firstEvent time.Duration // mean time to first event; 0 before the first
+	arrivals   arrivalRate   // first attempts
+	rnd        *rand.Rand
+
+	prioritized bool
+	priorities  map[int]*priorityLoad // by priority
+	runTime     time.Duration         // mean time that a stream runs; 0 before the first has ended
+	displaced   []*Ticket             // since the last TakeDisplaced
 }
 
 // NewGate returns a gate without groups. rnd spreads retry delays.
 func NewGate(rnd *rand.Rand) *Gate {
-	return &Gate{groups: make(map[string]*group), rnd: rnd}
+	return &Gate{groups: make(map[string]*group), priorities: make(map[int]*priorityLoad), rnd: rnd}
 }
 
 // SetGroups replaces the groups; build returns the estimator of a new one. A group
@@ -243,18 +250,7 @@
 
 // rateAt returns the arrival rate in requests per second, which decays while no
 // request arrives.
-func (g *Gate) rateAt(now time.Duration) float64 {
-	idle := (now - g.lastArrival).Seconds() / rateWindow.Seconds()
-	return g.rate / (1 + max(idle-1, 0))
-}
-
-// recordArrival updates the arrival rate.
-func (g *Gate) recordArrival(now time.Duration) {
-	since := (now - g.lastArrival).Seconds()
-	g.lastArrival = now
-	weight := min(since/rateWindow.Seconds(), 1)
-	g.rate = g.rate*(1-weight) + 1/rateWindow.Seconds()
-}
+func (g *Gate) rateAt(now time.Duration) float64 { return g.arrivals.at(now) }
 
 // selectGroup returns the open group with the most free capacity, or nil if none
 // can take another stream.
@@ -284,8 +280,12 @@
 	if t.arrived == 0 {
 		t.arrived = max(now, 1)
 		if !t.Retry {
-			g.recordArrival(now)
+			g.arrivals.record(now)
 		}
+		g.recordPriority(now, t)
+	}
+	if g.prioritized {
+		return g.admitOrQueueByPriority(now, t)
 	}
 	if len(g.queue) == 0 && g.tryAdmit(now, t) {
 		return true
@@ -307,6 +307,7 @@
 	}
 	t.admitted, t.Group = true, name
 	gr.running++
+	g.recordAdmission(now, t)
 	return true
 }
 
@@ -350,15 +351,19 @@
 	if gr := g.groups[t.Group]; gr != nil {
 		gr.running--
 	}
+	g.recordRunTime(now - t.admittedAt)
 	return g.AdmitWaiting(now)
 }
 
-// AdmitWaiting admits waiting requests and returns them: in order of arrival,
-// first those that can still be on time.
+// AdmitWaiting admits waiting requests and returns them: by priority if that is set,
+// then first those that can still be on time, then in order of arrival.
 func (g *Gate) AdmitWaiting(now time.Duration) []*Ticket {
 	var admitted []*Ticket
 	// The waiters of expired requests have timers of their own and call Cancel.
 	g.queue = slices.DeleteFunc(g.queue, func(t *Ticket) bool { return now >= t.waitDeadline })
+	if g.prioritized {
+		return g.admitByPriority(now)
+	}
 	for _, late := range []bool{false, true} {
 		g.queue = slices.DeleteFunc(g.queue, func(t *Ticket) bool {
 			if g.isLate(now, t) != late || !g.tryAdmit(now, t) {
--- /dev/null
+++ b/pace/queue.go
@@ -0,0 +1,135 @@
+package pace
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// reachFactor is the ratio of the requests that go before another one, waiting and to
+// come, to the admissions expected meanwhile, above which that one is refused. More than
+// expected may be admitted, and fewer may come.
+const reachFactor = 1.5
+
+// This file holds the queue of a gate that admits by priority.
+
+// admitOrQueueByPriority is AdmitOrQueue for a gate that admits by priority. A request
+// is also refused if those that go before it, waiting and to come, will probably take
+// all that becomes free while it may wait. One that is queued may displace another of
+// a lower priority.
+func (g *Gate) admitOrQueueByPriority(now time.Duration, t *Ticket) (accepted bool) {
+	p := g.placeOf(now, t)
+	ahead := g.ahead(now, p)
+	if ahead == 0 && g.tryAdmit(now, t) {
+		return true
+	}
+	wait := g.maxWait(t)
+	if wait <= 0 || g.AllStalled() || !g.inReach(now, p, ahead, wait) {
+		return false
+	}
+	t.waitDeadline = now + wait
+	g.queue = append(g.queue, t)
+	g.displace(now, p)
+	return true
+}
+
+// ahead returns the number of waiting requests that go before one that arrives at p.
+func (g *Gate) ahead(now time.Duration, p place) int {
+	n := 0
+	for _, o := range g.queue {
+		if !p.before(g.placeOf(now, o)) {
+			n++
+		}
+	}
+	return n
+}
+
+// inReach reports whether a request at p, with so many waiting before it, will probably
+// be admitted within the wait.
+func (g *Gate) inReach(now time.Duration, p place, ahead int, wait time.Duration) bool {
+	before := float64(ahead) + g.rateBefore(now, p)*wait.Seconds()
+	return before <= reachFactor*g.expectedAdmissions(now, wait)
+}
+
+// expectedAdmissions returns the number of requests that will probably be admitted
+// within d.
+func (g *Gate) expectedAdmissions(now, d time.Duration) float64 {
+	n := 0.0
+	for _, gr := range g.groups {
+		if gr.vanished {
+			continue
+		}
+		share := g.share(gr, now)
+		if g.runTime == 0 {
+			n += waitingPerStream * max(share, float64(gr.running))
+			continue
+		}
+		n += max(share-float64(gr.running), 0) + share*d.Seconds()/g.runTime.Seconds()
+	}
+	return n
+}
+
+// displace removes the last waiting request of a lower priority than p if it will
+// probably not be admitted any more.
+func (g *Gate) displace(now time.Duration, p place) {
+	last, at := -1, p
+	for i, o := range g.queue {
+		if q := g.placeOf(now, o); q.rank > p.rank && !q.before(at) {
+			last, at = i, q
+		}
+	}
+	if last < 0 {
+		return
+	}
+	t := g.queue[last]
+	others := g.ahead(now, at) - 1 // without the request itself
+	if g.inReach(now, at, others, t.waitDeadline-now) {
+		return
+	}
+	g.queue = slices.Delete(g.queue, last, last+1)
+	g.displaced = append(g.displaced, t)
+}
+
+// TakeDisplaced returns the requests that have lost their places in the queue to
+// others since the last call. They are refused.
+func (g *Gate) TakeDisplaced() []*Ticket {
+	list := g.displaced
+	g.displaced = nil
+	return list
+}
+
+// admitByPriority admits waiting requests in order of their places and returns them.
+func (g *Gate) admitByPriority(now time.Duration) []*Ticket {
+	var admitted []*Ticket
+	for {
+		first := g.firstWaiting(now)
+		if first < 0 || !g.tryAdmit(now, g.queue[first]) {
+			return admitted
+		}
+		admitted = append(admitted, g.queue[first])
+		g.queue = slices.Delete(g.queue, first, first+1)
+	}
+}
+
+// firstWaiting returns the index of the waiting request to be admitted next; -1 for
+// none.
+func (g *Gate) firstWaiting(now time.Duration) int {
+	first, at := -1, place{}
+	for i, o := range g.queue {
+		if p := g.placeOf(now, o); first < 0 || p.before(at) {
+			first, at = i, p
+		}
+	}
+	return first
+}
+
+// Explain describes the state that the admission of a request depends on, for the
+// detail of its refusal.
+func (g *Gate) Explain(now time.Duration, t *Ticket) string {
+	if !g.prioritized {
+		return g.Summary(now)
+	}
+	p, wait := g.placeOf(now, t), g.maxWait(t)
+	return fmt.Sprintf("%s; priority %d: %d wait before it, %.1f a second come, %.1f admissions in %dms", g.Summary(now),
+		t.Priority, g.ahead(now, p), g.rateBefore(now, p), g.expectedAdmissions(now, wait), wait.Milliseconds())
+}
