fleet: priorities of a service's streams

An organisation's priority goes before the route's. Where the organisations' is the same, the route's decides: with organisations that all have one priority, the kinds of requests would otherwise have none.

--- a/fleet/document.go
+++ b/fleet/document.go
@@ -34,6 +34,8 @@
 
 	byHost map[string][]*Route      // longest prefix first
 	byKey  map[string]*Organisation // by API key
+
+	streamPriorities map[string][]streamPriority // by service, highest first
 }
 
 // Route sends the requests of one host and path prefix to services.
@@ -130,6 +132,7 @@
 			d.byKey[key] = &d.Organisations[i]
 		}
 	}
+	d.streamPriorities = d.findStreamPriorities()
 }
 
 // Match returns the route of the host with the longest matching prefix of path,
--- /dev/null
+++ b/fleet/priority.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// streamPriority is the priority of streams. Where the organisations' is the same, the
+// route's decides.
+type streamPriority struct {
+	priority int // of the organisation, or of the route if the organisation has none
+	route    int // of the route
+}
+
+func (p streamPriority) compare(o streamPriority) int {
+	return cmp.Or(cmp.Compare(p.priority, o.priority), cmp.Compare(p.route, o.route))
+}
+
+// PriorityFor returns the priority of an organisation's requests of the route; 0 is the
+// highest. o may be nil.
+func (r *Route) PriorityFor(o *Organisation) int {
+	if o != nil && o.Priority >= 0 {
+		return o.Priority
+	}
+	return r.Priority
+}
+
+// Prioritized reports whether streams of more than one priority may be sent to a
+// service.
+func (d *Document) Prioritized(service string) bool { return len(d.streamPriorities[service]) > 1 }
+
+// StreamRank returns the place of the streams of a route among the priorities of the
+// service's streams; 0 is the highest. priority is that of the request, see PriorityFor.
+// Among streams of the same priority, that of the route decides.
+func (d *Document) StreamRank(service string, r *Route, priority int) int {
+	at, _ := slices.BinarySearchFunc(d.streamPriorities[service], streamPriority{priority, r.Priority}, streamPriority.compare)
+	return at
+}
+
+// findStreamPriorities returns the priorities of the streams of each service, highest
+// first.
+func (d *Document) findStreamPriorities() map[string][]streamPriority {
+	found := make(map[string][]streamPriority)
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if r.Kind != Stream {
+			continue
+		}
+		priorities := d.prioritiesOf(r)
+		for _, w := range r.Split {
+			found[w.Service] = insertMissing(found[w.Service], priorities)
+		}
+	}
+	return found
+}
+
+// insertMissing adds the priorities that are not in the ordered list.
+func insertMissing(list, priorities []streamPriority) []streamPriority {
+	for _, p := range priorities {
+		if at, ok := slices.BinarySearchFunc(list, p, streamPriority.compare); !ok {
+			list = slices.Insert(list, at, p)
+		}
+	}
+	return list
+}
+
+// prioritiesOf returns the priorities that streams of a route may have.
+func (d *Document) prioritiesOf(r *Route) []streamPriority {
+	var list []streamPriority
+	if len(d.Organisations) == 0 || r.Anonymous {
+		list = append(list, streamPriority{r.Priority, r.Priority})
+	}
+	for i := range d.Organisations {
+		list = insertMissing(list, []streamPriority{{r.PriorityFor(&d.Organisations[i]), r.Priority}})
+	}
+	return list
+}
