gateway: admit streams by priority, and tell it to servers

Tickets carry the rank of their priority among those of the service's streams, and servers get it in Marjorampitch-Request-Priority, where there is more than one. Refusals name the priority and what goes before it; request-ended lines have priority and rank; prioritized_streams_total counts streams by rank.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -22,6 +22,7 @@
 	body          []byte
 	route         *fleet.Route
 	org           string // organisation; empty for none
+	priority      int    // of the organisation or the route; 0 is the highest
 	view          *fleet.View
 	service       *service
 	arrived       time.Duration // on the gateway's clock
@@ -110,10 +111,12 @@
 
 // authenticate looks up the organisation of the caller's API key.
 func (g *Gateway) authenticate(c *call, fresh bool) *api.Error {
+	c.priority = c.route.Priority
 	if !c.view.Document.RequiresKeys() {
 		return nil
 	}
 	org := c.view.Document.Organisation(c.r.Header.Get(g.opts.Headers.Key))
+	c.priority = c.route.PriorityFor(org)
 	if org != nil {
 		c.org = org.Name
 	}
@@ -291,13 +294,18 @@
 		name = c.route.Name
 	}
 	g.metrics.requestEnded(name, code, elapsed, c.queueTime)
+	rank := 0
+	if c.prioritized() {
+		rank = c.rank()
+		g.metrics.streamEnded(rank, code)
+	}
 	version := int64(0)
 	if c.view.Document != nil {
 		version = c.view.Document.Version
 	}
 	age, _ := g.proofAge()
 	fields := append([]any{
-		"request", c.id, "code", int(code), "route", name, "org", c.org, "took_ms", elapsed.Milliseconds(),
+		"request", c.id, "code", int(code), "route", name, "org", c.org, "priority", c.priority, "rank", rank, "took_ms", elapsed.Milliseconds(),
 		"waited_ms", c.queueTime.Milliseconds(), "attempts", c.attempts, "arrivals", c.sentAttempts, "servers", c.tried,
 		"returns", c.retried, "offered_ms", c.clientTimeout.Milliseconds(), "document", version, "proof_age_ms", age.Milliseconds(),
 	}, more...)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -48,7 +48,7 @@
 	s := c.service
 	gate := g.gate(s, c.view, c.route)
 	if c.ticket == nil {
-		c.ticket = &pace.Ticket{Objective: c.route.TargetLatency, Retry: c.retried}
+		c.ticket = &pace.Ticket{Objective: c.route.TargetLatency, Retry: c.retried, Priority: c.rank()}
 	}
 	t := c.ticket
 	t.Reset()
@@ -56,11 +56,13 @@
 	s.mu.Lock()
 	s.objective = c.route.TargetGap
 	gate.SetObjective(c.route.TargetGap)
+	gate.SetPrioritized(c.prioritized())
 	start := g.now()
 	accepted := gate.AdmitOrQueue(start, t)
+	s.notifyDisplaced(gate.TakeDisplaced())
 	switch {
 	case !accepted:
-		detail := "no place in time: " + gate.Summary(start)
+		detail := "no place in time: " + gate.Explain(start, t)
 		stopped := gate.AllStalled()
 		s.mu.Unlock()
 		if stopped {
@@ -81,14 +83,20 @@
 	defer func() { c.queueTime += g.now() - start }()
 	select {
 	case <-ready:
-		return release, nil
+		if t.Admitted() {
+			return release, nil
+		}
+		s.mu.Lock()
+		detail := "displaced by a higher priority: " + gate.Explain(g.now(), t)
+		s.mu.Unlock()
+		return nil, api.NewError(api.Overloaded, detail)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	cancelled := gate.Cancel(t)
 	delete(s.waiters, t)
-	detail := "waited in vain: " + gate.Summary(g.now())
+	detail := "waited in vain: " + gate.Explain(g.now(), t)
 	s.mu.Unlock()
 	if !cancelled { // admitted just as the wait ended
 		return release, nil
@@ -317,6 +325,9 @@
 	}
 	h.Set(n.ExpectServer, m.ID)
 	h.Set(n.Deadline, strconv.FormatInt(max(g.timeLeft(c).Milliseconds(), 1), 10))
+	if n.Priority != "" && c.prioritized() {
+		h.Set(n.Priority, strconv.Itoa(min(c.rank(), lowestServerPriority)))
+	}
 	if c.lastEventID >= 0 {
 		h.Set(n.LastEvent, strconv.FormatInt(c.lastEventID, 10))
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,7 @@
 // sets is bounded by the result codes and maxRoutes.
 type metrics struct {
 	answers          *prometheus.CounterVec
+	streams          *prometheus.CounterVec
 	queueTime        prometheus.Histogram
 	retries          prometheus.Counter
 	resumes          prometheus.Counter
@@ -58,6 +59,9 @@
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "answers_total", Help: "Requests ended, by route and result code.",
 		}, []string{"route", "code"}),
+		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "prioritized_streams_total", Help: "Streams ended, by rank of priority and result code, of services with several priorities.",
+		}, []string{"rank", "code"}),
 		routes: make(map[string]bool),
 		queueTime: histogram("queue_seconds", "Time that a request waited for admission.",
 			[]float64{.01, .03, .06, .12, .25, .5, 1}),
@@ -74,7 +78,7 @@
 		duration: histogram("answer_seconds", "Time from the arrival of a request to the end of its response.",
 			[]float64{.01, .03, .1, .3, 1, 2, 4, 8}),
 	}
-	r.MustRegister(m.answers)
+	r.MustRegister(m.answers, m.streams)
 	return m
 }
 
@@ -87,6 +91,11 @@
 	}
 }
 
+// streamEnded records the end of a stream of a service with several priorities.
+func (m *metrics) streamEnded(rank int, code api.Code) {
+	m.streams.WithLabelValues(strconv.Itoa(min(rank, lowestServerPriority)), strconv.Itoa(int(code))).Inc()
+}
+
 // routeLabel returns the label value of a route.
 func (m *metrics) routeLabel(route string) string {
 	m.mu.Lock()
--- /dev/null
+++ b/gateway/priority.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"marjorampitch/fleet"
+	"marjorampitch/pace"
+)
+
+// lowestServerPriority is the lowest priority that servers know.
+const lowestServerPriority = 9
+
+// prioritized reports whether the request is a stream of a service whose streams have
+// more than one priority.
+func (c *call) prioritized() bool {
+	return c.service != nil && c.route.Kind == fleet.Stream && c.view.Document.Prioritized(c.service.name)
+}
+
+// rank returns the place of the request's priority among those of the service's
+// streams; 0 is the highest.
+func (c *call) rank() int {
+	return c.view.Document.StreamRank(c.service.name, c.route, c.priority)
+}
+
+// notifyDisplaced wakes the waiting requests that have lost their places to others.
+// Callers hold mu.
+func (s *service) notifyDisplaced(displaced []*pace.Ticket) { s.notifyAdmitted(displaced) }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -49,5 +49,6 @@
 	Limit        string   // in a response: requests per second that the server takes from all gateways together
 	Seal         string   // in a response: proof that the backend server produced it
 	LastEvent    string   // id of the event after which a stream resumes
+	Priority     string   // of a request at the server, 0 to 9; 0 is the highest. Empty if servers know none
 	Reserved     []string // further headers that are removed from callers' requests
 }
