pace: only requests of lower priorities are displaced

Cause: a request of a starved priority goes first, and displaced waiting ones of higher priorities. It is still admitted first. Closed groups no longer count for the admissions to expect. Refusals name the rank, as request-ended does.

--- a/pace/capacity.go
+++ b/pace/capacity.go
@@ -6,7 +6,7 @@
 // stream lengthens the gap between events for all streams. CapacityEstimator
 // derives the number of streams at which gaps meet the objective from observed
 // gaps and the number of streams that ran at the time. Gate admits requests up
-// to that number, in the order that serves most callers on time.
+// to that number, in the order that serves most callers on time, or first by priority.
 //
 // All types are pure state: times are offsets on the caller's monotonic clock.
 // None of the types is safe for concurrent use.
--- a/pace/gate.go
+++ b/pace/gate.go
@@ -275,7 +275,8 @@
 
 // AdmitOrQueue admits a request or queues it; Ticket.Admitted reports which. It
 // returns false if the request is refused: it could not meet its objective by
-// waiting, the queue is full, or no group makes passes.
+// waiting, the queue is full, or no group makes passes. Where admission is by priority,
+// TakeDisplaced returns the waiting requests that are refused in its place.
 func (g *Gate) AdmitOrQueue(now time.Duration, t *Ticket) (accepted bool) {
 	if t.arrived == 0 {
 		t.arrived = max(now, 1)
--- a/pace/queue.go
+++ b/pace/queue.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
+// This file holds the queue of a gate that admits by priority.
+
 // reachFactor is the ratio of the requests that go before another one, waiting and to
-// come, to the admissions expected meanwhile, above which that one is refused. More than
-// expected may be admitted, and fewer may come.
+// come, to the admissions expected meanwhile, above which that one is refused. It leaves
+// room for chance in both.
 const reachFactor = 1.5
 
-// This file holds the queue of a gate that admits by priority.
-
 // admitOrQueueByPriority is AdmitOrQueue for a gate that admits by priority. A request
 // is also refused if those that go before it, waiting and to come, will probably take
 // all that becomes free while it may wait. One that is queued may displace another of
@@ -29,7 +29,7 @@
 	}
 	t.waitDeadline = now + wait
 	g.queue = append(g.queue, t)
-	g.displace(now, p)
+	g.displace(now, t)
 	return true
 }
 
@@ -56,7 +56,7 @@
 func (g *Gate) expectedAdmissions(now, d time.Duration) float64 {
 	n := 0.0
 	for _, gr := range g.groups {
-		if gr.vanished {
+		if gr.vanished || now < gr.closedUntil {
 			continue
 		}
 		share := g.share(gr, now)
@@ -69,25 +69,25 @@
 	return n
 }
 
-// displace removes the last waiting request of a lower priority than p if it will
-// probably not be admitted any more.
-func (g *Gate) displace(now time.Duration, p place) {
-	last, at := -1, p
+// displace removes the last waiting request of a lower priority than t, which was just
+// queued, if it will probably not be admitted any more.
+func (g *Gate) displace(now time.Duration, t *Ticket) {
+	last, at := -1, g.placeOf(now, t)
 	for i, o := range g.queue {
-		if q := g.placeOf(now, o); q.rank > p.rank && !q.before(at) {
-			last, at = i, q
+		if p := g.placeOf(now, o); o.Priority > t.Priority && !p.before(at) {
+			last, at = i, p
 		}
 	}
 	if last < 0 {
 		return
 	}
-	t := g.queue[last]
+	o := g.queue[last]
 	others := g.ahead(now, at) - 1 // without the request itself
-	if g.inReach(now, at, others, t.waitDeadline-now) {
+	if g.inReach(now, at, others, o.waitDeadline-now) {
 		return
 	}
 	g.queue = slices.Delete(g.queue, last, last+1)
-	g.displaced = append(g.displaced, t)
+	g.displaced = append(g.displaced, o)
 }
 
 // TakeDisplaced returns the requests that have lost their places in the queue to
@@ -130,6 +130,6 @@
 		return g.Summary(now)
 	}
 	p, wait := g.placeOf(now, t), g.maxWait(t)
-	return fmt.Sprintf("%s; priority %d: %d wait before it, %.1f a second come, %.1f admissions in %dms", g.Summary(now),
+	return fmt.Sprintf("%s; rank %d: %d wait before it, %.1f a second come, %.1f admissions in %dms", g.Summary(now),
 		t.Priority, g.ahead(now, p), g.rateBefore(now, p), g.expectedAdmissions(now, wait), wait.Milliseconds())
 }
