pace: more less urgent requests may wait

Cause: a gateway's queue held what 1.5 times the expected admissions would take, so that less urgent requests were refused at once that others would not have put out of reach. Requests still to come keep that factor; with the waiting ones it is 4.

--- a/pace/queue.go
+++ b/pace/queue.go
@@ -8,10 +8,15 @@
 
 // This file holds the queue of a gate that admits by priority.
 
-// reachFactor is the ratio of the requests that go before another one, waiting and to
-// come, to the admissions expected meanwhile, above which that one is refused. It leaves
-// room for chance in both.
-const reachFactor = 1.5
+// A request is refused if those that go before it exceed the admissions expected while
+// it may wait. The factors leave room for chance.
+const (
+	// arrivalFactor applies to the requests that will arrive meanwhile.
+	arrivalFactor = 1.5
+	// queueFactor applies to these and the waiting ones together. It is larger, so that
+	// whatever becomes free finds a request waiting.
+	queueFactor = 4.0
+)
 
 // admitOrQueueByPriority is AdmitOrQueue for a gate that admits by priority. A request
 // is also refused if those that go before it, waiting and to come, will probably take
@@ -47,8 +52,8 @@
 // inReach reports whether a request at p, with so many waiting before it, will probably
 // be admitted within the wait.
 func (g *Gate) inReach(now time.Duration, p place, ahead int, wait time.Duration) bool {
-	before := float64(ahead) + g.rateBefore(now, p)*wait.Seconds()
-	return before <= reachFactor*g.expectedAdmissions(now, wait)
+	arrivals, admissions := g.rateBefore(now, p)*wait.Seconds(), g.expectedAdmissions(now, wait)
+	return arrivals <= arrivalFactor*admissions && arrivals+float64(ahead) <= queueFactor*admissions
 }
 
 // expectedAdmissions returns the number of requests that will probably be admitted
