--- a/fleet/priority.go
+++ b/fleet/priority.go
@@ -29,10 +29,10 @@
 // service.
 func (d *Document) Prioritized(service string) bool { return len(d.streamPriorities[service]) > 1 }
 
-// StreamRank returns the place of the streams of a route among the priorities of the
+// StreamClass returns the place of the streams of a route among the priorities of the
 // service's streams; 0 is the highest. priority is that of the request, see PriorityFor.
 // Among streams of the same priority, that of the route decides.
-func (d *Document) StreamRank(service string, r *Route, priority int) int {
+func (d *Document) StreamClass(service string, r *Route, priority int) int {
 	at, _ := slices.BinarySearchFunc(d.streamPriorities[service], streamPriority{priority, r.Priority}, streamPriority.compare)
 	return at
 }
--- a/fleet/priority_test.go
+++ b/fleet/priority_test.go
@@ -16,7 +16,7 @@
 
 // An organisation's priority goes before the route's, which decides among those of the
 // same.
-func TestStreamRank(t *testing.T) {
+func TestStreamClass(t *testing.T) {
 	d := &Document{
 		Routes: []Route{streamRoute("a", 0, "s"), streamRoute("b", 2, "s", "other"), streamRoute("c", 1, "s")},
 		Organisations: []Organisation{
@@ -27,10 +27,10 @@
 	a, b, c := &d.Routes[0], &d.Routes[1], &d.Routes[2]
 	usual, first, none := d.Organisation("k"), d.Organisation("l"), d.Organisation("m")
 	require.Equal(t, []int{1, 0, 2, 2}, []int{b.PriorityFor(usual), b.PriorityFor(first), b.PriorityFor(none), b.PriorityFor(nil)})
-	rank := func(r *Route, o *Organisation) int { return d.StreamRank("s", r, r.PriorityFor(o)) }
-	require.Equal(t, []int{0, 1, 2}, []int{rank(a, first), rank(c, first), rank(b, first)})
-	require.Equal(t, []int{3, 4, 5}, []int{rank(a, usual), rank(c, usual), rank(b, usual)})
-	require.Equal(t, []int{0, 4, 6}, []int{rank(a, none), rank(c, none), rank(b, none)})
+	class := func(r *Route, o *Organisation) int { return d.StreamClass("s", r, r.PriorityFor(o)) }
+	require.Equal(t, []int{0, 1, 2}, []int{class(a, first), class(c, first), class(b, first)})
+	require.Equal(t, []int{3, 4, 5}, []int{class(a, usual), class(c, usual), class(b, usual)})
+	require.Equal(t, []int{0, 4, 6}, []int{class(a, none), class(c, none), class(b, none)})
 	require.True(t, d.Prioritized("s"))
 	require.True(t, d.Prioritized("other"))
 }
@@ -43,7 +43,7 @@
 	d.Index()
 	require.False(t, d.Prioritized("s"))
 	require.False(t, d.Prioritized("unknown"))
-	require.Zero(t, d.StreamRank("s", &d.Routes[0], 1))
+	require.Zero(t, d.StreamClass("s", &d.Routes[0], 1))
 
 	d.Organisations = []Organisation{{Name: "o", Keys: []string{"k"}, Priority: 0}, {Name: "p", Keys: []string{"l"}, Priority: 0}}
 	d.Index()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -294,10 +294,10 @@
 		name = c.route.Name
 	}
 	g.metrics.requestEnded(name, code, elapsed, c.queueTime)
-	rank := 0
+	class := 0
 	if c.prioritized() {
-		rank = c.rank()
-		g.metrics.streamEnded(rank, code)
+		class = c.priorityClass()
+		g.metrics.streamEnded(class, code)
 	}
 	version := int64(0)
 	if c.view.Document != nil {
@@ -305,7 +305,7 @@
 	}
 	age, _ := g.proofAge()
 	fields := append([]any{
-		"request", c.id, "code", int(code), "route", name, "org", c.org, "priority", c.priority, "rank", rank, "took_ms", elapsed.Milliseconds(),
+		"request", c.id, "code", int(code), "route", name, "org", c.org, "priority", c.priority, "class", class, "took_ms", elapsed.Milliseconds(),
 		"waited_ms", c.queueTime.Milliseconds(), "attempts", c.attempts, "arrivals", c.sentAttempts, "servers", c.tried,
 		"returns", c.retried, "offered_ms", c.clientTimeout.Milliseconds(), "document", version, "proof_age_ms", age.Milliseconds(),
 	}, more...)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -48,7 +48,7 @@
 	s := c.service
 	gate := g.gate(s, c.view, c.route)
 	if c.ticket == nil {
-		c.ticket = &pace.Ticket{Objective: c.route.TargetLatency, Retry: c.retried, Priority: c.rank()}
+		c.ticket = &pace.Ticket{Objective: c.route.TargetLatency, Retry: c.retried, Priority: c.priorityClass()}
 	}
 	t := c.ticket
 	t.Reset()
@@ -326,7 +326,7 @@
 	h.Set(n.ExpectServer, m.ID)
 	h.Set(n.Deadline, strconv.FormatInt(max(g.timeLeft(c).Milliseconds(), 1), 10))
 	if n.Priority != "" && c.prioritized() {
-		h.Set(n.Priority, strconv.Itoa(min(c.rank(), lowestServerPriority)))
+		h.Set(n.Priority, strconv.Itoa(min(c.priorityClass(), lowestServerPriority)))
 	}
 	if c.lastEventID >= 0 {
 		h.Set(n.LastEvent, strconv.FormatInt(c.lastEventID, 10))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,8 +60,8 @@
 			Namespace: metricsNamespace, Name: "answers_total", Help: "Requests ended, by route and result code.",
 		}, []string{"route", "code"}),
 		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "prioritized_streams_total", Help: "Streams ended, by rank of priority and result code, of services with several priorities.",
-		}, []string{"rank", "code"}),
+			Namespace: metricsNamespace, Name: "prioritized_streams_total", Help: "Streams ended, by class of priority and result code, of services with several priorities.",
+		}, []string{"class", "code"}),
 		routes: make(map[string]bool),
 		queueTime: histogram("queue_seconds", "Time that a request waited for admission.",
 			[]float64{.01, .03, .06, .12, .25, .5, 1}),
@@ -92,8 +92,8 @@
 }
 
 // streamEnded records the end of a stream of a service with several priorities.
-func (m *metrics) streamEnded(rank int, code api.Code) {
-	m.streams.WithLabelValues(strconv.Itoa(min(rank, lowestServerPriority)), strconv.Itoa(int(code))).Inc()
+func (m *metrics) streamEnded(class int, code api.Code) {
+	m.streams.WithLabelValues(strconv.Itoa(min(class, lowestServerPriority)), strconv.Itoa(int(code))).Inc()
 }
 
 // routeLabel returns the label value of a route.
--- a/gateway/priority.go
+++ b/gateway/priority.go
@@ -14,10 +14,10 @@
 	return c.service != nil && c.route.Kind == fleet.Stream && c.view.Document.Prioritized(c.service.name)
 }
 
-// rank returns the place of the request's priority among those of the service's
+// priorityClass returns the place of the request's priority among those of the service's
 // streams; 0 is the highest.
-func (c *call) rank() int {
-	return c.view.Document.StreamRank(c.service.name, c.route, c.priority)
+func (c *call) priorityClass() int {
+	return c.view.Document.StreamClass(c.service.name, c.route, c.priority)
 }
 
 // notifyDisplaced wakes the waiting requests that have lost their places to others.
--- a/pace/priority.go
+++ b/pace/priority.go
@@ -18,8 +18,8 @@
 	// runTimeWeight is the weight of the newest sample in the moving average of the
 	// time that a stream runs.
 	runTimeWeight = 0.05
-	// firstRank is the rank of a request that goes before those of every priority.
-	firstRank = math.MinInt
+	// firstLevel is the level of a request that goes before those of every priority.
+	firstLevel = math.MinInt
 )
 
 // priorityLoad is the load of the requests of one priority.
@@ -81,25 +81,25 @@
 	return l.inTime.at(now)+inTimeSlack < min(minInTimeFraction, inTime/max(callers, 1))*l.callers.at(now)
 }
 
-// place is a position in the order of admission. Lower ranks go first; within one,
+// place is a position in the order of admission. Lower levels go first; within one,
 // requests that can be on time do, and then those that arrived first.
 type place struct {
-	rank int // the priority, or firstRank
-	late bool
+	level int // the priority, or firstLevel
+	late  bool
 }
 
 // placeOf returns the place of a request.
 func (g *Gate) placeOf(now time.Duration, t *Ticket) place {
 	late := g.isLate(now, t)
 	if !late && g.starved(now, t.Priority) {
-		return place{rank: firstRank}
+		return place{level: firstLevel}
 	}
 	return place{t.Priority, late}
 }
 
 // before reports whether p goes before o, whenever they arrived.
 func (p place) before(o place) bool {
-	return p.rank < o.rank || p.rank == o.rank && !p.late && o.late
+	return p.level < o.level || p.level == o.level && !p.late && o.late
 }
 
 // rateBefore returns the rate, in requests per second, at which requests arrive that
@@ -108,7 +108,7 @@
 func (g *Gate) rateBefore(now time.Duration, p place) float64 {
 	rate := 0.0
 	for priority, l := range g.priorities {
-		if priority < p.rank || priority == p.rank && p.late {
+		if priority < p.level || priority == p.level && p.late {
 			rate += l.rate.at(now)
 		}
 	}
--- a/pace/priority_test.go
+++ b/pace/priority_test.go
@@ -124,14 +124,14 @@
 	require.Equal(t, []*Ticket{urgent}, g.Release(now, running[1]), "as many were as are due")
 }
 
-// The reason for a refusal names the rank of the priority and what goes before it.
+// The reason for a refusal names the class of the priority and what goes before it.
 func TestExplainNamesPriority(t *testing.T) {
 	g, _ := busyGate(2 * time.Second)
 	now := 3 * time.Second
 	low := &Ticket{Objective: objective, Priority: 2}
 	require.True(t, g.AdmitOrQueue(now, &Ticket{Objective: objective}))
 	require.True(t, g.AdmitOrQueue(now, low))
-	require.Contains(t, g.Explain(now, low), "; rank 2: ")
+	require.Contains(t, g.Explain(now, low), "; class 2: ")
 	g.SetPrioritized(false)
 	require.Equal(t, g.Summary(now), g.Explain(now, low))
 }
--- a/pace/queue.go
+++ b/pace/queue.go
@@ -135,6 +135,6 @@
 		return g.Summary(now)
 	}
 	p, wait := g.placeOf(now, t), g.maxWait(t)
-	return fmt.Sprintf("%s; rank %d: %d wait before it, %.1f a second come, %.1f admissions in %dms", g.Summary(now),
+	return fmt.Sprintf("%s; class %d: %d wait before it, %.1f a second come, %.1f admissions in %dms", g.Summary(now),
 		t.Priority, g.ahead(now, p), g.rateBefore(now, p), g.expectedAdmissions(now, wait), wait.Milliseconds())
 }
