--- a/route/route.go
+++ b/route/route.go
@@ -36,6 +36,11 @@
 	// This front proxy's own requests.
 	OwnInFlight    int // in flight
 	OwnSinceReport int // sent minus finished since the last report
+
+	// What all front proxies together have at the server, as far as known; see package cost.
+	Work        time.Duration // server time that is left of the requests
+	MemoryHeld  int           // tokens that the requests hold at their ends
+	MemoryTotal int           // tokens that the server can hold; 0 if unknown
 }
 
 // Load estimates the number of requests now at the backend server: that of the
@@ -52,6 +57,20 @@
 // that the sidecar would probably refuse another request.
 func (c *Candidate) Full() bool { return c.Limit > 0 && c.Load() >= c.Limit }
 
+// memoryReserve is the share of a server's memory that is left to requests that other
+// front proxies have sent but not yet reported, and to those that become longer than
+// expected. A request alone may take all the memory.
+const memoryReserve = 0.2
+
+// Fits reports whether the request fits into the server's memory beside those that it
+// holds, as far as that is known.
+func (c *Candidate) Fits(req *Request) bool {
+	if c.MemoryTotal <= 0 || c.MemoryHeld == 0 && req.Memory <= c.MemoryTotal {
+		return true
+	}
+	return float64(c.MemoryHeld+req.Memory) <= (1-memoryReserve)*float64(c.MemoryTotal)
+}
+
 // Request holds the properties of a request that a Picker may use.
 type Request struct {
 	Organisation string
@@ -60,6 +79,7 @@
 	Priority     api.Priority
 	Model        string
 	Budget       time.Duration // time left until the caller's deadline
+	Memory       int           // expected tokens held at the request's end; 0 if unknown
 }
 
 // Feedback is the outcome of an attempt at a picked candidate.
