gateway: route requests by what they cost and by what servers have to do

Each gateway chose servers by its own requests in flight. With 6 to 16 gateways that is close to a random choice, and a request counted the same whatever its size.

Where a request states its tokens and the service has engines, the gateway estimates its cost, picks by policy leastwork, and reports the work that it has at each server with its load report, some 7 bytes per server with requests. Rebalancers announce the memory of their engine, so that a request is not sent to a server that it would not fit. Other requests are routed as before. The log line of a request has the expected and the written tokens; marjorampitch_gateway_output_ratio is their ratio.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -108,7 +108,7 @@
 	go dir.Run(background)
 
 	g := gateway.New(gateway.Options{
-		Settings: st.Gateway, Headers: platform.HeaderNames, PromptParts: platform.PromptParts, Cache: cache, FreshnessProof: operator.FreshnessProof, ServersProof: servers.FreshnessProof,
+		Settings: st.Gateway, Headers: platform.HeaderNames, PromptParts: platform.PromptParts, RequestSize: platform.RequestSize, Cache: cache, FreshnessProof: operator.FreshnessProof, ServersProof: servers.FreshnessProof,
 		Log: logger, Registry: registry, Directory: dir,
 	})
 	if err := serveHTTP(background, st.Gateway.ReadyAddr, readyHandler(g.Ready)); err != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -31,6 +31,7 @@
 	queueTime     time.Duration // time spent waiting for admission
 	ticket        *pace.Ticket  // admission at the service's gate; nil for requests that are not paced
 	features      crashFeatures // by which crashes are attributed
+	cost          requestCost
 
 	tried        []string // ids of servers that were sent the request or could not be reached
 	sentAttempts int      // attempts that had a connection; the request may have reached the server
@@ -93,6 +94,7 @@
 		return c, refusal
 	}
 	c.service = g.service(pickService(c.route.Split))
+	c.cost = g.requestCost(c)
 	return c, nil
 }
 
@@ -301,5 +303,5 @@
 		"waited_ms", c.queueTime.Milliseconds(), "attempts", c.attempts, "arrivals", c.sentAttempts, "servers", c.tried,
 		"returns", c.retried, "offered_ms", c.clientTimeout.Milliseconds(), "document", version, "proof_age_ms", age.Milliseconds(),
 	}, more...)
-	g.opts.Log.Info("request-ended", fields...)
+	g.opts.Log.Info("request-ended", append(fields, costFields(&c.cost)...)...)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,7 +122,7 @@
 			}
 		}
 		members := view.Services[c.service.name]
-		m := c.service.pick(members, c.group(), c.tried, g.now(), g.coldPolicy(c))
+		m := c.service.pickByCost(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost)
 		if m == nil {
 			c.noAttempt = "no server"
 			last = g.noServer(c, members, last)
@@ -135,6 +135,7 @@
 			g.metrics.resumes.Inc()
 		}
 		done, failure := g.attempt(ctx, c, m)
+		g.recordCost(c, done)
 		if guarded {
 			g.crashes.end(c)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/backend"
+	"marjorampitch/cost"
 	"marjorampitch/directory"
 	"marjorampitch/fleet"
 	"marjorampitch/internal/clock"
@@ -61,6 +62,9 @@
 	// PromptParts returns the ids of the parts of a request's prompt that other
 	// requests may share. It may be nil.
 	PromptParts func(http.Header) []uint64
+	// RequestSize returns what a request states about its size; ok is false if it states
+	// nothing. It may be nil.
+	RequestSize func(http.Header) (size cost.Size, ok bool)
 	Cache       *fleet.Cache
 	// FreshnessProof returns the latest time, on the clock of package clock, at
 	// which the cached document was known to be the newest one; ok is false
@@ -189,6 +193,8 @@
 		engine = svc.Engine
 	}
 	s.updateGroups(view.Services[s.name], g.peers.engineGroups(), engine, s.objective)
+	s.costs.setEngine(engine)
+	s.costs.setMemory(view.Services[s.name], g.peers.engineMemory())
 }
 
 // Run serves until ctx is done, then shuts down gracefully within the grace period.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	firstEvent       prometheus.Histogram
 	eventGap         prometheus.Histogram
 	duration         prometheus.Histogram
+	outputRatio      prometheus.Histogram
 
 	mu     sync.Mutex // guards routes
 	routes map[string]bool
@@ -73,6 +74,8 @@
 			[]float64{.02, .04, .06, .08, .1, .12, .15, .2, .5, 1.5}),
 		duration: histogram("answer_seconds", "Time from the arrival of a request to the end of its response.",
 			[]float64{.01, .03, .1, .3, 1, 2, 4, 8}),
+		outputRatio: histogram("output_ratio", "Output tokens of a stream relative to those expected when it began.",
+			[]float64{.25, .5, .7, .85, 1, 1.2, 1.5, 2, 4}),
 	}
 	r.MustRegister(m.answers)
 	return m
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
 
+	"marjorampitch/cost"
 	"marjorampitch/internal/clock"
 	"marjorampitch/pace"
 	"marjorampitch/wire"
@@ -90,7 +91,7 @@
 		if _, err := l.UnmarshalMsg(data[1:]); err != nil {
 			return eris.Wrap(err, "decode gateway load")
 		}
-		p.handleLoad(&l)
+		return p.handleLoad(&l)
 	case wire.KindGroupState:
 		var s wire.GroupState
 		if _, err := s.UnmarshalMsg(data[1:]); err != nil {
@@ -138,8 +139,9 @@
 // The report is repeated more often than that.
 const closedReportTTL = 700 * time.Millisecond
 
-// handleLoad records the loads of a peer and whether it serves.
-func (p *peers) handleLoad(l *wire.GatewayLoad) {
+// handleLoad records the loads of a peer and whether it serves. It returns an error if a
+// part of them cannot be decoded.
+func (p *peers) handleLoad(l *wire.GatewayLoad) error {
 	now := p.g.now()
 	p.serving.record(l.Instance, l.Serving, now)
 	for _, x := range l.Groups {
@@ -151,6 +153,27 @@
 		}
 		s.mu.Unlock()
 	}
+	return p.handleWork(l, now)
+}
+
+// handleWork records the work that a peer has at the servers of each service.
+func (p *peers) handleWork(l *wire.GatewayLoad, now time.Duration) error {
+	for _, s := range p.g.allServices() {
+		var loads map[cost.Key]cost.Load
+		for i := range l.Servers {
+			if l.Servers[i].Service != s.name {
+				continue
+			}
+			var err error
+			if loads, err = cost.DecodeLoads(l.Servers[i].Loads); err != nil {
+				return eris.Wrapf(err, "service %s", s.name)
+			}
+		}
+		s.mu.Lock()
+		s.costs.ledger.SetPeer(now, l.Instance, loads)
+		s.mu.Unlock()
+	}
+	return nil
 }
 
 // broadcast sends this instance's loads, its evidence of crashes and the limits of
@@ -200,6 +223,9 @@
 					l.Groups = append(l.Groups, wire.GroupLoad{Service: s.name, Group: name, Running: x.Running, Rate: x.Rate})
 				}
 			}
+			if loads := s.costs.ledger.OwnLoads(); len(loads) > 0 {
+				l.Servers = append(l.Servers, wire.ServerLoads{Service: s.name, Loads: cost.EncodeLoads(loads)})
+			}
 		}
 		s.mu.Unlock()
 	}
@@ -253,6 +279,20 @@
 	return names
 }
 
+// engineMemory returns the memory of each engine by its address, in tokens.
+func (p *peers) engineMemory() map[string]int {
+	memory := make(map[string]int)
+	if p.g.opts.Directory == nil {
+		return memory
+	}
+	for _, e := range p.g.opts.Directory.Entries() {
+		if e.Role == wire.RoleRebalancer && e.Memory > 0 {
+			memory[e.Engine] = e.Memory
+		}
+	}
+	return memory
+}
+
 // engineGroups returns the group of each engine by its address.
 func (p *peers) engineGroups() map[string]string {
 	groups := make(map[string]string)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"marjorampitch/admit"
+	"marjorampitch/cost"
 	"marjorampitch/fleet"
 	"marjorampitch/pace"
 	"marjorampitch/route"
@@ -57,6 +58,7 @@
 	objective time.Duration     // objective for the gaps between events, of the streams' route
 	waiters   map[*pace.Ticket]chan struct{}
 	activity  groupActivity // by activityKey
+	costs     serverCosts
 }
 
 func newService(name string, budget *admit.RetryBudget, statements *serverStatements, logger *log.Logger) *service {
@@ -73,6 +75,7 @@
 		budget:     budget,
 		waiters:    make(map[*pace.Ticket]chan struct{}),
 		activity:   make(groupActivity),
+		costs:      newServerCosts(),
 	}
 }
 
@@ -212,15 +215,35 @@
 // pick chooses a server for one attempt and counts the attempt as in flight; nil
 // when no server is usable. A non-empty group restricts the choice to its servers.
 func (s *service) pick(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) *fleet.Member {
+	return s.pickByCost(members, group, tried, now, cold, nil)
+}
+
+// pickByCost is pick for a request whose cost may be known.
+func (s *service) pickByCost(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy, x *requestCost) *fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	picker, request := s.picker, &route.Request{}
+	var estimate cost.Estimate
+	byCost := s.costs.applies(x)
+	if byCost {
+		s.costs.ledger.Expire(now)
+		estimate = s.costs.estimate(x)
+		picker, request.Memory = s.costs.picker, estimate.Memory()
+	}
 	i, ok := -1, false
 	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
-		i, ok = s.picker.Pick(&route.Request{}, s.candidates(members, group, tried, now, cold, tier))
+		list := s.candidates(members, group, tried, now, cold, tier)
+		if byCost {
+			s.costs.describe(list, members)
+		}
+		i, ok = picker.Pick(request, list)
 	}
 	if !ok {
 		return nil
 	}
+	if byCost {
+		s.costs.begin(x, members[i], estimate)
+	}
 	st := s.stateOf(members[i])
 	st.inFlight++
 	st.recordSent(now)
@@ -320,6 +343,9 @@
 	defer s.mu.Unlock()
 	for key, st := range s.servers {
 		m := view.Members[key.id]
+		if m == nil || m.StartedAt != key.startedAt {
+			s.costs.prune(key)
+		}
 		if (m == nil || m.StartedAt != key.startedAt) && st.inFlight == 0 {
 			delete(s.servers, key)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,6 +130,7 @@
 // recordEvent reports an event to the gate and the metrics. previous is negative
 // for the first event of an attempt; sent is when the attempt began.
 func (g *Gateway) recordEvent(c *call, m *fleet.Member, now, previous, sent time.Duration) {
+	c.service.eventWritten(&c.cost)
 	if previous < 0 {
 		c.service.observeFirstEvent(now, m.ID, now-sent)
 		g.metrics.firstEvent.Observe((now - c.arrived).Seconds())
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -280,7 +280,7 @@
 	if !p.announced {
 		p.announced = true
 		go p.opts.Directory.Announce(ctx, p.opts.Instance, wire.Instance{
-			Role: wire.RoleRebalancer, Address: p.opts.Address, Group: e.Group, Rank: e.Rank, Engine: p.opts.EngineAddress,
+			Role: wire.RoleRebalancer, Address: p.opts.Address, Group: e.Group, Rank: e.Rank, Engine: p.opts.EngineAddress, Memory: e.Memory,
 		})
 	}
 	return true
--- a/remap/remap.go
+++ b/remap/remap.go
@@ -74,6 +74,7 @@
 	Accepted int64 // number of orders accepted
 	Busy     bool  // an order is being carried out
 	Running  int   // requests
+	Memory   int   // tokens that the engine can hold; 0 if unknown
 }
 
 // OrderKind is the action that an Order requires of the engine.
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -11,7 +11,8 @@
 	Address string `msg:"addr"` // host and port that receive datagrams
 	Group   string `msg:"g"`    // group of the engine on the instance; empty for none
 	Rank    int    `msg:"r"`
-	Engine  string `msg:"e"` // host and port of the engine
+	Engine  string `msg:"e"`           // host and port of the engine
+	Memory  int    `msg:"m,omitempty"` // tokens that the engine can hold; 0 if unknown
 }
 
 // Values of Instance.Role.
@@ -26,6 +27,17 @@
 	Instance string      `msg:"i"`
 	Serving  bool        `msg:"v"` // accepts new requests, with a current document
 	Groups   []GroupLoad `msg:"g"`
+	// Servers are the loads on backend servers, for the services whose requests have an
+	// estimated cost.
+	Servers []ServerLoads `msg:"w,omitempty"`
+}
+
+//msgp:tuple ServerLoads
+
+// ServerLoads are a gateway's loads on the servers of a service.
+type ServerLoads struct {
+	Service string `msg:"s"`
+	Loads   []byte `msg:"l,limit=8192"` // see cost.EncodeLoads
 }
 
 // GroupLoad is a gateway's load on one rank group of a service.
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -64,6 +64,51 @@
 					return
 				}
 			}
+		case "w":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Servers")
+				return
+			}
+			if zb0003 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Servers) >= int(zb0003) {
+				z.Servers = (z.Servers)[:zb0003]
+			} else {
+				z.Servers = make([]ServerLoads, zb0003)
+			}
+			for za0002 := range z.Servers {
+				var zb0004 uint32
+				zb0004, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002)
+					return
+				}
+				if zb0004 > za81f7b74limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Servers[za0002].Service, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Service")
+					return
+				}
+				z.Servers[za0002].Loads, err = dc.ReadBytesLimit(z.Servers[za0002].Loads, 8192)
+				if err == nil && z.Servers[za0002].Loads == nil {
+					z.Servers[za0002].Loads = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Loads")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -77,43 +122,88 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GatewayLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Instance)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Serving)
-	if err != nil {
-		err = msgp.WrapError(err, "Serving")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Servers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Groups)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Groups")
 		return
 	}
-	for za0001 := range z.Groups {
-		err = z.Groups[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Instance)
+		if err != nil {
+			err = msgp.WrapError(err, "Instance")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Serving)
+		if err != nil {
+			err = msgp.WrapError(err, "Serving")
+			return
+		}
+		// write "g"
+		err = en.Append(0xa1, 0x67)
 		if err != nil {
-			err = msgp.WrapError(err, "Groups", za0001)
 			return
 		}
+		err = en.WriteArrayHeader(uint32(len(z.Groups)))
+		if err != nil {
+			err = msgp.WrapError(err, "Groups")
+			return
+		}
+		for za0001 := range z.Groups {
+			err = z.Groups[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "w"
+			err = en.Append(0xa1, 0x77)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Servers)))
+			if err != nil {
+				err = msgp.WrapError(err, "Servers")
+				return
+			}
+			for za0002 := range z.Servers {
+				// array header, size 2
+				err = en.Append(0x92)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Servers[za0002].Service)
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Service")
+					return
+				}
+				err = en.WriteBytes(z.Servers[za0002].Loads)
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Loads")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -121,21 +211,45 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GatewayLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Instance)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendBool(o, z.Serving)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
-	for za0001 := range z.Groups {
-		o, err = z.Groups[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Groups", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Servers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Instance)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendBool(o, z.Serving)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+		for za0001 := range z.Groups {
+			o, err = z.Groups[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Servers)))
+			for za0002 := range z.Servers {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendString(o, z.Servers[za0002].Service)
+				o = msgp.AppendBytes(o, z.Servers[za0002].Loads)
+			}
 		}
 	}
 	return
@@ -194,6 +308,60 @@
 					return
 				}
 			}
+		case "w":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Servers")
+				return
+			}
+			if zb0003 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Servers) >= int(zb0003) {
+				z.Servers = (z.Servers)[:zb0003]
+			} else {
+				z.Servers = make([]ServerLoads, zb0003)
+			}
+			for za0002 := range z.Servers {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Servers[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Service")
+					return
+				}
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Servers", za0002, "Loads")
+					return
+				}
+				if zb0005 > 8192 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Servers[za0002].Loads == nil || uint32(cap(z.Servers[za0002].Loads)) < zb0005 {
+					z.Servers[za0002].Loads = make([]byte, zb0005)
+				} else {
+					z.Servers[za0002].Loads = z.Servers[za0002].Loads[:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Servers[za0002].Loads, bts[:zb0005])
+				bts = bts[zb0005:]
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -212,6 +380,10 @@
 	for za0001 := range z.Groups {
 		s += z.Groups[za0001].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Servers {
+		s += 1 + msgp.StringPrefixSize + len(z.Servers[za0002].Service) + msgp.BytesPrefixSize + len(z.Servers[za0002].Loads)
+	}
 	return
 }
 
@@ -594,6 +766,12 @@
 				err = msgp.WrapError(err, "Engine")
 				return
 			}
+		case "m":
+			z.Memory, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Memory")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -607,56 +785,84 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Instance) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "role"
-	err = en.Append(0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Role)
-	if err != nil {
-		err = msgp.WrapError(err, "Role")
-		return
-	}
-	// write "addr"
-	err = en.Append(0xa4, 0x61, 0x64, 0x64, 0x72)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Memory == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteString(z.Address)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
 		return
 	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Group)
-	if err != nil {
-		err = msgp.WrapError(err, "Group")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Rank)
-	if err != nil {
-		err = msgp.WrapError(err, "Rank")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Engine)
-	if err != nil {
-		err = msgp.WrapError(err, "Engine")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "role"
+		err = en.Append(0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Role)
+		if err != nil {
+			err = msgp.WrapError(err, "Role")
+			return
+		}
+		// write "addr"
+		err = en.Append(0xa4, 0x61, 0x64, 0x64, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		// write "g"
+		err = en.Append(0xa1, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Group)
+		if err != nil {
+			err = msgp.WrapError(err, "Group")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Rank)
+		if err != nil {
+			err = msgp.WrapError(err, "Rank")
+			return
+		}
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Engine)
+		if err != nil {
+			err = msgp.WrapError(err, "Engine")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Memory)
+			if err != nil {
+				err = msgp.WrapError(err, "Memory")
+				return
+			}
+		}
 	}
 	return
 }
@@ -664,22 +870,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "role"
-	o = append(o, 0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendString(o, z.Role)
-	// string "addr"
-	o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
-	o = msgp.AppendString(o, z.Address)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendString(o, z.Group)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.Rank)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendString(o, z.Engine)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Memory == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "role"
+		o = append(o, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		o = msgp.AppendString(o, z.Role)
+		// string "addr"
+		o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
+		o = msgp.AppendString(o, z.Address)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendString(o, z.Group)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.Rank)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendString(o, z.Engine)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendInt(o, z.Memory)
+		}
+	}
 	return
 }
 
@@ -731,6 +955,12 @@
 				err = msgp.WrapError(err, "Engine")
 				return
 			}
+		case "m":
+			z.Memory, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Memory")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -745,7 +975,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.IntSize
 	return
 }
 
@@ -1500,3 +1730,113 @@
 	s = 1 + msgp.Uint64Size + msgp.Float64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *ServerLoads) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za81f7b74limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Loads, err = dc.ReadBytesLimit(z.Loads, 8192)
+	if err == nil && z.Loads == nil {
+		z.Loads = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServerLoads) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteBytes(z.Loads)
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerLoads) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendBytes(o, z.Loads)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLoads) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	if zb0002 > 8192 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Loads == nil || uint32(cap(z.Loads)) < zb0002 {
+		z.Loads = make([]byte, zb0002)
+	} else {
+		z.Loads = z.Loads[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Loads, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerLoads) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.BytesPrefixSize + len(z.Loads)
+	return
+}
