--- a/cmd/measure/comparisons.go
+++ b/cmd/measure/comparisons.go
@@ -6,4 +6,5 @@
 	register("routing", measure.Routing)
 	register("zone", measure.DataCentreOutage)
 	register("admission", measure.Admission)
+	register("unequal", measure.Unequal)
 }
