--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -83,6 +83,8 @@
 	}
 	require.Nil(t, s.pickByCost(members, "", []string{"i-1"}, 0, coldPolicy{}, sized(5000, 100)))
 	require.NotNil(t, s.pickByCost(members, "", []string{"i-1"}, 0, coldPolicy{}, sized(3000, 100)))
+	s.stateOf(members[1]).health.eject(time.Second, time.Minute)
+	require.Nil(t, s.pickByCost(members, "", nil, 2*time.Second, coldPolicy{}, sized(5000, 100)), "not at an ejected server either")
 }
 
 // The work of a server that has started again is that of its new incarnation.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -237,6 +237,9 @@
 			s.costs.describe(list, members)
 		}
 		i, ok = picker.Pick(request, list)
+		if !ok && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
+			break // they have no memory for it now; worse servers are no better
+		}
 	}
 	if !ok {
 		return nil
