--- a/route/leastwork/leastwork.go
+++ b/route/leastwork/leastwork.go
@@ -1,5 +1,5 @@
 // Package leastwork implements a routing policy that picks the backend server with the
-// least work left among a few drawn at random. Servers whose slots are all taken are
+// least work left of two drawn at random. Servers whose slots are all taken are
 // passed over while others have one free, and servers whose memory the request would not
 // fit are not picked at all.
 //
@@ -19,7 +19,7 @@
 const Name = "leastwork"
 
 // draws is the number of servers among which the one with the least work is picked.
-const draws = 4
+const draws = 2
 
 func init() { route.Register(Name, New) }
 
