gateway: callers that read slowly do not hold up backend servers

A stream was read from its server and written to its caller in one loop, so a caller that read slowly stopped the reading, and the server cut the answer off. The connections of callers now take what a socket does not accept at once into a buffer (package internal/outbuf), from which a goroutine that runs only while something is held writes at the caller's pace. The gap of events is measured when they arrive from the server; one that may have arrived during a write that waited is not counted.

All that is held shares one budget (admit.BufferBudget), a fifth of the process's memory, an eighth of that for one caller. Without room, the callers that have read nothing for 2 s are reset, the longest stalled first, if that makes enough room; otherwise the write waits as before. Complete answers are delivered after the handler has ended, and at a shutdown within the grace period. New metrics: held_bytes, slow_callers, slow_callers_cut_total; log line slow-caller-cut.

An event's bytes are no longer copied by the event reader.

TestSlowCallerDoesNotHoldUpServer fails without the buffers.

--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -20,12 +20,14 @@
 	restingDesc  = newDesc("servers_resting", "Backend servers of a service that have asked this gateway for rest.", "service")
 	runningDesc  = newDesc("streams_running", "Streams running in a group, including those of other gateways.", "service", "group")
 	limitDesc    = newDesc("streams_limit", "Maximum number of streams in a group.", "service", "group")
+	heldDesc     = newDesc("held_bytes", "Bytes held for callers and servers that read slowly.")
+	slowDesc     = newDesc("slow_callers", "Connections of callers for which bytes are held.")
 	waitingDesc  = newDesc("streams_waiting", "Requests of a service waiting for admission at this gateway.", "service")
 )
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, restingDesc, runningDesc, limitDesc, waitingDesc} {
+	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, restingDesc, runningDesc, limitDesc, waitingDesc, heldDesc, slowDesc} {
 		out <- d
 	}
 }
@@ -38,6 +40,9 @@
 	if age, ok := c.g.proofAge(); ok {
 		gauge(proofAgeDesc, age.Seconds())
 	}
+	held, slow := c.g.callers.Used()
+	gauge(heldDesc, float64(held))
+	gauge(slowDesc, float64(slow))
 	view := c.g.opts.Cache.View()
 	if view.Document != nil {
 		gauge(documentDesc, float64(view.Document.Version))
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -17,7 +17,8 @@
 type eventReader struct {
 	body io.Reader
 	buf  []byte
-	fill int
+	used int // bytes of buf that next has returned
+	fill int // bytes of buf that have been read
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -25,14 +26,15 @@
 }
 
 // next returns the complete events that have arrived, at least one, and the id
-// of the last of them that has one; -1 for none. At the end of the stream the
+// of the last of them that has one; -1 for none. They are valid until the next call. At the end of the stream the
 // error is io.EOF, or io.ErrUnexpectedEOF if part of an event is left over.
 func (e *eventReader) next() (events []byte, last int64, err error) {
+	e.fill = copy(e.buf, e.buf[e.used:e.fill])
+	e.used = 0
 	for {
 		if end := lastEventEnd(e.buf[:e.fill]); end > 0 {
-			events = append([]byte(nil), e.buf[:end]...)
-			e.fill = copy(e.buf, e.buf[end:e.fill])
-			return events, lastEventID(events), nil
+			e.used = end
+			return e.buf[:end], lastEventID(e.buf[:end]), nil
 		}
 		if e.fill == len(e.buf) {
 			if e.fill >= maxEventBytes {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -185,13 +185,15 @@
 
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
+	evicted := callerEvicted(c.r)
 	if c.headSent {
-		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID, "no_attempt", c.noAttempt)
+		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID, "no_attempt", c.noAttempt,
+			"caller_cut", evicted)
 		panic(http.ErrAbortHandler) // abort, so that the response does not look complete
 	}
 	switch {
 	case c.r.Context().Err() != nil:
-		g.recordEnd(c, api.Cancelled)
+		g.recordEnd(c, api.Cancelled, "caller_cut", evicted)
 		panic(http.ErrAbortHandler)
 	case g.expired(ctx, c) && c.mayHaveRun:
 		g.reject(c, api.NewError(api.DeadlineExceeded, detail(last)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"marjorampitch/fleet"
 	"marjorampitch/internal/clock"
 	"marjorampitch/internal/idleconn"
+	"marjorampitch/internal/outbuf"
 	"marjorampitch/internal/sockopt"
 	"marjorampitch/pace"
 )
@@ -78,6 +79,7 @@
 type Gateway struct {
 	opts       Options
 	pool       *backend.Pool
+	callers    *outbuf.Buffers // of the connections of callers
 	start      time.Time
 	metrics    *metrics
 	peers      *peers
@@ -107,6 +109,7 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.statements = newServerStatements(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
+	g.callers = newCallerBuffers(g, opts.Settings.MemoryLimit)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -213,8 +216,9 @@
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
 	conns := idleconn.Track(srv)
+	withCallerConns(srv)
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(conns.Listener(ln)) }()
+	go func() { failed <- srv.Serve(conns.Listener(g.callers.Listener(ln))) }()
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	groupTick := time.NewTicker(groupUpdateInterval)
@@ -241,6 +245,7 @@
 func (g *Gateway) sweep(conns *idleconn.Tracker, idle *idleLimit) {
 	view := g.opts.Cache.View()
 	g.pool.Sweep()
+	g.callers.Sample()
 	for _, s := range g.allServices() {
 		s.prune(view)
 		g.logGate(s)
@@ -301,7 +306,7 @@
 		if since >= deregistrationDelay && g.inFlight.none() {
 			conns.ExpireIdle(0)
 			conns.ExpireReading(idleconn.HeadTimeout)
-			if conns.Open() == 0 {
+			if _, holding := g.callers.Used(); conns.Open() == 0 && holding == 0 {
 				return srv.Close()
 			}
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,7 @@
 	resumes          prometheus.Counter
 	opened           prometheus.Counter
 	idleClosed       prometheus.Counter
+	slowCallers      prometheus.Counter
 	crashesSuspected prometheus.Counter
 	crashesConfirmed prometheus.Counter
 	firstEvent       prometheus.Histogram
@@ -65,6 +66,7 @@
 		resumes:          counter("resumes_total", "Streams resumed at another backend server."),
 		opened:           counter("connections_opened_total", "Connections opened to backend servers."),
 		idleClosed:       counter("idle_connections_closed_total", "Idle connections of callers closed by the gateway."),
+		slowCallers:      counter("slow_callers_cut_total", "Connections ended because their callers did not read what was held for them."),
 		crashesSuspected: counter("crashes_suspected_total", "Attempts that a backend server broke off before it had begun an answer."),
 		crashesConfirmed: counter("crashes_confirmed_total", "Backend servers suspected of a crash that turned out to be gone."),
 		firstEvent: histogram("first_event_seconds", "Time from the arrival of a request to the first event of its stream.",
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -121,6 +121,9 @@
 		if err := flush.Flush(); err != nil {
 			return n, err
 		}
+		if written := g.now(); written-now > blockedWrite {
+			previous = written // the next event may have arrived during the write
+		}
 		if last >= 0 {
 			c.lastEventID = last
 		}
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"marjorampitch/internal/sockopt"
@@ -183,12 +184,15 @@
 // CloseWrite implements the half-close that http.Server uses before it closes a
 // connection with unread data.
 func (c *conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
 	}
 	return nil
 }
 
+// NetConn returns the connection that the listener has accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -224,6 +228,6 @@
 // requestWaits reports whether the socket has unread data, for example because the
 // process had no processor time.
 func (c *conn) requestWaits() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	return ok && sockopt.HasUnread(tcp)
+	s, ok := c.Conn.(syscall.Conn)
+	return ok && sockopt.HasUnread(s)
 }
