gateway, backend: slow and early readers of bodies, slow senders

A server that read nothing of a long body for a second lost its connection (TCP_USER_TIMEOUT counts a window that stays shut), so a slow but sound server was given up after 1.3 s with 502, and a stream was sent on to another server.

Bodies of requests and answers count against the budget of the buffers. A body that a caller trickles ends at the request's deadline with 408 (body-too-slow); it held its handler without end before. The time for a request's head is the document's; a document that allows more than 10 s was ignored.

--- a/api/code.go
+++ b/api/code.go
@@ -30,6 +30,7 @@
 	UnknownModel        Code = 111
 	Quarantined         Code = 112
 	UnknownAPIKey       Code = 113
+	BodyTooSlow         Code = 114
 
 	Overloaded       Code = 201
 	ShareExceeded    Code = 202
@@ -47,6 +48,7 @@
 	GroupStalled     Code = 215
 	CrashSuspect     Code = 216
 	ServersResting   Code = 217
+	BuffersFull      Code = 219
 
 	Unresolved       Code = 301
 	StreamBroken     Code = 302
@@ -95,6 +97,7 @@
 	UnknownModel:        {"unknown-model", http.StatusNotFound, NotRun, 0, "no backend server of the document serves the model"},
 	Quarantined:         {"quarantined", http.StatusUnprocessableEntity, NotRun, 0, "the same request crashed backend servers before and is refused"},
 	UnknownAPIKey:       {"unknown-key", http.StatusUnauthorized, NotRun, 0, "the API key is absent or belongs to no organisation of the document in force"},
+	BodyTooSlow:         {"body-too-slow", http.StatusRequestTimeout, NotRun, 0, "the caller had not sent the whole body within the request's time"},
 
 	Overloaded:       {"overloaded", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "every eligible backend server is at its limit"},
 	ShareExceeded:    {"share-exceeded", http.StatusTooManyRequests, NotRun, 2 * time.Second, "the organisation has used its share while others wait"},
@@ -112,6 +115,7 @@
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
 	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands, or because copies of the suspected request run one at a time"},
 	ServersResting:   {"servers-resting", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the backend servers that could take the request have asked for rest"},
+	BuffersFull:      {"buffers-full", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process holds as much as it may for callers and servers that are slow"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -20,6 +20,7 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	body          []byte
+	held          int64 // bytes taken from the budget of the gateway's buffers
 	route         *fleet.Route
 	org           string // organisation; empty for none
 	view          *fleet.View
@@ -164,26 +165,6 @@
 	return float64(timeout) < retryTimeoutRatio*float64(longest.(time.Duration))
 }
 
-// readBody reads the whole body, within the document's limit.
-func (g *Gateway) readBody(c *call) *api.Error {
-	limit := c.view.Document.Limits.BodyBytes
-	if limit <= 0 {
-		limit = 1 << 22
-	}
-	if c.r.ContentLength > limit {
-		return api.NewError(api.BodyTooLarge, "")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	switch {
-	case err != nil:
-		return api.NewError(api.BadRequest, "read body: "+err.Error())
-	case int64(len(body)) > limit:
-		return api.NewError(api.BodyTooLarge, "")
-	}
-	c.body = body
-	return nil
-}
-
 // pickService picks a service at random by the weights of a split.
 func pickService(split []fleet.WeightedService) string {
 	total := 0.0
@@ -209,10 +190,13 @@
 		panic(http.ErrAbortHandler) // shutting down; the request was not executed
 	}
 	defer g.inFlight.end()
+	var c *call
+	defer func() { g.callers.Release(c.held) }()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, refusal := g.validate(w, r)
+	var refusal *api.Error
+	c, refusal = g.validate(w, r)
 	if refusal != nil {
 		g.reject(c, refusal)
 		return
@@ -267,6 +251,9 @@
 	if c.id != "" {
 		h.Set(g.opts.Headers.RequestID, c.id)
 	}
+	if e.Code == api.BuffersFull || e.Code == api.BodyTooSlow {
+		h.Set("Connection", "close") // instead of reading the rest of the body first
+	}
 	if after > 0 && info.Ran == api.NotRun {
 		h.Set(retryAfterHeader, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
--- a/gateway/conns_test.go
+++ b/gateway/conns_test.go
@@ -283,3 +283,30 @@
 		require.Equal(t, "answer", string(body))
 	})
 }
+
+// The document's time for the head of a request holds for callers that send it slowly.
+func TestHeaderTimeoutIsTheDocuments(t *testing.T) {
+	serveInBubble(t, func(t *testing.T, tg *testGateway, ln *pipetest.Listener, _ func()) {
+		const limit = 15 * time.Second
+		tg.document(func(d *fleet.Document) {
+			d.Version = 3
+			d.Limits.IdleTimeout = testIdleLimit
+			d.Limits.HeaderTimeout = limit
+		})
+		send := func(c *pipeCaller, pause time.Duration) (int, error) {
+			io.WriteString(c.conn, "POST /again/ HTTP/1.1\r\nHost: h\r\n")
+			time.Sleep(pause)
+			fmt.Fprintf(c.conn, "X-Id: %x\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n", nextID.Add(1))
+			resp, err := http.ReadResponse(c.br, nil)
+			if err != nil {
+				return 0, err
+			}
+			return resp.StatusCode, nil
+		}
+		status, err := send(dialPipe(ln), limit-time.Millisecond)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		_, err = send(dialPipe(ln), limit+3*sweepInterval)
+		require.Error(t, err)
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -387,7 +387,7 @@
 
 // forwardResponse reads a complete response and forwards it to the caller.
 func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := g.readResponse(ctx, c, resp)
 	switch {
 	case err != nil:
 	case len(body) > maxResponseBytes:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,10 +28,13 @@
 
 // Timing of a gateway.
 const (
-	sweepInterval       = time.Second
-	readHeaderTimeout   = 10 * time.Second       // for the head of a caller's request
-	groupUpdateInterval = 200 * time.Millisecond // between updates of the rank groups from the directory
-	callerUserTimeout   = 4 * time.Second        // TCP_USER_TIMEOUT of caller connections
+	sweepInterval = time.Second
+	// defaultHeaderTimeout is the time for the head of a caller's request where the
+	// document sets none; maxHeaderTimeout bounds what documents set.
+	defaultHeaderTimeout = 10 * time.Second
+	maxHeaderTimeout     = time.Minute
+	groupUpdateInterval  = 200 * time.Millisecond // between updates of the rank groups from the directory
+	callerUserTimeout    = 4 * time.Second        // TCP_USER_TIMEOUT of caller connections
 	// callerIdleMargin is added to the document's idle timeout before an idle
 	// caller connection is closed, so that a request already on its way still
 	// arrives on an open connection.
@@ -210,9 +213,10 @@
 
 // serve accepts caller connections from ln until ctx is done, then shuts down.
 func (g *Gateway) serve(ctx context.Context, ln net.Listener) error {
-	limit := &idleLimit{grace: callerIdleMargin + g.opts.Settings.Bounds.ApplyBound}
+	grace := callerIdleMargin + g.opts.Settings.Bounds.ApplyBound
+	limits := &callerLimits{idle: idleLimit{grace: grace}, header: idleLimit{grace: grace}}
 	srv := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: g, ReadHeaderTimeout: maxHeaderTimeout,
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
 	conns := idleconn.Track(srv)
@@ -230,7 +234,7 @@
 		case err := <-failed:
 			return eris.Wrap(err, "serve callers")
 		case <-tick.C:
-			g.sweep(conns, limit)
+			g.sweep(conns, limits)
 		case <-groupTick.C:
 			g.updateAllGroups()
 			gateways := g.peers.gateways()
@@ -242,7 +246,7 @@
 }
 
 // sweep drops state of removed servers, closes idle connections and logs the gates.
-func (g *Gateway) sweep(conns *idleconn.Tracker, idle *idleLimit) {
+func (g *Gateway) sweep(conns *idleconn.Tracker, limits *callerLimits) {
 	view := g.opts.Cache.View()
 	g.pool.Sweep()
 	g.callers.Sample()
@@ -251,7 +255,8 @@
 		g.logGate(s)
 	}
 	if view.Document != nil {
-		limit := idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
+		conns.ExpireReading(limits.headerTimeout(view.Document.Limits.HeaderTimeout, g.now()))
+		limit := limits.idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
 		if n, longest := conns.ExpireIdle(limit); n > 0 {
 			g.metrics.idleClosed.Add(float64(n))
 			g.opts.Log.Info("idle-connections-closed", "count", n, "limit_ms", limit.Milliseconds(),
--- a/gateway/idle_limit.go
+++ b/gateway/idle_limit.go
@@ -14,6 +14,21 @@
 	recent []seenLimit // in descending order of limit; the last is the document's
 }
 
+// callerLimits are the times that callers may take, from the document.
+type callerLimits struct {
+	idle   idleLimit
+	header idleLimit
+}
+
+// headerTimeout records the document's time for the head of a request, 0 for none, and
+// returns the one to apply now.
+func (l *callerLimits) headerTimeout(limit, now time.Duration) time.Duration {
+	if limit <= 0 {
+		limit = defaultHeaderTimeout
+	}
+	return l.header.update(limit, now) + sweepInterval
+}
+
 // seenLimit is a limit and the last time at which it was the document's.
 type seenLimit struct {
 	limit  time.Duration
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -12,16 +12,27 @@
 // sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes are not
 // acknowledged within d.
 func UserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var optErr error
-		err := c.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return optErr
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, d) }
+}
+
+// SetUserTimeout sets TCP_USER_TIMEOUT of an open connection.
+func SetUserTimeout(c syscall.Conn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, d)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return optErr
 }
 
 // CanReuse reports whether an idle connection can be reused: it is open and has no
