gateway: only whole events show that a stream makes progress

A stream that sent a byte or a comment now and then was never taken for silent, because any data began the silence anew. The silence is now measured from the last whole event; data that arrives while it is judged still spares the stream until the next judgement. Comments are forwarded, but are no events: they neither count as progress nor as the first event or a gap.

TestStreamThatTricklesGoesOnAtAnotherServer fails without the change (504 or cut at the deadline); TestSlowStreamOfWholeEventsIsNotCut guards the other side.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -95,16 +95,20 @@
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
 	onSilent func() bool // nil for no watch
+	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
 	sending  atomic.Bool // a long body is being sent; the server need not answer yet
 }
 
 // Read implements io.Reader. Silence is judged between reads, so that neither a read
 // nor the end of the exchange can overlap with it.
 func (r *exchangeReader) Read(p []byte) (int, error) {
-	for silence := r.silence; ; silence = r.silence / silenceRechecks {
+	for {
 		deadline := r.deadline
 		if r.onSilent != nil {
-			deadline = time.Now().Add(silence)
+			if r.judgeAt.IsZero() {
+				r.judgeAt = time.Now().Add(r.silence)
+			}
+			deadline = r.judgeAt
 		}
 		if err := r.conn.SetReadDeadline(deadline); err != nil {
 			return 0, err
@@ -113,7 +117,9 @@
 		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
 		if r.sending.Load() {
+			r.judgeAt = time.Time{}
 			continue
 		}
 		// A deadline also passes while this process is paused.
@@ -280,14 +286,19 @@
 	}
 }
 
-// WatchSilence calls onSilent when a read of the body has waited this long for data, and
-// then silenceRechecks times as often.
+// WatchSilence calls onSilent when the body has made no progress for this long, and
+// then silenceRechecks times as often. Data alone is no progress: see Progress.
 // If it returns true and no data has arrived meanwhile, the read fails with ErrSilent.
 // It is called by the reading goroutine.
 func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
 	r.reader.silence, r.reader.onSilent = silence, onSilent
+	r.Progress()
 }
 
+// Progress records that what has been read makes sense to its reader, such as a whole
+// event: a silence begins with the next read.
+func (r *Response) Progress() { r.reader.judgeAt = time.Time{} }
+
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
 func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -84,3 +84,16 @@
 	}
 	return id
 }
+
+// hasEvent reports whether b, which holds whole events, holds more than comments. A
+// server may send comments to keep a connection alive; they show no progress.
+func hasEvent(b []byte) bool {
+	for len(b) > 0 {
+		line, rest, _ := bytes.Cut(b, []byte("\n"))
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+		b = rest
+	}
+	return false
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,7 @@
 
 // Limits of streams.
 const (
-	// silenceTimeout is the time without data after which a stream's connection is
+	// silenceTimeout is the time without a whole event after which a stream's connection is
 	// aborted if its group is active.
 	silenceTimeout = 700 * time.Millisecond
 	// firstResponseTimeoutFactor is the time without a response after which an attempt
@@ -93,23 +93,27 @@
 }
 
 // copyEvents forwards complete events until the stream ends. It returns the number of
-// chunks of events, and io.EOF when the stream ended normally.
+// chunks with events, and io.EOF when the stream ended normally.
 func (g *Gateway) copyEvents(c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (n int, err error) {
 	events := newEventReader(resp.Body)
 	g.watchStream(c, m, resp)
 	flush := http.NewResponseController(c.w)
 	previous := time.Duration(-1)
-	for ; ; n++ {
+	for {
 		chunk, last, err := events.next()
 		if err != nil {
 			return n, err
 		}
 		now := g.now()
-		if previous < 0 {
-			g.started(c, m, now)
+		if hasEvent(chunk) {
+			n++
+			resp.Progress()
+			if previous < 0 {
+				g.started(c, m, now)
+			}
+			g.recordEvent(c, m, now, previous, sent)
+			previous = now
 		}
-		g.recordEvent(c, m, now, previous, sent)
-		previous = now
 		if !c.headSent {
 			c.headSent = true
 			g.copyHeader(c, resp.Response)
@@ -121,7 +125,7 @@
 		if err := flush.Flush(); err != nil {
 			return n, err
 		}
-		if written := g.now(); written-now > blockedWrite {
+		if written := g.now(); written-now > blockedWrite && previous >= 0 {
 			previous = written // the next event may have arrived during the write
 		}
 		if last >= 0 {
