backend, gateway: bytes without end in answers are cut off

The head of an answer was read without a bound on its size, informational responses and the bodies of skipped answers likewise, so a faulty server could fill the memory until the request's deadline. All heads of an exchange are now bounded by 64 KiB, a skipped body by 1 MiB; an answer to another request that ends with its connection is not waited for. A refusal (not run) whose body did not end kept its request until the deadline; its body now gets 64 KiB and 100 ms, then the connection is reset and the request goes on. A connection with an unread rest of a long refusal could be reused; it is reset now.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -24,6 +24,12 @@
 // other requests, that are skipped before the connection is closed.
 const maxSkippedResponses = 3
 
+// Sizes of what is read of a server that may send without end, in bytes.
+const (
+	maxHeadBytes    = 64 << 10 // of the heads of all responses of an exchange
+	maxSkippedBytes = 1 << 20  // of the body of a response that is skipped
+)
+
 // silenceRechecks is how often a silence that goes on is judged again within the time
 // of the first judgement.
 const silenceRechecks = 4
@@ -38,6 +44,8 @@
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
 	// ErrSilent reports a server whose silence a watch has ended.
 	ErrSilent = eris.New("backend: no data from the server")
+	// ErrHeadSize means that the head of a response is larger than maxHeadBytes.
+	ErrHeadSize = eris.New("backend: head of the answer is too large")
 )
 
 // ClosedByServer reports whether an exchange failed with err because the server
@@ -95,6 +103,7 @@
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
 	onSilent func() bool // nil for no watch
+	headLeft int         // bytes that may still be read while a head is read; unlimited if negative
 	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
 	sending  atomic.Bool // a long body is being sent; the server need not answer yet
 }
@@ -102,6 +111,20 @@
 // Read implements io.Reader. Silence is judged between reads, so that neither a read
 // nor the end of the exchange can overlap with it.
 func (r *exchangeReader) Read(p []byte) (int, error) {
+	if r.headLeft == 0 {
+		return 0, ErrHeadSize
+	}
+	if r.headLeft > 0 {
+		p = p[:min(len(p), r.headLeft)]
+	}
+	n, err := r.read(p)
+	if r.headLeft > 0 {
+		r.headLeft -= n
+	}
+	return n, err
+}
+
+func (r *exchangeReader) read(p []byte) (int, error) {
 	for {
 		deadline := r.deadline
 		if r.onSilent != nil {
@@ -150,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent}
+	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent, headLeft: maxHeadBytes}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -168,11 +191,11 @@
 	if err != nil {
 		return fail(err)
 	}
-	resp, err := conn.readResponse(r)
+	resp, err := conn.readResponse(r, reader)
 	if err != nil {
 		return fail(causeOf(err, sent))
 	}
-	reader.onSilent = nil
+	reader.onSilent, reader.headLeft = nil, -1
 	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop, sent: sent}, nil
 }
 
@@ -233,7 +256,7 @@
 // readResponse reads response heads until one belongs to r. A response with the id
 // of r does, and so does one without an id and with a status of 400 or above. Others,
 // such as late duplicates from a faulty server, are discarded.
-func (c *Conn) readResponse(r *Request) (*http.Response, error) {
+func (c *Conn) readResponse(r *Request, reader *exchangeReader) (*http.Response, error) {
 	for range maxSkippedResponses {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -246,12 +269,15 @@
 		if id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-		if resp.Close {
+		if resp.Close || !delimited(resp) {
 			break
 		}
+		left := reader.headLeft
+		reader.headLeft = -1
+		if whole, err := discard(resp.Body, maxSkippedBytes); err != nil || !whole {
+			return nil, errors.Join(ErrMismatchedResponse, err)
+		}
+		reader.headLeft = left
 	}
 	return nil, ErrMismatchedResponse
 }
@@ -301,7 +327,30 @@
 
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
-func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+func (r *Response) Delimited() bool { return delimited(r.Response) }
+
+func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// Discard ends the exchange without its body. The connection is kept only if the body
+// ends within limit bytes and timeout.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	if end := time.Now().Add(timeout); r.reader.deadline.IsZero() || end.Before(r.reader.deadline) {
+		r.reader.deadline = end
+	}
+	if !r.Delimited() {
+		r.Abort()
+	} else if whole, err := discard(r.Body, limit); err != nil || !whole {
+		r.Abort()
+	} else {
+		r.Finish()
+	}
+}
+
+// discard reads up to limit bytes and reports whether r ends with them.
+func discard(r io.Reader, limit int64) (whole bool, err error) {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	return n <= limit, err
+}
 
 // Abort resets the connection, which makes the server drop the request.
 func (r *Response) Abort() {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +28,10 @@
 	// minAttemptTargets is the minimum time of an attempt, as a multiple of the
 	// route's latency objective.
 	minAttemptTargets = 3
+	// maxRefusalBytes and refusalTimeout bound the body of a response that states that
+	// the request did not run.
+	maxRefusalBytes = 64 << 10
+	refusalTimeout  = 100 * time.Millisecond
 	// maxResponseBytes bounds a buffered response.
 	maxResponseBytes = 16 << 20
 )
@@ -339,11 +342,7 @@
 // the AtServer header on a stream means that the whole rank group has stalled.
 func (g *Gateway) handleNotExecuted(c *call, m *fleet.Member, resp *backend.Response) *api.Error {
 	at := resp.Header.Get(g.opts.Headers.AtServer)
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
-		resp.Abort()
-	} else {
-		resp.Finish()
-	}
+	resp.Discard(maxRefusalBytes, refusalTimeout)
 	if resp.StatusCode == http.StatusServiceUnavailable && at != "" && c.route.Kind == fleet.Stream {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		c.service.markStalled(g.now(), c.group(), at)
