backend: a late answer without an id is not the next caller's

An answer without an id and with a status of 400 or above was taken for the answer to the request that was waiting. On a connection that had served another request it may be a late second answer to that one: the next caller got a 404 that was not its own. Such an answer now ends the connection, and the request, which may be repeated, goes on elsewhere. Requests that may not be repeated have new connections already. Requests without an id get new ones, too: any late answer was taken for theirs.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -254,8 +254,9 @@
 }
 
 // readResponse reads response heads until one belongs to r. A response with the id
-// of r does, and so does one without an id and with a status of 400 or above. Others,
-// such as late duplicates from a faulty server, are discarded.
+// of r does, and so does one without an id and with a status of 400 or above if the
+// connection has served no other request: it may be a late duplicate otherwise, and
+// which of the two cannot be told. Others are discarded.
 func (c *Conn) readResponse(r *Request, reader *exchangeReader) (*http.Response, error) {
 	for range maxSkippedResponses {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
@@ -266,7 +267,10 @@
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
-		if id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest {
+		switch {
+		case id == "" && c.reused:
+			return nil, ErrMismatchedResponse
+		case id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest:
 			return resp, nil
 		}
 		if resp.Close || !delimited(resp) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -46,6 +46,7 @@
 	net.Conn
 	br        *bufio.Reader
 	address   string
+	reused    bool          // has served a request before
 	expiresAt time.Duration // on the clock of the Pool; not reused from then on
 }
 
@@ -134,6 +135,7 @@
 		return
 	}
 	c.expiresAt = p.clock() + idle
+	c.reused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdlePerServer {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -329,7 +329,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h,
 		Body: c.body, SendLength: c.r.ContentLength >= 0 && c.r.Method != http.MethodGet || c.r.ContentLength < 0,
 		IDHeader: n.RequestID, ID: c.id,
-		NoReuse: !c.route.Retryable(),
+		NoReuse: !c.route.Retryable() || c.id == "", // without an id, answers cannot be told apart
 	}
 }
 
