gateway: loads of peers that make no sense are ignored

A datagram with a huge number of running streams or a rate that is no number kept its group closed for as long as it counted: callers got 503. Such loads are ignored now, and a datagram no longer creates the state of a service that this process does not serve.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -268,7 +268,7 @@
 		}
 		id := resp.Header.Get(r.IDHeader)
 		switch {
-		case id == "" && c.reused:
+		case id == "" && r.ID != "" && c.reused:
 			return nil, ErrMismatchedResponse
 		case id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest:
 			return resp, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,13 @@
 	return s
 }
 
+// knownService returns the state of a service that has some; nil otherwise.
+func (g *Gateway) knownService(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[name]
+}
+
 // instances returns the number of gateways that share a limit.
 func (g *Gateway) instances() int {
 	if n := g.peers.gatewayCount(); n > 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -143,7 +143,10 @@
 	now := p.g.now()
 	p.serving.record(l.Instance, l.Serving, now)
 	for _, x := range l.Groups {
-		s := p.g.service(x.Service)
+		s := p.g.knownService(x.Service)
+		if s == nil || !validLoad(&x) {
+			continue
+		}
 		s.mu.Lock()
 		if s.gate != nil {
 			s.gate.SetPeerLoad(now, l.Instance, x.Group, pace.Load{Running: x.Running, Rate: x.Rate})
