--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -17,8 +17,8 @@
 	bufferShare = 0.2
 	// defaultBufferBytes applies where the settings name no limit of the memory.
 	defaultBufferBytes = 64 << 20
-	// maxHoldersShare is the part of it that one caller may take.
-	maxHoldersShare = 0.125
+	// maxCallerShare is the part of it that one caller may take.
+	maxCallerShare = 0.125
 )
 
 // newCallerBuffers returns the buffers of the connections of callers.
@@ -27,7 +27,7 @@
 	if limit <= 0 {
 		limit = defaultBufferBytes
 	}
-	b := outbuf.New(admit.NewBufferBudget(limit, int64(maxHoldersShare*float64(limit))), g.now)
+	b := outbuf.New(admit.NewBufferBudget(limit, int64(maxCallerShare*float64(limit))), g.now)
 	b.OnCut = func(cut outbuf.Cut) {
 		g.metrics.slowCallers.Inc()
 		g.opts.Log.Warn("slow-caller-cut", "caller", cut.Peer, "held_bytes", cut.Held,
