--- a/rebalance/malformed_test.go
+++ b/rebalance/malformed_test.go
@@ -42,8 +42,10 @@
 	var seeds [][]byte
 	for _, n := range []int{math.MinInt, -1, 0, 1, ranks, math.MaxInt} {
 		seeds = append(seeds,
-			encode(wire.KindMapGoal, &wire.MapGoal{Group: "g", Term: int64(n), Seq: uint64(n), Epoch: 1, Stage: uint8(n), Version: int64(n),
-				Step: int64(n), Last: n, Delegate: n, Final: true, Release: []int64{int64(n)}, Replicas: []wire.Replica{{}}}),
+			encode(wire.KindMapGoal, &wire.MapGoal{
+				Group: "g", Term: int64(n), Seq: uint64(n), Epoch: 1, Stage: uint8(n), Version: int64(n),
+				Step: int64(n), Last: n, Delegate: n, Final: true, Release: []int64{int64(n)}, Replicas: []wire.Replica{{}},
+			}),
 			encode(wire.KindRankReport, &wire.RankReport{Group: "g", Rank: n, Epoch: 1, Delegate: n, Last: n, Demand: demand([]uint16{math.MaxUint16, 1, 2}, []uint32{1})}),
 			encode(wire.KindRankReport, &wire.RankReport{Group: "g", Rank: n, Epoch: 1, Demand: demand(nil, []uint32{1, 2})}))
 	}
