--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,12 @@
 // other requests, that are skipped before the connection is closed.
 const maxSkippedResponses = 3
 
+// Sizes of what is read of a server that may send without end, in bytes.
+const (
+	maxHeadBytes    = 64 << 10 // of the heads of all responses of an exchange
+	maxSkippedBytes = 1 << 20  // of the body of a response that is skipped
+)
+
 // silenceRechecks is how often a silence that goes on is judged again within the time
 // of the first judgement.
 const silenceRechecks = 4
@@ -37,6 +44,8 @@
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
 	// ErrSilent reports a server whose silence a watch has ended.
 	ErrSilent = eris.New("backend: no data from the server")
+	// ErrHeadSize means that the head of a response is larger than maxHeadBytes.
+	ErrHeadSize = eris.New("backend: head of the answer is too large")
 )
 
 // ClosedByServer reports whether an exchange failed with err because the server
@@ -67,6 +76,16 @@
 	OnSilent func() bool   // nil for no watch
 }
 
+// Sending of long bodies.
+const (
+	// longBodyBytes is the length from which on a body is sent while the response is
+	// awaited: the server may read it slowly, or answer before it has read all of it.
+	longBodyBytes = 16 << 10
+	// slowReaderTimeout replaces tcpUserTimeout while a long body is sent. A server
+	// that reads nothing for so long is given up.
+	slowReaderTimeout = 5 * time.Second
+)
+
 // Response is a response whose head has been read. The caller must call Finish or
 // Abort.
 type Response struct {
@@ -75,6 +94,7 @@
 	reader *exchangeReader
 	pool   *Pool
 	stop   func() bool
+	sent   <-chan error // result of sending a long body; nil for a short one
 }
 
 // exchangeReader reads the responses of one exchange from its connection.
@@ -83,15 +103,35 @@
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
 	onSilent func() bool // nil for no watch
+	headLeft int         // bytes that may still be read while a head is read; unlimited if negative
+	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
+	sending  atomic.Bool // a long body is being sent; the server need not answer yet
 }
 
 // Read implements io.Reader. Silence is judged between reads, so that neither a read
 // nor the end of the exchange can overlap with it.
 func (r *exchangeReader) Read(p []byte) (int, error) {
-	for silence := r.silence; ; silence = r.silence / silenceRechecks {
+	if r.headLeft == 0 {
+		return 0, ErrHeadSize
+	}
+	if r.headLeft > 0 {
+		p = p[:min(len(p), r.headLeft)]
+	}
+	n, err := r.read(p)
+	if r.headLeft > 0 {
+		r.headLeft -= n
+	}
+	return n, err
+}
+
+func (r *exchangeReader) read(p []byte) (int, error) {
+	for {
 		deadline := r.deadline
 		if r.onSilent != nil {
-			deadline = time.Now().Add(silence)
+			if r.judgeAt.IsZero() {
+				r.judgeAt = time.Now().Add(r.silence)
+			}
+			deadline = r.judgeAt
 		}
 		if err := r.conn.SetReadDeadline(deadline); err != nil {
 			return 0, err
@@ -100,6 +140,11 @@
 		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
+		if r.sending.Load() {
+			r.judgeAt = time.Time{}
+			continue
+		}
 		// A deadline also passes while this process is paused.
 		if r.waiting() && r.onSilent() && r.waiting() {
 			return 0, ErrSilent
@@ -128,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent}
+	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent, headLeft: maxHeadBytes}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -142,21 +187,59 @@
 			return fail(err)
 		}
 	}
-	if _, err := conn.Write(r.encode()); err != nil {
+	sent, err := conn.send(r, reader)
+	if err != nil {
 		return fail(err)
 	}
-	resp, err := conn.readResponse(r)
+	resp, err := conn.readResponse(r, reader)
 	if err != nil {
-		return fail(err)
+		return fail(causeOf(err, sent))
+	}
+	reader.onSilent, reader.headLeft = nil, -1
+	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop, sent: sent}, nil
+}
+
+// send sends the request. The body, if it is long, is sent by a goroutine that
+// reports its result to sent; an error of the connection also ends the reading.
+func (c *Conn) send(r *Request, reader *exchangeReader) (sent <-chan error, err error) {
+	if len(r.Body) < longBodyBytes {
+		_, err := c.Write(append(r.encodeHead(len(r.Body)), r.Body...))
+		return nil, err
+	}
+	tcp := c.Conn.(*net.TCPConn)
+	if err := sockopt.SetUserTimeout(tcp, slowReaderTimeout); err != nil {
+		return nil, err
+	}
+	if _, err := c.Write(r.encodeHead(0)); err != nil {
+		return nil, err
+	}
+	result := make(chan error, 1)
+	reader.sending.Store(true)
+	go func() {
+		_, err := c.Write(r.Body)
+		reader.sending.Store(false)
+		result <- err
+	}()
+	return result, nil
+}
+
+// causeOf returns why an exchange failed whose response could not be read: the error of
+// sending the body, if there is one, because a connection reports its cause only once.
+func causeOf(readErr error, sent <-chan error) error {
+	select {
+	case err := <-sent:
+		if err != nil {
+			return err
+		}
+	default:
 	}
-	reader.onSilent = nil
-	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
+	return readErr
 }
 
-// encode returns the head and body of the request in one buffer.
-func (r *Request) encode() []byte {
+// encodeHead returns the head of the request in a buffer with room for spare bytes.
+func (r *Request) encodeHead(spare int) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + spare)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -167,14 +250,14 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
 // readResponse reads response heads until one belongs to r. A response with the id
-// of r does, and so does one without an id and with a status of 400 or above. Others,
-// such as late duplicates from a faulty server, are discarded.
-func (c *Conn) readResponse(r *Request) (*http.Response, error) {
+// of r does, and so does one without an id and with a status of 400 or above if the
+// connection has served no other request: it may be a late duplicate otherwise, and
+// which of the two cannot be told. Others are discarded.
+func (c *Conn) readResponse(r *Request, reader *exchangeReader) (*http.Response, error) {
 	for range maxSkippedResponses {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -184,40 +267,94 @@
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
-		if id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest {
+		switch {
+		case id == "" && r.ID != "" && c.reused:
+			return nil, ErrMismatchedResponse
+		case id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest:
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-		if resp.Close {
+		if resp.Close || !delimited(resp) {
 			break
 		}
+		left := reader.headLeft
+		reader.headLeft = -1
+		if whole, err := discard(resp.Body, maxSkippedBytes); err != nil || !whole {
+			return nil, errors.Join(ErrMismatchedResponse, err)
+		}
+		reader.headLeft = left
 	}
 	return nil, ErrMismatchedResponse
 }
 
 // Finish ends the exchange after the body was read to the end. The connection is
-// returned to the pool if the server allows its reuse.
+// returned to the pool if the server allows its reuse and has been sent the whole request:
+// where the rest of a body is due, no other bytes may follow.
 func (r *Response) Finish() {
-	if !r.stop() || r.Close || !r.Delimited() {
+	stopped := r.stop()
+	if !r.allSent() {
+		r.conn.reset()
+		return
+	}
+	if !stopped || r.Close || !r.Delimited() {
 		r.conn.Close()
 		return
 	}
 	r.pool.Put(r.conn, idleTimeout(r.Header.Get("Keep-Alive")))
 }
 
-// WatchSilence calls onSilent when a read of the body has waited this long for data, and
-// then silenceRechecks times as often.
+// allSent reports whether the request has been sent to its end. If so, the connection is
+// as after a short one.
+func (r *Response) allSent() bool {
+	if r.sent == nil {
+		return true
+	}
+	select {
+	case err := <-r.sent:
+		return err == nil && sockopt.SetUserTimeout(r.conn.Conn.(*net.TCPConn), tcpUserTimeout) == nil
+	default:
+		return false
+	}
+}
+
+// WatchSilence calls onSilent when the body has made no progress for this long, and
+// then silenceRechecks times as often. Data alone is no progress: see Progress.
 // If it returns true and no data has arrived meanwhile, the read fails with ErrSilent.
 // It is called by the reading goroutine.
 func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
 	r.reader.silence, r.reader.onSilent = silence, onSilent
+	r.Progress()
 }
 
+// Progress records that what has been read makes sense to its reader, such as a whole
+// event: a silence begins with the next read.
+func (r *Response) Progress() { r.reader.judgeAt = time.Time{} }
+
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
-func (r *Response) Delimited() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+func (r *Response) Delimited() bool { return delimited(r.Response) }
+
+func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// Discard ends the exchange without its body. The connection is kept only if the body
+// ends within limit bytes and timeout.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	if end := time.Now().Add(timeout); r.reader.deadline.IsZero() || end.Before(r.reader.deadline) {
+		r.reader.deadline = end
+	}
+	if !r.Delimited() {
+		r.Abort()
+	} else if whole, err := discard(r.Body, limit); err != nil || !whole {
+		r.Abort()
+	} else {
+		r.Finish()
+	}
+}
+
+// discard reads up to limit bytes and reports whether r ends with them.
+func discard(r io.Reader, limit int64) (whole bool, err error) {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	return n <= limit, err
+}
 
 // Abort resets the connection, which makes the server drop the request.
 func (r *Response) Abort() {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +28,10 @@
 	// minAttemptTargets is the minimum time of an attempt, as a multiple of the
 	// route's latency objective.
 	minAttemptTargets = 3
+	// maxRefusalBytes and refusalTimeout bound the body of a response that states that
+	// the request did not run.
+	maxRefusalBytes = 64 << 10
+	refusalTimeout  = 100 * time.Millisecond
 	// maxResponseBytes bounds a buffered response.
 	maxResponseBytes = 16 << 20
 )
@@ -194,13 +197,15 @@
 
 // fail ends a request that no server has answered completely.
 func (g *Gateway) fail(ctx context.Context, c *call, last *api.Error) {
+	evicted := callerEvicted(c.r)
 	if c.headSent {
-		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID, "no_attempt", c.noAttempt)
+		g.recordEnd(c, api.StreamBroken, "detail", detail(last), "last_event", c.lastEventID, "no_attempt", c.noAttempt,
+			"caller_cut", evicted)
 		panic(http.ErrAbortHandler) // abort, so that the response does not look complete
 	}
 	switch {
 	case c.r.Context().Err() != nil:
-		g.recordEnd(c, api.Cancelled)
+		g.recordEnd(c, api.Cancelled, "caller_cut", evicted)
 		panic(http.ErrAbortHandler)
 	case g.expired(ctx, c) && c.mayHaveRun:
 		g.reject(c, api.NewError(api.DeadlineExceeded, detail(last)))
@@ -336,7 +341,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h,
 		Body: c.body, SendLength: c.r.ContentLength >= 0 && c.r.Method != http.MethodGet || c.r.ContentLength < 0,
 		IDHeader: n.RequestID, ID: c.id,
-		NoReuse: !c.route.Retryable(),
+		NoReuse: !c.route.Retryable() || c.id == "", // without an id, answers cannot be told apart
 	}
 }
 
@@ -349,11 +354,7 @@
 // the AtServer header on a stream means that the whole rank group has stalled.
 func (g *Gateway) handleNotExecuted(c *call, m *fleet.Member, resp *backend.Response) *api.Error {
 	at := resp.Header.Get(g.opts.Headers.AtServer)
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
-		resp.Abort()
-	} else {
-		resp.Finish()
-	}
+	resp.Discard(maxRefusalBytes, refusalTimeout)
 	if resp.StatusCode == http.StatusServiceUnavailable && at != "" && c.route.Kind == fleet.Stream {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		c.service.markStalled(g.now(), c.group(), at)
@@ -397,7 +398,7 @@
 
 // forwardResponse reads a complete response and forwards it to the caller.
 func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := g.readResponse(ctx, c, resp)
 	switch {
 	case err != nil:
 	case len(body) > maxResponseBytes:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,16 +22,20 @@
 	"marjorampitch/fleet"
 	"marjorampitch/internal/clock"
 	"marjorampitch/internal/idleconn"
+	"marjorampitch/internal/outbuf"
 	"marjorampitch/internal/sockopt"
 	"marjorampitch/pace"
 )
 
 // Timing of a gateway.
 const (
-	sweepInterval       = time.Second
-	readHeaderTimeout   = 10 * time.Second       // for the head of a caller's request
-	groupUpdateInterval = 200 * time.Millisecond // between updates of the rank groups from the directory
-	callerUserTimeout   = 4 * time.Second        // TCP_USER_TIMEOUT of caller connections
+	sweepInterval = time.Second
+	// defaultHeaderTimeout is the time for the head of a caller's request where the
+	// document sets none; maxHeaderTimeout bounds what documents set.
+	defaultHeaderTimeout = 10 * time.Second
+	maxHeaderTimeout     = time.Minute
+	groupUpdateInterval  = 200 * time.Millisecond // between updates of the rank groups from the directory
+	callerUserTimeout    = 4 * time.Second        // TCP_USER_TIMEOUT of caller connections
 	// callerIdleMargin is added to the document's idle timeout before an idle
 	// caller connection is closed, so that a request already on its way still
 	// arrives on an open connection.
@@ -82,6 +86,7 @@
 type Gateway struct {
 	opts       Options
 	pool       *backend.Pool
+	callers    *outbuf.Buffers // of the connections of callers
 	start      time.Time
 	metrics    *metrics
 	peers      *peers
@@ -111,6 +116,7 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.statements = newServerStatements(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
+	g.callers = newCallerBuffers(g, opts.Settings.MemoryLimit)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -154,6 +160,13 @@
 	return s
 }
 
+// knownService returns the state of a service that has some; nil otherwise.
+func (g *Gateway) knownService(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[name]
+}
+
 // instances returns the number of gateways that share a limit.
 func (g *Gateway) instances() int {
 	if n := g.peers.gatewayCount(); n > 0 {
@@ -213,14 +226,16 @@
 
 // serve accepts caller connections from ln until ctx is done, then shuts down.
 func (g *Gateway) serve(ctx context.Context, ln net.Listener) error {
-	limit := &idleLimit{grace: callerIdleMargin + g.opts.Settings.Bounds.ApplyBound}
+	grace := callerIdleMargin + g.opts.Settings.Bounds.ApplyBound
+	limits := &callerLimits{idle: idleLimit{grace: grace}, header: idleLimit{grace: grace}}
 	srv := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: g, ReadHeaderTimeout: maxHeaderTimeout,
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
 	conns := idleconn.Track(srv)
+	withCallerConns(srv)
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(conns.Listener(ln)) }()
+	go func() { failed <- srv.Serve(conns.Listener(g.callers.Listener(ln))) }()
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	groupTick := time.NewTicker(groupUpdateInterval)
@@ -232,7 +247,7 @@
 		case err := <-failed:
 			return eris.Wrap(err, "serve callers")
 		case <-tick.C:
-			g.sweep(conns, limit)
+			g.sweep(conns, limits)
 		case <-groupTick.C:
 			g.updateAllGroups()
 			gateways := g.peers.gateways()
@@ -244,15 +259,17 @@
 }
 
 // sweep drops state of removed servers, closes idle connections and logs the gates.
-func (g *Gateway) sweep(conns *idleconn.Tracker, idle *idleLimit) {
+func (g *Gateway) sweep(conns *idleconn.Tracker, limits *callerLimits) {
 	view := g.opts.Cache.View()
 	g.pool.Sweep()
+	g.callers.Sample()
 	for _, s := range g.allServices() {
 		s.prune(view)
 		g.logGate(s)
 	}
 	if view.Document != nil {
-		limit := idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
+		conns.ExpireReading(limits.headerTimeout(view.Document.Limits.HeaderTimeout, g.now()))
+		limit := limits.idle.update(view.Document.Limits.IdleTimeout, g.now()) + callerIdleMargin
 		if n, longest := conns.ExpireIdle(limit); n > 0 {
 			g.metrics.idleClosed.Add(float64(n))
 			g.opts.Log.Info("idle-connections-closed", "count", n, "limit_ms", limit.Milliseconds(),
@@ -307,7 +324,7 @@
 		if since >= deregistrationDelay && g.inFlight.none() {
 			conns.ExpireIdle(0)
 			conns.ExpireReading(idleconn.HeadTimeout)
-			if conns.Open() == 0 {
+			if _, holding := g.callers.Used(); conns.Open() == 0 && holding == 0 {
 				return srv.Close()
 			}
 		}
