store, fleet: a read may carry its own freshness proof

Records that another process passes on are as current as that process's own read, not as the start of the call. A batch may now say so (CurrentAt), and that it has been waited for (Relayed), after which a Follower makes no pause. A proof never goes back.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -30,10 +30,10 @@
 	Seq           int64         // increases with every heartbeat
 }
 
-// equivalent reports whether two entries lead to the same decisions; heartbeats
+// Equivalent reports whether two entries lead to the same decisions; heartbeats
 // that only increase Seq do. Entries of a cold server are never equivalent, since
 // the end of its cold start is computed anew from each ColdRemaining.
-func (s *Server) equivalent(o *Server) bool {
+func (s *Server) Equivalent(o *Server) bool {
 	a, b := *s, *o
 	a.Seq, b.Seq = 0, 0
 	a.ColdRemaining, b.ColdRemaining = 0, 0
@@ -183,7 +183,7 @@
 // serverUpdated applies the entry of a server. Callers hold mu.
 func (c *Cache) serverUpdated(s *Server, now time.Duration) bool {
 	old := c.members[s.ID]
-	if old != nil && old.MissingSince == 0 && old.Server.equivalent(s) && old.ColdUntil == 0 {
+	if old != nil && old.MissingSince == 0 && old.Server.Equivalent(s) && old.ColdUntil == 0 {
 		return false
 	}
 	m := &Member{Server: *s}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -17,6 +18,10 @@
 	Changes  []Change
 	Next     int64 // offset of the next read
 	Complete bool  // the topic had no records beyond Next
+	// CurrentAt, if not 0, is the freshness proof of a complete read; otherwise the proof
+	// is the start of the read.
+	CurrentAt time.Duration
+	Relayed   bool // another process has waited for the changes: the next read needs no pause
 }
 
 // Source reads one topic of the platform's store, the operator topic or the server
@@ -35,7 +40,7 @@
 	Operator     bool          // the topic is the operator topic (documents and data centres), not the server topic
 	Wait         time.Duration // long-poll time of a read
 	Pause        time.Duration // pause between reads, so that a busy topic is read in batches
-	RelaxedPause time.Duration // pause between reads once there is a document, for processes that tolerate an old one; 0 to use Pause
+	RelaxedPause time.Duration // pause between reads once there is a document, for processes that tolerate an old one and use no freshness proof; 0 to use Pause
 	Timeout      time.Duration // time limit of one call, in addition to Wait
 	Clock        func() time.Duration
 }
@@ -81,7 +86,7 @@
 	}
 	for ctx.Err() == nil {
 		readStart := f.opts.Clock()
-		complete, err := f.step(ctx)
+		b, err := f.step(ctx)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
 			f.log.Info("store-trimmed", "stream", f.opts.Name, "from", f.next)
@@ -94,14 +99,17 @@
 			retry = min(2*retry, maxRetry)
 			continue
 		}
-		if complete {
-			f.proof.Store(int64(max(readStart, 1)))
+		if b.Complete {
+			f.advanceProof(cmp.Or(b.CurrentAt, readStart))
 		}
 		if f.lost {
 			f.lost = false
 			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next)
 		}
 		retry = followRetryMin
+		if b.Relayed {
+			continue
+		}
 		pause := f.opts.Pause
 		if f.opts.RelaxedPause > 0 && f.cache.View().Document != nil {
 			pause = f.opts.RelaxedPause
@@ -118,43 +126,48 @@
 	}
 }
 
-// step does one read and applies its changes. It reports whether the read reached
-// the end of the topic.
-func (f *Follower) step(ctx context.Context) (complete bool, err error) {
+// advanceProof sets the freshness proof unless it is a later one already: what the Cache
+// has held it keeps.
+func (f *Follower) advanceProof(at time.Duration) {
+	f.proof.Store(max(f.proof.Load(), int64(at), 1))
+}
+
+// step does one read and applies its changes.
+func (f *Follower) step(ctx context.Context) (Batch, error) {
 	if f.next < 0 {
 		return f.snapshot(ctx)
 	}
 	wait := f.opts.Wait
-	if _, ok := f.FreshnessProof(); !ok || f.lost {
+	if _, ok := f.FreshnessProof(); !ok && f.opts.RelaxedPause == 0 || f.lost {
 		wait = 0 // return at once, to learn whether the Cache is complete
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+f.opts.Timeout)
 	defer cancel()
 	b, err := f.source.Read(ctx, f.next, wait)
 	if err != nil {
-		return false, err
+		return Batch{}, err
 	}
 	f.next = b.Next
 	if f.cache.Apply(b.Changes, f.opts.Clock()) {
 		f.logView()
 	}
-	return b.Complete, nil
+	return b, nil
 }
 
 // snapshot restarts from a snapshot. The pages of a snapshot are not read at one
 // point in time, so it yields no freshness proof until the records written since
 // have been read.
-func (f *Follower) snapshot(ctx context.Context) (complete bool, err error) {
+func (f *Follower) snapshot(ctx context.Context) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
 	b, err := f.source.Snapshot(ctx)
 	if err != nil {
-		return false, err
+		return Batch{}, err
 	}
 	f.cache.Reset(f.opts.Operator, b.Changes, f.opts.Clock())
 	f.next = b.Next
 	f.logView()
-	return false, nil
+	return Batch{Next: b.Next}, nil
 }
 
 // logView logs the current View.
--- a/store/store.go
+++ b/store/store.go
@@ -31,16 +31,26 @@
 	Records []Record
 	Next    int64 // offset to read from next
 	End     int64 // offset of the next record appended
+	// CurrentAt, if not 0, is a time, on the clock that includes suspension, at which the
+	// records up to Next were all that the store had acknowledged, provided that Next
+	// is End. Readers that do not set it leave the caller with the start of the call.
+	CurrentAt time.Duration
+	Relayed   bool // the records come from another process, which has waited for them
 }
 
-// Log is a client of the store. Its methods may be called by any goroutine.
-type Log interface {
+// Reader reads the keyed topics of the store.
+type Reader interface {
 	// Read returns the records of a keyed topic from an offset on. If there are none,
 	// it waits up to wait for one. Errors: ErrTrimmed, ErrRefused.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key of a keyed topic. Batch.Next is the
 	// end of the topic before the first of them was read.
 	Newest(ctx context.Context, topic string) (Batch, error)
+}
+
+// Log is a client of the store. Its methods may be called by any goroutine.
+type Log interface {
+	Reader
 	// Append appends a record to a keyed topic. Error: ErrRefused.
 	Append(ctx context.Context, topic string, r Record) error
 	// AppendAt appends a record without a key if the topic ends at offset at. With
