--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -143,3 +143,17 @@
 	require.NoError(t, err)
 	return data
 }
+
+// Processes of the version before Instance.DataCentre write entries without it, and
+// skip it in the entries of others.
+func TestEntriesWithoutDataCentreAreRead(t *testing.T) {
+	old := []byte("\x82\xa4role\xa7gateway\xa4addr\xa3x:1")
+	var e wire.Instance
+	_, err := e.UnmarshalMsg(old)
+	require.NoError(t, err)
+	require.Equal(t, wire.Instance{Role: wire.RoleGateway, Address: "x:1"}, e)
+
+	rebalancer, err := (&wire.Instance{Role: wire.RoleRebalancer, Address: "x:1"}).MarshalMsg(nil)
+	require.NoError(t, err)
+	require.NotContains(t, string(rebalancer), "\xa1d", "the entries of rebalancers stay as they were")
+}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -12,6 +12,8 @@
 	Group   string `msg:"g"`    // group of the engine on the instance; empty for none
 	Rank    int    `msg:"r"`
 	Engine  string `msg:"e"` // host and port of the engine
+	// DataCentre of a gateway. Rebalancers and older processes leave it empty.
+	DataCentre string `msg:"d,omitempty"`
 }
 
 // Values of Instance.Role.
@@ -88,6 +90,52 @@
 	Sent    uint64  `msg:"n"` // requests that the sender has sent since it knows of the limit
 }
 
+// LogRequest is the datagram in which a gateway asks another one for the records of a
+// topic of the store; see package peerread.
+type LogRequest struct {
+	Nonce      uint64 `msg:"n"` // repeated in the answer
+	Topic      string `msg:"t"`
+	From       int64  `msg:"f"` // offset of the first record wanted
+	WaitMillis int64  `msg:"w"` // longest time to wait for a record at or after From
+}
+
+// LogStatus says whether a LogAnswer holds the records that were asked for.
+type LogStatus uint8
+
+// Values of LogStatus.
+const (
+	LogRefused LogStatus = iota // the sender does not follow the topic, is not current, or is stopping
+	LogGap                      // the sender does not hold all records from the offset on, or they do not fit into a datagram
+	LogOK
+)
+
+// LogAnswer answers a LogRequest. It omits records that have no effect on a process
+// that has applied all earlier ones.
+type LogAnswer struct {
+	Nonce  uint64    `msg:"n"`
+	Status LogStatus `msg:"s"`
+	Next   int64     `msg:"x"` // offset of the next read
+	// Proof is when the records up to Next were known to be all that the store had
+	// acknowledged, in ns after the arrival of the request, by the sender's clock.
+	// Usually it is negative.
+	Proof   int64       `msg:"p"`
+	Records []LogRecord `msg:"r"`
+	Packed  []byte      `msg:"z,omitempty"` // in place of Records: a LogRecords compressed with DEFLATE
+}
+
+// LogRecords is the content of LogAnswer.Packed.
+type LogRecords struct {
+	Records []LogRecord `msg:"r"`
+}
+
+//msgp:tuple LogRecord
+
+// LogRecord is a record of a keyed topic.
+type LogRecord struct {
+	Key   string `msg:"k"`
+	Value []byte `msg:"v,limit=1048576"` // empty if the key was deleted
+}
+
 // Kinds of datagrams, encoded as the first byte.
 const (
 	KindMapGoal      byte = 1
@@ -98,4 +146,6 @@
 	// KindRequestEvidence is a PartReport on whole requests, identified by route.Fingerprint.
 	KindRequestEvidence byte = 6
 	KindLimitReport     byte = 7
+	KindLogRequest      byte = 9
+	KindLogAnswer       byte = 10
 )
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -594,6 +594,12 @@
 				err = msgp.WrapError(err, "Engine")
 				return
 			}
+		case "d":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -607,56 +613,84 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Instance) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "role"
-	err = en.Append(0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Role)
-	if err != nil {
-		err = msgp.WrapError(err, "Role")
-		return
-	}
-	// write "addr"
-	err = en.Append(0xa4, 0x61, 0x64, 0x64, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Group)
-	if err != nil {
-		err = msgp.WrapError(err, "Group")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Rank)
-	if err != nil {
-		err = msgp.WrapError(err, "Rank")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.DataCentre == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Engine)
-	if err != nil {
-		err = msgp.WrapError(err, "Engine")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "role"
+		err = en.Append(0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Role)
+		if err != nil {
+			err = msgp.WrapError(err, "Role")
+			return
+		}
+		// write "addr"
+		err = en.Append(0xa4, 0x61, 0x64, 0x64, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		// write "g"
+		err = en.Append(0xa1, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Group)
+		if err != nil {
+			err = msgp.WrapError(err, "Group")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Rank)
+		if err != nil {
+			err = msgp.WrapError(err, "Rank")
+			return
+		}
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Engine)
+		if err != nil {
+			err = msgp.WrapError(err, "Engine")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.DataCentre)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		}
 	}
 	return
 }
@@ -664,22 +698,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "role"
-	o = append(o, 0x85, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendString(o, z.Role)
-	// string "addr"
-	o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
-	o = msgp.AppendString(o, z.Address)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendString(o, z.Group)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.Rank)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendString(o, z.Engine)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.DataCentre == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "role"
+		o = append(o, 0xa4, 0x72, 0x6f, 0x6c, 0x65)
+		o = msgp.AppendString(o, z.Role)
+		// string "addr"
+		o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
+		o = msgp.AppendString(o, z.Address)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendString(o, z.Group)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.Rank)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendString(o, z.Engine)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendString(o, z.DataCentre)
+		}
+	}
 	return
 }
 
@@ -731,6 +783,12 @@
 				err = msgp.WrapError(err, "Engine")
 				return
 			}
+		case "d":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -745,7 +803,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Role) + 5 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.StringPrefixSize + len(z.DataCentre)
 	return
 }
 
@@ -978,6 +1036,964 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LogAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Nonce, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
+		case "s":
+			{
+				var zb0002 uint8
+				zb0002, err = dc.ReadUint8()
+				if err != nil {
+					err = msgp.WrapError(err, "Status")
+					return
+				}
+				z.Status = LogStatus(zb0002)
+			}
+		case "x":
+			z.Next, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "p":
+			z.Proof, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Proof")
+				return
+			}
+		case "r":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0003 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0003) {
+				z.Records = (z.Records)[:zb0003]
+			} else {
+				z.Records = make([]LogRecord, zb0003)
+			}
+			for za0001 := range z.Records {
+				var zb0004 uint32
+				zb0004, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0004 > za81f7b74limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Records[za0001].Key, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Key")
+					return
+				}
+				z.Records[za0001].Value, err = dc.ReadBytesLimit(z.Records[za0001].Value, 1048576)
+				if err == nil && z.Records[za0001].Value == nil {
+					z.Records[za0001].Value = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Value")
+					return
+				}
+			}
+		case "z":
+			z.Packed, err = dc.ReadBytesLimit(z.Packed, za81f7b74limitArrays)
+			if err == nil && z.Packed == nil {
+				z.Packed = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LogAnswer) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Packed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Nonce)
+		if err != nil {
+			err = msgp.WrapError(err, "Nonce")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(uint8(z.Status))
+		if err != nil {
+			err = msgp.WrapError(err, "Status")
+			return
+		}
+		// write "x"
+		err = en.Append(0xa1, 0x78)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Proof)
+		if err != nil {
+			err = msgp.WrapError(err, "Proof")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Records)))
+		if err != nil {
+			err = msgp.WrapError(err, "Records")
+			return
+		}
+		for za0001 := range z.Records {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Records[za0001].Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Records", za0001, "Key")
+				return
+			}
+			err = en.WriteBytes(z.Records[za0001].Value)
+			if err != nil {
+				err = msgp.WrapError(err, "Records", za0001, "Value")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Packed)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LogAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Packed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Nonce)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint8(o, uint8(z.Status))
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendInt64(o, z.Next)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt64(o, z.Proof)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+		for za0001 := range z.Records {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Records[za0001].Key)
+			o = msgp.AppendBytes(o, z.Records[za0001].Value)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBytes(o, z.Packed)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Nonce, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
+		case "s":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Status")
+					return
+				}
+				z.Status = LogStatus(zb0002)
+			}
+		case "x":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "p":
+			z.Proof, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Proof")
+				return
+			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0003 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0003) {
+				z.Records = (z.Records)[:zb0003]
+			} else {
+				z.Records = make([]LogRecord, zb0003)
+			}
+			for za0001 := range z.Records {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Records[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Key")
+					return
+				}
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Value")
+					return
+				}
+				if zb0005 > 1048576 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Records[za0001].Value == nil || uint32(cap(z.Records[za0001].Value)) < zb0005 {
+					z.Records[za0001].Value = make([]byte, zb0005)
+				} else {
+					z.Records[za0001].Value = z.Records[za0001].Value[:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Records[za0001].Value, bts[:zb0005])
+				bts = bts[zb0005:]
+			}
+		case "z":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+			if zb0006 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Packed == nil || uint32(cap(z.Packed)) < zb0006 {
+				z.Packed = make([]byte, zb0006)
+			} else {
+				z.Packed = z.Packed[:zb0006]
+			}
+			if uint32(len(bts)) < zb0006 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Packed, bts[:zb0006])
+			bts = bts[zb0006:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LogAnswer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value)
+	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Packed)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LogRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za81f7b74limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Value, err = dc.ReadBytesLimit(z.Value, 1048576)
+	if err == nil && z.Value == nil {
+		z.Value = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LogRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LogRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Key)
+	o = msgp.AppendBytes(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	if zb0002 > 1048576 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+		z.Value = make([]byte, zb0002)
+	} else {
+		z.Value = z.Value[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Value, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LogRecord) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LogRecords) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0002) {
+				z.Records = (z.Records)[:zb0002]
+			} else {
+				z.Records = make([]LogRecord, zb0002)
+			}
+			for za0001 := range z.Records {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0003 > za81f7b74limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Records[za0001].Key, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Key")
+					return
+				}
+				z.Records[za0001].Value, err = dc.ReadBytesLimit(z.Records[za0001].Value, 1048576)
+				if err == nil && z.Records[za0001].Value == nil {
+					z.Records[za0001].Value = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Value")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LogRecords) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "r"
+	err = en.Append(0x81, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Records)))
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	for za0001 := range z.Records {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Records[za0001].Key)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Key")
+			return
+		}
+		err = en.WriteBytes(z.Records[za0001].Value)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Value")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LogRecords) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+	for za0001 := range z.Records {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Records[za0001].Key)
+		o = msgp.AppendBytes(o, z.Records[za0001].Value)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogRecords) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0002 > za81f7b74limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0002) {
+				z.Records = (z.Records)[:zb0002]
+			} else {
+				z.Records = make([]LogRecord, zb0002)
+			}
+			for za0001 := range z.Records {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Records[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Key")
+					return
+				}
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Value")
+					return
+				}
+				if zb0004 > 1048576 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Records[za0001].Value == nil || uint32(cap(z.Records[za0001].Value)) < zb0004 {
+					z.Records[za0001].Value = make([]byte, zb0004)
+				} else {
+					z.Records[za0001].Value = z.Records[za0001].Value[:zb0004]
+				}
+				if uint32(len(bts)) < zb0004 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Records[za0001].Value, bts[:zb0004])
+				bts = bts[zb0004:]
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LogRecords) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value)
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LogRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Nonce, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
+		case "t":
+			z.Topic, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Topic")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "w":
+			z.WaitMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LogRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "n"
+	err = en.Append(0x84, 0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Nonce)
+	if err != nil {
+		err = msgp.WrapError(err, "Nonce")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Topic)
+	if err != nil {
+		err = msgp.WrapError(err, "Topic")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.WaitMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LogRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "n"
+	o = append(o, 0x84, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Nonce)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Topic)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.WaitMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Nonce, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
+		case "t":
+			z.Topic, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Topic")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "w":
+			z.WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LogRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Topic) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LogStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint8
+		zb0001, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = LogStatus(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LogStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint8(uint8(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LogStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = LogStatus(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LogStatus) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *PartEvidence) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
