--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"marjorampitch/fleet"
 	"marjorampitch/gateway"
 	"marjorampitch/internal/clock"
+	"marjorampitch/peerread"
 	"marjorampitch/platform"
 	"marjorampitch/telemetry"
 )
@@ -95,21 +96,20 @@
 	store := platform.NewStore(st.StoreAddress, logger)
 	store.Observe = telemetry.NewStoreMetrics(registry).Call
 	cache := fleet.NewCache(time.Duration(missingServerShare * float64(st.Gateway.Bounds.DrainBound)))
-	operator := fleet.NewFollower(store.OperatorSource(), cache, fleet.FollowOptions{
-		Name: "operator", Operator: true, Wait: operatorWait, Timeout: storeTimeout, Clock: clock.SinceBoot,
-	}, logger)
-	servers := fleet.NewFollower(store.ServerSource(), cache, fleet.FollowOptions{
-		Name: "servers", Wait: 0, Pause: max(time.Duration(serverPauseShare*float64(st.Gateway.Bounds.DrainBound)), minServerPause), Timeout: storeTimeout, Clock: clock.SinceBoot,
-	}, logger)
-	go operator.Run(background)
-	go servers.Run(background)
-
 	dir := directory.New(store, directoryPause, logger)
 	go dir.Run(background)
+	link := peerread.NewLink(peerread.Options{
+		Instance: st.Gateway.Instance, DataCentre: st.Gateway.DataCentre, Entries: dir.Entries, Clock: clock.SinceBoot,
+		Observe: telemetry.NewRelayMetrics(registry).Request, Log: logger,
+	})
+	operator := followOperator(store, link, cache, logger)
+	servers := followServers(store, link, cache, st.Gateway.Bounds.DrainBound, logger)
+	go operator.Run(background)
+	go servers.Run(background)
 
 	g := gateway.New(gateway.Options{
 		Settings: st.Gateway, Headers: platform.HeaderNames, PromptParts: platform.PromptParts, Cache: cache, FreshnessProof: operator.FreshnessProof, ServersProof: servers.FreshnessProof,
-		Log: logger, Registry: registry, Directory: dir,
+		Log: logger, Registry: registry, Directory: dir, Relay: link,
 	})
 	if err := serveHTTP(background, st.Gateway.ReadyAddr, readyHandler(g.Ready)); err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"marjorampitch/internal/idleconn"
 	"marjorampitch/internal/sockopt"
 	"marjorampitch/pace"
+	"marjorampitch/peerread"
 )
 
 // Timing of a gateway.
@@ -72,6 +73,8 @@
 	Registry     prometheus.Registerer
 	// Directory lists the other instances. It may be nil.
 	Directory *directory.Directory
+	// Relay exchanges records of the store with the other gateways. It may be nil.
+	Relay *peerread.Link
 }
 
 // Gateway forwards callers' requests to backend servers. It implements http.Handler.
@@ -288,6 +291,7 @@
 // finish in time.
 func (g *Gateway) stop(srv *http.Server, ln net.Listener, conns *idleconn.Tracker, served <-chan error) error {
 	g.stopping.Store(true)
+	g.opts.Relay.Stop()
 	g.opts.Log.Info("stopping")
 	began := g.now()
 	grace := g.opts.Settings.Bounds.GracePeriod - graceMargin
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -55,7 +55,8 @@
 	if p.conn, err = net.ListenUDP("udp4", udp); err != nil {
 		return eris.Wrap(err, "listen for peer datagrams")
 	}
-	go p.g.opts.Directory.Announce(ctx, st.Instance, wire.Instance{Role: wire.RoleGateway, Address: addr})
+	go p.g.opts.Directory.Announce(ctx, st.Instance, wire.Instance{Role: wire.RoleGateway, Address: addr, DataCentre: st.DataCentre})
+	p.g.opts.Relay.Connect(p.sendTo)
 	go p.receive()
 	go p.broadcast(ctx)
 	return nil
@@ -72,6 +73,9 @@
 		if err != nil {
 			continue
 		}
+		if p.relay(buf[:n], from) {
+			continue
+		}
 		if err := p.handleDatagram(buf[:n]); err != nil {
 			p.g.opts.Log.Warn("datagram-refused", "from", from, "err", err)
 		}
