--- a/peerread/peerread_test.go
+++ b/peerread/peerread_test.go
@@ -212,7 +212,10 @@
 				data, err := a.MarshalMsg(nil)
 				require.NoError(t, err)
 				require.Less(t, len(data), 8<<10, "fits into a datagram that gateways receive")
-				records, err := unpack(&a)
+				var received wire.LogAnswer
+				_, err = received.UnmarshalMsg(data)
+				require.NoError(t, err, "from %d", from)
+				records, err := unpack(&received)
 				require.NoError(t, err)
 				require.Len(t, records, int(1000-from))
 				for i, r := range records {
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -120,7 +120,7 @@
 	// Usually it is negative.
 	Proof   int64       `msg:"p"`
 	Records []LogRecord `msg:"r"`
-	Packed  []byte      `msg:"z,omitempty"` // in place of Records: a LogRecords compressed with DEFLATE
+	Packed  []byte      `msg:"z,omitempty,limit=8192"` // in place of Records: a LogRecords compressed with DEFLATE
 }
 
 // LogRecords is the content of LogAnswer.Packed.
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -1128,7 +1128,7 @@
 				}
 			}
 		case "z":
-			z.Packed, err = dc.ReadBytesLimit(z.Packed, za81f7b74limitArrays)
+			z.Packed, err = dc.ReadBytesLimit(z.Packed, 8192)
 			if err == nil && z.Packed == nil {
 				z.Packed = []byte{}
 			}
@@ -1401,7 +1401,7 @@
 				err = msgp.WrapError(err, "Packed")
 				return
 			}
-			if zb0006 > za81f7b74limitArrays {
+			if zb0006 > 8192 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
