gateway: no silent attempt is ended for a server without memory; bounded costs

A silent attempt was ended, and a retry taken from the budget, although no other server had memory for the request, which then failed. A stream of which the caller had a part broke off for the same reason. Events that arrived together were counted as one, so the learned outputs were too short. An estimate without a declared maximum could exceed an int, and a load over the limits of a report made receivers refuse the whole report. Two directory entries of one address gave the memory of either.

--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -73,11 +73,11 @@
 // SetUsual changes the usual output of a request, in tokens; 0 for unknown.
 func (e *Estimator) SetUsual(usual float64) { e.usual = usual }
 
-// Output returns the expected output tokens of a request. It is at least 1 and at most
-// the declared maximum.
+// Output returns the expected output tokens of a request. It is at least 1, and at most
+// the declared maximum and maxTokens.
 func (e *Estimator) Output(route string, s Size) float64 {
 	s = s.Valid()
-	out := math.Exp(e.expected(e.routes[route], s))
+	out := min(math.Exp(e.expected(e.routes[route], s)), maxTokens)
 	if s.MaxOutput > 0 {
 		out = min(out, float64(s.MaxOutput))
 	}
--- a/cost/estimator_test.go
+++ b/cost/estimator_test.go
@@ -153,3 +153,14 @@
 	require.InEpsilon(t, 100, e.Output("route-3", cost.Size{}), 1e-9)
 	require.Greater(t, e.Output("route-1999", cost.Size{}), 100.0)
 }
+
+// An estimate far outside of what was observed is still a number of tokens that is
+// believed.
+func TestEstimateIsBounded(t *testing.T) {
+	e := cost.NewEstimator(100)
+	for i := range 3000 {
+		n := 1 + i%100
+		e.Observe(time.Duration(i)*time.Millisecond, "chat", cost.Size{Prompt: n, Hint: n}, n*n*n)
+	}
+	require.LessOrEqual(t, e.Output("chat", cost.Size{Prompt: 9_000_000, Hint: 9_000_000}), 1e7)
+}
--- a/cost/ledger_test.go
+++ b/cost/ledger_test.go
@@ -184,3 +184,15 @@
 		}
 	}
 }
+
+// A gateway whose requests state absurd sizes does not lose its whole report.
+func TestReportOfAbsurdLoads(t *testing.T) {
+	absurd, usual := cost.Server{ID: "a"}.Key(), cost.Server{ID: "b"}.Key()
+	x := cost.Load{Requests: 1, Work: time.Second, Memory: 640}
+	got, err := cost.DecodeLoads(cost.EncodeLoads(map[cost.Key]cost.Load{
+		absurd: {Requests: 1 << 30, Work: 1000 * time.Hour, Memory: 1 << 50}, usual: x,
+	}))
+	require.NoError(t, err)
+	require.Equal(t, x, got[usual])
+	require.GreaterOrEqual(t, got[absurd].Work, time.Hour)
+}
--- a/cost/report.go
+++ b/cost/report.go
@@ -27,7 +27,8 @@
 var errReport = eris.New("cost: malformed report of loads")
 
 // EncodeLoads returns the loads in the form in which instances exchange them: for each
-// server its key and, as variable-length integers, its requests, work and memory.
+// server its key and, as variable-length integers, its requests, work and memory. Values
+// that receivers would not believe are reduced to the largest that they do.
 func EncodeLoads(loads map[Key]Load) []byte {
 	buf := make([]byte, 0, len(loads)*(keyBytes+4))
 	n := 0
@@ -36,9 +37,9 @@
 			break
 		}
 		buf = append(buf, byte(key), byte(key>>8), byte(key>>16))
-		buf = binary.AppendUvarint(buf, uint64(max(x.Requests, 0)))
-		buf = binary.AppendUvarint(buf, uint64((max(x.Work, 0)+workUnit-1)/workUnit))
-		buf = binary.AppendUvarint(buf, uint64((max(x.Memory, 0)+memoryUnit-1)/memoryUnit))
+		buf = binary.AppendUvarint(buf, uint64(min(max(x.Requests, 0), maxRequests)))
+		buf = binary.AppendUvarint(buf, uint64((min(max(x.Work, 0), maxWork)+workUnit-1)/workUnit))
+		buf = binary.AppendUvarint(buf, uint64((min(max(x.Memory, 0), maxMemory)+memoryUnit-1)/memoryUnit))
 	}
 	return buf
 }
--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -4,9 +4,12 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"marjorampitch/cost"
 	"marjorampitch/fleet"
 	"marjorampitch/route"
+	"marjorampitch/wire"
 )
 
 const (
@@ -85,13 +88,17 @@
 	return s.model.Estimate(x.size.Prompt, max(out-float64(x.output), float64(s.stride)))
 }
 
-// describe adds to the candidates what the servers have to do.
-func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member) {
+// describe adds to the candidates what the servers have to do. For a request whose
+// caller has had a part of the answer their memory counts as unknown: another server may
+// run it late, but without one the answer breaks off.
+func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member, x *requestCost) {
 	for i, m := range members {
 		load := s.ledger.Total(costServer(m))
 		c := &list[i]
 		c.Work, c.Running, c.Limit = load.Work, load.Requests, s.model.Slots
-		c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
+		if x.output == 0 {
+			c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
+		}
 	}
 }
 
@@ -121,14 +128,14 @@
 	return x
 }
 
-// eventWritten records an event of a request's stream.
-func (s *service) eventWritten(x *requestCost) {
+// eventsWritten records n events of a request's stream.
+func (s *service) eventsWritten(x *requestCost, n int) {
 	if x.entry == nil {
 		return
 	}
 	s.mu.Lock()
-	s.costs.ledger.Wrote(x.entry, s.costs.stride)
-	x.output += s.costs.stride
+	s.costs.ledger.Wrote(x.entry, n*s.costs.stride)
+	x.output += n * s.costs.stride
 	s.mu.Unlock()
 }
 
@@ -163,3 +170,44 @@
 	}
 	c.service.attemptCostEnded(g.now(), &c.cost, complete)
 }
+
+// handleWork records the work that a peer has at the servers of each service.
+func (p *peers) handleWork(l *wire.GatewayLoad, now time.Duration) error {
+	for _, s := range p.g.allServices() {
+		var loads map[cost.Key]cost.Load
+		for i := range l.Servers {
+			if l.Servers[i].Service != s.name {
+				continue
+			}
+			var err error
+			if loads, err = cost.DecodeLoads(l.Servers[i].Loads); err != nil {
+				return eris.Wrapf(err, "service %s", s.name)
+			}
+		}
+		s.mu.Lock()
+		s.costs.ledger.SetPeer(now, l.Instance, loads)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// engineMemory returns the memory of each engine by its address, in tokens.
+func (p *peers) engineMemory() map[string]int {
+	if p.g.opts.Directory == nil {
+		return nil
+	}
+	return memoryByAddress(p.g.opts.Directory.Entries())
+}
+
+// memoryByAddress returns the memory of each engine in the directory by its address, in
+// tokens. If an address has several entries, all but one of them are outdated; the
+// largest value counts, since a value that is too small keeps requests away.
+func memoryByAddress(entries map[string]wire.Instance) map[string]int {
+	memory := make(map[string]int)
+	for _, e := range entries {
+		if e.Role == wire.RoleRebalancer && e.Memory > memory[e.Engine] {
+			memory[e.Engine] = e.Memory
+		}
+	}
+	return memory
+}
--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -43,7 +43,7 @@
 	for range 5 {
 		require.NotEqual(t, long, s.pickByCost(members, "", nil, 0, coldPolicy{}, sized(500, 100)))
 	}
-	s.eventWritten(x) // the prompt has been read
+	s.eventsWritten(x, 1) // the prompt has been read
 	require.Equal(t, long, s.pickByCost(members, "", nil, 0, coldPolicy{}, sized(500, 100)))
 	require.Equal(t, 5, x.output)
 	s.attemptCostEnded(0, x, true)
@@ -65,7 +65,7 @@
 				x := sized(1+i%3*30_000, 100)
 				setUp(s, x)
 				counts[s.pickByCost(members, "", nil, 0, coldPolicy{}, x).ID]++
-				s.eventWritten(x)
+				s.eventsWritten(x, 1)
 				s.attemptCostEnded(0, x, true)
 				require.Zero(t, x.output)
 			}
@@ -97,7 +97,7 @@
 	s.prune(&fleet.View{Members: map[string]*fleet.Member{again.ID: &again}})
 	require.Zero(t, s.costs.ledger.Total(costServer(members[0])))
 	require.Zero(t, s.costs.ledger.Total(costServer(&again)))
-	s.eventWritten(x)
+	s.eventsWritten(x, 1)
 	s.attemptCostEnded(0, x, false)
 	require.Empty(t, s.costs.ledger.OwnLoads())
 }
@@ -212,3 +212,50 @@
 	require.NoError(t, err)
 	require.Error(t, b.g.peers.handleDatagram(data))
 }
+
+// Events that arrive together count one by one.
+func TestEventsThatArriveTogetherAreCounted(t *testing.T) {
+	tg := costGateway(t)
+	tg.server(func(c *conn) {
+		for r := c.request(); r != nil; r = c.request() {
+			c.write(streamHead(r) + event(1) + event(2) + event(3) + event(4) + "0\r\n\r\n")
+		}
+	})
+	size := cost.Size{Prompt: 800, MaxOutput: 1000}
+	for range 60 {
+		require.Equal(t, http.StatusOK, tg.sizedCall("800", ""))
+	}
+	require.Greater(t, costOutput(tg.g.service("s"), size), 15.0, "20 tokens are the answer")
+}
+
+// A silent attempt is not ended for a server without memory for the request. Once the
+// caller has a part of the answer, any server may go on with it.
+func TestServersWithoutMemoryAsCandidates(t *testing.T) {
+	s, members := newCostService(2)
+	s.costs.setMemory(members, map[string]int{members[1].Address: 4000})
+	x := sized(5000, 100)
+	first := s.pickByCost(members, "", nil, 0, coldPolicy{}, x)
+	require.Equal(t, "i-0", first.ID)
+	tried := []string{first.ID}
+	require.False(t, s.hasCandidate(members, "", tried, 0, coldPolicy{}, x))
+	require.Nil(t, s.pickByCost(members, "", tried, 0, coldPolicy{}, x))
+	require.True(t, s.hasCandidate(members, "", tried, 0, coldPolicy{}, sized(3000, 100)))
+	require.True(t, s.hasCandidate(members, "", tried, 0, coldPolicy{}, nil))
+	s.eventsWritten(x, 1)
+	s.attemptCostEnded(0, x, false)
+	require.True(t, s.hasCandidate(members, "", tried, 0, coldPolicy{}, x))
+	require.Equal(t, "i-1", s.pickByCost(members, "", tried, 0, coldPolicy{}, x).ID)
+}
+
+// An outdated entry of an address does not make the engine there look smaller.
+func TestMemoryOfAnAddressWithTwoEntries(t *testing.T) {
+	entries := map[string]wire.Instance{
+		"a": {Role: wire.RoleRebalancer, Engine: "10.0.0.1:1", Memory: 1000},
+		"b": {Role: wire.RoleRebalancer, Engine: "10.0.0.1:1", Memory: 90_000},
+		"c": {Role: wire.RoleRebalancer, Engine: "10.0.0.2:1"},
+		"d": {Role: wire.RoleGateway, Address: "10.0.0.3:1"},
+	}
+	for range 50 {
+		require.Equal(t, map[string]int{"10.0.0.1:1": 90_000}, memoryByAddress(entries))
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -64,6 +64,11 @@
 	return 0
 }
 
+// countEvents returns the number of events in chunks of complete events.
+func countEvents(b []byte) int {
+	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\r\n\r\n"))
+}
+
 // lastEventID returns the id of the last event in b that has one; -1 for none.
 func lastEventID(b []byte) int64 {
 	at := bytes.LastIndex(b, []byte("\nid:"))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -156,26 +156,6 @@
 	return p.handleWork(l, now)
 }
 
-// handleWork records the work that a peer has at the servers of each service.
-func (p *peers) handleWork(l *wire.GatewayLoad, now time.Duration) error {
-	for _, s := range p.g.allServices() {
-		var loads map[cost.Key]cost.Load
-		for i := range l.Servers {
-			if l.Servers[i].Service != s.name {
-				continue
-			}
-			var err error
-			if loads, err = cost.DecodeLoads(l.Servers[i].Loads); err != nil {
-				return eris.Wrapf(err, "service %s", s.name)
-			}
-		}
-		s.mu.Lock()
-		s.costs.ledger.SetPeer(now, l.Instance, loads)
-		s.mu.Unlock()
-	}
-	return nil
-}
-
 // broadcast sends this instance's loads, its evidence of crashes and the limits of
 // servers to its peers until ctx ends. When there are no loads any more, it sends one empty message and
 // then pauses.
@@ -279,20 +259,6 @@
 	return names
 }
 
-// engineMemory returns the memory of each engine by its address, in tokens.
-func (p *peers) engineMemory() map[string]int {
-	memory := make(map[string]int)
-	if p.g.opts.Directory == nil {
-		return memory
-	}
-	for _, e := range p.g.opts.Directory.Entries() {
-		if e.Role == wire.RoleRebalancer && e.Memory > 0 {
-			memory[e.Engine] = e.Memory
-		}
-	}
-	return memory
-}
-
 // engineGroups returns the group of each engine by its address.
 func (p *peers) engineGroups() map[string]string {
 	groups := make(map[string]string)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -234,7 +234,7 @@
 	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
-			s.costs.describe(list, members)
+			s.costs.describe(list, members, x)
 		}
 		i, ok = picker.Pick(request, list)
 		if !ok && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
@@ -255,11 +255,26 @@
 	return members[i]
 }
 
-// hasCandidate reports whether pick could choose a server with these arguments.
-func (s *service) hasCandidate(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy) bool {
+// hasCandidate reports whether pickByCost could choose a server with these arguments.
+func (s *service) hasCandidate(members []*fleet.Member, group string, tried []string, now time.Duration, cold coldPolicy, x *requestCost) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.candidates(members, group, tried, now, cold, failingServers), func(c route.Candidate) bool { return !c.Excluded })
+	request := &route.Request{}
+	byCost := s.costs.applies(x)
+	if byCost {
+		s.costs.ledger.Expire(now)
+		request.Memory = s.costs.estimate(x).Memory()
+	}
+	for tier := preferredServers; tier < serverTiers; tier++ {
+		list := s.candidates(members, group, tried, now, cold, tier)
+		if byCost {
+			s.costs.describe(list, members, x)
+		}
+		if slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
+			return slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() && c.Fits(request) })
+		}
+	}
+	return false
 }
 
 // attemptEnded records the result of an attempt.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -55,7 +55,7 @@
 // server other than those tried can take it. It reports whether it did.
 func (g *Gateway) reserveAttempt(c *call, group string, tried []string) bool {
 	members := g.opts.Cache.View().Services[c.service.name]
-	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c)) {
+	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c), &c.cost) {
 		return false
 	}
 	if !c.retryReserved.Load() && !c.service.takeRetry() {
@@ -108,6 +108,7 @@
 		if previous < 0 {
 			g.started(c, m, now)
 		}
+		c.service.eventsWritten(&c.cost, countEvents(chunk))
 		g.recordEvent(c, m, now, previous, sent)
 		previous = now
 		if !c.headSent {
@@ -130,7 +131,6 @@
 // recordEvent reports an event to the gate and the metrics. previous is negative
 // for the first event of an attempt; sent is when the attempt began.
 func (g *Gateway) recordEvent(c *call, m *fleet.Member, now, previous, sent time.Duration) {
-	c.service.eventWritten(&c.cost)
 	if previous < 0 {
 		c.service.observeFirstEvent(now, m.ID, now-sent)
 		g.metrics.firstEvent.Observe((now - c.arrived).Seconds())
