--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -259,3 +259,13 @@
 		require.Equal(t, map[string]int{"10.0.0.1:1": 90_000}, memoryByAddress(entries))
 	}
 }
+
+// A server that has turned one request away is asked if the others have no memory.
+func TestDecliningServerWithMemoryIsAsked(t *testing.T) {
+	s, members := newCostService(2)
+	s.costs.setMemory(members, map[string]int{members[0].Address: 4000})
+	s.statements.turnedAway(members[1], 0, 0)
+	require.Equal(t, "i-0", s.pickByCost(members, "", nil, 0, coldPolicy{}, sized(500, 100)).ID)
+	require.True(t, s.hasCandidate(members, "", nil, 0, coldPolicy{}, sized(5000, 100)))
+	require.Equal(t, "i-1", s.pickByCost(members, "", nil, 0, coldPolicy{}, sized(5000, 100)).ID)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -237,8 +237,8 @@
 			s.costs.describe(list, members, x)
 		}
 		i, ok = picker.Pick(request, list)
-		if !ok && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
-			break // they have no memory for it now; worse servers are no better
+		if !ok && tier >= decliningServers && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
+			break // they have no memory for it now; ejected servers are no better
 		}
 	}
 	if !ok {
@@ -265,7 +265,7 @@
 		s.costs.ledger.Expire(now)
 		request.Memory = s.costs.estimate(x).Memory()
 	}
-	for tier := preferredServers; tier < serverTiers; tier++ {
+	for tier := decliningServers; tier < serverTiers; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
 			s.costs.describe(list, members, x)
