admit, gateway: slow callers leave room for bodies

Eight callers that read slowly could hold the whole budget of the buffers. None of them was stalled, so every request with a body was refused (503, code 219) while they read. All callers together now hold half of the budget at most; beyond that a write waits for its caller, as it does for a caller that has used up its own share. A holder that is evicted and holds again before its connection has ended no longer returns the bytes of before a second time.

TestSlowCallersLeaveRoomForBodies and TestBufferBudgetEvictedHolderReturnsNoBytesTwice fail without the change.

--- a/admit/buffer_budget.go
+++ b/admit/buffer_budget.go
@@ -17,7 +17,9 @@
 type BufferBudget struct {
 	limit     int64 // bytes in total
 	perHolder int64 // bytes of one holder
+	maxHeld   int64 // bytes of all holders
 	used      int64 // bytes
+	held      int64 // bytes of all holders, a part of used
 	holders   map[uint64]*bufferHolder
 }
 
@@ -29,13 +31,17 @@
 
 // NewBufferBudget returns a budget of limit bytes, of which one holder may have perHolder.
 func NewBufferBudget(limit, perHolder int64) *BufferBudget {
-	return &BufferBudget{limit: limit, perHolder: perHolder, holders: make(map[uint64]*bufferHolder)}
+	return &BufferBudget{limit: limit, perHolder: perHolder, maxHeld: limit, holders: make(map[uint64]*bufferHolder)}
 }
 
+// LimitHolders sets the bytes that all holders together may have. The rest of the budget
+// is left to plain reservations, however many peers read slowly.
+func (b *BufferBudget) LimitHolders(bytes int64) { b.maxHeld = bytes }
+
 // Reserve takes n bytes without a holder and reports whether it did. Those of evicted
 // have been removed for it; their buffers must be dropped.
 func (b *BufferBudget) Reserve(n int64, now time.Duration) (ok bool, evicted []uint64) {
-	if ok, evicted = b.makeRoom(n, now); ok {
+	if ok, evicted = b.makeRoom(b.used+n-b.limit, now); ok {
 		b.used += n
 	}
 	return ok, evicted
@@ -51,7 +57,7 @@
 	if h != nil && h.bytes+n > b.perHolder || n > b.perHolder {
 		return false, nil
 	}
-	ok, evicted = b.makeRoom(n, now)
+	ok, evicted = b.makeRoom(max(b.used+n-b.limit, b.held+n-b.maxHeld), now)
 	if !ok || slices.Contains(evicted, id) {
 		return false, evicted
 	}
@@ -61,6 +67,7 @@
 	}
 	h.bytes += n
 	b.used += n
+	b.held += n
 	return true, evicted
 }
 
@@ -72,8 +79,10 @@
 		return
 	}
 	h.progressAt = now
+	n = min(n, h.bytes) // a holder that was evicted and holds again may return bytes of before
 	h.bytes -= n
 	b.used -= n
+	b.held -= n
 	if h.bytes <= 0 {
 		delete(b.holders, id)
 	}
@@ -83,6 +92,7 @@
 func (b *BufferBudget) Drop(id uint64) {
 	if h := b.holders[id]; h != nil {
 		b.used -= h.bytes
+		b.held -= h.bytes
 		delete(b.holders, id)
 	}
 }
@@ -98,10 +108,9 @@
 	return 0, 0
 }
 
-// makeRoom reports whether n more bytes fit. If they do only without stalled holders, it
-// removes those, the longest stalled first; if they do not even then, it removes none.
-func (b *BufferBudget) makeRoom(n int64, now time.Duration) (ok bool, evicted []uint64) {
-	missing := b.used + n - b.limit
+// makeRoom reports whether missing bytes can be had. If they can only without stalled
+// holders, it removes those, the longest stalled first; if not even then, it removes none.
+func (b *BufferBudget) makeRoom(missing int64, now time.Duration) (ok bool, evicted []uint64) {
 	if missing <= 0 {
 		return true, nil
 	}
--- a/admit/buffer_budget_test.go
+++ b/admit/buffer_budget_test.go
@@ -94,3 +94,36 @@
 	require.Zero(t, used)
 	require.Zero(t, n)
 }
+
+// Holders that make progress are never evicted; they leave room for reservations.
+func TestBufferBudgetHoldersLeaveRoomForReservations(t *testing.T) {
+	b := NewBufferBudget(100, 30)
+	b.LimitHolders(60)
+	for id := range uint64(2) {
+		ok, _ := b.Hold(id, 30, 0)
+		require.True(t, ok)
+	}
+	ok, evicted := b.Hold(2, 1, 0)
+	require.False(t, ok)
+	require.Empty(t, evicted)
+	ok, _ = b.Reserve(40, 0)
+	require.True(t, ok)
+	ok, evicted = b.Hold(2, 1, BufferStall)
+	require.True(t, ok, "a stalled holder gives way")
+	require.Equal(t, []uint64{0}, evicted)
+}
+
+// The buffer of an evicted holder may write, and hold, a little more before it is dropped.
+func TestBufferBudgetEvictedHolderReturnsNoBytesTwice(t *testing.T) {
+	b := NewBufferBudget(100, 100)
+	ok, _ := b.Hold(1, 80, 0)
+	require.True(t, ok)
+	ok, evicted := b.Reserve(50, BufferStall)
+	require.True(t, ok)
+	require.Equal(t, []uint64{1}, evicted)
+	ok, _ = b.Hold(1, 10, BufferStall)
+	require.True(t, ok)
+	b.Progress(1, 80, BufferStall)
+	used, _ := b.Used()
+	require.EqualValues(t, 50, used)
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -19,6 +19,9 @@
 	defaultBufferBytes = 64 << 20
 	// maxCallerShare is the part of it that one caller may take.
 	maxCallerShare = 0.125
+	// maxCallersShare is the part of it that all callers may take. The rest is left to
+	// bodies, so that slow callers do not keep requests of others out.
+	maxCallersShare = 0.5
 )
 
 // newCallerBuffers returns the buffers of the connections of callers.
@@ -27,7 +30,9 @@
 	if limit <= 0 {
 		limit = defaultBufferBytes
 	}
-	b := outbuf.New(admit.NewBufferBudget(limit, int64(maxCallerShare*float64(limit))), g.now)
+	budget := admit.NewBufferBudget(limit, int64(maxCallerShare*float64(limit)))
+	budget.LimitHolders(int64(maxCallersShare * float64(limit)))
+	b := outbuf.New(budget, g.now)
 	b.OnCut = func(cut outbuf.Cut) {
 		g.metrics.slowCallers.Inc()
 		g.opts.Log.Warn("slow-caller-cut", "caller", cut.Peer, "held_bytes", cut.Held,
--- a/gateway/slow_body_test.go
+++ b/gateway/slow_body_test.go
@@ -202,3 +202,30 @@
 	status, _ = tg.post("/once/", "")
 	require.Equal(t, http.StatusBadGateway, status)
 }
+
+// Slow callers that make progress keep nobody's request out.
+func TestSlowCallersLeaveRoomForBodies(t *testing.T) {
+	g := newUnservedGateway(t).g
+	g.callers = newCallerBuffers(g, 10<<20)
+	limit := int64(bufferShare * (10 << 20))
+	ln := listenSmall(t)
+	defer ln.Close()
+	for range int(2 / maxCallerShare) {
+		dialSlow(t, ln, "/fixed/")
+		conn, err := g.callers.Listener(ln).Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		go func() {
+			for err == nil { // until the connection ends
+				_, err = io.WriteString(conn, longBody[:smallSocket])
+			}
+		}()
+	}
+	var used int64
+	require.Eventually(t, func() bool { // until they hold what they may
+		before := used
+		used, _ = g.callers.Used()
+		return used > limit/4 && used == before
+	}, 10*time.Second, 100*time.Millisecond)
+	require.True(t, g.callers.Reserve(limit/4), "%d of %d bytes in use", used, limit)
+}
