gateway: full buffers are no failure of a server

An answer for which the gateway had no room counted as an attempt that the server had failed, so full buffers got sound servers ejected.

TestAnswerBeyondBuffersIsNoFailureOfServer fails without the change.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -277,9 +277,9 @@
 }
 
 // attemptFailed records an attempt without a complete response. If the caller
-// has disconnected, the server is not at fault.
+// has disconnected, or there is no room for the response, the server is not at fault.
 func (g *Gateway) attemptFailed(ctx context.Context, c *call, m *fleet.Member, sent time.Duration, err error) {
-	if c.r.Context().Err() != nil {
+	if c.r.Context().Err() != nil || errors.Is(err, errBuffersFull) {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		return
 	}
--- a/gateway/slow_body_test.go
+++ b/gateway/slow_body_test.go
@@ -229,3 +229,18 @@
 	}, 10*time.Second, 100*time.Millisecond)
 	require.True(t, g.callers.Reserve(limit/4), "%d of %d bytes in use", used, limit)
 }
+
+// A server is not at fault if there is no room for its answer.
+func TestAnswerBeyondBuffersIsNoFailureOfServer(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	tg.limitBuffers(256<<10, 256<<10)
+	id := tg.server(serve(longBody[:100<<10]))
+	require.True(t, tg.g.callers.Reserve(200<<10))
+	status, _ := tg.post("/once/", "")
+	require.Equal(t, http.StatusBadGateway, status)
+	s := tg.g.service("s")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.stateOf(tg.cache.View().Members[id]).failedAt)
+}
