--- a/fleet/priority.go
+++ b/fleet/priority.go
@@ -41,12 +41,13 @@
 // first.
 func (d *Document) findStreamPriorities() map[string][]streamPriority {
 	found := make(map[string][]streamPriority)
+	organisations := d.organisationsByPriority()
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if r.Kind != Stream {
 			continue
 		}
-		priorities := d.prioritiesOf(r)
+		priorities := r.streamPriorities(organisations)
 		for _, w := range r.Split {
 			found[w.Service] = insertMissing(found[w.Service], priorities)
 		}
@@ -64,14 +65,32 @@
 	return list
 }
 
-// prioritiesOf returns the priorities that streams of a route may have.
-func (d *Document) prioritiesOf(r *Route) []streamPriority {
+// organisationsByPriority returns one organisation of each priority; nil stands for
+// requests without one where the document has none.
+func (d *Document) organisationsByPriority() []*Organisation {
+	if len(d.Organisations) == 0 {
+		return []*Organisation{nil}
+	}
+	var list []*Organisation
+	found := make(map[int]bool)
+	for i := range d.Organisations {
+		if o := &d.Organisations[i]; !found[o.Priority] {
+			found[o.Priority] = true
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// streamPriorities returns the priorities that streams of the route may have.
+// organisations holds one organisation of each priority.
+func (r *Route) streamPriorities(organisations []*Organisation) []streamPriority {
 	var list []streamPriority
-	if len(d.Organisations) == 0 || r.Anonymous {
+	if r.Anonymous {
 		list = append(list, streamPriority{r.Priority, r.Priority})
 	}
-	for i := range d.Organisations {
-		list = insertMissing(list, []streamPriority{{r.PriorityFor(&d.Organisations[i]), r.Priority}})
+	for _, o := range organisations {
+		list = insertMissing(list, []streamPriority{{r.PriorityFor(o), r.Priority}})
 	}
 	return list
 }
