pace: look for the first waiting request only if a group has room

Cause: each event of a stream went through the queue in search of the first request, also while none could be admitted. Decisions are the same.

--- a/pace/queue.go
+++ b/pace/queue.go
@@ -106,18 +106,20 @@
 // admitByPriority admits waiting requests in order of their places and returns them.
 func (g *Gate) admitByPriority(now time.Duration) []*Ticket {
 	var admitted []*Ticket
-	for {
-		first := g.firstWaiting(now)
-		if first < 0 || !g.tryAdmit(now, g.queue[first]) {
-			return admitted
+	for len(g.queue) > 0 {
+		if free, _ := g.selectGroup(now); free == nil { // most often, and cheaper to find than the first
+			break
 		}
+		first := g.firstWaiting(now)
+		g.tryAdmit(now, g.queue[first])
 		admitted = append(admitted, g.queue[first])
 		g.queue = slices.Delete(g.queue, first, first+1)
 	}
+	return admitted
 }
 
-// firstWaiting returns the index of the waiting request to be admitted next; -1 for
-// none.
+// firstWaiting returns the index of the waiting request to be admitted next. The queue
+// is not empty.
 func (g *Gate) firstWaiting(now time.Duration) int {
 	first, at := -1, place{}
 	for i, o := range g.queue {
