gateway: test that a request that arrives displaces another

Cause: the test displaced the waiting request itself, and passed if acquireSlot did not wake it. Now requests to the gateway displace it; without the wake-up in acquireSlot the test is red.

--- a/gateway/priority_test.go
+++ b/gateway/priority_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
@@ -73,22 +74,24 @@
 		body   string
 		header http.Header
 	}
-	refused := make(chan refusal)
+	refused := make(chan refusal, 1)
 	go func() {
 		status, body, h := tg.call("/fixed/")
 		refused <- refusal{status, body, h}
 	}()
 	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return gate.Waiting() == 1 }, 5*time.Second, time.Millisecond)
-	s.mu.Lock()
-	var displaced []*pace.Ticket
-	for accepted := true; accepted && len(displaced) == 0; {
-		accepted = gate.AdmitOrQueue(tg.g.now(), &pace.Ticket{Objective: 20 * time.Second})
-		displaced = gate.TakeDisplaced()
-	}
-	s.notifyDisplaced(displaced)
-	s.mu.Unlock()
-	require.Len(t, displaced, 1)
-	r := <-refused
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var r refusal
+	require.Eventually(t, func() bool {
+		go sendUrgent(ctx, tg)
+		select {
+		case r = <-refused:
+			return true
+		default:
+			return false
+		}
+	}, 8*time.Second, 5*time.Millisecond)
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.Contains(t, r.body, "displaced", "refused before its wait has ended")
 	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
@@ -96,6 +99,19 @@
 	require.Positive(t, after)
 }
 
+// sendUrgent sends a stream of the highest priority, which ends with ctx at the latest.
+func sendUrgent(ctx context.Context, tg *testGateway) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, tg.front.URL+"/stream/", nil)
+	if err != nil {
+		return
+	}
+	r.Host = "h"
+	r.Header.Set("X-Key", "key")
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		resp.Body.Close()
+	}
+}
+
 // fill admits streams until the gate has no capacity left.
 func fill(s *service, gate *pace.Gate, now time.Duration) {
 	s.mu.Lock()
