fleet: removed servers are out of use on time when a reader fails

A server whose entry is removed without notice stays usable for half of the drain bound, counted from the read that shows the removal and ended by a later read.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -69,10 +70,12 @@
 type CentreEnabled struct{ Name string }
 
 // ServerGone reports that the store has no usable entry of a backend server.
-// Invalid means that the entry exists but does not describe a usable server.
+// Invalid means that the entry exists but does not describe a usable server. Since, if
+// not 0, counts as the time from which the entry is missing.
 type ServerGone struct {
 	ID      string
 	Invalid bool
+	Since   time.Duration
 }
 
 func (*Document) change()       {}
@@ -207,7 +210,7 @@
 	}
 	if old.MissingSince == 0 {
 		m := *old
-		m.MissingSince = max(now, 1)
+		m.MissingSince = max(cmp.Or(change.Since, now), 1)
 		c.members[change.ID] = &m
 	}
 	return true
@@ -225,6 +228,19 @@
 	return changed
 }
 
+// nextExpiry returns when the first of the servers whose entries are missing is to be
+// removed; ok is false if no entry is missing.
+func (c *Cache) nextExpiry() (at time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if due := m.MissingSince + c.missingTTL; m.MissingSince > 0 && (!ok || due < at) {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
 // latestByAddress returns the member of the latest incarnation at each address:
 // an address is reused by a new server before the old server's entry is removed.
 func (c *Cache) latestByAddress() map[string]*Member {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -62,7 +62,11 @@
 	log    *log.Logger
 	next   int64 // -1 to start with a snapshot
 	lost   bool
-	proof  atomic.Int64 // start of the last read that reached the end of the topic, ns; 0 before the first
+	// relayed means that a read was answered by another process. A request to it may be
+	// lost, so that reads are further apart than Pause says: see dateMissing.
+	relayed bool
+	applied time.Duration // end of the last read
+	proof   atomic.Int64  // start of the last read that reached the end of the topic, ns; 0 before the first
 }
 
 // NewFollower returns a Follower. Run starts it.
@@ -94,7 +98,8 @@
 			continue
 		case err != nil:
 			f.markLost(ctx, err)
-			f.cache.Apply(nil, f.opts.Clock())
+			f.applied = f.opts.Clock()
+			f.cache.Apply(nil, f.applied)
 			clock.Sleep(ctx, retry)
 			retry = min(2*retry, maxRetry)
 			continue
@@ -148,12 +153,38 @@
 		return Batch{}, err
 	}
 	f.next = b.Next
-	if f.cache.Apply(b.Changes, f.opts.Clock()) {
+	now := f.opts.Clock()
+	f.relayed = f.relayed || b.Relayed
+	f.dateMissing(b.Changes, now)
+	if f.cache.Apply(b.Changes, now) {
 		f.logView()
 	}
+	f.applied = now
+	f.expireLater(now)
 	return b, nil
 }
 
+// dateMissing dates the removal of entries as if the read had begun Pause after the last
+// one, so that a lost request does not extend the time for which their servers are used.
+func (f *Follower) dateMissing(changes []Change, now time.Duration) {
+	if !f.relayed {
+		return
+	}
+	for _, change := range changes {
+		if gone, ok := change.(*ServerGone); ok {
+			gone.Since = max(min(now, f.applied+f.opts.Pause), now-f.opts.Pause)
+		}
+	}
+}
+
+// expireLater removes servers whose entries are missing on time, also while a request to
+// another process is underway.
+func (f *Follower) expireLater(now time.Duration) {
+	if at, ok := f.cache.nextExpiry(); ok && f.relayed {
+		time.AfterFunc(at-now, func() { f.cache.Apply(nil, f.opts.Clock()) })
+	}
+}
+
 // snapshot restarts from a snapshot. The pages of a snapshot are not read at one
 // point in time, so it yields no freshness proof until the records written since
 // have been read.
