--- a/peerread/desk.go
+++ b/peerread/desk.go
@@ -68,9 +68,12 @@
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, maxWait)
 	delete(d.waiting, to)
 	h := &d.history
-	if wait <= 0 || !d.current(now) || r.From < h.first || r.From < h.next || len(d.waiting) >= maxWaiting {
+	if wait <= 0 || !d.current(now) || r.From < h.first || r.From < h.next {
 		return []Reply{{To: to, Answer: d.answer(now, arrived, r)}}, 0
 	}
+	if len(d.waiting) >= maxWaiting {
+		return []Reply{{To: to, Answer: wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogRefused}}}, 0
+	}
 	due = min(now+wait, h.proof+d.maxAge+1)
 	d.waiting[to] = waiting{request: *r, arrived: arrived, deadline: due}
 	return nil, due
--- a/peerread/peerread_test.go
+++ b/peerread/peerread_test.go
@@ -117,6 +117,21 @@
 	return replies[0].Answer
 }
 
+// An answer without records that did not wait would be followed by the next request at
+// once.
+func TestDeskRefusesTooManyWaiting(t *testing.T) {
+	d := NewDesk(2*time.Second, nil)
+	d.Add(0, 0, batch(0, 1, 4), 0)
+	r := &wire.LogRequest{From: 1, WaitMillis: 500}
+	for i := range maxWaiting {
+		replies, _ := d.Request(0, 0, netip.AddrPortFrom(asker.Addr(), uint16(i+1)), r)
+		require.Empty(t, replies)
+	}
+	replies, _ := d.Request(0, 0, asker, r)
+	require.Len(t, replies, 1)
+	require.Equal(t, wire.LogRefused, replies[0].Answer.Status)
+}
+
 // Records of another history at the same offsets are not answered with those compressed
 // before.
 func TestDeskForgetsCompressedRecords(t *testing.T) {
