--- a/peerread/desk.go
+++ b/peerread/desk.go
@@ -47,12 +47,18 @@
 // Add records the result of a read of the store that began at start, and returns
 // the answers to the requests that waited for it.
 func (d *Desk) Add(now time.Duration, from int64, b *store.Batch, start time.Duration) []Reply {
+	if from != d.history.next {
+		d.Clear()
+	}
 	d.history.add(from, b, start)
 	return d.release(func(w *waiting) bool { return now >= w.deadline || d.history.next > w.request.From }, now)
 }
 
 // Clear forgets all records. Requests are refused until the next complete read.
-func (d *Desk) Clear() { d.history.clear() }
+func (d *Desk) Clear() {
+	d.history.clear()
+	d.packer.valid = false
+}
 
 // Request handles a request that arrived at the given time. It returns the answer, or, if
 // the request waits for a record, the time at which Due answers it at the latest: when it
@@ -62,9 +68,12 @@
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, maxWait)
 	delete(d.waiting, to)
 	h := &d.history
-	if wait <= 0 || !d.current(now) || r.From < h.first || r.From < h.next || len(d.waiting) >= maxWaiting {
+	if wait <= 0 || !d.current(now) || r.From < h.first || r.From < h.next {
 		return []Reply{{To: to, Answer: d.answer(now, arrived, r)}}, 0
 	}
+	if len(d.waiting) >= maxWaiting {
+		return []Reply{{To: to, Answer: wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogRefused}}}, 0
+	}
 	due = min(now+wait, h.proof+d.maxAge+1)
 	d.waiting[to] = waiting{request: *r, arrived: arrived, deadline: due}
 	return nil, due
