--- a/peerread/gone_test.go
+++ b/peerread/gone_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,13 +14,14 @@
 
 	"marjorampitch/fleet"
 	"marjorampitch/store"
+	"marjorampitch/wire"
 )
 
 // serverSource decodes the records of a simTopic as those of servers: the first is the
-// entry of a server, and the one at offset *gone removes it.
+// entry of a server, and the one at offset gone removes it.
 type serverSource struct {
 	reader store.Reader
-	gone   *int64
+	gone   *atomic.Int64
 }
 
 func (c serverSource) Read(ctx context.Context, from int64, wait time.Duration) (fleet.Batch, error) {
@@ -38,20 +40,19 @@
 		switch r.Key {
 		case "0":
 			out.Changes = append(out.Changes, &fleet.Server{ID: "x", Service: "s", Address: "x"})
-		case fmt.Sprint(*c.gone):
+		case fmt.Sprint(c.gone.Load()):
 			out.Changes = append(out.Changes, &fleet.ServerGone{ID: "x"})
 		}
 	}
 	return out
 }
 
-// followServers restarts the node as a follower of servers' records, with the timing of a
+// followServers starts the node as a follower of servers' records, with the timing of a
 // gateway whose drain bound is given.
-func (n *simNode) followServers(drain time.Duration, gone *int64) {
-	n.stop()
+func (n *simNode) followServers(drain time.Duration, gone *atomic.Int64) {
 	logger := log.New(io.Discard)
 	pause := time.Duration(0.3 * float64(drain))
-	n.link = NewLink(Options{Instance: n.name, DataCentre: "a", Clock: n.clock, Log: logger, Entries: n.link.opts.Entries})
+	n.link = NewLink(Options{Instance: n.name, DataCentre: "a", Clock: n.clock, Log: logger, Entries: func() map[string]wire.Instance { return n.sim.entries }})
 	n.link.Connect(n.send)
 	n.cache = fleet.NewCache(drain / 2)
 	topic := n.link.Topic(n, TopicOptions{
@@ -81,11 +82,11 @@
 }
 
 func playRemoval(t *testing.T, drain, killed, phase time.Duration) {
-	s := newSim(7, 6)
+	s := newIdleSim(7, 6)
 	defer s.end()
-	gone := int64(-1)
+	var gone atomic.Int64
+	gone.Store(-1)
 	s.topic.append()
-	time.Sleep(time.Second)
 	for _, n := range s.nodes {
 		n.followServers(drain, &gone)
 	}
@@ -95,7 +96,7 @@
 	}
 	time.Sleep(phase)
 	acked, _ := s.topic.counts()
-	gone = int64(acked)
+	gone.Store(int64(acked))
 	s.topic.append()
 	time.Sleep(killed)
 	reader := Readers(s.entries, "a")[0]
--- a/peerread/sim_test.go
+++ b/peerread/sim_test.go
@@ -99,7 +99,17 @@
 	pausedUntil   time.Time
 }
 
+// newSim returns a sim whose gateways run.
 func newSim(seed uint64, nodes int) *sim {
+	s := newIdleSim(seed, nodes)
+	for _, n := range s.nodes {
+		n.run()
+	}
+	return s
+}
+
+// newIdleSim returns a sim whose gateways have not been started.
+func newIdleSim(seed uint64, nodes int) *sim {
 	s := &sim{
 		topic: &simTopic{}, start: time.Now(), byAdr: make(map[netip.AddrPort]*simNode), rng: rand.New(rand.NewPCG(seed, 1)),
 		delay: 2 * time.Millisecond, slow: 3 * time.Millisecond, entries: make(map[string]wire.Instance),
@@ -113,9 +123,6 @@
 		s.byAdr[n.addr] = n
 		s.entries[n.name] = wire.Instance{Role: wire.RoleGateway, Address: n.addr.String(), DataCentre: "a"}
 	}
-	for _, n := range s.nodes {
-		n.run()
-	}
 	return s
 }
 
