--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -62,7 +62,7 @@
 	gate.SetPrioritized(c.prioritized())
 	start := g.now()
 	accepted := gate.AdmitOrQueue(start, t)
-	s.notifyDisplaced(gate.TakeDisplaced())
+	s.wake(gate.TakeDisplaced())
 	switch {
 	case !accepted:
 		detail := "no place in time: " + gate.Explain(start, t)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -133,7 +133,7 @@
 			if s.gate.SetOpen(now, x.Group, x.Open, closedReportTTL) {
 				p.g.opts.Log.Info("group-state", "service", s.name, "group", x.Group, "epoch", x.Epoch, "open", x.Open)
 			}
-			s.notifyAdmitted(s.gate.AdmitWaiting(now))
+			s.wake(s.gate.AdmitWaiting(now))
 		}
 		s.mu.Unlock()
 	}
@@ -158,7 +158,7 @@
 			s.gate.SetPeerLoad(now, l.Instance, x.Group, pace.Load{
 				Running: x.Running, Rate: x.Rate, Gap: time.Duration(x.Gap) * time.Microsecond,
 			})
-			s.notifyAdmitted(s.gate.AdmitWaiting(now))
+			s.wake(s.gate.AdmitWaiting(now))
 		}
 		s.mu.Unlock()
 	}
@@ -206,7 +206,7 @@
 	for _, s := range p.g.allServices() {
 		s.mu.Lock()
 		if s.gate != nil {
-			s.notifyAdmitted(s.gate.AdmitWaiting(now)) // a stalled group may be open again
+			s.wake(s.gate.AdmitWaiting(now)) // a stalled group may be open again
 			for name, x := range s.gate.Loads(now) {
 				if x.Running > 0 || x.Rate > minReportedRate {
 					l.Groups = append(l.Groups, wire.GroupLoad{
--- a/gateway/priority.go
+++ b/gateway/priority.go
@@ -2,7 +2,6 @@
 
 import (
 	"marjorampitch/fleet"
-	"marjorampitch/pace"
 )
 
 // lowestServerPriority is the lowest priority that servers know.
@@ -19,7 +18,3 @@
 func (c *call) priorityClass() int {
 	return c.view.Document.StreamClass(c.service.name, c.route, c.priority)
 }
-
-// notifyDisplaced wakes the waiting requests that have lost their places to others.
-// Callers hold mu.
-func (s *service) notifyDisplaced(displaced []*pace.Ticket) { s.notifyAdmitted(displaced) }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -370,9 +370,10 @@
 	}
 }
 
-// notifyAdmitted wakes the waiting requests that were admitted. Callers hold mu.
-func (s *service) notifyAdmitted(admitted []*pace.Ticket) {
-	for _, t := range admitted {
+// wake wakes waiting requests that were admitted or have lost their places. Callers
+// hold mu.
+func (s *service) wake(tickets []*pace.Ticket) {
+	for _, t := range tickets {
 		close(s.waiters[t])
 		delete(s.waiters, t)
 	}
@@ -393,7 +394,7 @@
 	s.mu.Lock()
 	s.activity.event(s.activityKey(server), now)
 	if s.gate != nil {
-		s.notifyAdmitted(s.gate.ObserveGap(now, group, gap))
+		s.wake(s.gate.ObserveGap(now, group, gap))
 	}
 	s.mu.Unlock()
 }
@@ -411,7 +412,7 @@
 // release ends the admission of a stream.
 func (s *service) release(now time.Duration, t *pace.Ticket) {
 	s.mu.Lock()
-	s.notifyAdmitted(s.gate.Release(now, t))
+	s.wake(s.gate.Release(now, t))
 	s.mu.Unlock()
 }
 
