route: large requests may use the reserve of a server's memory

Cause: a request of over four fifths of a server's memory fitted only a server that held nothing, so that under steady load it would never be served (found in review: 81,000 of 100,000 tokens, 1,100 held).

Change: such a request may use the reserve.

--- a/route/route.go
+++ b/route/route.go
@@ -59,7 +59,8 @@
 
 // memoryReserve is the share of a server's memory that is left to requests that other
 // front proxies have sent but not yet reported, and to those that become longer than
-// expected. A request alone may take all the memory.
+// expected. Requests that exceed the rest of the memory by themselves may use it, since
+// a server that holds nothing is rare under load.
 const memoryReserve = 0.2
 
 // Fits reports whether the request fits into the server's memory beside those that it
@@ -68,7 +69,11 @@
 	if c.MemoryTotal <= 0 || c.MemoryHeld == 0 && req.Memory <= c.MemoryTotal {
 		return true
 	}
-	return float64(c.MemoryHeld+req.Memory) <= (1-memoryReserve)*float64(c.MemoryTotal)
+	limit := (1 - memoryReserve) * float64(c.MemoryTotal)
+	if float64(req.Memory) > limit {
+		limit = float64(c.MemoryTotal)
+	}
+	return float64(c.MemoryHeld+req.Memory) <= limit
 }
 
 // Request holds the properties of a request that a Picker may use.
