pace: a group that was slow returns at once to its initial limit

Cause: while one rank is so slow that no stream can be on time, a group's limit falls to its minimum of 4. Gateways that had started meanwhile took all the room, as they begin with the limit of the cost model.

Change: the limit may return at once to the initial one, which holds at the maximum cost of a stream, as far as the present estimate allows.

--- a/pace/capacity.go
+++ b/pace/capacity.go
@@ -46,8 +46,8 @@
 	// down to lateGain * lateHysteresis.
 	lateGain       = 3.0
 	lateHysteresis = 0.8
-	// maxGrowth is the largest relative increase of the limit in one period; one
-	// more stream is allowed on top.
+	// maxGrowth is the largest relative increase of the limit in one period above the
+	// initial limit; one more stream is allowed on top.
 	maxGrowth = 0.06
 )
 
@@ -70,6 +70,7 @@
 	objective time.Duration // longest gap at which a stream is on time
 	model     CostModel
 	limit     float64
+	initial   float64      // limit at the maximum stream cost; a group that was slow may return to it at once
 	base      float64      // current estimate, seconds
 	peakCosts []costSample // decreasing cost, oldest first; the first is the highest within costWindow
 	degraded  bool
@@ -94,6 +95,7 @@
 	c := &CapacityEstimator{objective: objective, model: model, base: model.BaseGap.Seconds(), limit: defaultLimit}
 	if model.MaxStreamCost > 0 {
 		c.limit = max(minStreams, (targetFraction*objective.Seconds()-c.base)/model.MaxStreamCost.Seconds())
+		c.initial = c.limit
 	}
 	return c
 }
@@ -176,7 +178,7 @@
 	if c.degraded {
 		limit = lateStreams
 	}
-	c.limit = max(minStreams, min(limit, c.limit*(1+maxGrowth)+1))
+	c.limit = max(minStreams, min(limit, max(c.limit*(1+maxGrowth)+1, c.initial)))
 }
 
 // degradedGap returns the gap, in seconds, at which a typical stream still ends
--- a/pace/load_test.go
+++ b/pace/load_test.go
@@ -333,6 +333,27 @@
 	require.Greater(t, c.Limit(), 0.9*usual, "after the costs of the slow period left the window")
 }
 
+// A rank that is so slow that no stream can be on time brings the limit to its minimum.
+// Once it is as fast as before, the group is back within two seconds at the limit with which
+// it started, which holds at the maximum stream cost: the callers that come meanwhile
+// find it nearly idle.
+func TestGroupThatWasSlowIsSoonInUse(t *testing.T) {
+	c := NewCapacityEstimator(maxGap, CostModel{BaseGap: basePass, MaxStreamCost: 300 * time.Microsecond, EventsPerStream: events})
+	initial := c.Limit()
+	now := time.Duration(0)
+	run := func(d time.Duration, base, cost time.Duration) {
+		for end := now + d; now < end; now += 50 * time.Millisecond {
+			streams := int(min(c.Limit(), 200))
+			c.Observe(now, base+time.Duration(streams)*cost, streams)
+		}
+	}
+	run(4*time.Second, basePass, 100*time.Microsecond)
+	run(9*time.Second, 500*time.Millisecond, time.Millisecond)
+	require.Equal(t, minStreams, c.Limit())
+	run(2*time.Second, basePass, 100*time.Microsecond)
+	require.GreaterOrEqual(t, c.Limit(), 0.9*initial)
+}
+
 // A closed group admits nothing until it is opened or the closing time has
 // passed. Requests are refused at once in the meantime.
 func TestClosedGroup(t *testing.T) {
