--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,7 +196,11 @@
 	}
 	defer g.inFlight.end()
 	var c *call
-	defer func() { g.callers.Release(c.held) }()
+	defer func() {
+		if c != nil { // nil if validate panics
+			g.callers.Release(c.held)
+		}
+	}()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
