platform, wire: engines state how much slower than usual they work

Cause: an engine's report names the factor by which its work takes longer than usual, and nothing read it. One slow rank slows every pass of its group, whatever requests and experts it has.

Nothing acts on it yet.

--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -251,7 +251,7 @@
 func sameReport(a, b wire.RankReport) bool {
 	return a.Group == b.Group && a.Rank == b.Rank && a.Term == b.Term && a.Seq == b.Seq && a.Epoch == b.Epoch &&
 		a.Open == b.Open && a.Step == b.Step && a.Map == b.Map && a.Prepared == b.Prepared && a.Armed == b.Armed &&
-		a.ArmedAt == b.ArmedAt && a.Held == b.Held && a.Refused == b.Refused && a.Running == b.Running &&
+		a.ArmedAt == b.ArmedAt && a.Held == b.Held && a.Refused == b.Refused && a.Running == b.Running && a.Slowness == b.Slowness &&
 		a.Accepted == b.Accepted && a.Last == b.Last && a.Delegate == b.Delegate && a.DelegateVersion == b.DelegateVersion
 }
 
--- a/remap/rank.go
+++ b/remap/rank.go
@@ -173,7 +173,7 @@
 	return wire.RankReport{
 		Group: e.Group, Rank: e.Rank, Term: r.goal.Term, Seq: r.goal.Seq, Epoch: e.Epoch, Open: e.Open,
 		Step: e.Step, Map: e.Map, Prepared: e.Prepared, Armed: e.Armed, ArmedAt: e.ArmedAt, Held: e.Held,
-		Refused: r.refusedVersion, Running: e.Running, Accepted: e.Accepted, Last: r.lastRank, Delegate: r.delegate, DelegateVersion: r.delegateOrder.version,
+		Refused: r.refusedVersion, Running: e.Running, Slowness: float32(e.Slowness), Accepted: e.Accepted, Last: r.lastRank, Delegate: r.delegate, DelegateVersion: r.delegateOrder.version,
 	}
 }
 
--- a/remap/remap.go
+++ b/remap/remap.go
@@ -75,6 +75,9 @@
 	Busy     bool  // an order is being carried out
 	Running  int   // requests
 	Memory   int   // tokens that the engine can hold; 0 if unknown
+	// Slowness is the factor by which work takes longer than usual at the engine; 1 if it
+	// does not.
+	Slowness float64
 }
 
 // OrderKind is the action that an Order requires of the engine.
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -57,6 +57,9 @@
 	Group string `msg:"g"`
 	Epoch int64  `msg:"e"` // of the group; increases whenever it is formed anew
 	Open  bool   `msg:"o"` // the group runs forward passes
+	// Engine is the address of the rank's engine, host and port; empty if not known.
+	Engine   string  `msg:"a"`
+	Slowness float32 `msg:"s"` // factor by which work takes longer than usual at the engine; 1 if it does not, 0 if not known
 }
 
 // PartReport is the datagram in which a gateway sends evidence against parts of
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -626,6 +626,18 @@
 				err = msgp.WrapError(err, "Open")
 				return
 			}
+		case "a":
+			z.Engine, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Engine")
+				return
+			}
+		case "s":
+			z.Slowness, err = dc.ReadFloat32()
+			if err != nil {
+				err = msgp.WrapError(err, "Slowness")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -638,10 +650,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z GroupState) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *GroupState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "g"
-	err = en.Append(0x83, 0xa1, 0x67)
+	err = en.Append(0x85, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -670,15 +682,35 @@
 		err = msgp.WrapError(err, "Open")
 		return
 	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Engine)
+	if err != nil {
+		err = msgp.WrapError(err, "Engine")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat32(z.Slowness)
+	if err != nil {
+		err = msgp.WrapError(err, "Slowness")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z GroupState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *GroupState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "g"
-	o = append(o, 0x83, 0xa1, 0x67)
+	o = append(o, 0x85, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.Group)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -686,6 +718,12 @@
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendBool(o, z.Open)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Engine)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendFloat32(o, z.Slowness)
 	return
 }
 
@@ -725,6 +763,18 @@
 				err = msgp.WrapError(err, "Open")
 				return
 			}
+		case "a":
+			z.Engine, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Engine")
+				return
+			}
+		case "s":
+			z.Slowness, bts, err = msgp.ReadFloat32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slowness")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -738,8 +788,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z GroupState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+func (z *GroupState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.Float32Size
 	return
 }
 
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -72,6 +72,7 @@
 	Delegate        int      `msg:"u"`  // MapGoal.Delegate of that switch
 	DelegateVersion int64    `msg:"y"`  // map version of the last order that this rebalancer, as delegate, sent to arm the engine of MapGoal.Last; -1 for none
 	Running         int      `msg:"w"`  // requests running at the rank
+	Slowness        float32  `msg:"s"`  // factor by which work takes longer than usual at the rank; 1 if it does not, 0 if not known
 	Demand          []Demand `msg:"d"`  // by layer set, of the passes since the last report; empty for none
 }
 
--- a/wire/remap_gen.go
+++ b/wire/remap_gen.go
@@ -932,6 +932,12 @@
 				err = msgp.WrapError(err, "Running")
 				return
 			}
+		case "s":
+			z.Slowness, err = dc.ReadFloat32()
+			if err != nil {
+				err = msgp.WrapError(err, "Slowness")
+				return
+			}
 		case "d":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -968,9 +974,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RankReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 19
+	// map header, size 20
 	// write "g"
-	err = en.Append(0xde, 0x0, 0x13, 0xa1, 0x67)
+	err = en.Append(0xde, 0x0, 0x14, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -1149,6 +1155,16 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat32(z.Slowness)
+	if err != nil {
+		err = msgp.WrapError(err, "Slowness")
+		return
+	}
 	// write "d"
 	err = en.Append(0xa1, 0x64)
 	if err != nil {
@@ -1172,9 +1188,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 19
+	// map header, size 20
 	// string "g"
-	o = append(o, 0xde, 0x0, 0x13, 0xa1, 0x67)
+	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.Group)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -1227,6 +1243,9 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendInt(o, z.Running)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendFloat32(o, z.Slowness)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
@@ -1366,6 +1385,12 @@
 				err = msgp.WrapError(err, "Running")
 				return
 			}
+		case "s":
+			z.Slowness, bts, err = msgp.ReadFloat32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slowness")
+				return
+			}
 		case "d":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1403,7 +1428,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RankReport) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Group) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
