rebalance: refuse maps that do not fit the shape

Cause: a goal whose map has a set or rank that the group does not have, from a coordinator with another document or a malformed datagram, ends the process: its lists of experts are built without a check. The fake engine of the tests ignored the map, so TestMalformedDatagrams did not see it. Nothing tied the order in which a map is decoded to the lists that the coordinator's own rank builds without decoding.

Change: Shape.Fits; such an order is refused, so that the coordinator gives up the version. The fake engine builds the lists. A test compares the lists of plans before and after encoding.

Measured: TestMapOutsideTheShape panicked with index out of range [65535], passes now. TestEncodedPlanGivesTheSameMap fails if experts are encoded in descending order.

--- a/placement/spread/spread.go
+++ b/placement/spread/spread.go
@@ -31,8 +31,15 @@
 	return s.Sets > 0 && s.Experts > 0 && s.Ranks > 0 && s.Slots*s.Ranks >= s.Experts
 }
 
+// Fits reports whether the sets, experts and ranks of all replicas exist.
+func (s Shape) Fits(replicas []wire.Replica) bool {
+	return !slices.ContainsFunc(replicas, func(r wire.Replica) bool {
+		return int(r.Set) >= s.Sets || int(r.Expert) >= s.Experts || int(r.Rank) >= s.Ranks
+	})
+}
+
 // ExpertsByRank returns the experts that each rank holds, by set and rank: those of
-// the initial map, then the replicas.
+// the initial map, then the replicas, which fit the shape.
 func (s Shape) ExpertsByRank(replicas []wire.Replica) [][][]int {
 	lists := make([][][]int, s.Sets)
 	for set := range lists {
--- a/placement/spread/spread_test.go
+++ b/placement/spread/spread_test.go
@@ -256,3 +256,24 @@
 	}
 	return sets
 }
+
+// The coordinator's own rank gets a plan as it is, the others get it encoded: all must
+// derive the same lists of experts from it.
+func TestEncodedPlanGivesTheSameMap(t *testing.T) {
+	for name, c := range shapes {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(3, 4))
+			var replicas []wire.Replica
+			for range 10 {
+				replicas, _, _ = Improve(c.shape, zipf(c.shape, c.exponent, rnd), replicas, c.limits)
+				require.NotEmpty(t, replicas)
+				data, err := wire.Replicas(replicas).MarshalMsg(nil)
+				require.NoError(t, err)
+				var decoded wire.Replicas
+				_, err = decoded.UnmarshalMsg(data)
+				require.NoError(t, err)
+				require.Equal(t, c.shape.ExpertsByRank(replicas), c.shape.ExpertsByRank(decoded))
+			}
+		})
+	}
+}
--- a/rebalance/malformed_test.go
+++ b/rebalance/malformed_test.go
@@ -15,21 +15,27 @@
 	"marjorampitch/directory"
 	"marjorampitch/platform"
 	"marjorampitch/platform/platformtest"
+	"marjorampitch/remap"
 	"marjorampitch/wire"
 )
 
-// Datagrams that no rank would send do not end the process, and maps still follow demand.
-func TestMalformedDatagrams(t *testing.T) {
+// newMalformedTarget returns the process of rank 0, which is not running.
+func newMalformedTarget(t *testing.T) *Process {
 	st := platformtest.NewStore()
-	defer st.Close()
+	t.Cleanup(st.Close)
 	g := newFakeGroup()
 	logger := log.New(io.Discard)
-	p := New(Options{
+	return New(Options{
 		Instance: "side-0", Address: freeAddress(t), Engine: fakeEngine{g, 0}, EngineAddress: "0",
 		Remote: func(string) Engine { return fakeEngine{g, 0} },
 		Store:  platform.NewStore(st.Address(), logger), Directory: directory.New(platform.NewStore(st.Address(), logger), time.Hour, logger),
 		Log: logger, MapConfig: func() (MapConfig, bool) { return mapConfig, true },
 	})
+}
+
+// Datagrams that no rank would send do not end the process, and maps still follow demand.
+func TestMalformedDatagrams(t *testing.T) {
+	p := newMalformedTarget(t)
 	ctx := context.Background()
 	encode := func(kind byte, m msgp.Marshaler) []byte {
 		data, err := m.MarshalMsg([]byte{kind})
@@ -71,3 +77,21 @@
 		p.handleDatagram(ctx, datagram{data: data})
 	}
 }
+
+// A map with a set, expert or rank that the group does not have is refused, so that its
+// coordinator gives it up.
+func TestMapOutsideTheShape(t *testing.T) {
+	p := newMalformedTarget(t)
+	ctx := context.Background()
+	p.observeEngine(ctx)
+	for i, outside := range []wire.Replica{{Set: math.MaxUint16}, {Expert: math.MaxUint16}, {Rank: math.MaxUint16}} {
+		g := wire.MapGoal{
+			Group: "g", Term: 1, Seq: uint64(i + 1), Epoch: 1, Stage: uint8(remap.Prepare), Version: int64(i + 1), Step: remap.None,
+			Last: 1, Delegate: 2, Replicas: wire.Replicas{outside},
+		}
+		data, err := g.MarshalMsg([]byte{wire.KindMapGoal})
+		require.NoError(t, err)
+		require.NotPanics(t, func() { p.handleDatagram(ctx, datagram{data: data}) }, "%+v", outside)
+		require.Equal(t, g.Version, p.driver.Report().Refused, "%+v", outside)
+	}
+}
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -375,8 +375,13 @@
 // datagrams do not wait long.
 const maxOrdersPerRound = 4
 
-// sendOrder sends an order to the engine of its rank.
+// sendOrder sends an order to the engine of its rank. It refuses a map that does not fit
+// the shape: the coordinator may have a document with other dimensions.
 func (p *Process) sendOrder(ctx context.Context, shape spread.Shape, o remap.Order) remap.Result {
+	if !shape.Fits(o.Replicas) {
+		p.opts.Log.Warn("order-failed", "order", o.Kind, "rank", o.Rank, "version", o.Version, "err", "the map has sets, experts or ranks that the group does not have")
+		return remap.Refused
+	}
 	engine := p.engineOf(o.Rank)
 	if engine == nil {
 		return remap.Unanswered // the directory does not list the engine yet
--- a/rebalance/process_test.go
+++ b/rebalance/process_test.go
@@ -109,7 +109,8 @@
 	return e.g.ranks[e.rank].Step, 1, append([]int64(nil), e.g.counts[e.rank]...), nil
 }
 
-func (e fakeEngine) Order(_ context.Context, _ spread.Shape, o remap.Order) (remap.Result, error) {
+func (e fakeEngine) Order(_ context.Context, shape spread.Shape, o remap.Order) (remap.Result, error) {
+	shape.ExpertsByRank(o.Replicas) // as platform.Engine does
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
 	x := &e.g.ranks[e.rank]
