wire: no replicas are encoded as an empty list, as before

Cause: instances are upgraded a few at a time. With replicas packed into bytes, the other build decodes no goal at all, not even one without a map: it takes the coordinator of another build for dead and claims the group.

Change: no replicas are an empty list again, encoded and decoded. A goal with a map is refused by the other build, so that its switch is given up after the time limit.

--- a/wire/replicas.go
+++ b/wire/replicas.go
@@ -22,7 +22,9 @@
 //
 // A set is encoded as its distance from the one before it, the number of ranks up to
 // the last one with a replica, the bytes of an expert (1 or 2), for each rank as many
-// 1 bits as it has replicas and a 0 bit, padded to a byte, and the experts.
+// 1 bits as it has replicas and a 0 bit, padded to a byte, and the experts. No replicas
+// are encoded as an empty list, which builds that encode replicas as a list decode, too:
+// while a group runs both, goals without a map are understood by all its ranks.
 type Replicas []Replica
 
 // compare orders replicas by set, rank and expert.
@@ -129,11 +131,21 @@
 
 // MarshalMsg implements msgp.Marshaler.
 func (l Replicas) MarshalMsg(b []byte) ([]byte, error) {
+	if len(l) == 0 {
+		return msgp.AppendArrayHeader(b, 0), nil
+	}
 	return msgp.AppendBytes(b, l.appendPacked(nil)), nil
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler.
 func (l *Replicas) UnmarshalMsg(b []byte) (rest []byte, err error) {
+	if msgp.NextType(b) == msgp.ArrayType {
+		n, rest, err := msgp.ReadArrayHeaderBytes(b)
+		if err != nil {
+			return b, err
+		}
+		return rest, l.setList(n)
+	}
 	packed, rest, err := msgp.ReadBytesZC(b)
 	if err != nil {
 		return b, err
@@ -142,11 +154,36 @@
 	return rest, err
 }
 
+// setList sets l to a list of n elements, of which only the empty one is decoded.
+func (l *Replicas) setList(n uint32) error {
+	if n > 0 {
+		return eris.Wrap(ErrReplicas, "list")
+	}
+	*l = nil
+	return nil
+}
+
 // EncodeMsg implements msgp.Encodable.
-func (l Replicas) EncodeMsg(w *msgp.Writer) error { return w.WriteBytes(l.appendPacked(nil)) }
+func (l Replicas) EncodeMsg(w *msgp.Writer) error {
+	if len(l) == 0 {
+		return w.WriteArrayHeader(0)
+	}
+	return w.WriteBytes(l.appendPacked(nil))
+}
 
 // DecodeMsg implements msgp.Decodable.
 func (l *Replicas) DecodeMsg(r *msgp.Reader) error {
+	kind, err := r.NextType()
+	if err != nil {
+		return err
+	}
+	if kind == msgp.ArrayType {
+		n, err := r.ReadArrayHeader()
+		if err != nil {
+			return err
+		}
+		return l.setList(n)
+	}
 	packed, err := r.ReadBytes(nil)
 	if err != nil {
 		return err
--- a/wire/replicas_test.go
+++ b/wire/replicas_test.go
@@ -49,6 +49,30 @@
 	require.Equal(t, Replicas{{Set: 0, Expert: 3, Rank: 1}, {Set: 0, Expert: 5, Rank: 1}, {Set: 0, Expert: 3, Rank: 7}, {Set: 1, Expert: 0, Rank: 0}}, out)
 }
 
+// Goals without a map are most goals, and the signs that a coordinator is alive. A build
+// that encodes maps as lists decodes them, and its own are decoded here.
+func TestNoReplicasAreAnEmptyList(t *testing.T) {
+	list := msgp.AppendArrayHeader(nil, 0)
+	data, err := Replicas(nil).MarshalMsg(nil)
+	require.NoError(t, err)
+	require.Equal(t, list, data)
+	var buf bytes.Buffer
+	require.NoError(t, msgp.Encode(&buf, Replicas{}))
+	require.Equal(t, list, buf.Bytes())
+
+	out := Replicas{{Set: 1}}
+	rest, err := out.UnmarshalMsg(append(list, 7))
+	require.NoError(t, err)
+	require.Equal(t, []byte{7}, rest)
+	require.Empty(t, out)
+	require.NoError(t, msgp.Decode(bytes.NewReader(list), &out))
+
+	list = msgp.AppendArrayHeader(nil, 1)
+	_, err = out.UnmarshalMsg(list)
+	require.ErrorIs(t, err, ErrReplicas)
+	require.ErrorIs(t, msgp.Decode(bytes.NewReader(list), &out), ErrReplicas)
+}
+
 // A full map of 72 ranks and 12 sets reaches all ranks in an eighth of a second over
 // 8 Mbit/s, of which maps may take seven tenths.
 func TestFullMapIsSmall(t *testing.T) {
