wire: test replicas at the bounds of sets, ranks, experts and their number

Cause: the drawn lists have at most 40 replicas, and none that lies on a bound for sure.

Change: a table of bounds, one replica more than is decoded, a set after the last one, a set twice.

Measured: passes without a change of the code.

--- a/wire/replicas_test.go
+++ b/wire/replicas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"slices"
 	"testing"
 
@@ -86,6 +87,30 @@
 	require.LessOrEqual(t, float64(72*len(list.appendPacked(nil)))/bytesPerSecond, 0.125)
 }
 
+func TestReplicasAtBounds(t *testing.T) {
+	full := make(Replicas, maxReplicas)
+	for name, list := range map[string]Replicas{
+		"highest":        {{Set: math.MaxUint16, Expert: math.MaxUint16, Rank: math.MaxUint16}},
+		"lowest":         {{}},
+		"same twice":     {{Rank: 3}, {Rank: 3}},
+		"one byte":       {{Expert: 254}, {Expert: 255}},
+		"two bytes":      {{Expert: 255}, {Expert: 256}},
+		"first and last": {{}, {Rank: math.MaxUint16}, {Set: math.MaxUint16}},
+		"as many as may": full,
+	} {
+		out, err := unpackReplicas(list.appendPacked(nil))
+		require.NoError(t, err, name)
+		require.Equal(t, list, out, name)
+	}
+	_, err := unpackReplicas(append(full, Replica{}).appendPacked(nil))
+	require.ErrorIs(t, err, ErrReplicas)
+	_, err = unpackReplicas([]byte{0xff, 0xff, 0x03, 0, 1, 1, 0, 1}) // set 65535, then the next one
+	require.ErrorIs(t, err, ErrReplicas)
+	out, err := unpackReplicas([]byte{0, 1, 1, 1, 7, 0, 1, 1, 1, 8}) // set 0 twice
+	require.NoError(t, err)
+	require.Equal(t, Replicas{{Expert: 7}, {Expert: 8}}, out)
+}
+
 func TestMalformedReplicas(t *testing.T) {
 	sound := Replicas{{Set: 2, Expert: 300, Rank: 9}, {Set: 3, Expert: 4, Rank: 2}}.appendPacked(nil)
 	for n := 1; n < len(sound); n++ {
