cli: check reviews a configuration before it is sent

Cause: operators asked for a check of errors, entries that can never match, limits that contradict each other, and differences from the version in force. 'config check' reports errors of the own format only, 'config diff' compares text.

Exit code 8: findings without an error.

--- a/fleet/document.go
+++ b/fleet/document.go
@@ -146,6 +146,9 @@
 	return nil
 }
 
+// MatchesHost reports whether requests with this Host header may match the route.
+func (r *Route) MatchesHost(host string) bool { return r.Host == hostname(host) }
+
 // hostname strips the port from a Host header.
 func hostname(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 		newGatewayCommand(),
 		newRebalancerCommand(),
 		newPolicyCommand(o),
+		newReviewCommand(o),
 		newConfigCommand(o),
 		newDrainCommand(o),
 		newRestoreCommand(o),
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -18,6 +18,7 @@
 	ExitUnknown  ExitCode = 5 // the outcome of the change is unknown; "config resolve" determines it
 	ExitDiffers  ExitCode = 6 // "config diff" found differences, or the document is not in force in every process ("config status", --wait)
 	ExitUnsafe   ExitCode = 7 // refused without --force: a pool would have no backend server that accepts new work
+	ExitFindings ExitCode = 8 // "check" found entries without effect or contradictions
 )
 
 // exitError is an error with the exit code that the command ends with.
