lint: a route without a timeout is sound

Cause: the review reports a timeout of 0, which is also that of a route that states none, as an error with which no request can be served. Gateways take the caller's time or 30 s (setDeadline).

Change: no finding.

--- a/lint/fleet.go
+++ b/lint/fleet.go
@@ -95,9 +95,6 @@
 			r.found.add(Invalid, entry, "the %s is negative", t.name)
 		}
 	}
-	if route.Timeout == 0 {
-		r.found.add(Invalid, entry, "the timeout is 0, so that no request can be served")
-	}
 	if route.Timeout > 0 && route.TargetLatency >= route.Timeout {
 		r.found.add(Contradiction, entry, "the latency objective %s is not below the timeout %s", route.TargetLatency, route.Timeout)
 	}
