lint: an engine without a prefill rate is sound

Cause: the review reports an error. The cost model takes a rate of 0 for one that is not stated, and counts no time for prompts (cost.Model.Reading, costModel).

Change: only a negative rate is an error.

Measured: the new test failed before, passes now.

--- a/lint/fleet.go
+++ b/lint/fleet.go
@@ -143,8 +143,8 @@
 
 func (r *fleetReview) checkEngine(entry string, s *fleet.Service) {
 	e := s.Engine
-	if e.Slots <= 0 || e.Step < 0 || e.PerSequence < 0 || e.PerContext < 0 || !(e.PrefillRate > 0) {
-		r.found.add(Invalid, entry, "the engine's slots and prefill rate must be positive, its times not negative")
+	if e.Slots <= 0 || e.Step < 0 || e.PerSequence < 0 || e.PerContext < 0 || !(e.PrefillRate >= 0) {
+		r.found.add(Invalid, entry, "the engine's slots must be positive, its prefill rate and times not negative")
 	}
 	if s.MaxConns > 0 && s.MaxConns < e.Slots {
 		r.found.add(Contradiction, entry, "a backend server runs %d requests at once, but accepts %d connections", e.Slots, s.MaxConns)
