lint: a route without a prefix is an error, not unreachable

Cause: the review reports that an empty prefix matches no path. It matches all of them (fleet.Document.Match).

Change: it is an error of its own.

Measured: the new test failed before, passes now.

--- a/lint/fleet.go
+++ b/lint/fleet.go
@@ -52,6 +52,8 @@
 		r.found.add(Unreachable, entry, "host %q has a port, and requests are matched without it", route.Host)
 	}
 	switch {
+	case route.Prefix == "": // matches all paths
+		r.found.add(Invalid, entry, "it has no prefix")
 	case !strings.HasPrefix(route.Prefix, "/"):
 		r.found.add(Unreachable, entry, "prefix %q does not begin with a slash, as every path does", route.Prefix)
 	case !strings.HasSuffix(route.Prefix, "/"):
--- a/lint/lint_test.go
+++ b/lint/lint_test.go
@@ -109,6 +109,7 @@
 		"host with a port":         {func(d *fleet.Document) { d.Routes[0].Host = "a.example:80" }, []string{`unreachable: route chat: host "a.example:80" has a port, and requests are matched without it`}},
 		"no host":                  {func(d *fleet.Document) { d.Routes[0].Host = "" }, []string{"unreachable: route chat: it names no host"}},
 		"prefix without slash":     {func(d *fleet.Document) { d.Routes[0].Prefix = "chat/" }, []string{`unreachable: route chat: prefix "chat/" does not begin with a slash, as every path does`}},
+		"no prefix":                {func(d *fleet.Document) { d.Routes[1].Prefix = "" }, []string{"invalid: route book: it has no prefix"}},
 		"prefix with a query":      {func(d *fleet.Document) { d.Routes[0].Prefix = "/chat?a=/" }, []string{`unreachable: route chat: prefix "/chat?a=/" has characters that no path has`}},
 		"prefix not ended":         {func(d *fleet.Document) { d.Routes[0].Prefix = "/chat" }, []string{`invalid: route chat: prefix "/chat" does not end with a slash`}},
 		"unknown service":          {func(d *fleet.Document) { d.Routes[1].Split[0].Service = "bookings" }, []string{`invalid: route book: service "bookings" is not described`, "unreachable: service booking: no route sends requests to it"}},
