lint: a service of a split with wrong weights is not unreachable

Cause: beside the error of the weights, the review reports that no route sends requests to the service. Gateways send all of them to the last service of such a split (pickService).

Change: the services of a split whose weights have no positive sum count as used.

--- a/lint/fleet.go
+++ b/lint/fleet.go
@@ -65,7 +65,6 @@
 
 // checkSplit checks the services that the route sends requests to.
 func (r *fleetReview) checkSplit(entry string, route *fleet.Route) {
-	total := 0.0
 	for _, s := range route.Split {
 		if r.d.Services[s.Service] == nil {
 			r.found.add(Invalid, entry, "service %q is not described", s.Service)
@@ -74,8 +73,8 @@
 			r.found.add(Invalid, entry, "weight %v of service %q is not a positive number", s.Weight, s.Service)
 			return
 		}
-		total += s.Weight
 	}
+	total := totalWeight(route)
 	for _, s := range route.Split {
 		switch {
 		case total == 0:
@@ -87,6 +86,15 @@
 	}
 }
 
+// totalWeight returns the sum of the weights of a split.
+func totalWeight(route *fleet.Route) float64 {
+	total := 0.0
+	for _, s := range route.Split {
+		total += s.Weight
+	}
+	return total
+}
+
 // checkTimes checks the time limits of the route and what may be repeated.
 func (r *fleetReview) checkTimes(entry string, route *fleet.Route) {
 	for _, t := range []struct {
@@ -120,8 +128,9 @@
 func (r *fleetReview) checkServices() {
 	used := make(map[string]bool)
 	for i := range r.d.Routes {
+		sound := totalWeight(&r.d.Routes[i]) > 0
 		for _, s := range r.d.Routes[i].Split {
-			used[s.Service] = used[s.Service] || s.Weight > 0
+			used[s.Service] = used[s.Service] || s.Weight > 0 || !sound // gateways send requests, whatever the weights
 		}
 	}
 	services := make([]*fleet.Service, 0, len(r.d.Services))
