--- a/lint/document.go
+++ b/lint/document.go
@@ -77,7 +77,4 @@
 	case routing.Mode == config.ModeShare && routing.Share <= 0:
 		r.found.add(Unreachable, "routing", "candidate %s gets a share of 0", routing.Candidate)
 	}
-	if routing.Candidate == routing.Policy {
-		r.found.add(Contradiction, "routing", "candidate and policy are both %s", routing.Policy)
-	}
 }
--- a/lint/fleet.go
+++ b/lint/fleet.go
@@ -105,11 +105,11 @@
 			r.found.add(Invalid, entry, "the %s is negative", t.name)
 		}
 	}
-	if route.Timeout > 0 && route.TargetLatency >= route.Timeout {
-		r.found.add(Contradiction, entry, "the latency objective %s is not below the timeout %s", route.TargetLatency, route.Timeout)
+	if route.Timeout > 0 && route.TargetLatency > route.Timeout {
+		r.found.add(Contradiction, entry, "the latency objective %s exceeds the timeout %s", route.TargetLatency, route.Timeout)
 	}
-	if route.Timeout > 0 && route.TargetGap >= route.Timeout {
-		r.found.add(Contradiction, entry, "the objective for gaps %s is not below the timeout %s", route.TargetGap, route.Timeout)
+	if route.Timeout > 0 && route.TargetGap > route.Timeout {
+		r.found.add(Contradiction, entry, "the objective for gaps %s exceeds the timeout %s", route.TargetGap, route.Timeout)
 	}
 	if route.Kind != fleet.Stream && route.TargetGap > 0 {
 		r.found.add(Unreachable, entry, "the objective for gaps has no effect, as responses are no streams")
