gateway: a silent attempt goes on until the response to the next one has begun

Cause: silence ended the attempt, and what came of the next one was not known then.

Change: on silence, before the response or in the stream, the next attempt is made beside the silent one (gateway/replace.go). The silent one ends once the response to the next has begun. If that one fails, the silent one goes on; if the silent one has a whole event, or its head, first, the other is reset. A replacement that is silent is replaced in the same way. If the silent attempt breaks, the request waits for the replacement instead of sending anew. All are reset when the caller leaves or its deadline passes. Each replacement takes one retry from the budget and counts as an attempt once a server may have run it, as before. backend.OnSilent gets a function that has the silence judged again, so that the reading goroutine learns of the outcome.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -59,6 +60,11 @@
 	return errors.Is(err, ErrDial) && errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// OnSilent judges the silence of a server and reports whether to end the exchange. recheck
+// has it called again at once if the server is still silent. It may be called by any
+// goroutine, and has no effect after the exchange.
+type OnSilent func(recheck func()) bool
+
 // Request is a request to a backend server.
 type Request struct {
 	Method     string
@@ -73,7 +79,7 @@
 	NoReuse  bool // use a new connection, for a request that must not be repeated if a reused one fails
 
 	Silence  time.Duration // see Response.WatchSilence; applies to the head of the response
-	OnSilent func() bool   // nil for no watch
+	OnSilent OnSilent      // nil for no watch
 }
 
 // Sending of long bodies.
@@ -102,10 +108,14 @@
 	conn     *net.TCPConn
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
-	onSilent func() bool // nil for no watch
+	onSilent OnSilent    // nil for no watch
 	headLeft int         // bytes that may still be read while a head is read; unlimited if negative
 	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
 	sending  atomic.Bool // a long body is being sent; the server need not answer yet
+
+	mu         sync.Mutex // guards the fields below, and the read deadline while recheckDue may change
+	recheckDue bool
+	ended      bool // the connection may serve another exchange
 }
 
 // Read implements io.Reader. Silence is judged between reads, so that neither a read
@@ -133,25 +143,67 @@
 			}
 			deadline = r.judgeAt
 		}
-		if err := r.conn.SetReadDeadline(deadline); err != nil {
+		if err := r.setReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
 		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
+		if !r.takeRecheck() {
+			r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
+		}
 		if r.sending.Load() {
 			r.judgeAt = time.Time{}
 			continue
 		}
 		// A deadline also passes while this process is paused.
-		if r.waiting() && r.onSilent() && r.waiting() {
+		if r.waiting() && r.onSilent(r.recheck) && r.waiting() {
 			return 0, ErrSilent
 		}
 	}
 }
 
+// setReadDeadline sets the deadline of the next read, which is over if a recheck is due.
+func (r *exchangeReader) setReadDeadline(deadline time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.recheckDue && r.onSilent != nil {
+		deadline = longAgo
+	}
+	return r.conn.SetReadDeadline(deadline)
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// recheck ends the present read, or the next one, for the silence to be judged.
+func (r *exchangeReader) recheck() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.recheckDue = true
+	r.conn.SetReadDeadline(longAgo) //nolint:errcheck // fails on a closed connection, which is no longer read
+}
+
+// takeRecheck reports whether a recheck is due, and clears it.
+func (r *exchangeReader) takeRecheck() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := r.recheckDue
+	r.recheckDue = false
+	return due
+}
+
+// end records that the connection may serve another exchange.
+func (r *exchangeReader) end() {
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
+}
+
 // waiting reports whether the connection is open and no data has arrived.
 func (r *exchangeReader) waiting() bool {
 	if err := r.conn.SetReadDeadline(time.Time{}); err != nil { // CanReuse fails after a deadline
@@ -291,6 +343,7 @@
 // where the rest of a body is due, no other bytes may follow.
 func (r *Response) Finish() {
 	stopped := r.stop()
+	r.reader.end()
 	if !r.allSent() {
 		r.conn.reset()
 		return
@@ -320,14 +373,17 @@
 // then silenceRechecks times as often. Data alone is no progress: see Progress.
 // If it returns true and no data has arrived meanwhile, the read fails with ErrSilent.
 // It is called by the reading goroutine.
-func (r *Response) WatchSilence(silence time.Duration, onSilent func() bool) {
+func (r *Response) WatchSilence(silence time.Duration, onSilent OnSilent) {
 	r.reader.silence, r.reader.onSilent = silence, onSilent
 	r.Progress()
 }
 
 // Progress records that what has been read makes sense to its reader, such as a whole
 // event: a silence begins with the next read.
-func (r *Response) Progress() { r.reader.judgeAt = time.Time{} }
+func (r *Response) Progress() {
+	r.reader.takeRecheck()
+	r.reader.judgeAt = time.Time{}
+}
 
 // Delimited reports whether the body has a length or is chunked. Otherwise it ends
 // with its connection.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"marjorampitch/api"
@@ -35,16 +34,15 @@
 	features      crashFeatures // by which crashes are attributed
 	cost          requestCost
 
-	tried        []string // ids of servers that were sent the request or could not be reached
-	sentAttempts int      // attempts that had a connection; the request may have reached the server
-	attempts     int      // attempts that a server may have executed
-	mayHaveRun   bool     // a server may have executed the request
-	brokenOff    bool     // a server closed the connection before it had begun an answer
-	headSent     bool     // the response head was sent to the caller
-	// retryReserved means that the next attempt has been taken from the retry budget.
-	retryReserved atomic.Bool
-	noAttempt     string // why no further attempt was made; empty if one was not needed
-	lastEventID   int64  // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
+	tried        []string     // ids of servers that were sent the request or could not be reached
+	sentAttempts int          // attempts that had a connection; the request may have reached the server
+	attempts     int          // attempts that a server may have executed
+	mayHaveRun   bool         // a server may have executed the request
+	brokenOff    bool         // a server closed the connection before it had begun an answer
+	headSent     bool         // the response head was sent to the caller
+	replacements replacements // attempts made while an earlier one is silent
+	noAttempt    string       // why no further attempt was made; empty if one was not needed
+	lastEventID  int64        // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
 }
 
 // group returns the rank group that the request was admitted to; empty for none.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -19,8 +19,8 @@
 // Limits of forwarding.
 const (
 	// maxServerAttempts bounds the attempts of one call of forward, including those
-	// that fail to connect. A stream that queues for admission again starts anew; an
-	// attempt for which a silent one was ended is made in any case.
+	// that fail to connect, and separately those that are to replace silent ones. A
+	// stream that queues for admission again starts anew.
 	maxServerAttempts = 4
 	// firstAttemptShare is the fraction of the remaining time that the first
 	// attempt of a plain request gets when another attempt may follow.
@@ -114,46 +114,30 @@
 	if c.sentAttempts == 0 {
 		c.service.depositRetry()
 	}
+	c.replacements.reset()
+	defer g.dropReplacements(c)
 	var last *api.Error
-	for n := 0; n < maxServerAttempts || c.retryReserved.Load(); n++ {
-		if c.attempts >= c.route.MaxAttempts {
-			c.noAttempt = "attempts used up"
-			break
-		}
-		if c.sentAttempts > 0 && !c.retryReserved.Swap(false) && !c.service.takeRetry() {
-			c.noAttempt = "no retry budget"
-			break
-		}
-		view := g.opts.Cache.View() // may have changed since the request arrived
-		guarded := !c.headSent      // a stream that goes on has had an answer
-		if guarded {
-			if refusal := g.crashes.begin(c, view, g.now()); refusal != nil {
+	for n := 0; n < maxServerAttempts || c.replacements.pending(); n++ {
+		var done bool
+		var failure *api.Error
+		if c.replacements.pending() {
+			done, failure = g.adoptReplacement(c)
+		} else {
+			var refusal *api.Error
+			done, failure, refusal = g.nextAttempt(ctx, c, last)
+			if failure == nil && !done {
 				last = refusal
 				break
 			}
 		}
-		members := view.Services[c.service.name]
-		m := c.service.pickByCost(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost)
-		if m == nil {
-			c.noAttempt = "no server"
-			last = g.noServer(c, members, last)
-			if guarded {
-				g.crashes.end(c)
-			}
-			break
-		}
-		if c.headSent {
-			g.metrics.resumes.Inc()
-		}
-		done, failure := g.attempt(ctx, c, m)
-		g.recordCost(c, done)
-		if guarded {
-			g.crashes.end(c)
-		}
 		if done {
 			return true
 		}
 		last = failure
+		if c.replacements.pending() && !g.expired(ctx, c) {
+			continue
+		}
+		g.dropReplacements(c)
 		if failure.Code == api.GroupStalled && !c.mayHaveRun {
 			return false
 		}
@@ -169,6 +153,38 @@
 	return true
 }
 
+// nextAttempt sends the request to one more server. If no attempt was made, failure is nil
+// and refusal, which may be nil, says why; last is the failure of the attempt before.
+func (g *Gateway) nextAttempt(ctx context.Context, c *call, last *api.Error) (done bool, failure, refusal *api.Error) {
+	if c.attempts >= c.route.MaxAttempts {
+		c.noAttempt = "attempts used up"
+		return false, nil, last
+	}
+	if c.sentAttempts > 0 && !c.service.takeRetry() {
+		c.noAttempt = "no retry budget"
+		return false, nil, last
+	}
+	view := g.opts.Cache.View() // may have changed since the request arrived
+	if !c.headSent {            // a stream that goes on has had an answer
+		if refusal := g.crashes.begin(c, view, g.now()); refusal != nil {
+			return false, nil, refusal
+		}
+		defer g.crashes.end(c)
+	}
+	members := view.Services[c.service.name]
+	m := c.service.pickByCost(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost)
+	if m == nil {
+		c.noAttempt = "no server"
+		return false, nil, g.noServer(c, members, last)
+	}
+	if c.headSent {
+		g.metrics.resumes.Inc()
+	}
+	done, failure = g.attempt(ctx, c, m)
+	g.recordCost(c, done)
+	return done, failure, nil
+}
+
 // noServer returns the refusal of a request for which no server is left. last is the
 // failure of its last attempt; nil for none.
 func (g *Gateway) noServer(c *call, members []*fleet.Member, last *api.Error) *api.Error {
@@ -250,6 +266,15 @@
 	request := g.request(c, m)
 	g.watchFirstResponse(c, m, request)
 	resp, err := g.pool.Do(ctx, m.Address, request)
+	if failure := g.settle(ctx, c, m, resp, err, began); failure != nil {
+		return false, failure
+	}
+	return g.forwardAnswer(ctx, c, m, resp, began)
+}
+
+// settle records what became of an attempt up to the head of its response. It returns nil
+// if the response is the answer to the request.
+func (g *Gateway) settle(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, err error, sent time.Duration) *api.Error {
 	if errors.Is(err, backend.ErrDial) {
 		if c.r.Context().Err() != nil {
 			c.service.attemptEnded(m, g.now(), severityNone)
@@ -259,30 +284,33 @@
 		if backend.Refused(err) {
 			g.crashes.serverDown(m.ID, "refused", g.now())
 		}
-		return false, api.NewError(api.Unreachable, m.ID)
+		return api.NewError(api.Unreachable, m.ID)
 	}
 	c.sentAttempts++
 	if c.sentAttempts > 1 {
 		g.metrics.retries.Inc()
 	}
-	if err == nil {
-		g.statements.observe(m, resp.Response, g.now())
-	}
 	if err != nil {
 		c.mayHaveRun = true
 		c.attempts++
-		g.attemptFailed(ctx, c, m, began, err)
-		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
+		g.attemptFailed(ctx, c, m, sent, err)
+		return &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 	}
+	g.statements.observe(m, resp.Response, g.now())
 	if g.notExecuted(resp) {
-		return false, g.handleNotExecuted(c, m, resp)
+		return g.handleNotExecuted(c, m, resp)
 	}
 	c.mayHaveRun = true
 	c.attempts++
+	return nil
+}
+
+// forwardAnswer forwards the response to an attempt for which settle returned nil.
+func (g *Gateway) forwardAnswer(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
 	if isStream(resp.Response) && resp.StatusCode == http.StatusOK {
-		return g.forwardStream(ctx, c, m, resp, began)
+		return g.forwardStream(ctx, c, m, resp, sent)
 	}
-	return g.forwardResponse(ctx, c, m, resp, began)
+	return g.forwardResponse(ctx, c, m, resp, sent)
 }
 
 // attemptFailed records an attempt without a complete response. If the caller
@@ -430,6 +458,7 @@
 	if c.headSent { // not the continuation of the stream that has begun
 		return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID}
 	}
+	g.dropReplacements(c)
 	g.copyHeader(c, resp.Response)
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,55 +14,48 @@
 
 // Limits of streams.
 const (
-	// silenceTimeout is the time without a whole event after which a stream's connection is
-	// aborted if its group is active.
+	// silenceTimeout is the time without a whole event after which a stream is sent to
+	// another server if its group is active.
 	silenceTimeout = 700 * time.Millisecond
-	// firstResponseTimeoutFactor is the time without a response after which an attempt
-	// is ended if its group is active, as a multiple of the latency objective.
+	// firstResponseTimeoutFactor is the time without a response after which a request is
+	// sent to another server if its group is active, as a multiple of the latency objective.
 	// Callers disconnect after four times the objective.
 	firstResponseTimeoutFactor = 2
 )
 
-// watchFirstResponse ends an attempt that has had no response for a while
+// watchFirstResponse has an attempt replaced that has had no response for a while
 // although its group is active, for example because the rank's instance is
 // frozen: another rank may answer before the caller disconnects. An attempt that no
 // other can follow goes on.
 func (g *Gateway) watchFirstResponse(c *call, m *fleet.Member, r *backend.Request) {
-	if c.ticket == nil || !c.route.Retryable() || c.attempts+1 >= c.route.MaxAttempts || c.route.TargetLatency <= 0 {
+	limit := g.firstResponseTimeout(c)
+	if !c.route.Retryable() || c.attempts+1 >= c.route.MaxAttempts || limit <= 0 {
 		return
 	}
-	r.Silence = firstResponseTimeoutFactor * c.route.TargetLatency
-	r.OnSilent = func() bool { return g.endSilent(c, m, r.Silence) }
-}
-
-// watchStream ends the attempt when its connection is silent while its group is active
-// and another attempt can follow. It is called once the attempt has been counted.
-func (g *Gateway) watchStream(c *call, m *fleet.Member, resp *backend.Response) {
-	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
-		return
+	r.Silence = limit
+	r.OnSilent = func(recheck func()) bool {
+		return g.replaceSilent(c, silentAttempt{m, limit, 1, recheck})
 	}
-	resp.WatchSilence(silenceTimeout, func() bool { return g.endSilent(c, m, silenceTimeout) })
 }
 
-// endSilent reports whether to end an attempt whose server has been silent for d: its
-// group was active all that time, and the next attempt has been reserved. A group that
-// was held meanwhile explains the silence.
-func (g *Gateway) endSilent(c *call, m *fleet.Member, d time.Duration) bool {
-	return c.service.activeFor(m.ID, d, g.now()) && g.reserveAttempt(c, c.group(), c.tried)
+// firstResponseTimeout returns the time without a response after which a request is sent to
+// another server if the group is active; 0 for never.
+func (g *Gateway) firstResponseTimeout(c *call) time.Duration {
+	if c.ticket == nil {
+		return 0
+	}
+	return max(firstResponseTimeoutFactor*c.route.TargetLatency, 0)
 }
 
-// reserveAttempt takes a retry from the budget for the request's next attempt, if a
-// server other than those tried can take it. It reports whether it did.
-func (g *Gateway) reserveAttempt(c *call, group string, tried []string) bool {
-	members := g.opts.Cache.View().Services[c.service.name]
-	if !c.service.hasCandidate(members, group, tried, g.now(), g.coldPolicy(c), &c.cost) {
-		return false
-	}
-	if !c.retryReserved.Load() && !c.service.takeRetry() {
-		return false
+// watchStream has the attempt replaced when its connection is silent while its group is
+// active and another attempt can follow. It is called once the attempt has been counted.
+func (g *Gateway) watchStream(c *call, m *fleet.Member, resp *backend.Response) {
+	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
+		return
 	}
-	c.retryReserved.Store(true)
-	return true
+	resp.WatchSilence(silenceTimeout, func(recheck func()) bool {
+		return g.replaceSilent(c, silentAttempt{m, silenceTimeout, 0, recheck})
+	})
 }
 
 // forwardStream forwards the events of a stream as they arrive. done means that
@@ -73,11 +66,13 @@
 		g.attemptFailed(ctx, c, m, sent, errors.New("stream response is content-encoded or has no seal header"))
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID}
 	}
+	g.dropReplacements(c)
 	n, err := g.copyEvents(c, m, resp, sent)
 	if err == io.EOF && n == 0 && !resp.Delimited() {
 		err = io.ErrUnexpectedEOF // its end cannot be told from a broken connection
 	}
 	if err == io.EOF {
+		g.dropReplacements(c)
 		resp.Finish()
 		c.service.attemptEnded(m, g.now(), severityNone)
 		if !c.headSent { // no event arrived
@@ -107,6 +102,7 @@
 		now := g.now()
 		if hasEvent(chunk) {
 			n++
+			g.dropReplacements(c)
 			resp.Progress()
 			if previous < 0 {
 				g.started(c, m, now)
