backend: a long body is underway until the server has acknowledged it

A request with a body of 4 MiB went on at another server after 0.6 s, though its server had not read the body yet (TestServerThatReadsSlowlyGetsWholeBody, under load).

Cause: the body counted as sent once the kernel had taken it. The kernel holds up to 4 MiB (tcp_wmem), so a server whose window is shut counted as silent.

Change: a long body is underway as long as its socket has bytes that are not acknowledged (sockopt.Sending, from TCP_INFO). A server that does not acknowledge even what is sent again is judged as before, so that one that cannot be reached does not hold its request for slowReaderTimeout.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -111,7 +111,8 @@
 	onSilent OnSilent    // nil for no watch
 	headLeft int         // bytes that may still be read while a head is read; unlimited if negative
 	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
-	sending  atomic.Bool // a long body is being sent; the server need not answer yet
+	long     bool        // the request has a long body
+	writing  atomic.Bool // the long body is being passed to the kernel
 
 	mu         sync.Mutex // guards the fields below, and the read deadline while recheckDue may change
 	recheckDue bool
@@ -153,7 +154,7 @@
 		if !r.takeRecheck() {
 			r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
 		}
-		if r.sending.Load() {
+		if r.sending() {
 			r.judgeAt = time.Time{}
 			continue
 		}
@@ -164,6 +165,11 @@
 	}
 }
 
+// sending reports whether a long body is underway, so that the server need not answer yet.
+func (r *exchangeReader) sending() bool {
+	return r.long && (r.writing.Load() || sockopt.Sending(r.conn))
+}
+
 // setReadDeadline sets the deadline of the next read, which is over if a recheck is due.
 func (r *exchangeReader) setReadDeadline(deadline time.Time) error {
 	r.mu.Lock()
@@ -266,10 +272,11 @@
 		return nil, err
 	}
 	result := make(chan error, 1)
-	reader.sending.Store(true)
+	reader.long = true
+	reader.writing.Store(true)
 	go func() {
 		_, err := c.Write(r.Body)
-		reader.sending.Store(false)
+		reader.writing.Store(false)
 		result <- err
 	}()
 	return result, nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -115,6 +115,11 @@
 func (tg *testGateway) server(handle func(c *conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tg.t, err)
+	return tg.serverOn(ln, handle)
+}
+
+// serverOn is server with a listener of the test's.
+func (tg *testGateway) serverOn(ln net.Listener, handle func(c *conn)) string {
 	tg.t.Cleanup(func() { ln.Close() })
 	tg.servers++
 	id := fmt.Sprint("i-", tg.servers)
--- a/gateway/slow_body_test.go
+++ b/gateway/slow_body_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,6 +79,37 @@
 	}
 }
 
+// The kernel takes the whole body at once, but the server has not got it while its window is
+// shut: that is no silence of the server.
+func TestServerThatReadsSlowlyGetsBodyThatKernelHolds(t *testing.T) {
+	t.Parallel()
+	tg := newTestGateway(t)
+	tg.setRoutes(func(r *fleet.Route) { r.TargetLatency, r.MaxAttempts = 300*time.Millisecond, 3 })
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	ln, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var got atomic.Int64
+	slow := tg.serverOn(ln, func(c *conn) {
+		r := c.head()
+		time.Sleep(2500 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, r.Body)
+		got.Store(n)
+		c.write(answer(r, http.StatusOK, "answer"))
+	})
+	var others atomic.Int64
+	other := tg.server(func(c *conn) { others.Add(1); serve("other")(c) })
+	tg.preferInOrder(slow, other)
+	tg.keepActive()
+	body := longBody[:256<<10]
+	status, answer := tg.post("/stream/", body)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "answer", answer)
+	require.EqualValues(t, len(body), got.Load())
+	require.Zero(t, others.Load(), "the request was sent to another server")
+}
+
 // The server answers before it has read the body, and reads on once its answer has been
 // delivered. What it gets where the rest of the body is due is that, or nothing.
 func TestServerThatAnswersBeforeItHasReadBody(t *testing.T) {
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -66,3 +66,26 @@
 	})
 	return err == nil && n > 0
 }
+
+// Sending reports whether a connection has bytes that its peer has not acknowledged,
+// because it reads slowly or they are on their way. It returns false if the peer does not
+// answer at all.
+func Sending(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return err == nil && infoErr == nil && sending(info)
+}
+
+// sending implements Sending. A peer whose window is shut acknowledges what is sent again.
+func sending(i *unix.TCPInfo) bool {
+	pending := i.Unacked > 0 || i.Notsent_bytes > 0
+	answers := i.Retransmits == 0 || i.Last_ack_recv <= i.Last_data_sent
+	return pending && answers
+}
