backend, gateway: a pause of the gateway is not held against a server

After a pause of a gateway the server that it was dialling counted as unreachable, and all later requests went to other servers (TestPauseOfGatewayIsNotSilenceOfServer, under load).

Cause: the dial's 600 ms passed during the pause, and its timer ended before the connection, which the kernel had opened meanwhile, was seen. A second kind of failure, streams cut in the middle, is the test's own: its route has 5 s, a stream takes 3.8 s with the pause, and each of the cut streams had lasted 5.0 s or more.

Where the request's own deadline passes in a pause, neither the dial nor the attempt counts against the server.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -276,7 +276,7 @@
 // if the response is the answer to the request.
 func (g *Gateway) settle(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, err error, sent time.Duration) *api.Error {
 	if errors.Is(err, backend.ErrDial) {
-		if c.r.Context().Err() != nil {
+		if c.r.Context().Err() != nil || errors.Is(err, backend.ErrPaused) {
 			c.service.attemptEnded(m, g.now(), severityNone)
 		} else {
 			c.service.dialFailed(m, g.now())
@@ -313,10 +313,22 @@
 	return g.forwardResponse(ctx, c, m, resp, sent)
 }
 
+// pauseSlack is the time after a deadline from which on this process counts as having been
+// paused as the deadline passed.
+const pauseSlack = 200 * time.Millisecond
+
+// pausedAtDeadline reports whether this process was paused as the deadline passed. What the
+// server has sent until then was not read.
+func pausedAtDeadline(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Since(deadline) > pauseSlack
+}
+
 // attemptFailed records an attempt without a complete response. If the caller
-// has disconnected, or there is no room for the response, the server is not at fault.
+// has disconnected, there is no room for the response, or the time was over after a pause
+// of this process, the server is not at fault.
 func (g *Gateway) attemptFailed(ctx context.Context, c *call, m *fleet.Member, sent time.Duration, err error) {
-	if c.r.Context().Err() != nil || errors.Is(err, errBuffersFull) {
+	if c.r.Context().Err() != nil || errors.Is(err, errBuffersFull) || pausedAtDeadline(ctx) {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		return
 	}
