side, admit: confirm the admission of a request before it is sent

Scenario cold_start fails beside load: engine e1 falls with 4 to 6 requests where it bears 2. A trace of the stand-in shows the order of events: e1 turns cold without a restart while its limit grows and the side dials new connections; within 15 ms it serves three cold reports, two of them for the verification of new connections; over each of these the side then sends the request that it admitted before, although it has read "cold, 5 running" over the same connection. The stand-in fell at the second, with a load of 6.

Two causes: - The side does not look at the limit between the admission of a request and its transmission. In between are a worker, a dial of up to 2 s and a verification, so the bound of MaxReportAge + transit did not hold either: with admitted requests sent late, the simulation of ColdStart rejects the old code (mutation "sent without Confirm"). - The stand-in holds its caller to the bound from the third cold report, because a caller that asks for the third has acted on the first. That is true only of reports asked for one after the other; it also counted those that the side reads over several connections at once.

Change: ColdStart.Confirm, called when the transport has chosen the connection and before it writes to it. The stand-in counts cold reports by connection, three as before; the bound is the one that its comment gives, and still stricter than what docs/design/admission.md promises for a turn without a restart.

--- a/admit/coldstart.go
+++ b/admit/coldstart.go
@@ -144,6 +144,20 @@
 	return c.untrackedKnown
 }
 
+// Confirm checks an admitted request immediately before it is sent. The limit may
+// have shrunk since Admit, because the server turned cold or the sidecar was paused
+// meanwhile; a request beyond it must not be sent any more. After an error the
+// request no longer counts as in flight.
+func (c *ColdStart) Confirm(t Ticket, now time.Duration) *api.Error {
+	c.checkReportAge(now)
+	if _, ok := c.running[t]; ok && c.InFlight() <= c.limit {
+		return nil
+	}
+	err := c.refusal("the limit shrank before the request was sent")
+	c.Finish(t, now, false)
+	return err
+}
+
 // ResponseStarted records that the backend server has begun to answer the request.
 func (c *ColdStart) ResponseStarted(t Ticket, now time.Duration) {
 	f, ok := c.running[t]
--- a/admit/coldstart_sim_test.go
+++ b/admit/coldstart_sim_test.go
@@ -17,6 +17,7 @@
 	simMaxSampleAgeMillis = 1000 // largest age of the data in a report
 	simMaxDelayMillis     = 3000 // largest delay of a report in transit
 	simPollInterval       = 300 * time.Millisecond
+	simMaxSendDelayMillis = 5000 // longest time from an admission until the request is sent, when a dial or the sidecar is slow
 )
 
 // coldEngine is a fake engine that tracks the requests it is running.
@@ -44,6 +45,7 @@
 	hidesCold         bool // the engine never reports that it is cold; it warms up by completing requests
 	faultRarity       int  // each kind of fault occurs in about one of 60*faultRarity steps
 	ignoreIncarnation bool // mutation: a new incarnation is not noticed
+	ignoreConfirm     bool // mutation: admitted requests are sent whatever Confirm says
 	now               time.Duration
 	events            []event
 	engine            coldEngine
@@ -129,7 +131,19 @@
 	sim.inFlight[id] = t
 	incarnation := 0
 	_, _ = fmt.Sscan(sim.side.Incarnation(), &incarnation)
-	sim.after(50, func() { sim.deliver(id, incarnation, t) })
+	late := 0
+	if !sim.noFaults && sim.draw(8) == 0 {
+		sim.faults["sent late"]++
+		late = simMaxSendDelayMillis
+	}
+	sim.sendToSide(late, func() {
+		if sim.side.Confirm(t, sim.now) != nil && !sim.ignoreConfirm {
+			sim.faults["not sent"]++
+			delete(sim.inFlight, id)
+			return
+		}
+		sim.after(50, func() { sim.deliver(id, incarnation, t) })
+	})
 }
 
 func (sim *coldSim) deliver(id, incarnation int, t Ticket) {
--- a/admit/coldstart_test.go
+++ b/admit/coldstart_test.go
@@ -50,6 +50,7 @@
 		"reports never too old": func(sim *coldSim) {
 			sim.mutate = func(c *ColdStart, _ time.Duration) { c.cfg.MaxReportAge = time.Hour }
 		},
+		"sent without Confirm":    func(sim *coldSim) { sim.ignoreConfirm = true },
 		"incarnation ignored":     func(sim *coldSim) { sim.ignoreIncarnation = true },
 		"reports of cold ignored": func(sim *coldSim) { sim.ignoreCold = true },
 		"running requests not counted": func(sim *coldSim) {
--- a/backing/backingtest/engine.go
+++ b/backing/backingtest/engine.go
@@ -14,9 +14,10 @@
 // CrashMarker in a prompt crashes the engine that gets the request.
 const CrashMarker = "!crash!"
 
-// coldReportsUntilKnown is the number of load reports showing a cold engine after which
-// the caller is expected to respect its cold bound. A caller that asks for the third
-// report has had time to act on the first.
+// coldReportsUntilKnown is the number of load reports showing a cold engine, read over
+// one connection, after which the caller is expected to respect its cold bound. A caller
+// that asks for the third report has had time to act on the first. Reports read over
+// different connections do not show this, since they may be under way at the same time.
 const coldReportsUntilKnown = 3
 
 // maxRecordedRuns is the maximum number of runs, and of orders, in EngineStats.
@@ -73,8 +74,9 @@
 	changed     chan struct{} // closed when faults or orders change
 	process     engineProcess
 	cold        bool
-	coldReports int // number of cold load reports sent since TurnCold; restart sets it to coldReportsUntilKnown, although none was sent
-	completed   int // requests completed since the engine became cold
+	coldKnown   bool           // the caller knows of the cold state: set by restart, or by enough coldReports
+	coldReports map[string]int // number of cold load reports since TurnCold, by the caller's address
+	completed   int            // requests completed since the engine became cold
 	running     []*sequence
 	waiting     []*sequence
 	stepping    bool // the goroutine that makes steps is running
@@ -109,7 +111,7 @@
 func (e *Engine) restart(down time.Duration) {
 	e.process = engineProcess{incarnation: uuid.NewString(), upAt: time.Now().Add(down)}
 	e.cold = e.opts.ColdBound > 0
-	e.coldReports = coldReportsUntilKnown
+	e.coldKnown = true
 	e.completed = 0
 	e.prefixes.Purge()
 	e.reportAt = time.Time{}
@@ -148,7 +150,8 @@
 	defer e.mu.Unlock()
 	if e.opts.ColdBound > 0 {
 		e.cold = true
-		e.coldReports = 0
+		e.coldKnown = false
+		e.coldReports = make(map[string]int)
 		e.completed = 0
 		e.prefixes.Purge()
 	}
@@ -177,7 +180,7 @@
 // knownCold reports whether the engine is cold and its caller has had time to act on
 // a report of it; e.mu is held.
 func (e *Engine) knownCold() bool {
-	return e.cold && e.coldReports >= coldReportsUntilKnown
+	return e.cold && e.coldKnown
 }
 
 // submit queues a sequence. It returns false if the engine is down or crashes on it.
@@ -241,14 +244,21 @@
 
 // Report returns the load report that GET /load serves.
 func (e *Engine) Report() backing.EngineReport {
+	return e.reportTo("")
+}
+
+// reportTo returns the load report for a caller with the given address and records that
+// the caller was told of a cold state.
+func (e *Engine) reportTo(caller string) backing.EngineReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Since(e.reportAt) > time.Duration(e.faults.ReportEvery) || e.reportAt.IsZero() {
 		e.report = e.freshReport()
 		e.reportAt = time.Now()
 	}
-	if e.report.Cold {
-		e.coldReports++
+	if e.report.Cold && !e.coldKnown {
+		e.coldReports[caller]++
+		e.coldKnown = e.coldReports[caller] >= coldReportsUntilKnown
 	}
 	e.report.AgeMillis = time.Since(e.reportAt).Milliseconds()
 	return e.report
--- a/backing/backingtest/engine_http.go
+++ b/backing/backingtest/engine_http.go
@@ -115,7 +115,7 @@
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, http.StatusOK, e.Report())
+	writeJSON(w, http.StatusOK, e.reportTo(r.RemoteAddr))
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
--- a/backing/backingtest/engine_test.go
+++ b/backing/backingtest/engine_test.go
@@ -127,6 +127,53 @@
 	require.Equal(t, 2, e.Stats().MaxColdLoad)
 }
 
+// An engine that turned cold must hold its caller to the cold bound from the third
+// report that the caller read over one connection, as the caller has acted on the first
+// by then. Reports read over several connections at once do not count together.
+func TestEngineTurnedColdCrashesOnceKnown(t *testing.T) {
+	opts := fastOptions()
+	opts.ColdBound = 1
+	opts.WarmAfter = 1
+	e, base := serveEngine(t, opts)
+	resp, err := chat(t, base, "warm", false)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.False(t, e.Stats().Cold)
+	e.TurnCold()
+	e.SetFaults(backingtest.EngineFaults{Slow: 1e7}) // no step ends during the test
+	cut := make(chan error, 3)
+	send := func() {
+		started := e.Stats().Started
+		go func() {
+			resp, err := chat(t, base, "hello", false)
+			if err == nil {
+				resp.Body.Close()
+			}
+			cut <- err
+		}()
+		require.Eventually(t, func() bool { return e.Stats().Started > started }, time.Minute, time.Millisecond)
+	}
+	for range 3 {
+		_, err := backing.NewEngineClient(base).Load(t.Context())
+		require.NoError(t, err)
+	}
+	send()
+	send()
+	require.Zero(t, e.Stats().ColdOverloads)
+	poller := backing.NewEngineClient(base)
+	for range 3 {
+		report, err := poller.Load(t.Context())
+		require.NoError(t, err)
+		require.True(t, report.Cold)
+	}
+	send()
+	require.Equal(t, 1, e.Stats().ColdOverloads)
+	require.Equal(t, 3, e.Stats().MaxColdLoad)
+	for range 3 {
+		require.Error(t, <-cut)
+	}
+}
+
 // A cold engine must become warm after WarmAfter requests, and its load report must
 // show it.
 func TestEngineWarms(t *testing.T) {
--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -8,11 +8,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -112,17 +110,20 @@
 
 // run sends the request of a and stores the response in a. The returned error is
 // nil if the complete response was read. Its Ran is NotRun only if no byte of the
-// request can have reached the backend server. run calls onHead when it has
-// received the response head.
-func (b *backendClient) run(ctx context.Context, a *attempt, onHead func()) *api.Error {
+// request can have reached the backend server. run calls confirm immediately before
+// it sends the request, which it does not if that returns an error, and onHead when
+// it has received the response head.
+func (b *backendClient) run(ctx context.Context, a *attempt, confirm func() *api.Error, onHead func()) *api.Error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	req, err := b.newRequest(ctx, a.req)
 	if err != nil {
 		return api.NewError(api.BadRequest, err.Error())
 	}
-	var connected atomic.Bool
-	resp, err := b.clientsFor(a.incarnation()).do(recordConnected(req, &connected), a.req.Idempotent)
+	gate := &sendGate{confirm: confirm, cancel: cancel}
+	resp, err := b.clientsFor(a.incarnation()).do(gate.withTrace(req), a.req.Idempotent)
 	if err != nil {
-		return requestError(ctx, err, connected.Load())
+		return requestError(ctx, err, gate.passed.Load())
 	}
 	defer resp.Body.Close()
 	onHead()
@@ -156,26 +157,18 @@
 	return req, nil
 }
 
-// recordConnected returns req with a trace that sets connected when the request
-// gets a connection. net/http retries on a new connection after a reused one has
-// failed, so the final error alone does not show that nothing was sent.
-func recordConnected(req *http.Request, connected *atomic.Bool) *http.Request {
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}
-	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-}
-
-// requestError classifies a failure before the response head was received.
-func requestError(ctx context.Context, err error, connected bool) *api.Error {
+// requestError classifies a failure before the response head was received. sent
+// reports whether any byte of the request may have been sent: net/http retries on a
+// new connection after a reused one has failed, so err alone does not show it.
+func requestError(ctx context.Context, err error, sent bool) *api.Error {
 	if cause := context.Cause(ctx); cause != nil {
 		return causeError(cause)
 	}
 	var refused *api.Error
-	if !connected && errors.As(err, &refused) {
+	if !sent && errors.As(err, &refused) {
 		return refused
 	}
-	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
+	if !sent && errors.Is(err, syscall.ECONNREFUSED) {
 		e := api.NewError(api.BackendFailed, err.Error())
 		e.Ran = api.NotRun
 		return e
--- a/side/backend_client_test.go
+++ b/side/backend_client_test.go
@@ -37,7 +37,7 @@
 	call := func() *api.Error {
 		req := &wire.Request{Method: http.MethodGet, Path: "/availability", Idempotent: true}
 		ctx, cancel := context.WithCancelCause(context.Background())
-		return b.run(ctx, newAttempt(req, cancel), func() {})
+		return b.run(ctx, newAttempt(req, cancel), allowSend, func() {})
 	}
 	require.Nil(t, call())
 	e := call()
@@ -59,3 +59,6 @@
 	require.Same(t, second, b.clientsFor("b"), "the two last requested are kept")
 	require.NotSame(t, first, b.clientsFor("a"))
 }
+
+// allowSend lets every request be sent.
+func allowSend() *api.Error { return nil }
--- a/side/limiter.go
+++ b/side/limiter.go
@@ -142,6 +142,14 @@
 	return t.start
 }
 
+// confirm checks the admission of t immediately before its request is sent. The
+// Ran of its errors is NotRun.
+func (l *limiter) confirm(t *ticket) *api.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.Confirm(t.slot, l.now())
+}
+
 // responseStarted records that the backend server has begun to respond.
 func (l *limiter) responseStarted(t *ticket) {
 	l.mu.Lock()
--- a/side/run.go
+++ b/side/run.go
@@ -17,7 +17,8 @@
 	e := s.recheck(ctx)
 	sent := e == nil
 	if sent {
-		e = s.backend.run(ctx, a, func() {
+		confirm := func() *api.Error { return l.confirm(a.ticket) }
+		e = s.backend.run(ctx, a, confirm, func() {
 			s.opt.Metrics.FirstPart(time.Since(start))
 			l.responseStarted(a.ticket)
 		})
--- a/side/verify.go
+++ b/side/verify.go
@@ -25,14 +25,17 @@
 // the error is the *api.Error of verify, whose Ran is NotRun.
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.net.DialContext(ctx, network, address)
-	if err != nil || d.verify == nil {
-		return c, err
+	if err != nil {
+		return nil, err
+	}
+	if d.verify == nil {
+		return &gatedConn{Conn: c}, nil
 	}
 	if e := d.verify(c); e != nil {
 		c.Close()
 		return nil, e
 	}
-	return c, nil
+	return &gatedConn{Conn: c}, nil
 }
 
 // verifyIncarnation requests the engine's load report over the new connection c and
--- a/side/verify_test.go
+++ b/side/verify_test.go
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithCancelCause(context.Background())
 		a := newAttempt(&wire.Request{Method: http.MethodPost, Path: "/chat", Idempotent: true}, cancel)
 		a.ticket = &ticket{incarnation: "a"}
-		e := s.backend.run(ctx, a, func() {})
+		e := s.backend.run(ctx, a, allowSend, func() {})
 		require.Equal(t, want, reached.Load())
 		if want > 0 {
 			require.Nil(t, e)
