side: a caller that leaves at the end of a completion leaves nothing behind

Callers of completions often close the connection on "data: [DONE]", before the end of the response. If the side had not read that end either, it cancelled the call and counted the request as abandoned: its slot stayed taken until a report asked for a second later showed otherwise. Until then a suspected request got 205 "other requests are in flight", and a server with a small limit refused requests that it had room for (201 "the queue is full").

The event that ends a completion shows that the server has finished it. A response that has it is complete, even if it cannot be read to its end.

--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -225,10 +225,13 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// copyEvents adds one chunk per server-sent event of body to a.
+// copyEvents adds one chunk per server-sent event of body to a. After the event that
+// ends a completion, the response is complete even if body cannot be read to its end:
+// callers often leave then, which cancels ctx.
 func copyEvents(ctx context.Context, a *attempt, body io.Reader) error {
 	r := bufio.NewReaderSize(body, maxChunkBytes)
 	var event []byte
+	complete := false
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -239,12 +242,16 @@
 			return checkEventsEnd(event)
 		}
 		if err != nil && err != bufio.ErrBufferFull {
+			if complete {
+				return nil
+			}
 			return err
 		}
 		if isBlankLine(line) {
 			if err := a.addChunk(ctx, event); err != nil {
 				return err
 			}
+			complete = isLastEvent(event)
 			event = nil
 		}
 	}
@@ -259,6 +266,12 @@
 	return nil
 }
 
+// isLastEvent reports whether event is the one that ends a completion.
+func isLastEvent(event []byte) bool {
+	data, ok := bytes.CutPrefix(event, []byte("data:"))
+	return ok && string(bytes.TrimSpace(data)) == "[DONE]"
+}
+
 func isBlankLine(line []byte) bool {
 	return string(line) == "\n" || string(line) == "\r\n"
 }
