--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -8,11 +8,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -112,17 +110,20 @@
 
 // run sends the request of a and stores the response in a. The returned error is
 // nil if the complete response was read. Its Ran is NotRun only if no byte of the
-// request can have reached the backend server. run calls onHead when it has
-// received the response head.
-func (b *backendClient) run(ctx context.Context, a *attempt, onHead func()) *api.Error {
+// request can have reached the backend server. run calls confirm immediately before
+// it sends the request, which it does not if that returns an error, and onHead when
+// it has received the response head.
+func (b *backendClient) run(ctx context.Context, a *attempt, confirm func() *api.Error, onHead func()) *api.Error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	req, err := b.newRequest(ctx, a.req)
 	if err != nil {
 		return api.NewError(api.BadRequest, err.Error())
 	}
-	var connected atomic.Bool
-	resp, err := b.clientsFor(a.incarnation()).do(recordConnected(req, &connected), a.req.Idempotent)
+	gate := &sendGate{confirm: confirm, cancel: cancel}
+	resp, err := b.clientsFor(a.incarnation()).do(gate.withTrace(req), a.req.Idempotent)
 	if err != nil {
-		return requestError(ctx, err, connected.Load())
+		return requestError(ctx, err, gate.passed.Load())
 	}
 	defer resp.Body.Close()
 	onHead()
@@ -156,26 +157,18 @@
 	return req, nil
 }
 
-// recordConnected returns req with a trace that sets connected when the request
-// gets a connection. net/http retries on a new connection after a reused one has
-// failed, so the final error alone does not show that nothing was sent.
-func recordConnected(req *http.Request, connected *atomic.Bool) *http.Request {
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}
-	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-}
-
-// requestError classifies a failure before the response head was received.
-func requestError(ctx context.Context, err error, connected bool) *api.Error {
+// requestError classifies a failure before the response head was received. sent
+// reports whether any byte of the request may have been sent: net/http retries on a
+// new connection after a reused one has failed, so err alone does not show it.
+func requestError(ctx context.Context, err error, sent bool) *api.Error {
 	if cause := context.Cause(ctx); cause != nil {
 		return causeError(cause)
 	}
 	var refused *api.Error
-	if !connected && errors.As(err, &refused) {
+	if !sent && errors.As(err, &refused) {
 		return refused
 	}
-	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
+	if !sent && errors.Is(err, syscall.ECONNREFUSED) {
 		e := api.NewError(api.BackendFailed, err.Error())
 		e.Ran = api.NotRun
 		return e
@@ -232,10 +225,13 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// copyEvents adds one chunk per server-sent event of body to a.
+// copyEvents adds one chunk per server-sent event of body to a. After the event that
+// ends a completion, the response is complete even if body cannot be read to its end:
+// callers often leave then, which cancels ctx.
 func copyEvents(ctx context.Context, a *attempt, body io.Reader) error {
 	r := bufio.NewReaderSize(body, maxChunkBytes)
 	var event []byte
+	complete := false
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -246,12 +242,16 @@
 			return checkEventsEnd(event)
 		}
 		if err != nil && err != bufio.ErrBufferFull {
+			if complete {
+				return nil
+			}
 			return err
 		}
 		if isBlankLine(line) {
 			if err := a.addChunk(ctx, event); err != nil {
 				return err
 			}
+			complete = isLastEvent(event)
 			event = nil
 		}
 	}
@@ -266,6 +266,12 @@
 	return nil
 }
 
+// isLastEvent reports whether event is the one that ends a completion.
+func isLastEvent(event []byte) bool {
+	data, ok := bytes.CutPrefix(event, []byte("data:"))
+	return ok && string(bytes.TrimSpace(data)) == "[DONE]"
+}
+
 func isBlankLine(line []byte) bool {
 	return string(line) == "\n" || string(line) == "\r\n"
 }
