rebalance: announce to gateways how slow a rank's engine is

Cause: gateways don't know which ranks of a group work more slowly than usual.

Change: the datagram on a group's state names the engine and its slowness. While the engine does not answer, its slowness is not known. When to send is decided by a type of its own.

Conclusion: nothing acts on it yet.

--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -151,10 +151,9 @@
 	sentFinal      bool // MapGoal.Final of the last goal sent
 	sentGoalAt     time.Duration
 	maps           *mapPacer
-	engineDown     bool            // the last read from the engine failed
-	engineFailures int             // consecutive failed reads
-	sentState      wire.GroupState // last state sent to gateways
-	sentStateAt    time.Duration
+	engineDown     bool // the last read from the engine failed
+	engineFailures int  // consecutive failed reads
+	announcer      stateAnnouncer
 }
 
 // claimResult is the result of a claim to coordinate the group.
@@ -279,7 +278,7 @@
 	}
 	p.observedAt = p.now()
 	p.metrics.setEngine(&e)
-	p.announceState(&e)
+	p.announceState(&e, true)
 	p.driver.Observe(e)
 	if p.coord != nil {
 		p.coord.Observe(e, p.now())
@@ -304,7 +303,7 @@
 	p.engineFailures++
 	if e, known := p.driver.EngineState(); known && p.engineFailures >= minEngineFailures {
 		e.Open = false
-		p.announceState(&e)
+		p.announceState(&e, false)
 	}
 }
 
