gateway: streams go to ranks that are as fast as usual

Cause: a prompt or a stream at a rank that works slowly holds up each pass of its whole group, and gateways chose ranks by their work whatever their speed.

Routing by cost passes ranks over that are slower than the fastest by a fifth or more, as long as a sixteenth of the group's slots are free at the others; then a rank's work and the request's count times the slowness. Slow ranks are used when the others are full, and no request is refused for them. If all are slow alike, or none states a factor, the choice is as before. A line when a server begins and ends to count as slow, a gauge, and the slowness in the line on a request.

--- a/cost/cost.go
+++ b/cost/cost.go
@@ -81,6 +81,9 @@
 	return m.Reading(unread) + m.Writing(context, left)
 }
 
+// Due returns the server time that is due for a request before it has begun.
+func (m Model) Due(e Estimate) time.Duration { return m.outstanding(e.Prompt, e.Prompt, e.Output) }
+
 // Estimate is what a request is expected to cost.
 type Estimate struct {
 	Prompt int     // prompt tokens
--- a/cost/ledger.go
+++ b/cost/ledger.go
@@ -93,7 +93,7 @@
 func (l *Ledger) Begin(s Server, m Model, x Estimate, maxOutput int, deadline time.Duration) *Entry {
 	e := &Entry{
 		server: s, model: m, estimate: x, max: maxOutput, expires: deadline + staleMargin,
-		held: Load{Requests: 1, Work: m.outstanding(x.Prompt, x.Prompt, x.Output), Memory: x.Memory()},
+		held: Load{Requests: 1, Work: m.Due(x), Memory: x.Memory()},
 	}
 	own := l.own[s]
 	if own == nil {
--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -20,6 +20,7 @@
 	restingDesc  = newDesc("servers_resting", "Backend servers of a service that have asked this gateway for rest.", "service")
 	runningDesc  = newDesc("streams_running", "Streams running in a group, including those of other gateways.", "service", "group")
 	limitDesc    = newDesc("streams_limit", "Maximum number of streams in a group.", "service", "group")
+	slowRankDesc = newDesc("servers_slow", "Backend servers of a service that state that they work more slowly than usual.", "service")
 	heldDesc     = newDesc("held_bytes", "Bytes held for callers and servers that read slowly.")
 	slowDesc     = newDesc("slow_callers", "Connections of callers for which bytes are held.")
 	waitingDesc  = newDesc("streams_waiting", "Requests of a service waiting for admission at this gateway.", "service")
@@ -27,7 +28,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, restingDesc, runningDesc, limitDesc, waitingDesc, heldDesc, slowDesc} {
+	for _, d := range []*prometheus.Desc{proofAgeDesc, documentDesc, serversDesc, limitedDesc, restingDesc, runningDesc, limitDesc, waitingDesc, heldDesc, slowDesc, slowRankDesc} {
 		out <- d
 	}
 }
@@ -54,6 +55,7 @@
 		gauge(serversDesc, float64(ejected), s.name, "ejected")
 		gauge(limitedDesc, float64(c.g.statements.limited(view.Services[s.name])), s.name)
 		gauge(restingDesc, float64(c.g.statements.resting(view.Services[s.name], now)), s.name)
+		gauge(slowRankDesc, float64(s.countSlow()), s.name)
 		list := s.status(now)
 		for _, x := range list {
 			gauge(runningDesc, float64(x.RunningTotal), s.name, x.Group)
--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -31,6 +31,7 @@
 	entry    *cost.Entry // of the running attempt; nil for none
 	expected float64     // output tokens, when the first attempt began; 0 before
 	output   int         // tokens that the request's attempts have written
+	slowness float64     // of the last attempt's server, when it was picked; 0 before
 }
 
 // serverCosts is the work of a service's servers. It is guarded by the service's mu.
@@ -38,6 +39,7 @@
 	picker    route.Picker
 	estimator *cost.Estimator
 	ledger    *cost.Ledger
+	slowness  *cost.Slowness // as stated
 	model     cost.Model     // not known for a service without engines
 	stride    int            // tokens of an event
 	memory    map[string]int // tokens that a server can hold, by id; servers that are missing are unknown
@@ -48,7 +50,7 @@
 	if err != nil {
 		panic(err) // the policy is registered by the import in service.go
 	}
-	return serverCosts{picker: picker, estimator: cost.NewEstimator(0), ledger: cost.NewLedger()}
+	return serverCosts{picker: picker, estimator: cost.NewEstimator(0), ledger: cost.NewLedger(), slowness: cost.NewSlowness()}
 }
 
 // setEngine sets the cost model of the service's engines; nil for none.
@@ -88,22 +90,27 @@
 	return s.model.Estimate(x.size.Prompt, max(out-float64(x.output), float64(s.stride)))
 }
 
+// due returns the server time that an attempt of this cost needs soon.
+func (s *serverCosts) due(e cost.Estimate) time.Duration { return s.model.Due(e) }
+
 // describe adds to the candidates what the servers have to do. For a request whose
 // caller has had a part of the answer their memory counts as unknown: another server may
 // run it late, but without one the answer breaks off.
-func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member, x *requestCost) {
+func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member, x *requestCost, now time.Duration) {
 	for i, m := range members {
 		load := s.ledger.Total(costServer(m))
 		c := &list[i]
 		c.Work, c.Running, c.Limit = load.Work, load.Requests, s.model.Slots
+		c.Slowness = s.slowness.Factor(costServer(m), now)
 		if x.output == 0 {
 			c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
 		}
 	}
 }
 
-// begin records that an attempt is sent to a server.
-func (s *serverCosts) begin(x *requestCost, m *fleet.Member, e cost.Estimate) {
+// begin records that an attempt is sent to a server with this slowness.
+func (s *serverCosts) begin(x *requestCost, m *fleet.Member, e cost.Estimate, slowness float64) {
+	x.slowness = slowness
 	if x.expected == 0 {
 		x.expected = e.Output
 	}
@@ -160,7 +167,11 @@
 	if x.expected == 0 {
 		return nil
 	}
-	return []any{"prompt_tokens", x.size.Prompt, "output_expected", int(x.expected), "output_tokens", x.output}
+	fields := []any{"prompt_tokens", x.size.Prompt, "output_expected", int(x.expected), "output_tokens", x.output}
+	if x.slowness > 1 {
+		fields = append(fields, "slowness", x.slowness)
+	}
+	return fields
 }
 
 // recordCost records the end of an attempt for the estimates and the metrics.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -268,6 +268,7 @@
 	g.callers.Sample()
 	for _, s := range g.allServices() {
 		s.prune(view)
+		s.expireSlowness(view, g.now())
 		g.logGate(s)
 	}
 	if view.Document != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -228,15 +228,17 @@
 	if byCost {
 		s.costs.ledger.Expire(now)
 		estimate = s.costs.estimate(x)
-		picker, request.Memory = s.costs.picker, estimate.Memory()
+		picker, request.Memory, request.Work = s.costs.picker, estimate.Memory(), s.costs.due(estimate)
 	}
-	i, ok := -1, false
+	i, ok, slowness := -1, false, 0.0
 	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
-			s.costs.describe(list, members, x)
+			s.costs.describe(list, members, x, now)
+		}
+		if i, ok = picker.Pick(request, list); ok {
+			slowness = list[i].Slow()
 		}
-		i, ok = picker.Pick(request, list)
 		if !ok && tier >= decliningServers && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
 			break // they have no memory for it now; ejected servers are no better
 		}
@@ -245,7 +247,7 @@
 		return nil
 	}
 	if byCost {
-		s.costs.begin(x, members[i], estimate)
+		s.costs.begin(x, members[i], estimate, slowness)
 	}
 	st := s.stateOf(members[i])
 	st.inFlight++
@@ -268,7 +270,7 @@
 	for tier := decliningServers; tier < serverTiers; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
-			s.costs.describe(list, members, x)
+			s.costs.describe(list, members, x, now)
 		}
 		if slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
 			return slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() && c.Fits(request) })
--- /dev/null
+++ b/gateway/slowness.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marjorampitch/cost"
+	"marjorampitch/fleet"
+	"marjorampitch/wire"
+)
+
+// stateSlowness records how slow the engine is that a report on a group names. members
+// are the usable servers of the service.
+func (s *service) stateSlowness(members []*fleet.Member, x *wire.GroupState, now time.Duration) {
+	if x.Engine == "" || x.Slowness == 0 {
+		return
+	}
+	for _, m := range members {
+		if m.Address != x.Engine {
+			continue
+		}
+		s.mu.Lock()
+		c, changed := s.costs.slowness.State(costServer(m), float64(x.Slowness), now)
+		s.mu.Unlock()
+		if changed {
+			s.logSlowness(c)
+		}
+		return
+	}
+}
+
+// expireSlowness forgets what servers have stated too long ago, and servers that are gone.
+func (s *service) expireSlowness(view *fleet.View, now time.Duration) {
+	gone := func(x cost.Server) bool {
+		m := view.Members[x.ID]
+		return m == nil || m.StartedAt != x.StartedAt
+	}
+	s.mu.Lock()
+	changes := s.costs.slowness.Expire(now, gone)
+	s.mu.Unlock()
+	for _, c := range changes {
+		s.logSlowness(c)
+	}
+}
+
+// logSlowness logs that a server begins or ends to count as slow.
+func (s *service) logSlowness(c cost.SlownessChange) {
+	message, level := "server-slow-ended", log.InfoLevel
+	if c.Slow {
+		message, level = "server-slow", log.WarnLevel
+	}
+	s.log.Log(level, message, "server", c.Server.ID, "started_at", c.Server.StartedAt, "service", s.name,
+		"factor", math.Round(c.Factor*100)/100, "age_ms", c.Age.Milliseconds())
+}
+
+// countSlow returns the number of servers that count as slow.
+func (s *service) countSlow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.costs.slowness.Slow()
+}
--- /dev/null
+++ b/gateway/slowness_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/fleet"
+	"marjorampitch/wire"
+)
+
+func slowState(m *fleet.Member, factor float32) *wire.GroupState {
+	return &wire.GroupState{Group: "g", Epoch: 1, Open: true, Engine: m.Address, Slowness: factor}
+}
+
+// picked returns the servers that n requests go to, all of which are running at the end.
+func picked(t *testing.T, s *service, members []*fleet.Member, n int, now time.Duration) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		m := s.pickByCost(members, "", nil, now, coldPolicy{}, sized(500, 100))
+		require.NotNil(t, m, "no request is refused because servers are slow")
+		counts[m.ID]++
+	}
+	return counts
+}
+
+// Requests go to a slow rank only when the others are nearly full.
+func TestSlowRanksGetRequestsLast(t *testing.T) {
+	s, members := newCostService(4) // of 10 slots
+	s.stateSlowness(members, slowState(members[1], 12), 0)
+	require.Equal(t, 1, s.countSlow())
+	require.Zero(t, picked(t, s, members, 26, 0)["i-1"])
+	require.Equal(t, 10, picked(t, s, members, 14, 0)["i-1"], "the others are full")
+	require.Len(t, picked(t, s, members, 1, 0), 1, "all are full")
+}
+
+// Requests return to a rank that has its usual speed again, whose statement is old, or
+// whose engine has started again.
+func TestRanksThatAreNoLongerSlow(t *testing.T) {
+	for name, end := range map[string]func(s *service, members []*fleet.Member){
+		"usual again": func(s *service, members []*fleet.Member) { s.stateSlowness(members, slowState(members[1], 1), 0) },
+		"started again": func(_ *service, members []*fleet.Member) {
+			again := *members[1]
+			again.StartedAt = 2
+			members[1] = &again
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, members := newCostService(4)
+			s.stateSlowness(members, slowState(members[1], 12), 0)
+			end(s, members)
+			require.Equal(t, 4, picked(t, s, members, 16, 0)["i-1"])
+		})
+	}
+	t.Run("old statement", func(t *testing.T) {
+		s, members := newCostService(4)
+		s.stateSlowness(members, slowState(members[1], 12), 0)
+		require.Equal(t, 4, picked(t, s, members, 16, 2*time.Second)["i-1"])
+		s.expireSlowness(&fleet.View{Members: map[string]*fleet.Member{"i-1": members[1]}}, 2*time.Second)
+		require.Zero(t, s.countSlow())
+	})
+}
+
+// Reports that name no engine, or none of the service, or state nothing, have no effect.
+func TestReportsWithoutSlowness(t *testing.T) {
+	s, members := newCostService(4)
+	s.stateSlowness(members, &wire.GroupState{Group: "g", Open: true}, 0)
+	s.stateSlowness(members, &wire.GroupState{Group: "g", Open: true, Slowness: 12}, 0)
+	s.stateSlowness(members, &wire.GroupState{Group: "g", Open: true, Engine: "10.9.9.9:1", Slowness: 12}, 0)
+	s.stateSlowness(members, slowState(members[2], 12), 0)
+	s.stateSlowness(members, slowState(members[2], 0), 0)
+	require.Equal(t, 1, s.countSlow(), "0 is unknown, not usual")
+}
+
+// The datagram of a rebalancer takes effect, and the metric shows it.
+func TestSlownessFromDatagram(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.server(func(*conn) {})
+	s := tg.g.service("s")
+	view := tg.g.opts.Cache.View()
+	require.Len(t, view.Services["s"], 1)
+	require.NoError(t, tg.g.peers.handleDatagram(datagram(t, wire.KindGroupState, slowState(view.Services["s"][0], 3))))
+	require.Equal(t, 1, s.countSlow())
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(collector{tg.g})
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	slow := -1.0
+	for _, f := range families {
+		if f.GetName() == "marjorampitch_gateway_servers_slow" {
+			slow = f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	require.Equal(t, 1.0, slow)
+}
+
+// The line on a request says how slow its server was.
+func TestLineOnRequestShowsSlowness(t *testing.T) {
+	s, members := newCostService(1)
+	x := sized(500, 100)
+	s.pickByCost(members, "", nil, 0, coldPolicy{}, x)
+	require.NotContains(t, costFields(x), "slowness")
+	s.stateSlowness(members, slowState(members[0], 12), 0)
+	s.pickByCost(members, "", nil, 0, coldPolicy{}, x)
+	require.Contains(t, costFields(x), "slowness")
+}
--- a/route/leastwork/leastwork.go
+++ b/route/leastwork/leastwork.go
@@ -7,10 +7,15 @@
 // all of them chose the server with the least work, they would send their next requests
 // to the same one. A front proxy that knows of its own requests only picks the least of
 // all, which is up to date.
+//
+// Servers that work more slowly than usual are passed over, too, while the others have
+// enough slots free: the ranks of a group wait for the slowest in each pass. When the
+// others are nearly full, the work of a server counts times its slowness.
 package leastwork
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"marjorampitch/route"
 )
@@ -18,8 +23,17 @@
 // Name is the policy's registered name.
 const Name = "leastwork"
 
-// draws is the number of servers among which the one with the least work is picked.
-const draws = 2
+const (
+	// draws is the number of servers among which the one with the least work is picked.
+	draws = 2
+	// slowRatio is the slowness, relative to the fastest of the servers that could be
+	// picked, from which a server is passed over while the others have slots free.
+	slowRatio = 1.2
+	// minFreeShare is the part of all slots that must be free at the other servers for
+	// slow ones to be passed over. With fewer, front proxies that do not know of each
+	// other's newest requests would fill the same servers.
+	minFreeShare = 1.0 / 16
+)
 
 func init() { route.Register(Name, New) }
 
@@ -49,19 +63,56 @@
 	if len(p.usable) == 0 {
 		return 0, false
 	}
+	if free {
+		p.passOverSlow(candidates)
+	}
 	n := len(p.usable)
 	if shared {
 		n = min(n, draws)
 	}
-	return p.pick(candidates, n), true
+	return p.pick(req, candidates, n), true
+}
+
+// passOverSlow drops the slow ones of the usable candidates, which all have free slots,
+// if the others have enough of them.
+func (p *picker) passOverSlow(candidates []route.Candidate) {
+	fastest, slowest := candidates[p.usable[0]].Slow(), 1.0
+	for _, i := range p.usable {
+		fastest, slowest = min(fastest, candidates[i].Slow()), max(slowest, candidates[i].Slow())
+	}
+	limit := fastest * slowRatio
+	if slowest < limit {
+		return
+	}
+	slots, left := 0, 0
+	for i := range candidates {
+		if candidates[i].Usable() {
+			slots += max(candidates[i].Limit, 1)
+		}
+	}
+	for _, i := range p.usable {
+		if c := &candidates[i]; c.Slow() < limit {
+			left += max(c.Limit-c.Load(), 1)
+		}
+	}
+	if float64(left) < minFreeShare*float64(slots) {
+		return
+	}
+	kept := p.usable[:0]
+	for _, i := range p.usable {
+		if candidates[i].Slow() < limit {
+			kept = append(kept, i)
+		}
+	}
+	p.usable = kept
 }
 
 // pick returns the candidate with the least work of n that are drawn from the usable
 // ones.
-func (p *picker) pick(candidates []route.Candidate, n int) int {
+func (p *picker) pick(req *route.Request, candidates []route.Candidate, n int) int {
 	best := p.draw(0)
 	for k := 1; k < n; k++ {
-		if i := p.draw(k); less(&candidates[i], &candidates[best]) {
+		if i := p.draw(k); less(req, &candidates[i], &candidates[best]) {
 			best = i
 		}
 	}
@@ -76,12 +127,21 @@
 	return p.usable[n]
 }
 
-// less orders candidates by work, then by the number of requests.
-func less(a, b *route.Candidate) bool {
-	if a.Work != b.Work {
-		return a.Work < b.Work
+// less orders candidates by the time that they need for their work and the request, then
+// by the number of requests.
+func less(req *route.Request, a, b *route.Candidate) bool {
+	if x, y := timeFor(req, a), timeFor(req, b); x != y {
+		return x < y
 	}
 	return a.Load() < b.Load()
 }
 
+// timeFor returns how long a candidate needs for its work and the request.
+func timeFor(req *route.Request, c *route.Candidate) time.Duration {
+	if c.Slow() == 1 {
+		return c.Work + req.Work
+	}
+	return time.Duration(float64(c.Work+req.Work) * c.Slow())
+}
+
 func (p *picker) Done(route.Feedback) {}
--- a/route/route.go
+++ b/route/route.go
@@ -41,6 +41,9 @@
 	Work        time.Duration // server time that is left of the requests
 	MemoryHeld  int           // tokens that the requests hold at their ends
 	MemoryTotal int           // tokens that the server can hold; 0 if unknown
+	// Slowness is the factor by which work takes longer than usual at the server; 0 if
+	// unknown. Others wait for a slow server if their passes are one.
+	Slowness float64
 }
 
 // Load estimates the number of requests now at the backend server: that of the
@@ -50,6 +53,10 @@
 	return max(c.Running+c.Waiting+c.OwnSinceReport, c.OwnInFlight)
 }
 
+// Slow returns Slowness, or 1 for a server that works as fast as usual or is not known to
+// be slow.
+func (c *Candidate) Slow() float64 { return max(c.Slowness, 1) }
+
 // Usable reports whether c may be picked.
 func (c *Candidate) Usable() bool { return !c.Leaving && !c.Excluded }
 
@@ -85,6 +92,7 @@
 	Model        string
 	Budget       time.Duration // time left until the caller's deadline
 	Memory       int           // expected tokens held at the request's end; 0 if unknown
+	Work         time.Duration // expected server time; 0 if unknown
 }
 
 // Feedback is the outcome of an attempt at a picked candidate.
