measure: loads with slow servers

Cause: the comparison of routing policies had no servers that work slowly.

Change: loads with one rank and two fifths of the ranks at 1.6 and 12 times the usual time, single servers likewise, and all ranks slow alike; gateways that know of the slowness against those that don't. The passes' p95 and p99 are printed.

At 12 times the usual time the base step of the slow rank alone makes passes too long.

--- a/internal/measure/unequal.go
+++ b/internal/measure/unequal.go
@@ -32,6 +32,8 @@
 	spread    float64       // standard deviation of the logarithms of prompts and outputs
 	memory    int           // tokens of a server; 0 for no limit
 	exchange  time.Duration // between two reports of a gateway; 0 for none
+	slow      int           // servers that work more slowly than usual
+	slowness  float64       // factor by which their work takes longer
 }
 
 var unequalLoads = []unequalLoad{
@@ -44,6 +46,20 @@
 	{name: "no-reports", groups: 2, perSecond: 290, prompt: 850, spread: 0.65},
 }
 
+// unawarePolicy is leastwork by gateways that do not know which servers are slow.
+const unawarePolicy = "leastwork-unaware"
+
+// slowLoads are loads with servers that work more slowly than usual all the time.
+var slowLoads = []unequalLoad{
+	{name: "slow-rank-mild", groups: 2, perSecond: 224, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 1, slowness: 1.6},
+	{name: "slow-rank", groups: 2, perSecond: 60, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 1, slowness: 12},
+	{name: "slow-ranks-mild", groups: 2, perSecond: 180, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 26, slowness: 1.6},
+	{name: "slow-ranks", groups: 2, perSecond: 60, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 26, slowness: 12},
+	{name: "slow-server", groups: 64, perSecond: 224, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 1, slowness: 12},
+	{name: "slow-servers", groups: 64, perSecond: 150, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 26, slowness: 12},
+	{name: "all-slow", groups: 2, perSecond: 150, prompt: 850, spread: 0.65, exchange: unequalExchange, slow: 64, slowness: 1.6},
+}
+
 // unequalResult is what callers and servers got.
 type unequalResult struct {
 	first, total []time.Duration // times from arrival to the first event and to the end
@@ -60,8 +76,8 @@
 }
 
 // Unequal runs leastconn by each gateway's own requests and leastwork by the estimated
-// work of all on streams of different sizes, and writes one line per run to out. It
-// returns the error of a failed write.
+// work of all on streams of different sizes, then leastwork by gateways that do not know
+// and that know which servers are slow, and writes one line per run to out. It returns the error of a failed write.
 func Unequal(out io.Writer) error {
 	for _, l := range unequalLoads {
 		for _, policy := range unequalPolicies {
@@ -70,15 +86,22 @@
 			}
 		}
 	}
+	for _, l := range slowLoads {
+		for _, policy := range []string{unawarePolicy, "leastwork"} {
+			if err := playUnequal(l, policy, unequalSeed).print(out, l.name, policy); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
 func (r *unequalResult) print(out io.Writer, load, policy string) error {
 	ms := func(d []time.Duration, q float64) int64 { return quantileOf(d, q).Milliseconds() }
 	_, err := fmt.Fprintf(out, "measure=unequal policy=%s load=%s streams=%d first_p50_ms=%d first_p95_ms=%d first_p99_ms=%d total_p95_ms=%d"+
-		" pass_p50_ms=%d longest=%d waited=%.3f imbalance=%.2f refused=%d over_memory=%d estimate_error=%.2f\n",
+		" pass_p50_ms=%d pass_p95_ms=%d pass_p99_ms=%d longest=%d waited=%.3f imbalance=%.2f refused=%d over_memory=%d estimate_error=%.2f\n",
 		policy, load, len(r.total), ms(r.first, .5), ms(r.first, .95), ms(r.first, .99), ms(r.total, .95),
-		ms(r.passes, .5), r.longest, float64(r.waited)/float64(len(r.first)), r.imbalanceSum/float64(max(r.samples, 1)),
+		ms(r.passes, .5), ms(r.passes, .95), ms(r.passes, .99), r.longest, float64(r.waited)/float64(len(r.first)), r.imbalanceSum/float64(max(r.samples, 1)),
 		r.refused, r.overMemory, r.errorSum/float64(max(r.estimates, 1)))
 	return err
 }
--- a/internal/measure/unequal_engine.go
+++ b/internal/measure/unequal_engine.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"marjorampitch/cost"
@@ -42,8 +43,9 @@
 
 // unequalServer is one backend server: a rank of a group.
 type unequalServer struct {
-	id      string
-	streams []*unequalStream // in order of arrival; the first unequalSlots have a slot
+	id       string
+	slowness float64
+	streams  []*unequalStream // in order of arrival; the first unequalSlots have a slot
 }
 
 // unequalGateway is one gateway with what it believes.
@@ -80,7 +82,7 @@
 		Slots: unequalSlots, Step: unequalStep, PerSequence: unequalPerSeq, PrefillRate: unequalReadRate, Horizon: unequalOutput / 4,
 	}
 	for i := range unequalGateways {
-		p, err := route.Build(policy, seed*1000+uint64(i))
+		p, err := route.Build(strings.TrimSuffix(policy, "-unaware"), seed*1000+uint64(i))
 		if err != nil {
 			panic(err) // policy names are constants of this package
 		}
@@ -90,7 +92,11 @@
 		})
 	}
 	for i := range unequalServers {
-		u.servers = append(u.servers, &unequalServer{id: fmt.Sprintf("server-%02d", i)})
+		s := &unequalServer{id: fmt.Sprintf("server-%02d", i), slowness: 1}
+		if i < l.slow {
+			s.slowness = l.slowness
+		}
+		u.servers = append(u.servers, s)
 	}
 	u.passEnd = make([]time.Duration, l.groups)
 	next := time.Duration(0)
@@ -127,7 +133,7 @@
 	gw := u.gateways[x.gateway]
 	gw.ledger.Expire(now)
 	estimate := u.model.Estimate(x.size.Prompt, gw.estimator.Output("r", x.size))
-	i, ok := gw.picker.Pick(&route.Request{Memory: estimate.Memory()}, u.candidates(gw))
+	i, ok := gw.picker.Pick(&route.Request{Memory: estimate.Memory(), Work: u.model.Due(estimate)}, u.candidates(gw))
 	if x.long {
 		u.result.long++
 		if ok {
@@ -162,25 +168,30 @@
 		}
 		list[i].Running, list[i].Limit, list[i].Work = all.Requests, unequalSlots, all.Work
 		list[i].MemoryHeld, list[i].MemoryTotal = all.Memory, u.memory
+		if u.policy != unawarePolicy {
+			list[i].Slowness = s.slowness
+		}
 	}
 	return list
 }
 
 // pass ends the pass of a group and starts the next one.
 func (u *unequalRun) pass(now time.Duration, group int) {
-	var own, shared time.Duration
+	own, shared, slowest := time.Duration(0), time.Duration(0), 1.0
 	busy, most, ranks := 0, 0, 0
 	for i := group; i < len(u.servers); i += u.groups {
 		s := u.servers[i]
 		u.finishPass(now, s)
 		work := u.passWork(s)
-		own = max(own, time.Duration(unequalOwnShare*float64(work)))
-		shared += time.Duration((1 - unequalOwnShare) * unequalSkew * float64(work))
+		own = max(own, time.Duration(s.slowness*(float64(unequalStride*unequalStep)+unequalOwnShare*float64(work))))
+		shared += time.Duration((1 - unequalOwnShare) * float64(work))
+		slowest = max(slowest, s.slowness)
 		busy += len(s.streams)
 		most = max(most, len(s.streams))
 		ranks++
 	}
-	d := unequalStride*unequalStep + own + shared/time.Duration(ranks)
+	// The experts of a slow rank have the mean load, those of the most loaded one are fast.
+	d := own + time.Duration(max(unequalSkew, slowest)*float64(shared))/time.Duration(ranks)
 	u.passEnd[group] = now + d
 	if busy > 0 && now > unequalWarmUp {
 		u.result.passes = append(u.result.passes, d)
--- a/internal/measure/unequal_test.go
+++ b/internal/measure/unequal_test.go
@@ -63,3 +63,40 @@
 		require.Less(t, quantileOf(after.first, .95), quantileOf(before.first, .95)*12/10)
 	}
 }
+
+// Of the servers some work more slowly than usual. Gateways that know which ones give
+// callers their first event earlier, passes are shorter, and no stream is refused. If all
+// are slow alike, nothing changes.
+func TestSlowServers(t *testing.T) {
+	for _, l := range slowLoads {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			before, after := playUnequal(l, unawarePolicy, unequalSeed), playUnequal(l, "leastwork", unequalSeed)
+			require.NoError(t, before.print(t.Output(), l.name, unawarePolicy))
+			require.NoError(t, after.print(t.Output(), l.name, "leastwork"))
+			require.Zero(t, after.refused)
+			require.LessOrEqual(t, after.waited, before.waited)
+			if l.slow == unequalServers {
+				require.Equal(t, before, after)
+				return
+			}
+			require.Less(t, quantileOf(after.first, .95), quantileOf(before.first, .95))
+			require.Less(t, quantileOf(after.passes, .99), quantileOf(before.passes, .99))
+			require.GreaterOrEqual(t, len(after.first), len(before.first)*99/100)
+		})
+	}
+}
+
+// Where the slow servers' part of a pass is not most of it, the gain is large.
+func TestManySlowServers(t *testing.T) {
+	for _, l := range slowLoads {
+		if l.name != "slow-ranks-mild" && l.name != "slow-servers" {
+			continue
+		}
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			before, after := playUnequal(l, unawarePolicy, unequalSeed), playUnequal(l, "leastwork", unequalSeed)
+			require.Less(t, quantileOf(after.first, .95), quantileOf(before.first, .95)*8/10)
+		})
+	}
+}
