gateway: plain servers that answer later than the others get fewer requests

Cause: a server that states no speed gets as many requests as the others, whatever it takes to answer them.

Change: the times of complete answers are compared with those usual for their route, and a server's with the other servers' median, by incarnation and with an error. From 2.5 times the others' time on, beyond the error, a request there weighs as that many; every 500 to 750 ms one is sent as if the server was as fast as the others, so that its recovery is seen. Each gateway goes by its own answers; an estimate is kept for 10 s. If all are slow alike, none is found slow. Streams are not compared.

Conclusion: the results of requests alone (health) say nothing about speed.

--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -20,7 +20,7 @@
 	restingDesc  = newDesc("servers_resting", "Backend servers of a service that have asked this gateway for rest.", "service")
 	runningDesc  = newDesc("streams_running", "Streams running in a group, including those of other gateways.", "service", "group")
 	limitDesc    = newDesc("streams_limit", "Maximum number of streams in a group.", "service", "group")
-	slowRankDesc = newDesc("servers_slow", "Backend servers of a service that state that they work more slowly than usual.", "service")
+	slowRankDesc = newDesc("servers_slow", "Backend servers of a service that work more slowly than usual or than the others.", "service")
 	heldDesc     = newDesc("held_bytes", "Bytes held for callers and servers that read slowly.")
 	slowDesc     = newDesc("slow_callers", "Connections of callers for which bytes are held.")
 	waitingDesc  = newDesc("streams_waiting", "Requests of a service waiting for admission at this gateway.", "service")
--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -101,7 +101,7 @@
 		load := s.ledger.Total(costServer(m))
 		c := &list[i]
 		c.Work, c.Running, c.Limit = load.Work, load.Requests, s.model.Slots
-		c.Slowness = s.slowness.Factor(costServer(m), now)
+		c.Slowness = max(c.Slowness, s.slowness.Factor(costServer(m), now))
 		if x.output == 0 {
 			c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -426,6 +426,9 @@
 		}
 	} else {
 		c.service.attemptEnded(m, g.now(), severityNone)
+		if resp.StatusCode/100 == 2 {
+			c.service.answered(m, c.route.Name, sent, g.now())
+		}
 	}
 	if c.headSent { // not the continuation of the stream that has begun
 		return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -59,6 +59,7 @@
 	waiters   map[*pace.Ticket]chan struct{}
 	activity  groupActivity // by activityKey
 	costs     serverCosts
+	speeds    *admit.ServerSpeeds // by the answers to this instance
 }
 
 func newService(name string, budget *admit.RetryBudget, statements *serverStatements, logger *log.Logger) *service {
@@ -76,6 +77,7 @@
 		waiters:    make(map[*pace.Ticket]chan struct{}),
 		activity:   make(groupActivity),
 		costs:      newServerCosts(),
+		speeds:     admit.NewServerSpeeds(rand.New(rand.NewPCG(rand.Uint64(), 0))),
 	}
 }
 
@@ -157,7 +159,7 @@
 	list := make([]route.Candidate, 0, len(members))
 	for i, m := range members {
 		st := s.stateOf(m)
-		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
+		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight, Slowness: s.speeds.Factor(incarnationOf(m), now)}
 		unhealthy := !st.health.usable(now) && (st.health.absent || tier < failingServers)
 		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
@@ -253,6 +255,7 @@
 	st.inFlight++
 	st.recordSent(now)
 	st.health.requestSent(now)
+	s.speeds.Sent(incarnationOf(members[i]), now)
 	s.statements.sent(members[i], now)
 	return members[i]
 }
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"marjorampitch/admit"
 	"marjorampitch/cost"
 	"marjorampitch/fleet"
 	"marjorampitch/wire"
@@ -25,7 +26,7 @@
 		c, changed := s.costs.slowness.State(costServer(m), float64(x.Slowness), now)
 		s.mu.Unlock()
 		if changed {
-			s.logSlowness(c)
+			s.logSlowness(c, statedSource)
 		}
 		return
 	}
@@ -39,25 +40,51 @@
 	}
 	s.mu.Lock()
 	changes := s.costs.slowness.Expire(now, gone)
+	ended := s.speeds.Prune(now, func(x admit.ServerIncarnation) bool { return gone(cost.Server(x)) })
 	s.mu.Unlock()
 	for _, c := range changes {
-		s.logSlowness(c)
+		s.logSlowness(c, statedSource)
+	}
+	for _, x := range ended {
+		s.logSlowness(cost.SlownessChange{Server: cost.Server(x), Factor: 1}, answersSource)
 	}
 }
 
+// answered records the time of a server's complete answer to a request that was sent at
+// the given time.
+func (s *service) answered(m *fleet.Member, route string, sent, now time.Duration) {
+	x := incarnationOf(m)
+	s.mu.Lock()
+	changed := s.speeds.Answered(x, route, now-sent, now)
+	c := cost.SlownessChange{Server: costServer(m)}
+	if changed {
+		c.Factor, c.Slow = s.speeds.Estimate(x, now), s.speeds.IsSlow(x)
+	}
+	s.mu.Unlock()
+	if changed {
+		s.logSlowness(c, answersSource)
+	}
+}
+
+// Sources of what is known of a server's speed, in log lines.
+const (
+	statedSource  = "stated"
+	answersSource = "answers" // their times relative to those of the other servers
+)
+
 // logSlowness logs that a server begins or ends to count as slow.
-func (s *service) logSlowness(c cost.SlownessChange) {
+func (s *service) logSlowness(c cost.SlownessChange, source string) {
 	message, level := "server-slow-ended", log.InfoLevel
 	if c.Slow {
 		message, level = "server-slow", log.WarnLevel
 	}
 	s.log.Log(level, message, "server", c.Server.ID, "started_at", c.Server.StartedAt, "service", s.name,
-		"factor", math.Round(c.Factor*100)/100, "age_ms", c.Age.Milliseconds())
+		"by", source, "factor", math.Round(c.Factor*100)/100, "age_ms", c.Age.Milliseconds())
 }
 
 // countSlow returns the number of servers that count as slow.
 func (s *service) countSlow() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.costs.slowness.Slow()
+	return s.costs.slowness.Slow() + s.speeds.Slow()
 }
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -106,3 +106,37 @@
 	s.pickByCost(members, "", nil, 0, coldPolicy{}, x)
 	require.Contains(t, costFields(x), "slowness")
 }
+
+// A plain server that answers late gets few requests, and as many as the others once it
+// answers like them. Requests are not refused for it.
+func TestServersThatAnswerLate(t *testing.T) {
+	s, members := newCostService(3)
+	now := time.Duration(0)
+	play := func(factor time.Duration, n int) (share int) {
+		for range n {
+			m := s.pick(members, "", nil, now, coldPolicy{})
+			took := 20 * time.Millisecond
+			if m == members[1] {
+				took *= factor
+				share++
+			}
+			s.answered(m, "r", now, now+took)
+			s.attemptEnded(m, now+took, severityNone)
+			now += 50 * time.Millisecond
+		}
+		return share * 100 / n
+	}
+	require.InDelta(t, 33, play(1, 200), 10)
+	play(12, 60)
+	require.Equal(t, 1, s.countSlow())
+	slowShare := play(12, 200)
+	require.Less(t, slowShare, 10)
+	require.Positive(t, slowShare, "single requests show whether it still is slow")
+	play(1, 100)
+	require.Zero(t, s.countSlow())
+	require.InDelta(t, 33, play(1, 200), 10)
+	play(12, 60)
+	require.NotNil(t, s.pick(members[1:2], "", nil, now, coldPolicy{}), "alone")
+	s.expireSlowness(&fleet.View{}, now)
+	require.Zero(t, s.countSlow())
+}
--- a/route/leastconn/leastconn.go
+++ b/route/leastconn/leastconn.go
@@ -1,5 +1,6 @@
 // Package leastconn implements a routing policy that picks the backend server
-// with the lowest estimated load; see route.Candidate.Load.
+// with the lowest estimated load; see route.Candidate.Load. The load that the request
+// makes of a server that works more slowly than usual counts times its slowness.
 package leastconn
 
 import (
@@ -26,9 +27,9 @@
 			continue
 		}
 		switch {
-		case best < 0 || c.Load() < candidates[best].Load():
+		case best < 0 || load(c) < load(&candidates[best]):
 			best, ties = i, 1
-		case c.Load() == candidates[best].Load():
+		case load(c) == load(&candidates[best]):
 			ties++
 			if p.source.IntN(ties) == 0 {
 				best = i
@@ -38,4 +39,7 @@
 	return max(best, 0), best >= 0
 }
 
+// load returns the candidate's load with the request, at its speed.
+func load(c *route.Candidate) float64 { return float64(c.Load()+1) * c.Slow() }
+
 func (p *picker) Done(route.Feedback) {}
