gateway: single model servers whose streams pause longer than the others' get fewer requests

Cause: a model server that makes its passes alone and states no speed got as many streams as the others, however long its passes.

Change: one pause of a stream in 100 ms is compared with those at the other servers, at the same number of requests by the engine's cost model; ranks of known groups are left out. A slow server gets a request to show whether it still is only when nothing has been seen of it for 0.5 s, and then at intervals that double up to 4 s, as a stream there is a late one; an answer unlike the earlier ones brings the next trial forward.

--- a/admit/server_speeds.go
+++ b/admit/server_speeds.go
@@ -30,9 +30,11 @@
 	spreadShare = 0.03 // weight of the newest answer in the spread
 	// speedTTL is the age of a server's last answer from which its speed is unknown.
 	speedTTL = 10 * time.Second
-	// speedTrial is the time between two requests that a slow server gets to show whether
-	// it still is. The jitter keeps gateways apart.
-	speedTrial       = 500 * time.Millisecond
+	// A slow server of which nothing has been seen for a while gets a request to show
+	// whether it still is. That time doubles from minSpeedTrial to maxSpeedTrial while it
+	// is. The jitter keeps gateways apart.
+	minSpeedTrial    = 500 * time.Millisecond
+	maxSpeedTrial    = 4 * time.Second
 	speedTrialJitter = 0.5
 	maxSpeedServers  = 1024
 	maxSpeedRoutes   = 256
@@ -68,6 +70,7 @@
 	jump      float64 // the last time if it did not count, or else 0
 	slow      bool
 	trial     time.Duration // when a slow server may get the next request as if it was not
+	interval  time.Duration // to the trial after that
 }
 
 // NewServerSpeeds returns a ServerSpeeds that knows of no server. source draws the times
@@ -79,8 +82,8 @@
 	}
 }
 
-// Answered records the time from sending a request of a route to a server to the end of
-// its answer. It reports whether the server has begun or ceased to count as slow.
+// Answered records the time that a server has needed for a request of a route, or for
+// another kind of work that all servers do alike. It reports whether the server has begun or ceased to count as slow.
 func (x *ServerSpeeds) Answered(server ServerIncarnation, route string, d, now time.Duration) (changed bool) {
 	usual := x.routes[route]
 	if usual == nil {
@@ -106,7 +109,11 @@
 	usual.add(logTime, maxRouteAnswers)
 	was := s.slow
 	s.slow = x.isSlow(server, s, now)
-	if s.slow && !was {
+	switch {
+	case s.slow && (!was || s.jump != 0): // it may be slow no longer
+		s.interval = minSpeedTrial
+		x.delayTrial(s, now)
+	case s.slow:
 		x.delayTrial(s, now)
 	}
 	return s.slow != was
@@ -185,12 +192,13 @@
 // Sent records that a request is being sent to a server.
 func (x *ServerSpeeds) Sent(server ServerIncarnation, now time.Duration) {
 	if s := x.servers[server]; s != nil && s.slow && now >= s.trial {
+		s.interval = min(2*s.interval, maxSpeedTrial)
 		x.delayTrial(s, now)
 	}
 }
 
 func (x *ServerSpeeds) delayTrial(s *serverSpeed, now time.Duration) {
-	s.trial = now + time.Duration(float64(speedTrial)*(1+speedTrialJitter*x.source.Float64()))
+	s.trial = now + time.Duration(float64(s.interval)*(1+speedTrialJitter*x.source.Float64()))
 }
 
 // IsSlow reports whether a server counts as slow.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -39,6 +39,7 @@
 	inFlight   int             // requests in flight
 	failedAt   time.Duration   // last attempt without a complete response; 0 for none
 	recentSent []time.Duration // when requests were sent, at least those of the last second
+	comparedAt time.Duration   // last pause of a stream that was compared with those of other servers
 }
 
 // service is the state of one service. mu guards the fields below it; Directory.mu
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -66,6 +66,43 @@
 	}
 }
 
+const (
+	// streamsWork names the work of streams at servers that make their passes alone.
+	streamsWork = "streams"
+	// comparedInterval is the least time between two pauses of streams at a server that
+	// are compared. Pauses of the same pass say the same.
+	comparedInterval = 100 * time.Millisecond
+)
+
+// observeStreamSpeed records the pause between two events of a stream. Servers whose
+// group is known are left out: they make their passes together with others.
+func (s *service) observeStreamSpeed(m *fleet.Member, pause, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(m)
+	if s.listed[m.ID] != "" || now-st.comparedAt < comparedInterval {
+		return
+	}
+	st.comparedAt = now
+	x := incarnationOf(m)
+	if !s.speeds.Answered(x, streamsWork, time.Duration(float64(pause)/s.costs.stepAtLoad(m)), now) {
+		return
+	}
+	s.logSlowness(cost.SlownessChange{
+		Server: costServer(m), Factor: s.speeds.Estimate(x, now), Slow: s.speeds.IsSlow(x),
+	}, answersSource)
+}
+
+// stepAtLoad returns the duration of a step of a server with its present requests relative
+// to one without; 1 if that is not known.
+func (s *serverCosts) stepAtLoad(m *fleet.Member) float64 {
+	if !s.model.Known() || s.model.Step <= 0 {
+		return 1
+	}
+	running := min(s.ledger.Total(costServer(m)).Requests, s.model.Slots)
+	return 1 + float64(running)*float64(s.model.PerSequence)/float64(s.model.Step)
+}
+
 // Sources of what is known of a server's speed, in log lines.
 const (
 	statedSource  = "stated"
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -145,4 +145,5 @@
 	}
 	g.metrics.eventGap.Observe((now - previous).Seconds())
 	c.service.observeGap(now, c.group(), m.ID, now-previous)
+	c.service.observeStreamSpeed(m, now-previous, now)
 }
