gateway: the stated slowness of ranks counts for requests of unknown cost, too

Cause: only requests whose cost can be estimated were kept from slow ranks.

Change: what servers state and what their answers show are put together before either routing policy is asked.

Measured: tests of the package.

--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -96,12 +96,11 @@
 // describe adds to the candidates what the servers have to do. For a request whose
 // caller has had a part of the answer their memory counts as unknown: another server may
 // run it late, but without one the answer breaks off.
-func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member, x *requestCost, now time.Duration) {
+func (s *serverCosts) describe(list []route.Candidate, members []*fleet.Member, x *requestCost) {
 	for i, m := range members {
 		load := s.ledger.Total(costServer(m))
 		c := &list[i]
 		c.Work, c.Running, c.Limit = load.Work, load.Requests, s.model.Slots
-		c.Slowness = max(c.Slowness, s.slowness.Factor(costServer(m), now))
 		if x.output == 0 {
 			c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -160,7 +160,7 @@
 	list := make([]route.Candidate, 0, len(members))
 	for i, m := range members {
 		st := s.stateOf(m)
-		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight, Slowness: s.speeds.Factor(incarnationOf(m), now)}
+		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight, Slowness: s.slownessOf(m, now)}
 		unhealthy := !st.health.usable(now) && (st.health.absent || tier < failingServers)
 		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
@@ -237,7 +237,7 @@
 	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
-			s.costs.describe(list, members, x, now)
+			s.costs.describe(list, members, x)
 		}
 		if i, ok = picker.Pick(request, list); ok {
 			slowness = list[i].Slow()
@@ -274,7 +274,7 @@
 	for tier := decliningServers; tier < serverTiers; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
-			s.costs.describe(list, members, x, now)
+			s.costs.describe(list, members, x)
 		}
 		if slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
 			return slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() && c.Fits(request) })
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -119,6 +119,12 @@
 		"by", source, "factor", math.Round(c.Factor*100)/100, "age_ms", c.Age.Milliseconds())
 }
 
+// slownessOf returns the factor by which a server is slower than usual, as stated or by its
+// answers; 1 if it is not known to be. Callers hold mu.
+func (s *service) slownessOf(m *fleet.Member, now time.Duration) float64 {
+	return max(s.costs.slowness.Factor(costServer(m), now), s.speeds.Factor(incarnationOf(m), now))
+}
+
 // countSlow returns the number of servers that count as slow.
 func (s *service) countSlow() int {
 	s.mu.Lock()
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -63,6 +64,26 @@
 	})
 }
 
+// Requests of unknown cost go to the other ranks, too, while those have few.
+func TestSlowRanksGetFewRequestsOfUnknownCost(t *testing.T) {
+	s, members := newCostService(4)
+	s.stateSlowness(members, slowState(members[1], 12), 0)
+	for range 30 {
+		require.NotEqual(t, "i-1", s.pick(members, "", nil, 0, coldPolicy{}).ID)
+	}
+}
+
+// Factors that no engine states are bounded.
+func TestMalformedSlowness(t *testing.T) {
+	s, members := newCostService(2)
+	for _, factor := range []float64{math.NaN(), math.Inf(-1), -1, math.Inf(1), math.MaxFloat32} {
+		s.stateSlowness(members, slowState(members[1], float32(factor)), 0)
+		require.LessOrEqual(t, s.slownessOf(members[1], 0), 100.0)
+		require.GreaterOrEqual(t, s.slownessOf(members[1], 0), 1.0)
+	}
+	require.Len(t, picked(t, s, members, 21, 0), 2)
+}
+
 // Reports that name no engine, or none of the service, or state nothing, have no effect.
 func TestReportsWithoutSlowness(t *testing.T) {
 	s, members := newCostService(4)
