gateway: streams move from a rank that holds up its group

Cause: a group waits for the base step of a slow rank as long as that rank has a stream.

Change: after an event, a stream at a rank that states twice the usual time or more goes on at another rank of the group, if the request may be executed again, has an attempt and the retry budget left, a faster rank has a slot free, and not over an eighth of the ranks are as slow. The server's health does not suffer. A line stream-moved and a counter.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 	queueTime        prometheus.Histogram
 	retries          prometheus.Counter
 	resumes          prometheus.Counter
+	moved            prometheus.Counter
 	opened           prometheus.Counter
 	idleClosed       prometheus.Counter
 	slowCallers      prometheus.Counter
@@ -69,6 +70,7 @@
 			[]float64{.01, .03, .06, .12, .25, .5, 1}),
 		retries:          counter("retries_total", "Attempts after the first of a request."),
 		resumes:          counter("resumes_total", "Streams resumed at another backend server."),
+		moved:            counter("streams_moved_total", "Streams moved from a rank that held up its group."),
 		opened:           counter("connections_opened_total", "Connections opened to backend servers."),
 		idleClosed:       counter("idle_connections_closed_total", "Idle connections of callers closed by the gateway."),
 		slowCallers:      counter("slow_callers_cut_total", "Connections ended because their callers did not read what was held for them."),
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -9,6 +10,7 @@
 	"marjorampitch/admit"
 	"marjorampitch/cost"
 	"marjorampitch/fleet"
+	"marjorampitch/route"
 	"marjorampitch/wire"
 )
 
@@ -125,6 +127,48 @@
 	return max(s.costs.slowness.Factor(costServer(m), now), s.speeds.Factor(incarnationOf(m), now))
 }
 
+const (
+	// movedFactor is the stated slowness from which streams are moved from a rank.
+	movedFactor = 2.0
+	// maxMovedShare is the largest part of a group's ranks from which streams are moved.
+	// With more slow ranks the others have no room for their streams, and the group stays
+	// slow if some cannot be moved.
+	maxMovedShare = 1.0 / 8
+)
+
+// holdsUpGroup reports whether a server is a rank so slow that the streams at it are to go
+// on at others of its group, and one of these can take a request: each pass of the group
+// lasts as long as the base step of a slow rank that has a stream.
+func (s *service) holdsUpGroup(m *fleet.Member, members []*fleet.Member, tried []string, now time.Duration, cold coldPolicy, x *requestCost) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	group := s.listed[m.ID]
+	if group == "" || s.costs.slowness.Factor(costServer(m), now) < movedFactor {
+		return false
+	}
+	ranks, slow := 0, 0
+	for _, o := range members {
+		if s.listed[o.ID] != group {
+			continue
+		}
+		ranks++
+		if s.costs.slowness.Factor(costServer(o), now) >= movedFactor {
+			slow++
+		}
+	}
+	if float64(slow) > maxMovedShare*float64(ranks) {
+		return false
+	}
+	list, request := s.candidates(members, group, tried, now, cold, preferredServers), &route.Request{}
+	if s.costs.applies(x) {
+		s.costs.describe(list, members, x)
+		request.Memory = s.costs.estimate(x).Memory()
+	}
+	return slices.ContainsFunc(list, func(c route.Candidate) bool {
+		return c.Usable() && !c.Full() && c.Fits(request) && c.Slow() < cost.SlowFactor
+	})
+}
+
 // countSlow returns the number of servers that count as slow.
 func (s *service) countSlow() int {
 	s.mu.Lock()
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"math"
+	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/admit"
 	"marjorampitch/fleet"
 	"marjorampitch/wire"
 )
@@ -202,3 +206,117 @@
 		})
 	}
 }
+
+// inGroup makes the servers ranks of one group.
+func inGroup(s *service, members []*fleet.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = make(map[string]string)
+	for _, m := range members {
+		s.listed[m.ID] = "g"
+	}
+}
+
+// Streams are moved from a rank that is much slower than usual, but not from one that is
+// slightly, or one of many, or if no other has a slot.
+func TestRanksThatHoldUpTheirGroup(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		slow   int // the first of 16 ranks
+		factor float32
+		alone  bool // in no group
+		full   bool
+		want   bool
+	}{
+		{name: "one", slow: 1, factor: 12, want: true},
+		{name: "two", slow: 2, factor: 12, want: true},
+		{name: "three", slow: 3, factor: 12},
+		{name: "all", slow: 16, factor: 12},
+		{name: "slightly", slow: 1, factor: 1.6},
+		{name: "alone", slow: 1, factor: 12, alone: true},
+		{name: "others full", slow: 1, factor: 12, full: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, members := newCostService(16)
+			if !c.alone {
+				inGroup(s, members)
+			}
+			for _, m := range members[:c.slow] {
+				s.stateSlowness(members, slowState(m, c.factor), 0)
+			}
+			if c.full {
+				picked(t, s, members, 150, 0)
+			}
+			x := sized(500, 100)
+			require.Equal(t, c.want, s.holdsUpGroup(members[0], members, []string{"i-0"}, 0, coldPolicy{}, x))
+			require.False(t, s.holdsUpGroup(members[15], members, []string{"i-15"}, 0, coldPolicy{}, x) && c.slow < 16)
+			require.False(t, s.holdsUpGroup(members[0], members, []string{"i-0"}, 2*time.Second, coldPolicy{}, x), "stated long ago")
+		})
+	}
+}
+
+// moveStream sends a stream to a rank that becomes slow after the first event. The other
+// ranks go on after the last event that the caller has got.
+func moveStream(t *testing.T, setUp func(tg *testGateway)) (body string, others int64) {
+	tg := costGateway(t)
+	slowed := make(chan struct{})
+	var resumed atomic.Int64
+	first := tg.server(serveStreams(func(_ int, c *conn) {
+		c.write(event(1))
+		<-slowed
+		c.write(event(2))
+		time.Sleep(100 * time.Millisecond)
+		c.write(event(3))
+	}))
+	ids := []string{first}
+	for range 15 {
+		ids = append(ids, tg.server(func(c *conn) {
+			r := c.request()
+			if r == nil {
+				return
+			}
+			resumed.Add(1)
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			c.write(streamHead(r))
+			for id := last + 1; id <= 3; id++ {
+				c.write(event(id))
+			}
+			c.write("0\r\n\r\n")
+		}))
+	}
+	tg.preferInOrder(ids...)
+	setUp(tg)
+	s := tg.g.service("s")
+	go func() {
+		defer close(slowed)
+		time.Sleep(100 * time.Millisecond)
+		members := tg.cache.View().Services["s"]
+		inGroup(s, members)
+		s.stateSlowness(members, slowState(tg.cache.View().Members[first], 12), tg.g.now())
+	}()
+	status, body, _ := tg.call("/stream/")
+	require.Equal(t, http.StatusOK, status)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.True(t, s.stateOf(tg.cache.View().Members[first]).health.usable(tg.g.now()), "not ejected")
+	return body, resumed.Load()
+}
+
+func TestStreamIsMovedFromSlowRank(t *testing.T) {
+	body, others := moveStream(t, func(*testGateway) {})
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n", body)
+	require.EqualValues(t, 1, others)
+}
+
+func TestStreamIsNotMovedWithoutFurtherAttempt(t *testing.T) {
+	for name, setUp := range map[string]func(tg *testGateway){
+		"attempts used up": (*testGateway).singleAttempt,
+		"no retry budget":  func(tg *testGateway) { tg.g.service("s").budget = admit.NewRetryBudget(0, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, others := moveStream(t, setUp)
+			require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n", body)
+			require.Zero(t, others)
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,13 @@
 		return true, nil
 	}
 	resp.Abort()
-	g.attemptFailed(ctx, c, m, sent, err)
+	if errors.Is(err, errMoved) {
+		c.service.attemptEnded(m, g.now(), severityNone)
+		g.metrics.moved.Inc()
+		g.opts.Log.Info("stream-moved", "request", c.id, "server", m.ID, "service", c.service.name, "last_event", c.lastEventID)
+	} else {
+		g.attemptFailed(ctx, c, m, sent, err)
+	}
 	return false, &api.Error{Code: api.StreamBroken, Ran: api.MayHaveRun, Detail: m.ID + ": " + err.Error()}
 }
 
@@ -131,10 +137,26 @@
 		}
 		if last >= 0 {
 			c.lastEventID = last
+			if g.moveFromSlow(c, m, now) {
+				return n, errMoved
+			}
 		}
 	}
 }
 
+// errMoved ends an attempt whose stream goes on at another server.
+var errMoved = errors.New("moved to a faster rank")
+
+// moveFromSlow reports whether to end an attempt after an event that its caller has got,
+// because its server is slow and holds up its group, and has then reserved the next one.
+func (g *Gateway) moveFromSlow(c *call, m *fleet.Member, now time.Duration) bool {
+	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
+		return false
+	}
+	members := g.opts.Cache.View().Services[c.service.name]
+	return c.service.holdsUpGroup(m, members, c.tried, now, g.coldPolicy(c), &c.cost) && g.reserveAttempt(c, c.group(), c.tried)
+}
+
 // recordEvent reports an event to the gate and the metrics. previous is negative
 // for the first event of an attempt; sent is when the attempt began.
 func (g *Gateway) recordEvent(c *call, m *fleet.Member, now, previous, sent time.Duration) {
