measure: a slow rank without streams does not hold up its group

Cause: plays show that a slow rank's base steps lengthen passes only while the rank has a stream; the simulation let them do so always.

Change: the simulation's base step takes longer only at slow ranks that have streams. Requirements of tests are unchanged.

--- a/internal/measure/unequal_engine.go
+++ b/internal/measure/unequal_engine.go
@@ -183,7 +183,11 @@
 		s := u.servers[i]
 		u.finishPass(now, s)
 		work := u.passWork(s)
-		own = max(own, time.Duration(s.slowness*(float64(unequalStride*unequalStep)+unequalOwnShare*float64(work))))
+		base := float64(unequalStride * unequalStep)
+		if len(s.streams) > 0 { // a slow rank without streams has no tokens to make
+			base *= s.slowness
+		}
+		own = max(own, time.Duration(base+unequalOwnShare*s.slowness*float64(work)))
 		shared += time.Duration((1 - unequalOwnShare) * float64(work))
 		slowest = max(slowest, s.slowness)
 		busy += len(s.streams)
