--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -55,9 +55,15 @@
 // answered records the time of a server's complete answer to a request that was sent at
 // the given time.
 func (s *service) answered(m *fleet.Member, route string, sent, now time.Duration) {
+	s.observeWork(m, "route "+route, now-sent, now)
+}
+
+// observeWork compares the time that a server has needed for work of a kind with that of
+// the other servers.
+func (s *service) observeWork(m *fleet.Member, kind string, took, now time.Duration) {
 	x := incarnationOf(m)
 	s.mu.Lock()
-	changed := s.speeds.Answered(x, route, now-sent, now)
+	changed := s.speeds.Answered(x, kind, took, now)
 	c := cost.SlownessChange{Server: costServer(m)}
 	if changed {
 		c.Factor, c.Slow = s.speeds.Estimate(x, now), s.speeds.IsSlow(x)
@@ -80,19 +86,15 @@
 // group is known are left out: they make their passes together with others.
 func (s *service) observeStreamSpeed(m *fleet.Member, pause, now time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	st := s.stateOf(m)
 	if s.listed[m.ID] != "" || now-st.comparedAt < comparedInterval {
+		s.mu.Unlock()
 		return
 	}
 	st.comparedAt = now
-	x := incarnationOf(m)
-	if !s.speeds.Answered(x, streamsWork, time.Duration(float64(pause)/s.costs.stepAtLoad(m)), now) {
-		return
-	}
-	s.logSlowness(cost.SlownessChange{
-		Server: costServer(m), Factor: s.speeds.Estimate(x, now), Slow: s.speeds.IsSlow(x),
-	}, answersSource)
+	step := s.costs.stepAtLoad(m)
+	s.mu.Unlock()
+	s.observeWork(m, streamsWork, time.Duration(float64(pause)/step), now)
 }
 
 // stepAtLoad returns the duration of a step of a server with its present requests relative
