--- a/gateway/service.go
+++ b/gateway/service.go
@@ -39,6 +39,7 @@
 	inFlight   int             // requests in flight
 	failedAt   time.Duration   // last attempt without a complete response; 0 for none
 	recentSent []time.Duration // when requests were sent, at least those of the last second
+	comparedAt time.Duration   // last pause of a stream that was compared with those of other servers
 }
 
 // service is the state of one service. mu guards the fields below it; Directory.mu
@@ -59,6 +60,7 @@
 	waiters   map[*pace.Ticket]chan struct{}
 	activity  groupActivity // by activityKey
 	costs     serverCosts
+	speeds    *admit.ServerSpeeds // by the answers to this instance
 }
 
 func newService(name string, budget *admit.RetryBudget, statements *serverStatements, logger *log.Logger) *service {
@@ -76,6 +78,7 @@
 		waiters:    make(map[*pace.Ticket]chan struct{}),
 		activity:   make(groupActivity),
 		costs:      newServerCosts(),
+		speeds:     admit.NewServerSpeeds(rand.New(rand.NewPCG(rand.Uint64(), 0))),
 	}
 }
 
@@ -157,7 +160,7 @@
 	list := make([]route.Candidate, 0, len(members))
 	for i, m := range members {
 		st := s.stateOf(m)
-		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight}
+		c := route.Candidate{Name: m.ID, DataCentre: m.DataCentre, OwnInFlight: st.inFlight, Slowness: s.slownessOf(m, now)}
 		unhealthy := !st.health.usable(now) && (st.health.absent || tier < failingServers)
 		c.Excluded = unhealthy || slices.Contains(tried, m.ID) || group != "" && s.groupOf[m.ID] != group
 		if cold.cacheNow < m.ColdUntil || st.mayBeCold(cold) {
@@ -228,15 +231,17 @@
 	if byCost {
 		s.costs.ledger.Expire(now)
 		estimate = s.costs.estimate(x)
-		picker, request.Memory = s.costs.picker, estimate.Memory()
+		picker, request.Memory, request.Work = s.costs.picker, estimate.Memory(), s.costs.due(estimate)
 	}
-	i, ok := -1, false
+	i, ok, slowness := -1, false, 0.0
 	for tier := preferredServers; tier < serverTiers && !ok; tier++ {
 		list := s.candidates(members, group, tried, now, cold, tier)
 		if byCost {
 			s.costs.describe(list, members, x)
 		}
-		i, ok = picker.Pick(request, list)
+		if i, ok = picker.Pick(request, list); ok {
+			slowness = list[i].Slow()
+		}
 		if !ok && tier >= decliningServers && slices.ContainsFunc(list, func(c route.Candidate) bool { return c.Usable() }) {
 			break // they have no memory for it now; ejected servers are no better
 		}
@@ -245,12 +250,13 @@
 		return nil
 	}
 	if byCost {
-		s.costs.begin(x, members[i], estimate)
+		s.costs.begin(x, members[i], estimate, slowness)
 	}
 	st := s.stateOf(members[i])
 	st.inFlight++
 	st.recordSent(now)
 	st.health.requestSent(now)
+	s.speeds.Sent(incarnationOf(members[i]), now)
 	s.statements.sent(members[i], now)
 	return members[i]
 }
