gateway: a stream that is moved takes its retry from the budget first

Cause: attempts that replace a silent one are no longer reserved in advance, and streams that are moved from a slow rank used that reservation.

Change: the move takes the retry and the next attempt does not take another.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,7 @@
 	mayHaveRun   bool         // a server may have executed the request
 	brokenOff    bool         // a server closed the connection before it had begun an answer
 	headSent     bool         // the response head was sent to the caller
+	retryTaken   bool         // from the budget, for the next attempt
 	replacements replacements // attempts made while an earlier one is silent
 	noAttempt    string       // why no further attempt was made; empty if one was not needed
 	lastEventID  int64        // id of the last event delivered, or the caller's Last-Event-ID; -1 for none
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -160,10 +160,11 @@
 		c.noAttempt = "attempts used up"
 		return false, nil, last
 	}
-	if c.sentAttempts > 0 && !c.service.takeRetry() {
+	if c.sentAttempts > 0 && !c.retryTaken && !c.service.takeRetry() {
 		c.noAttempt = "no retry budget"
 		return false, nil, last
 	}
+	c.retryTaken = false
 	view := g.opts.Cache.View() // may have changed since the request arrived
 	if !c.headSent {            // a stream that goes on has had an answer
 		if refusal := g.crashes.begin(c, view, g.now()); refusal != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,13 +144,18 @@
 var errMoved = errors.New("moved to a faster rank")
 
 // moveFromSlow reports whether to end an attempt after an event that its caller has got,
-// because its server is slow and holds up its group, and has then reserved the next one.
+// because its server is slow and holds up its group. It has then taken the retry of the
+// next one from the budget.
 func (g *Gateway) moveFromSlow(c *call, m *fleet.Member, now time.Duration) bool {
 	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
 		return false
 	}
 	members := g.opts.Cache.View().Services[c.service.name]
-	return c.service.holdsUpGroup(m, members, c.tried, now, g.coldPolicy(c), &c.cost) && g.reserveAttempt(c, c.group(), c.tried)
+	if !c.service.holdsUpGroup(m, members, c.tried, now, g.coldPolicy(c), &c.cost) || !c.service.takeRetry() {
+		return false
+	}
+	c.retryTaken = true
+	return true
 }
 
 // recordEvent reports an event to the gate and the metrics. previous is negative
