placement/spread: slow ranks give up experts

Cause: plans took all ranks to be equally fast, and an expert stayed on its rank of the initial map for ever. A rank that is slower by a factor of 12 made the experts' part of each pass 10 times as long as with even load: its share of the tokens of an expert is the same as that of each other holder.

Change: plans weigh the load of a rank with its slowness. A slow rank gives up experts that others hold, at most as many of the initial map in a set as it may copy in one switch; a list of replicas states this by an entry on the expert's home. Lists of experts are never nil: engines refuse null for the experts of a rank with status 400.

--- a/placement/spread/spread.go
+++ b/placement/spread/spread.go
@@ -1,6 +1,11 @@
 // Package spread plans expert maps by replication: every expert stays on its rank
-// of the initial map, and the remaining slots hold replicas of the experts in high
-// demand. A set is a set of layers with a map of its own.
+// of the initial map, its home, and the remaining slots hold replicas of the experts
+// in high demand. A set is a set of layers with a map of its own.
+//
+// The ranks that hold an expert receive equal parts of its tokens, so that replicas
+// elsewhere do not take all load off a rank that is slow. Such a rank gives up experts
+// that another rank holds, its own ones included. A list of replicas states this by an
+// entry on the expert's home.
 //
 // A copy occupies the link of its rank while it is made, and demand shifts every
 // few seconds. A plan therefore makes few copies, up to a limit per rank; the ranks
@@ -39,22 +44,35 @@
 }
 
 // ExpertsByRank returns the experts that each rank holds, by set and rank: those of
-// the initial map, then the replicas, which fit the shape.
+// the initial map that it has not given up, then the replicas, which fit the shape. No
+// list is nil.
 func (s Shape) ExpertsByRank(replicas []wire.Replica) [][][]int {
 	lists := make([][][]int, s.Sets)
 	for set := range lists {
 		lists[set] = make([][]int, s.Ranks)
+		for r := range lists[set] {
+			lists[set][r] = []int{}
+		}
 		for e := range s.Experts {
 			r := s.HomeRank(e)
 			lists[set][r] = append(lists[set][r], e)
 		}
 	}
 	for _, c := range replicas {
-		lists[c.Set][c.Rank] = append(lists[c.Set][c.Rank], int(c.Expert))
+		list := &lists[c.Set][c.Rank]
+		if s.GivesUp(c) {
+			*list = slices.DeleteFunc(*list, func(e int) bool { return e == int(c.Expert) })
+		} else {
+			*list = append(*list, int(c.Expert))
+		}
 	}
 	return lists
 }
 
+// GivesUp reports whether an entry of a list of replicas states that a rank has given
+// up an expert of the initial map.
+func (s Shape) GivesUp(c wire.Replica) bool { return s.HomeRank(int(c.Expert)) == int(c.Rank) }
+
 // Loads holds the share of its set's tokens that each expert receives, by set and
 // expert. The shares of a set add up to 1.
 type Loads [][]float64
@@ -62,7 +80,10 @@
 // Limits bounds the copies of one plan and sets the gain that it must reach.
 type Limits struct {
 	CopiesPerRank int // maximum number of new replicas per rank, over all sets
-	SpareSlots    int // maximum number of new replicas per rank and set
+	// SpareSlots is the maximum number of new replicas per rank and set. A rank gives
+	// up no more experts of the initial map in a set, so that one switch can lead back
+	// to that map.
+	SpareSlots int
 	// MinGainPerCopy is the minimum reduction of the cost per copy, as a fraction of
 	// the current cost, averaged over copies that are added together in one set.
 	MinGainPerCopy float64
@@ -70,20 +91,31 @@
 	// each copy of the rank that makes the most copies, as fractions of the current
 	// cost.
 	SwitchCost, CopyCost float64
+	// Slowness is the factor by which work takes longer than at the other ranks, by
+	// rank; nil if all ranks are equally fast.
+	Slowness []float64
 }
 
 // Cost returns the sum over the sets of the load of the most loaded rank, in
 // multiples of the mean rank load. It is proportional to the time of the sets in a
 // forward pass; a perfectly balanced map costs the number of sets.
 func Cost(s Shape, loads Loads, replicas []wire.Replica) float64 {
+	return WeightedCost(s, loads, replicas, nil)
+}
+
+// WeightedCost is Cost with the load of each rank multiplied by its slowness.
+func WeightedCost(s Shape, loads Loads, replicas []wire.Replica, slowness []float64) float64 {
 	p := newPlan(s, loads, replicas)
+	p.limits.Slowness = slowness
 	return p.cost()
 }
 
-// Improve plans new replicas and returns the list of all replicas and its cost. Of
+// Improve plans new replicas and returns the list of all replicas and its cost, weighted
+// by limits.Slowness. Of
 // the plans with 1 to limits.CopiesPerRank copies per rank it chooses the one whose
 // gain exceeds the required gain most; ok is false if no plan exceeds it. Replicas
-// of experts with low load are dropped where their slot is needed.
+// of experts with low load are dropped where their slot is needed, and slow ranks give
+// up experts.
 func Improve(s Shape, loads Loads, replicas []wire.Replica, limits Limits) (better []wire.Replica, cost float64, ok bool) {
 	p := newPlan(s, loads, replicas)
 	p.limits = limits
@@ -91,7 +123,7 @@
 	before := p.cost()
 	bestNet := 0.0
 	for p.limits.CopiesPerRank = 1; p.limits.CopiesPerRank <= limits.CopiesPerRank; p.limits.CopiesPerRank++ {
-		if !p.addCopies(limits.MinGainPerCopy * before) {
+		if !p.addBatches(limits.MinGainPerCopy * before) {
 			break
 		}
 		after := p.cost()
@@ -103,10 +135,10 @@
 	return better, cost, ok
 }
 
-// addCopies adds batches of copies with an average gain per copy of at least
-// minGain, as far as the limits allow. It reports whether it added any.
-func (p *plan) addCopies(minGain float64) (added bool) {
-	batches := make([]copyBatch, p.shape.Sets)
+// addBatches applies batches of changes with an average gain per copy of at least
+// minGain, as far as the limits allow. It reports whether it applied any.
+func (p *plan) addBatches(minGain float64) (added bool) {
+	batches := make([]batch, p.shape.Sets)
 	for set := range batches {
 		batches[set] = p.bestBatch(set)
 	}
@@ -121,11 +153,11 @@
 			return added
 		}
 		added = true
-		for _, c := range batches[best].copies {
-			p.addCopy(c)
+		for _, c := range batches[best].changes {
+			p.apply(c)
 		}
 		for set := range batches { // the ranks of the added copies may have reached a limit
-			if set == best || !p.fits(batches[set].copies) {
+			if set == best || !p.fits(batches[set].changes) {
 				batches[set] = p.bestBatch(set)
 			}
 		}
@@ -134,14 +166,14 @@
 
 // plan is an expert map with the resulting rank loads.
 type plan struct {
-	shape        Shape
-	loads        Loads
-	limits       Limits
-	holders      [][][]int   // ranks that hold each expert, by set and expert
-	replicaCount [][]int     // replicas, by set and rank
-	load         [][]float64 // by set and rank, as shares of the set's tokens
-	newPerRank   []int       // replicas added by the plan, by rank
-	newExperts   [][][]int   // experts of the replicas added by the plan, by set and rank
+	shape      Shape
+	loads      Loads
+	limits     Limits
+	holders    [][][]int   // ranks that hold each expert, by set and expert
+	extra      [][]int     // replicas less experts of the initial map that were given up, by set and rank
+	load       [][]float64 // by set and rank, as shares of the set's tokens
+	newPerRank []int       // copies added by the plan, by rank
+	newExperts [][][]int   // experts of the replicas added by the plan, by set and rank
 }
 
 // newPlan returns the map with the given replicas. The caller sets the limits and
@@ -154,13 +186,17 @@
 			holders[e] = []int{s.HomeRank(e)}
 		}
 		p.holders = append(p.holders, holders)
-		p.replicaCount = append(p.replicaCount, make([]int, s.Ranks))
+		p.extra = append(p.extra, make([]int, s.Ranks))
 		p.load = append(p.load, make([]float64, s.Ranks))
 		p.newExperts = append(p.newExperts, make([][]int, s.Ranks))
 	}
 	for _, c := range replicas {
+		if s.GivesUp(c) {
+			p.removeHolder(int(c.Set), int(c.Expert), int(c.Rank))
+			continue
+		}
 		p.holders[c.Set][c.Expert] = append(p.holders[c.Set][c.Expert], int(c.Rank))
-		p.replicaCount[c.Set][c.Rank]++
+		p.extra[c.Set][c.Rank]++
 	}
 	for set := range s.Sets {
 		for e := range s.Experts {
@@ -181,45 +217,43 @@
 
 // maxLoad returns the load of the most loaded rank of a set, in multiples of the
 // mean rank load.
-func (p *plan) maxLoad(set int) float64 { return slices.Max(p.load[set]) * float64(p.shape.Ranks) }
-
-// homeExperts returns the number of experts of a set that the initial map places on
-// a rank.
-func (p *plan) homeExperts(rank int) int {
-	return (p.shape.Experts - rank + p.shape.Ranks - 1) / p.shape.Ranks
+func (p *plan) maxLoad(set int) float64 {
+	busiest := p.busiest(set)
+	return p.weigh(p.load[set][busiest], busiest) * float64(p.shape.Ranks)
 }
 
-// copyBatch is a sequence of copies in one set that are added together: if two
-// ranks are equally loaded, a single copy does not reduce the cost.
-type copyBatch struct {
-	copies []wire.Replica
-	gain   float64 // reduction of the cost per copy
+// busiest returns the most loaded rank of a set.
+func (p *plan) busiest(set int) int {
+	best, most := 0, 0.0
+	for r, load := range p.load[set] {
+		if x := p.weigh(load, r); x > most {
+			best, most = r, x
+		}
+	}
+	return best
 }
 
-// bestBatch returns the batch of copies in one set with the highest gain per copy,
-// empty if none has a gain. It does not modify the plan.
-func (p *plan) bestBatch(set int) copyBatch {
-	trial := p.cloneFor(set)
-	before := trial.maxLoad(set)
-	var best copyBatch
-	var copies []wire.Replica
-	for {
-		c, ok := trial.nextCopy(set)
-		if !ok {
-			return best
-		}
-		trial.addCopy(c)
-		copies = append(copies, c)
-		if gain := (before - trial.maxLoad(set)) / float64(len(copies)); gain > best.gain {
-			best = copyBatch{slices.Clone(copies), gain}
-		}
+// isSlow reports whether a rank is slower than others.
+func (p *plan) isSlow(rank int) bool { return p.weigh(1, rank) > 1 }
+
+// weigh returns a load of a rank multiplied by the rank's slowness.
+func (p *plan) weigh(load float64, rank int) float64 {
+	if p.limits.Slowness == nil {
+		return load
 	}
+	return load * p.limits.Slowness[rank]
+}
+
+// homeExperts returns the number of experts of a set that the initial map places on
+// a rank.
+func (p *plan) homeExperts(rank int) int {
+	return (p.shape.Experts - rank + p.shape.Ranks - 1) / p.shape.Ranks
 }
 
 // cloneFor returns a copy of the plan in which one set may be modified.
 func (p *plan) cloneFor(set int) *plan {
 	t := *p
-	t.holders, t.replicaCount, t.load, t.newExperts = slices.Clone(p.holders), slices.Clone(p.replicaCount), slices.Clone(p.load), slices.Clone(p.newExperts)
+	t.holders, t.extra, t.load, t.newExperts = slices.Clone(p.holders), slices.Clone(p.extra), slices.Clone(p.load), slices.Clone(p.newExperts)
 	t.newPerRank = slices.Clone(p.newPerRank)
 	t.holders[set] = make([][]int, len(p.holders[set]))
 	for e, holders := range p.holders[set] {
@@ -229,47 +263,24 @@
 	for r, experts := range p.newExperts[set] {
 		t.newExperts[set][r] = slices.Clone(experts)
 	}
-	t.replicaCount[set], t.load[set] = slices.Clone(p.replicaCount[set]), slices.Clone(p.load[set])
+	t.extra[set], t.load[set] = slices.Clone(p.extra[set]), slices.Clone(p.load[set])
 	return &t
 }
 
-// fits reports whether the ranks of the copies stay within CopiesPerRank.
-func (p *plan) fits(copies []wire.Replica) bool {
+// fits reports whether the ranks of the changes stay within CopiesPerRank.
+func (p *plan) fits(changes []change) bool {
 	count := slices.Clone(p.newPerRank)
-	for _, c := range copies {
-		if count[c.Rank]++; count[c.Rank] > p.limits.CopiesPerRank {
+	for _, c := range changes {
+		if c.to == none {
+			continue
+		}
+		if count[c.to]++; count[c.to] > p.limits.CopiesPerRank {
 			return false
 		}
 	}
 	return true
 }
 
-// nextCopy returns the next copy to add in a set: the expert that contributes most
-// to the load of the most loaded rank, copied to the least loaded rank that can
-// take it. ok is false if there is no such expert or rank, or if that rank would
-// become as loaded as the most loaded one.
-func (p *plan) nextCopy(set int) (c wire.Replica, ok bool) {
-	busiest := argMax(p.load[set])
-	expert := p.heaviest(set, busiest)
-	if expert < 0 {
-		return c, false
-	}
-	to := -1
-	for r := range p.shape.Ranks {
-		if p.canTake(set, expert, r) && (to < 0 || p.load[set][r] < p.load[set][to]) {
-			to = r
-		}
-	}
-	if to < 0 {
-		return c, false
-	}
-	part := p.loads[set][expert] / float64(len(p.holders[set][expert])+1)
-	if p.load[set][to]+part >= p.load[set][busiest] {
-		return c, false
-	}
-	return wire.Replica{Set: uint16(set), Expert: uint16(expert), Rank: uint16(to)}, true
-}
-
 // heaviest returns the expert that contributes most to the load of a rank, or -1.
 func (p *plan) heaviest(set, rank int) int {
 	best, most := -1, 0.0
@@ -290,18 +301,18 @@
 	if len(p.newExperts[set][rank]) >= p.limits.SpareSlots {
 		return false
 	}
-	return p.homeExperts(rank)+p.replicaCount[set][rank] < p.shape.Slots || p.replicaCount[set][rank] > len(p.newExperts[set][rank])
+	return p.homeExperts(rank)+p.extra[set][rank] < p.shape.Slots || p.leastUsedReplica(set, rank) >= 0
 }
 
 // leastUsedReplica returns the expert with the lowest load among the replicas of a
-// rank that the plan did not add, or -1.
+// rank that the plan did not add and that another rank holds, too, or -1.
 func (p *plan) leastUsedReplica(set, rank int) int {
 	best, least := -1, 0.0
 	for e, holders := range p.holders[set] {
 		if p.shape.HomeRank(e) == rank || !slices.Contains(holders, rank) {
 			continue
 		}
-		if slices.Contains(p.newExperts[set][rank], e) {
+		if len(holders) == 1 || slices.Contains(p.newExperts[set][rank], e) {
 			continue
 		}
 		if x := p.loads[set][e]; best < 0 || x < least {
@@ -311,30 +322,6 @@
 	return best
 }
 
-// addCopy adds a copy. If the rank has no empty slot, the copy replaces the rank's
-// least used replica.
-func (p *plan) addCopy(c wire.Replica) {
-	set, rank := int(c.Set), int(c.Rank)
-	if p.homeExperts(rank)+p.replicaCount[set][rank] >= p.shape.Slots {
-		p.dropReplica(set, p.leastUsedReplica(set, rank), rank)
-	}
-	holders := p.holders[set][c.Expert]
-	p.addLoad(set, int(c.Expert), -1)
-	p.holders[set][c.Expert] = append(holders, rank)
-	p.addLoad(set, int(c.Expert), 1)
-	p.replicaCount[set][rank]++
-	p.newPerRank[rank]++
-	p.newExperts[set][rank] = append(p.newExperts[set][rank], int(c.Expert))
-}
-
-// dropReplica removes a replica of an expert from a rank.
-func (p *plan) dropReplica(set, expert, rank int) {
-	p.addLoad(set, expert, -1)
-	p.holders[set][expert] = slices.DeleteFunc(p.holders[set][expert], func(r int) bool { return r == rank })
-	p.addLoad(set, expert, 1)
-	p.replicaCount[set][rank]--
-}
-
 // addLoad adds the load of an expert, multiplied by sign, to its holders in equal
 // parts.
 func (p *plan) addLoad(set, expert int, sign float64) {
@@ -349,8 +336,12 @@
 	var list []wire.Replica
 	for set := range p.holders {
 		for e, holders := range p.holders[set] {
+			home := p.shape.HomeRank(e)
+			if !slices.Contains(holders, home) {
+				list = append(list, wire.Replica{Set: uint16(set), Expert: uint16(e), Rank: uint16(home)})
+			}
 			for _, r := range holders {
-				if r != p.shape.HomeRank(e) {
+				if r != home {
 					list = append(list, wire.Replica{Set: uint16(set), Expert: uint16(e), Rank: uint16(r)})
 				}
 			}
@@ -358,14 +349,3 @@
 	}
 	return list
 }
-
-// argMax returns the index of the first maximum of list.
-func argMax(list []float64) int {
-	best := 0
-	for i, x := range list {
-		if x > list[best] {
-			best = i
-		}
-	}
-	return best
-}
--- a/placement/spread/spread_test.go
+++ b/placement/spread/spread_test.go
@@ -277,3 +277,14 @@
 		})
 	}
 }
+
+// argMax returns the index of the first maximum of list.
+func argMax(list []float64) int {
+	best := 0
+	for i, x := range list {
+		if x > list[best] {
+			best = i
+		}
+	}
+	return best
+}
