remap: a successor whose plan is refused returns to the initial map

Cause: a coordinator that takes over assumes the initial map. Once ranks can give up experts of that map, a plan from it may have a rank copy them together with others, more than its engine allows. Each plan would be refused, for ever.

Change: after such a refusal the next switch leads to the initial map, which each rank can reach in one switch, and from which all is known. The coordinator tells what ranks state about their slowness, unless the report is old or of an earlier epoch.

The fake engine can refuse orders to prepare, in addition to what it refused before.

--- a/remap/coordinator.go
+++ b/remap/coordinator.go
@@ -43,6 +43,8 @@
 	versionCount int64          // map versions allocated in this term
 	current      []wire.Replica // map in force, if currentKnown
 	currentKnown bool
+	assumed      bool           // current is the initial map for want of better knowledge
+	returning    bool           // the next switch leads to the initial map, because a rank refused a plan from an assumed map
 	target       []wire.Replica // map of the switch in progress
 	holdStep     int64          // pass that the holder is ordered to hold for the switch; None if there is none
 	holder       int            // rank whose engine is ordered to hold holdStep
@@ -255,11 +257,30 @@
 		c.allAnswers(func(r *report) bool { return now-r.receivedAt < maxReportAge })
 }
 
-// Propose starts a switch to a map. It does nothing unless Ready.
+// Slowness returns the factor by which work takes longer than usual at a rank, as
+// stated in its last report; 0 if it is not known or the report is old.
+func (c *Coordinator) Slowness(rank int, now time.Duration) float64 {
+	if rank < 0 || rank >= len(c.reports) {
+		return 0
+	}
+	r := &c.reports[rank]
+	if !r.received || r.Epoch != c.engine.Epoch || now-r.receivedAt >= maxReportAge {
+		return 0
+	}
+	return float64(r.Slowness)
+}
+
+// Propose starts a switch to a map. It does nothing unless Ready. After a rank has
+// refused a map that was planned without knowledge of the one in force, the switch leads
+// to the initial map instead: a rank that has given up experts of it cannot copy them
+// together with others.
 func (c *Coordinator) Propose(replicas []wire.Replica, now time.Duration) {
 	if !c.Ready(now) {
 		return
 	}
+	if c.returning {
+		replicas = nil
+	}
 	c.target = replicas
 	c.goal.Version = c.nextVersion()
 	c.goal.Replicas = replicas
@@ -381,6 +402,7 @@
 // planning from the initial map instead costs some additional copies.
 func (c *Coordinator) adoptInitialMap() {
 	c.current, c.currentKnown = nil, true
+	c.assumed, c.returning = true, false
 }
 
 // inheritedStep returns the pass of the switch that an earlier coordinator left
@@ -415,6 +437,7 @@
 	refused := c.anyReport(func(r *report) bool { return r.Refused == v })
 	if refused || now-c.phaseStart > prepareTimeout {
 		c.Abandoned++
+		c.returning = c.returning || refused && c.assumed
 		c.setStage(NoAction, now, Idle) // no rank is armed; the next prepare replaces the copies
 	}
 }
@@ -554,6 +577,7 @@
 	if c.allAnswers(func(r *report) bool { return r.Map == v }) {
 		c.holdStep = None
 		c.current = c.target
+		c.assumed, c.returning = false, false
 		c.Switched++
 		c.setStage(NoAction, now, Idle)
 		return Order{}, false
--- a/remap/simulation_test.go
+++ b/remap/simulation_test.go
@@ -17,6 +17,7 @@
 	EngineState
 	highest int64            // highest version prepared
 	content map[int64]string // replicas by version
+	refuses func(Order) bool // tells which orders to prepare a map the engine refuses besides; nil for none
 	late    []lateOrder
 }
 
@@ -33,7 +34,7 @@
 	changed := false
 	switch o.Kind {
 	case OrderPrepare:
-		if o.Version <= e.highest || e.Armed != None {
+		if o.Version <= e.highest || e.Armed != None || e.refuses != nil && e.refuses(o) {
 			return Refused
 		}
 		e.highest, e.Prepared, changed = o.Version, o.Version, true
@@ -495,3 +496,46 @@
 	require.Positive(t, phases[Holding]+phases[Arming])
 	require.Positive(t, allOthersArmed)
 }
+
+// TestSuccessorReturnsToInitialMap plays coordinators that take over a group in which a
+// rank has given up experts, without knowing it. That rank refuses to copy them together
+// with others, so the successor first switches to the initial map and then to others.
+func TestSuccessorReturnsToInitialMap(t *testing.T) {
+	for seed := range uint64(50) {
+		sim := newSimulation(seed, 3, mechanisms{})
+		gaveUp := sim.engines[1]
+		gaveUp.refuses = func(o Order) bool {
+			return len(o.Replicas) > 0 && gaveUp.content[gaveUp.Map] != fmt.Sprint([]wire.Replica{})
+		}
+		sim.term++
+		c := NewCoordinator(sim.term, sim.engines[0].EngineState, 0)
+		sim.procs[0].coord = c
+		for range 6000 {
+			sim.round()
+			if current, known := c.Current(); known && c.Switched > 0 && len(current) > 0 {
+				break
+			}
+		}
+		require.GreaterOrEqual(t, c.Switched, 2, "seed %d", seed)
+		require.Positive(t, c.Abandoned, "seed %d", seed)
+		require.Empty(t, sim.violation, "seed %d", seed)
+	}
+}
+
+// TestSlownessOfRanks checks what the coordinator knows of the ranks' slowness: what the
+// last report states, unless that is old or of an earlier epoch.
+func TestSlownessOfRanks(t *testing.T) {
+	e := EngineState{Group: "g", Epoch: 1, Size: 3, Open: true, Prepared: None, Armed: None, Held: None}
+	c := NewCoordinator(1, e, 0)
+	require.Zero(t, c.Slowness(1, 0))
+	report := wire.RankReport{Group: "g", Rank: 1, Term: 1, Epoch: 1, Open: true, Slowness: 12}
+	c.HandleReport(report, 0)
+	require.InDelta(t, 12, c.Slowness(1, maxReportAge/2), 0)
+	require.Zero(t, c.Slowness(1, maxReportAge))
+	require.Zero(t, c.Slowness(-1, 0))
+	require.Zero(t, c.Slowness(3, 0))
+	e.Epoch = 2
+	c.Observe(e, 0)
+	c.HandleReport(report, 0)
+	require.Zero(t, c.Slowness(1, 0), "a report of the earlier epoch")
+}
