rebalance: maps take account of slow ranks

Cause: a rank's report states by which factor it is slower than usual, and nothing read it: the experts of a rank slower by 12 took most of the experts' part of each pass.

The map skew metric and the costs in map-proposed lines include it; those lines state the slowness.

--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -105,6 +105,7 @@
 	}
 	p.demandUpdatedAt = now
 	p.demand.EndRound()
+	p.observeSlowness(config.Ranks, now)
 	current, known := p.coord.Current()
 	if !known || !p.coord.Ready(now) {
 		return
@@ -113,21 +114,33 @@
 	if !ok {
 		return
 	}
-	currentCost := spread.Cost(config.Shape, loads, current)
+	limits := planLimits(config)
+	limits.Slowness = p.slowRanks.Factors()
+	currentCost := spread.WeightedCost(config.Shape, loads, current, limits.Slowness)
 	p.metrics.skew.Set(currentCost / float64(config.Sets))
 	if !shifted && p.noPlan.at > 0 && currentCost < replanCostRatio*p.noPlan.cost && now-p.noPlan.at < replanInterval {
 		return
 	}
-	plan, plannedCost, ok := spread.Improve(config.Shape, loads, current, planLimits(config))
+	plan, plannedCost, ok := spread.Improve(config.Shape, loads, current, limits)
 	if !ok {
 		p.noPlan.cost, p.noPlan.at = currentCost, now
 		return
 	}
 	p.noPlan.at = 0
-	p.opts.Log.Info("map-proposed", "cost_now", currentCost, "cost_planned", plannedCost, "replicas", len(plan), "shifted", shifted)
+	p.opts.Log.Info("map-proposed", "cost_now", currentCost, "cost_planned", plannedCost, "replicas", len(plan), "shifted", shifted, "slowness", limits.Slowness)
 	p.coord.Propose(plan, now)
 }
 
+// observeSlowness records what the ranks state about their slowness.
+func (p *Process) observeSlowness(ranks int, now time.Duration) {
+	if p.slowRanks == nil || p.slowRanks.Ranks() != ranks {
+		p.slowRanks = spread.NewSlowRanks(ranks)
+	}
+	for rank := range ranks {
+		p.slowRanks.Observe(rank, p.coord.Slowness(rank, now), now)
+	}
+}
+
 // planLimits returns the limits on the copies of a plan and the gain it must
 // have.
 func planLimits(config MapConfig) spread.Limits {
@@ -356,5 +369,5 @@
 	p.metrics.setCoordinator(true, 0, 0)
 	p.recorded.switched, p.recorded.abandoned = 0, 0
 	p.sentGoalSeq = 0
-	p.demand = nil
+	p.demand, p.slowRanks = nil, nil
 }
--- a/rebalance/metrics.go
+++ b/rebalance/metrics.go
@@ -38,7 +38,7 @@
 		step:         gauge("pass", "Last pass that the engine reported as begun."),
 		open:         gauge("group_open", "1 while the rank's group makes passes, else 0."),
 		coordinating: gauge("coordinator", "1 while this process coordinates the group, else 0."),
-		skew:         gauge("map_skew", "Load of the most loaded rank relative to the mean, averaged over the sets, as the coordinator estimates it."),
+		skew:         gauge("map_skew", "Load of the most loaded rank, times its slowness, relative to the mean load, averaged over the sets, as the coordinator estimates it."),
 		switched:     counter("switches_total", "Map switches that this process has completed as coordinator."),
 		abandoned:    counter("switches_abandoned_total", "Map switches that this process has abandoned or cancelled as coordinator."),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -139,6 +139,7 @@
 	demand          *spread.DemandEstimator
 	demandShape     spread.Shape // of demand
 	demandUpdatedAt time.Duration
+	slowRanks       *spread.SlowRanks                 // of the group that coord coordinates
 	recorded        struct{ switched, abandoned int } // counts of coord that are in the metrics
 	noPlan          struct {                          // last search that found no plan with sufficient gain
 		cost float64
