backend: the time of a dial ends on a busy machine, too

A dial began its 600 ms anew after each timer of 50 ms that ended 50 ms late. On a machine that is always that busy, a dial to a server that cannot be reached lasted until the request's deadline, and the server never counted as unreachable.

Change: the time begins anew at most three times in one dial; later pauses count as one step.

--- a/backend/dial.go
+++ b/backend/dial.go
@@ -21,21 +21,31 @@
 	ErrPaused = eris.New("backend: paused during the dial")
 )
 
+// maxPauses is the number of pauses after which the time of a dial begins anew. It bounds
+// the dial on a machine that is too busy to end timers in time.
+const maxPauses = 3
+
 // runningTime measures the time for which this process has run without a pause, from what
-// its timers show: one that ends late by more than a step means a pause.
+// its timers show: one that ends late by more than a step means a pause. After maxPauses
+// pauses the time goes on instead of beginning anew, and a pause counts as one step.
 type runningTime struct {
 	step   time.Duration
 	spent  time.Duration // since the last pause
-	paused bool          // there was a pause
+	pauses int
 }
 
 // tick records that a timer of one step has ended after elapsed.
 func (r *runningTime) tick(elapsed time.Duration) {
-	if elapsed > 2*r.step {
-		r.paused, r.spent = true, 0
+	if elapsed <= 2*r.step {
+		r.spent += elapsed
 		return
 	}
-	r.spent += elapsed
+	r.pauses++
+	if r.pauses <= maxPauses {
+		r.spent = 0
+	} else {
+		r.spent += r.step
+	}
 }
 
 // dial opens a connection. After a pause of this process the server has its whole time
@@ -55,7 +65,7 @@
 	switch {
 	case context.Cause(ctx) == ErrDialTimeout:
 		err = ErrDialTimeout
-	case ctx.Err() != nil && m.paused:
+	case ctx.Err() != nil && m.pauses > 0:
 		err = ErrPaused
 	}
 	return nil, fmt.Errorf("%w: %w", err, ErrDial)
