backend: a recheck that comes late does not break a body off

The watch of a request's silence ends with the head of its response. A recheck that came while the body was read ended that read, and so the answer of a server that had been silent and was answering: gateway.forwardResponse reads a whole body while a replacement of the attempt may still be awaited. The server was also blamed.

Change: a read that a recheck has ended without a watch goes on.

Test: TestRecheckAfterHeadDoesNotEndBody fails before (i/o timeout), passes now.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -148,10 +148,17 @@
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
-		if r.onSilent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !r.takeRecheck() {
+		recheck := r.takeRecheck()
+		if r.onSilent == nil {
+			if recheck { // the watch has ended meanwhile
+				continue
+			}
+			return n, err
+		}
+		if !recheck {
 			r.judgeAt = time.Now().Add(r.silence / silenceRechecks)
 		}
 		if r.sending() {
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,3 +56,44 @@
 	server.Close() // waits for the requests that have reached the server
 	assert.Zero(t, gone.Load(), "of %d requests", requests)
 }
+
+// A recheck that comes once the head has ended the watch does not break the body off.
+func TestRecheckAfterHeadDoesNotEndBody(t *testing.T) {
+	ask, rest := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-ask
+		io.WriteString(w, "first ")
+		http.NewResponseController(w).Flush()
+		<-rest
+		io.WriteString(w, "second")
+	}))
+	defer server.Close()
+	start := time.Now()
+	pool := backend.NewPool(func() time.Duration { return time.Since(start) })
+	var once sync.Once
+	var recheck func()
+	resp, err := pool.Do(t.Context(), strings.TrimPrefix(server.URL, "http://"), &backend.Request{
+		Method: http.MethodGet, URI: "/", Host: "h", IDHeader: "X-Id", Silence: time.Millisecond,
+		OnSilent: func(r func()) bool {
+			once.Do(func() { recheck = r; close(ask) })
+			return false
+		},
+	})
+	require.NoError(t, err)
+	first := make([]byte, len("first "))
+	_, err = io.ReadFull(resp.Body, first)
+	require.NoError(t, err)
+	var second []byte
+	read := make(chan error)
+	go func() {
+		var err error
+		second, err = io.ReadAll(resp.Body)
+		read <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // the read has begun, or the recheck comes first: both must do
+	recheck()
+	close(rest)
+	require.NoError(t, <-read)
+	require.Equal(t, "second", string(second))
+	resp.Finish()
+}
