gateway: a replacement that is refused as a copy takes no retry

A request that is suspected of crashes is sent to one server at a time. While its attempt was silent, each judgement of the silence, several in a second, took a retry from the service's budget and sent nothing, so that other requests were left without.

Change: the retry is taken last.

Test: TestSuspectedRequestTakesNoRetryFromBudget fails before (47 left of 50 after three judgements), passes now.

--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -105,7 +105,7 @@
 func (g *Gateway) replace(c *call, a silentAttempt) {
 	view := g.opts.Cache.View()
 	members := view.Services[c.service.name]
-	if !c.service.hasCandidate(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost) || !c.service.takeRetry() {
+	if !c.service.hasCandidate(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost) {
 		return
 	}
 	r := &replacement{cost: c.cost, guarded: !c.headSent, began: g.now(), done: make(chan struct{})}
@@ -113,6 +113,10 @@
 	if r.guarded && g.crashes.begin(c, view, g.now()) != nil {
 		return
 	}
+	if !c.service.takeRetry() { // last, as it is not given back
+		g.endReplacement(c, r)
+		return
+	}
 	r.m = c.service.pickByCost(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &r.cost)
 	if r.m == nil {
 		g.endReplacement(c, r)
--- a/gateway/replace_test.go
+++ b/gateway/replace_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"marjorampitch/fleet"
+	"marjorampitch/pace"
 )
 
 // goneBound is the time within which a server must learn that its request's caller has left.
@@ -303,3 +305,37 @@
 		})
 	}
 }
+
+// silentCall returns a request of which an attempt at the server is silent.
+func (tg *testGateway) silentCall(silent string) (*call, silentAttempt) {
+	view := tg.cache.View()
+	c := &call{
+		id: "r", w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/stream/x", nil),
+		route: &fleet.Route{Kind: fleet.Stream, MaxAttempts: 3, TargetLatency: silenceTimeout / firstResponseTimeoutFactor},
+		view:  view, service: tg.g.service("s"), ticket: &pace.Ticket{}, features: crashFeatures{{1}, {2}},
+		tried: []string{silent}, lastEventID: -1, deadline: tg.g.now() + pauseTestTimeout,
+	}
+	c.replacements.reset()
+	return c, silentAttempt{view.Members[silent], silenceTimeout, 1, func() {}}
+}
+
+// A request whose copies run one at a time is not sent on while its attempt is silent, and
+// takes no retry from the budget each time the silence is judged.
+func TestSuspectedRequestTakesNoRetryFromBudget(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = tg.g.start.Add(-time.Minute)
+	silent, other := tg.server(serve("ok")), tg.server(serve("ok"))
+	tg.alwaysActive()
+	c, a := tg.silentCall(silent)
+	for i, id := range []string{silent, other} {
+		tg.g.crashes.broke(c, tg.cache.View().Members[id], time.Duration(2*i)*time.Second, time.Duration(2*i+1)*time.Second)
+		tg.g.crashes.serverDown(id, "entry", time.Duration(2*i+1)*time.Second)
+	}
+	require.NotNil(t, tg.g.crashes.begin(c, tg.cache.View(), tg.g.now()))
+	before := c.service.budget.Balance()
+	for range 3 {
+		require.False(t, tg.g.replaceSilent(c, a))
+	}
+	require.False(t, c.replacements.pending())
+	require.Equal(t, before, c.service.budget.Balance())
+}
