gateway: the failure of the last replacement ends a request with an answer

If the last replacement failed just as the silence of the replacements was judged, its failure was recorded and lost, and forward dereferenced nil: the caller's connection was closed without an answer. Most likely after a pause of the gateway, as both events are due then.

Change: outcomes are recorded in one place, awaitReplacement's loop.

Test: TestFailureOfLastReplacementIsReturned fails before (no failure returned), passes now.

--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -219,21 +219,25 @@
 func (g *Gateway) awaitReplacement(c *call) (*replacement, *api.Error) {
 	var failure *api.Error
 	for {
-		if err := g.settleReplacements(c); err != nil {
+		err := g.settleReplacements(c)
+		if err != nil {
 			failure = err
 		}
 		if r := c.replacements.usable(); r != nil || !c.replacements.pending() {
 			return r, failure
 		}
-		var silent <-chan time.Time
 		limit := g.firstResponseTimeout(c)
+		a := silentAttempt{c.replacements.list[0].m, limit, 0, func() {}}
+		if err == nil && g.mayReplace(c, a) {
+			g.replace(c, a)
+		}
+		var judge <-chan time.Time
 		if limit > 0 {
-			silent = time.After(limit / replacementRechecks)
+			judge = time.After(limit / replacementRechecks)
 		}
 		select {
 		case <-c.replacements.changed:
-		case <-silent:
-			g.replaceSilent(c, silentAttempt{c.replacements.list[0].m, limit, 0, func() {}})
+		case <-judge:
 		}
 	}
 }
--- a/gateway/replace_test.go
+++ b/gateway/replace_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"marjorampitch/api"
+	"marjorampitch/backend"
 	"marjorampitch/fleet"
 	"marjorampitch/pace"
 )
@@ -339,3 +341,19 @@
 	require.False(t, c.replacements.pending())
 	require.Equal(t, before, c.service.budget.Balance())
 }
+
+// The outcome of the last replacement is recorded as the silence of the replacements is
+// judged, not when it is told.
+func TestFailureOfLastReplacementIsReturned(t *testing.T) {
+	tg := newTestGateway(t)
+	silent, next := tg.server(serve("ok")), tg.server(serve("ok"))
+	c, _ := tg.silentCall(silent)
+	r := &replacement{m: tg.cache.View().Members[next], ctx: t.Context(), began: tg.g.now(), done: make(chan struct{})}
+	close(r.done)
+	c.replacements.list = []*replacement{r}
+	time.AfterFunc(20*time.Millisecond, func() { r.outcome.Store(&replacementOutcome{err: backend.ErrDial}) })
+	done, failure := tg.g.adoptReplacement(c)
+	require.False(t, done)
+	require.NotNil(t, failure)
+	require.Equal(t, api.Unreachable, failure.Code)
+}
