sockopt: TestSendingOfConnection waits until the connection is filled

At a load of 20 to 30 the test failed with nothing written: the buffer of 64 MiB was made after the write's deadline of 100 ms was set, which had then passed.

Change: the write has no deadline, the bytes must stay unacknowledged for several looks, and the write must end without an error once the peer reads.

--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -37,15 +37,27 @@
 	defer peer.Close()
 	conn := c.(*net.TCPConn)
 	require.False(t, Sending(conn))
-	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
-	_, err = conn.Write(make([]byte, 64<<20)) // more than both sockets hold
-	require.Error(t, err)
-	require.True(t, Sending(conn))
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(make([]byte, 64<<20)) // more than both sockets hold
+		written <- err
+	}()
+	require.Eventually(t, func() bool { // and keeps sending, as the peer reads nothing
+		for range 5 {
+			if !Sending(conn) {
+				return false
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return true
+	}, 10*time.Second, time.Millisecond)
+	require.Empty(t, written)
 	go func() { // reads all
 		b := make([]byte, 1<<20)
 		for err := error(nil); err == nil; {
 			_, err = peer.Read(b)
 		}
 	}()
+	require.NoError(t, <-written)
 	require.Eventually(t, func() bool { return !Sending(conn) }, 10*time.Second, time.Millisecond)
 }
