gateway: a cancelled replacement does not restore its server

A replacement that was cancelled before its server had answered ended as a success. If it was the probe of an ejected server, which may still be frozen, the server counted as sound again.

Change: such an end says nothing about the server, which the next request may probe.

Test: TestCancelledReplacementRestoresNoServer fails before (no ejection is left), passes now.

--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -257,13 +257,15 @@
 		r.cancel()
 		<-r.done
 		o := r.outcome.Load()
-		if !r.usable {
+		if r.usable {
+			c.service.attemptEnded(r.m, g.now(), severityNone)
+		} else {
 			g.countCancelled(c, o)
+			c.service.attemptCancelled(r.m)
 		}
 		if o.resp != nil {
 			o.resp.Abort()
 		}
-		c.service.attemptEnded(r.m, g.now(), severityNone)
 		g.endReplacement(c, r)
 		g.opts.Log.Info("attempt-cancelled", "request", c.id, "server", r.m.ID, "after_ms", (g.now() - r.began).Milliseconds())
 	}
--- a/gateway/replace_test.go
+++ b/gateway/replace_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -357,3 +358,27 @@
 	require.NotNil(t, failure)
 	require.Equal(t, api.Unreachable, failure.Code)
 }
+
+// A server that failed before and has not answered when its attempt is cancelled does not
+// count as sound again.
+func TestCancelledReplacementRestoresNoServer(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = tg.g.start.Add(-time.Minute)
+	silent, next := tg.server(serve("ok")), tg.server(serve("ok"))
+	c, _ := tg.silentCall(silent)
+	m := tg.cache.View().Members[next]
+	st := c.service.stateOf(m)
+	st.health.eject(0, minEjection)
+	require.Equal(t, m, c.service.pick([]*fleet.Member{m}, "", nil, tg.g.now(), coldPolicy{}))
+	require.True(t, st.health.probing)
+	r := &replacement{m: m, ctx: t.Context(), began: tg.g.now(), done: make(chan struct{})}
+	r.cancel = sync.OnceFunc(func() {
+		r.outcome.Store(&replacementOutcome{err: backend.ErrNoResponse})
+		close(r.done)
+	})
+	c.replacements.list = []*replacement{r}
+	tg.g.dropReplacements(c)
+	require.Zero(t, st.inFlight)
+	require.False(t, st.health.probing, "the next request may probe the server")
+	require.Positive(t, st.health.ejectedUntil)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -295,6 +295,16 @@
 	}
 }
 
+// attemptCancelled records the end of an attempt that was cancelled before its server had
+// answered, which says nothing about the server.
+func (s *service) attemptCancelled(m *fleet.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(m)
+	st.inFlight--
+	st.health.probing = false
+}
+
 // dialFailed records an attempt that could not open a connection.
 func (s *service) dialFailed(m *fleet.Member, now time.Duration) {
 	s.mu.Lock()
