--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -105,7 +105,7 @@
 func (g *Gateway) replace(c *call, a silentAttempt) {
 	view := g.opts.Cache.View()
 	members := view.Services[c.service.name]
-	if !c.service.hasCandidate(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost) || !c.service.takeRetry() {
+	if !c.service.hasCandidate(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &c.cost) {
 		return
 	}
 	r := &replacement{cost: c.cost, guarded: !c.headSent, began: g.now(), done: make(chan struct{})}
@@ -113,6 +113,10 @@
 	if r.guarded && g.crashes.begin(c, view, g.now()) != nil {
 		return
 	}
+	if !c.service.takeRetry() { // last, as it is not given back
+		g.endReplacement(c, r)
+		return
+	}
 	r.m = c.service.pickByCost(members, c.group(), c.tried, g.now(), g.coldPolicy(c), &r.cost)
 	if r.m == nil {
 		g.endReplacement(c, r)
@@ -215,21 +219,25 @@
 func (g *Gateway) awaitReplacement(c *call) (*replacement, *api.Error) {
 	var failure *api.Error
 	for {
-		if err := g.settleReplacements(c); err != nil {
+		err := g.settleReplacements(c)
+		if err != nil {
 			failure = err
 		}
 		if r := c.replacements.usable(); r != nil || !c.replacements.pending() {
 			return r, failure
 		}
-		var silent <-chan time.Time
 		limit := g.firstResponseTimeout(c)
+		a := silentAttempt{c.replacements.list[0].m, limit, 0, func() {}}
+		if err == nil && g.mayReplace(c, a) {
+			g.replace(c, a)
+		}
+		var judge <-chan time.Time
 		if limit > 0 {
-			silent = time.After(limit / replacementRechecks)
+			judge = time.After(limit / replacementRechecks)
 		}
 		select {
 		case <-c.replacements.changed:
-		case <-silent:
-			g.replaceSilent(c, silentAttempt{c.replacements.list[0].m, limit, 0, func() {}})
+		case <-judge:
 		}
 	}
 }
@@ -249,13 +257,15 @@
 		r.cancel()
 		<-r.done
 		o := r.outcome.Load()
-		if !r.usable {
+		if r.usable {
+			c.service.attemptEnded(r.m, g.now(), severityNone)
+		} else {
 			g.countCancelled(c, o)
+			c.service.attemptCancelled(r.m)
 		}
 		if o.resp != nil {
 			o.resp.Abort()
 		}
-		c.service.attemptEnded(r.m, g.now(), severityNone)
 		g.endReplacement(c, r)
 		g.opts.Log.Info("attempt-cancelled", "request", c.id, "server", r.m.ID, "after_ms", (g.now() - r.began).Milliseconds())
 	}
--- a/gateway/replace_test.go
+++ b/gateway/replace_test.go
@@ -5,15 +5,20 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"marjorampitch/api"
+	"marjorampitch/backend"
 	"marjorampitch/fleet"
+	"marjorampitch/pace"
 )
 
 // goneBound is the time within which a server must learn that its request's caller has left.
@@ -303,3 +308,77 @@
 		})
 	}
 }
+
+// silentCall returns a request of which an attempt at the server is silent.
+func (tg *testGateway) silentCall(silent string) (*call, silentAttempt) {
+	view := tg.cache.View()
+	c := &call{
+		id: "r", w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/stream/x", nil),
+		route: &fleet.Route{Kind: fleet.Stream, MaxAttempts: 3, TargetLatency: silenceTimeout / firstResponseTimeoutFactor},
+		view:  view, service: tg.g.service("s"), ticket: &pace.Ticket{}, features: crashFeatures{{1}, {2}},
+		tried: []string{silent}, lastEventID: -1, deadline: tg.g.now() + pauseTestTimeout,
+	}
+	c.replacements.reset()
+	return c, silentAttempt{view.Members[silent], silenceTimeout, 1, func() {}}
+}
+
+// A request whose copies run one at a time is not sent on while its attempt is silent, and
+// takes no retry from the budget each time the silence is judged.
+func TestSuspectedRequestTakesNoRetryFromBudget(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = tg.g.start.Add(-time.Minute)
+	silent, other := tg.server(serve("ok")), tg.server(serve("ok"))
+	tg.alwaysActive()
+	c, a := tg.silentCall(silent)
+	for i, id := range []string{silent, other} {
+		tg.g.crashes.broke(c, tg.cache.View().Members[id], time.Duration(2*i)*time.Second, time.Duration(2*i+1)*time.Second)
+		tg.g.crashes.serverDown(id, "entry", time.Duration(2*i+1)*time.Second)
+	}
+	require.NotNil(t, tg.g.crashes.begin(c, tg.cache.View(), tg.g.now()))
+	before := c.service.budget.Balance()
+	for range 3 {
+		require.False(t, tg.g.replaceSilent(c, a))
+	}
+	require.False(t, c.replacements.pending())
+	require.Equal(t, before, c.service.budget.Balance())
+}
+
+// The outcome of the last replacement is recorded as the silence of the replacements is
+// judged, not when it is told.
+func TestFailureOfLastReplacementIsReturned(t *testing.T) {
+	tg := newTestGateway(t)
+	silent, next := tg.server(serve("ok")), tg.server(serve("ok"))
+	c, _ := tg.silentCall(silent)
+	r := &replacement{m: tg.cache.View().Members[next], ctx: t.Context(), began: tg.g.now(), done: make(chan struct{})}
+	close(r.done)
+	c.replacements.list = []*replacement{r}
+	time.AfterFunc(20*time.Millisecond, func() { r.outcome.Store(&replacementOutcome{err: backend.ErrDial}) })
+	done, failure := tg.g.adoptReplacement(c)
+	require.False(t, done)
+	require.NotNil(t, failure)
+	require.Equal(t, api.Unreachable, failure.Code)
+}
+
+// A server that failed before and has not answered when its attempt is cancelled does not
+// count as sound again.
+func TestCancelledReplacementRestoresNoServer(t *testing.T) {
+	tg := newTestGateway(t)
+	tg.g.start = tg.g.start.Add(-time.Minute)
+	silent, next := tg.server(serve("ok")), tg.server(serve("ok"))
+	c, _ := tg.silentCall(silent)
+	m := tg.cache.View().Members[next]
+	st := c.service.stateOf(m)
+	st.health.eject(0, minEjection)
+	require.Equal(t, m, c.service.pick([]*fleet.Member{m}, "", nil, tg.g.now(), coldPolicy{}))
+	require.True(t, st.health.probing)
+	r := &replacement{m: m, ctx: t.Context(), began: tg.g.now(), done: make(chan struct{})}
+	r.cancel = sync.OnceFunc(func() {
+		r.outcome.Store(&replacementOutcome{err: backend.ErrNoResponse})
+		close(r.done)
+	})
+	c.replacements.list = []*replacement{r}
+	tg.g.dropReplacements(c)
+	require.Zero(t, st.inFlight)
+	require.False(t, st.health.probing, "the next request may probe the server")
+	require.Positive(t, st.health.ejectedUntil)
+}
