side: only a caller that leaves makes a completion complete before its end

A response whose server broke it off between the event that ends the completion and the end of the body counted as complete, as did one of which a part of a further event had arrived. An answer that ends early must not look complete, and a server that crashes there was not looked at.

Change: the event counts only if the call was cancelled, and if nothing has followed it.

Test: TestBodyBrokenOffAfterEndOfCompletionIsNotComplete fails before in two of four cases, passes now. TestCallerThatLeavesAtEndOfCompletion and TestCallerThatLeavesInMidStream pass.

--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -225,9 +225,9 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// copyEvents adds one chunk per server-sent event of body to a. After the event that
-// ends a completion, the response is complete even if body cannot be read to its end:
-// callers often leave then, which cancels ctx.
+// copyEvents adds one chunk per server-sent event of body to a. If ctx ends between the
+// event that ends a completion and the end of body, the response is complete: callers often
+// leave then. A body that the backend server breaks off there is not.
 func copyEvents(ctx context.Context, a *attempt, body io.Reader) error {
 	r := bufio.NewReaderSize(body, maxChunkBytes)
 	var event []byte
@@ -242,7 +242,7 @@
 			return checkEventsEnd(event)
 		}
 		if err != nil && err != bufio.ErrBufferFull {
-			if complete {
+			if complete && len(event) == 0 && ctx.Err() != nil {
 				return nil
 			}
 			return err
--- a/side/run_test.go
+++ b/side/run_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,3 +77,50 @@
 	l := runUntilCallerLeaves(t, "data: {}\n\n", "data: {}\n\n")
 	require.Equal(t, 1, l.cold.InFlight())
 }
+
+// brokenBody is a response body that fails after its data.
+type brokenBody struct{ data io.Reader }
+
+// Read implements io.Reader.
+func (b *brokenBody) Read(p []byte) (int, error) {
+	n, err := b.data.Read(p)
+	if err == io.EOF {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// A response that the backend server breaks off is not complete, also after the event that
+// ends a completion, nor is one that goes on after it when the caller leaves.
+func TestBodyBrokenOffAfterEndOfCompletionIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		left bool
+		want error
+	}{
+		"server broke off":              {"data: [DONE]\n\n", false, syscall.ECONNRESET},
+		"caller left":                   {"data: [DONE]\n\n", true, nil},
+		"caller left, in another event": {"data: [DONE]\n\ndata: x", true, syscall.ECONNRESET},
+		"caller left, earlier":          {"data: x\n\n", true, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			a := newAttempt(&wire.Request{}, cancel)
+			body := io.MultiReader(strings.NewReader(c.body), &onRead{func() {
+				if c.left {
+					cancel(api.NewError(api.Cancelled, "caller went away"))
+				}
+			}})
+			require.Equal(t, c.want, copyEvents(ctx, a, &brokenBody{body}))
+		})
+	}
+}
+
+// onRead is an empty reader that calls do when it is read.
+type onRead struct{ do func() }
+
+// Read implements io.Reader.
+func (r *onRead) Read([]byte) (int, error) {
+	r.do()
+	return 0, io.EOF
+}
