rebalance: statements of slowness do not open closed groups

A slow rank repeats its state every 400 ms. Gateways took each repetition for news that its group is open, also after another rank had announced that it is closed, and admitted requests to it. A message that announces only the factor now names no group, and gateways ignore an unnamed group.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -124,13 +124,16 @@
 	return nil
 }
 
-// handleGroupState records whether a group executes passes, and how slow the sender's
-// engine is.
+// handleGroupState records whether a group executes passes, if the message names one, and
+// how slow the sender's engine is.
 func (p *peers) handleGroupState(x *wire.GroupState) {
 	now := p.g.now()
 	view := p.g.opts.Cache.View()
 	for _, s := range p.g.allServices() {
 		s.stateSlowness(view.Services[s.name], x, now)
+		if x.Group == "" {
+			continue
+		}
 		s.mu.Lock()
 		if s.gate != nil {
 			if s.gate.SetOpen(now, x.Group, x.Open, closedReportTTL) {
--- a/rebalance/state.go
+++ b/rebalance/state.go
@@ -29,9 +29,8 @@
 // due reports whether to announce a state, and records that it is announced.
 func (a *stateAnnouncer) due(s wire.GroupState, now time.Duration) bool {
 	since := now - a.sentAt
-	same := s.Group == a.sent.Group && s.Epoch == a.sent.Epoch && s.Open == a.sent.Open && s.Engine == a.sent.Engine
 	switch {
-	case !same, s.Slowness > 0 && slownessDiffers(a.sent.Slowness, s.Slowness):
+	case a.changed(s), s.Slowness > 0 && slownessDiffers(a.sent.Slowness, s.Slowness):
 	case !s.Open && since >= closedStateInterval:
 	case s.Slowness >= announcedSlowness && since >= slowStateInterval:
 	default:
@@ -41,6 +40,26 @@
 	return true
 }
 
+// changed reports whether a state differs from the one announced last in more than the
+// engine's slowness.
+func (a *stateAnnouncer) changed(s wire.GroupState) bool {
+	return s.Group != a.sent.Group || s.Epoch != a.sent.Epoch || s.Open != a.sent.Open || s.Engine != a.sent.Engine
+}
+
+// next returns the message that announces a state, if it is due. That only the slowness
+// of an engine is announced says nothing of its group, and must not open it to requests
+// after another rank has announced that it is closed: the message names no group.
+func (a *stateAnnouncer) next(s wire.GroupState, now time.Duration) (message wire.GroupState, ok bool) {
+	changed := a.changed(s)
+	if !a.due(s, now) {
+		return message, false
+	}
+	if s.Open && !changed {
+		s.Group, s.Epoch = "", 0
+	}
+	return s, true
+}
+
 // slownessDiffers reports whether gateways that know one factor are to be told of the
 // other. The end of slowness is always a difference.
 func slownessDiffers(known, present float32) bool {
@@ -59,7 +78,8 @@
 	if reached {
 		state.Slowness = float32(max(e.Slowness, 1))
 	}
-	if !p.announcer.due(state, p.now()) {
+	state, due := p.announcer.next(state, p.now())
+	if !due {
 		return
 	}
 	data, err := state.MarshalMsg([]byte{wire.KindGroupState})
--- a/rebalance/state_test.go
+++ b/rebalance/state_test.go
@@ -69,3 +69,24 @@
 	require.False(t, a.due(lost, time.Hour+closedStateInterval))
 	require.True(t, a.due(lost, time.Hour+1+closedStateInterval))
 }
+
+// That an engine is slow does not say that its group is open: another rank may have
+// announced since that it is closed.
+func TestSlownessSaysNothingOfTheGroup(t *testing.T) {
+	var a stateAnnouncer
+	announced := func(s wire.GroupState, now time.Duration) wire.GroupState {
+		message, ok := a.next(s, now)
+		require.True(t, ok)
+		require.Equal(t, s.Slowness, message.Slowness)
+		require.Equal(t, s.Engine, message.Engine)
+		return message
+	}
+	require.Equal(t, "g", announced(openState(12), 0).Group)
+	require.Empty(t, announced(openState(12), slowStateInterval).Group, "repeated")
+	require.Empty(t, announced(openState(1), slowStateInterval+1).Group, "no longer slow")
+	closed := openState(12)
+	closed.Open = false
+	require.Equal(t, "g", announced(closed, time.Minute).Group)
+	require.Equal(t, "g", announced(closed, time.Minute+closedStateInterval).Group, "closed is repeated")
+	require.Equal(t, "g", announced(openState(12), 2*time.Minute).Group, "open again")
+}
