gateway: streams move from a slow rank only where memory is free

A stream of which the caller has had a part can go on at a server without free memory, as it would break off otherwise. A stream that may stay where it is need not: another rank would preempt it. Streams that have written all tokens that they ask for do not move, either: they would be sent and read once more for no event.

--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -101,10 +101,22 @@
 		load := s.ledger.Total(costServer(m))
 		c := &list[i]
 		c.Work, c.Running, c.Limit = load.Work, load.Requests, s.model.Slots
-		if x.output == 0 {
-			c.MemoryHeld, c.MemoryTotal = load.Memory, s.memory[m.ID]
-		}
 	}
+	if x.output == 0 {
+		s.describeMemory(list, members)
+	}
+}
+
+// describeMemory adds to the candidates how much of the servers' memory is held.
+func (s *serverCosts) describeMemory(list []route.Candidate, members []*fleet.Member) {
+	for i, m := range members {
+		list[i].MemoryHeld, list[i].MemoryTotal = s.ledger.Total(costServer(m)).Memory, s.memory[m.ID]
+	}
+}
+
+// written reports whether a request's attempts have written all tokens that it asks for.
+func (s *serverCosts) written(x *requestCost) bool {
+	return s.applies(x) && x.size.MaxOutput > 0 && x.output >= x.size.MaxOutput
 }
 
 // begin records that an attempt is sent to a server with this slowness.
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -139,13 +139,14 @@
 )
 
 // holdsUpGroup reports whether a server is a rank so slow that the streams at it are to go
-// on at others of its group, and one of these can take a request: each pass of the group
-// lasts as long as the base step of a slow rank that has a stream.
+// on at others of its group, and one of these has a slot and the memory for the request:
+// each pass of the group lasts as long as the base step of a slow rank that has a stream.
+// A stream that has all its tokens only has to end.
 func (s *service) holdsUpGroup(m *fleet.Member, members []*fleet.Member, tried []string, now time.Duration, cold coldPolicy, x *requestCost) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	group := s.listed[m.ID]
-	if group == "" || s.costs.slowness.Factor(costServer(m), now) < movedFactor {
+	if group == "" || s.costs.slowness.Factor(costServer(m), now) < movedFactor || s.costs.written(x) {
 		return false
 	}
 	ranks, slow := 0, 0
@@ -164,6 +165,7 @@
 	list, request := s.candidates(members, group, tried, now, cold, preferredServers), &route.Request{}
 	if s.costs.applies(x) {
 		s.costs.describe(list, members, x)
+		s.costs.describeMemory(list, members) // the stream can stay where it is
 		request.Memory = s.costs.estimate(x).Memory()
 	}
 	return slices.ContainsFunc(list, func(c route.Candidate) bool {
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -255,6 +255,32 @@
 	}
 }
 
+// A stream whose caller has had a part of it stays where it is if no other rank has the
+// memory for it, or if all its tokens are written.
+func TestStreamsThatStayAtSlowRank(t *testing.T) {
+	s, members := newCostService(16)
+	inGroup(s, members)
+	s.stateSlowness(members, slowState(members[0], 12), 0)
+	moves := func(x *requestCost) bool {
+		return s.holdsUpGroup(members[0], members, []string{"i-0"}, 0, coldPolicy{}, x)
+	}
+	x := sized(500, 100)
+	x.output = 10
+	require.True(t, moves(x))
+	x.output = x.size.MaxOutput
+	require.False(t, moves(x), "complete")
+	x.output = 10
+	s.costs.memory = make(map[string]int)
+	for _, m := range members {
+		s.costs.memory[m.ID] = 1000
+	}
+	require.True(t, moves(x))
+	for _, m := range members {
+		s.costs.begin(sized(900, 100), m, s.costs.estimate(sized(900, 100)), 1)
+	}
+	require.False(t, moves(x), "no memory")
+}
+
 // moveStream sends a stream to a rank that becomes slow after the first event. The other
 // ranks go on after the last event that the caller has got.
 func moveStream(t *testing.T, setUp func(tg *testGateway)) (body string, others int64) {
