admit: comparisons of servers' speeds allocate nothing

Each answer, and each compared pause of a stream, built a new list of the other servers' times. The list is kept, and a server with too few answers is not compared.

--- a/admit/server_speeds.go
+++ b/admit/server_speeds.go
@@ -49,7 +49,8 @@
 	source  *rand.Rand
 	servers map[ServerIncarnation]*serverSpeed
 	routes  map[string]*speedMean
-	spread  float64 // variance of the logarithms of a server's times
+	spread  float64   // variance of the logarithms of a server's times
+	means   []float64 // buffer of usualOfOthers
 }
 
 // speedMean is a moving average of logarithms.
@@ -83,7 +84,8 @@
 }
 
 // Answered records the time that a server has needed for a request of a route, or for
-// another kind of work that all servers do alike. It reports whether the server has begun or ceased to count as slow.
+// another kind of work that all servers do alike. It reports whether the server has begun
+// or ceased to count as slow.
 func (x *ServerSpeeds) Answered(server ServerIncarnation, route string, d, now time.Duration) (changed bool) {
 	usual := x.routes[route]
 	if usual == nil {
@@ -141,6 +143,9 @@
 
 // isSlow reports whether a server counts as slow now.
 func (x *ServerSpeeds) isSlow(server ServerIncarnation, s *serverSpeed, now time.Duration) bool {
+	if !s.slow && s.answers < minSpeedAnswers {
+		return false
+	}
 	others, ok := x.usualOfOthers(server, now)
 	if !ok || now-s.at > speedTTL {
 		return false
@@ -149,18 +154,19 @@
 		return s.mean-others >= math.Log(usualRatio)
 	}
 	margin := speedErrors * math.Sqrt(x.spread/float64(max(s.answers, 1)))
-	return s.answers >= minSpeedAnswers && s.mean-others-margin >= math.Log(slowRatio)
+	return s.mean-others-margin >= math.Log(slowRatio)
 }
 
 // usualOfOthers returns the median of the other servers' times relative to the usual ones;
 // ok is false if none is known.
 func (x *ServerSpeeds) usualOfOthers(server ServerIncarnation, now time.Duration) (median float64, ok bool) {
-	var means []float64
+	means := x.means[:0]
 	for key, o := range x.servers {
 		if key != server && o.answers >= minSpeedAnswers && now-o.at <= speedTTL {
 			means = append(means, o.mean)
 		}
 	}
+	x.means = means
 	if len(means) == 0 {
 		return 0, false
 	}
--- a/admit/server_speeds_test.go
+++ b/admit/server_speeds_test.go
@@ -148,3 +148,10 @@
 	require.Empty(t, x.Prune(0, func(ServerIncarnation) bool { return true }))
 	require.Empty(t, x.servers)
 }
+
+// Each answer is compared with the others' without memory of its own.
+func TestAnswersAllocateNothing(t *testing.T) {
+	r := newSpeedRun(1, 64)
+	r.play(time.Minute)
+	require.Zero(t, testing.AllocsPerRun(100, func() { r.Answered(r.servers[0], "quick", 15*time.Millisecond, r.now) }))
+}
