placement/spread: earlier builds refuse maps whose experts are given up

An expert given up was stated by a replica on the expert's home. A build that knows replicas only takes that for a second copy there, and prepares another map of the same version; engines do not compare maps. The entry now has the number of ranks as its rank: earlier builds refuse a rank that does not exist, and the coordinator abandons the switch. Replicas on an expert's home are refused.

--- a/placement/spread/slowness_test.go
+++ b/placement/spread/slowness_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 	givenUp := map[place]int{}
 	for _, c := range replicas {
 		if s.GivesUp(c) {
-			givenUp[place{int(c.Set), int(c.Rank)}]++
+			givenUp[place{int(c.Set), s.HomeRank(int(c.Expert))}]++
 		}
 	}
 	for _, n := range givenUp {
@@ -133,17 +134,49 @@
 	}
 }
 
-// TestReplicasThatGiveUpExperts checks the meaning of an entry on an expert's home.
+// TestReplicasThatGiveUpExperts checks the meaning of an entry that gives an expert up.
 func TestReplicasThatGiveUpExperts(t *testing.T) {
 	s := Shape{Sets: 1, Experts: 4, Ranks: 4, Slots: 2}
-	replicas := []wire.Replica{{Expert: 1, Rank: 1}, {Expert: 1, Rank: 2}}
+	replicas := []wire.Replica{{Expert: 1, Rank: 4}, {Expert: 1, Rank: 2}}
 	require.Equal(t, [][][]int{{{0}, {}, {2, 1}, {3}}}, s.ExpertsByRank(replicas))
 	loads := Loads{{0.25, 0.25, 0.25, 0.25}}
 	require.InDelta(t, 2, Cost(s, loads, replicas), 1e-9)
-	nowhere := []wire.Replica{{Expert: 1, Rank: 1}} // no other rank holds the expert
+	nowhere := []wire.Replica{{Expert: 1, Rank: 4}} // no other rank holds the expert
 	require.NotPanics(t, func() { Improve(s, loads, nowhere, Limits{CopiesPerRank: 1, SpareSlots: 1}) })
 }
 
+// TestMapsWithExpertsGivenUpAreRefusedByEarlierBuilds checks that a build that knows
+// replicas only, and refuses maps with ranks that do not exist, never prepares a map in
+// which an expert is given up: its engine would have another map than the others.
+func TestMapsWithExpertsGivenUpAreRefusedByEarlierBuilds(t *testing.T) {
+	for name, c := range shapes {
+		t.Run(name, func(t *testing.T) {
+			c.limits.Slowness = slowdown(c.shape.Ranks, 1, 12)
+			plan, _, ok := Improve(c.shape, zipf(c.shape, c.exponent, rand.New(rand.NewPCG(5, 6))), nil, c.limits)
+			require.True(t, ok)
+			data, err := wire.Replicas(plan).MarshalMsg(nil)
+			require.NoError(t, err)
+			var decoded wire.Replicas
+			_, err = decoded.UnmarshalMsg(data)
+			require.NoError(t, err)
+			require.True(t, c.shape.Fits(decoded))
+			gone := slices.ContainsFunc(decoded, func(r wire.Replica) bool { return int(r.Rank) >= c.shape.Ranks })
+			require.True(t, gone, "a rank that does not exist")
+		})
+	}
+}
+
+// TestFits checks which entries of a list of replicas a group accepts.
+func TestFits(t *testing.T) {
+	s := Shape{Sets: 2, Experts: 8, Ranks: 4, Slots: 4}
+	for _, r := range []wire.Replica{{Set: 1, Expert: 7, Rank: 0}, {Expert: 1, Rank: 4}} {
+		require.True(t, s.Fits([]wire.Replica{r}), "%v", r)
+	}
+	for _, r := range []wire.Replica{{Set: 2, Rank: 1}, {Expert: 8, Rank: 1}, {Rank: 5}, {Expert: 5, Rank: 1}} {
+		require.False(t, s.Fits([]wire.Replica{r}), "%v", r)
+	}
+}
+
 const pollInterval = 30 * time.Millisecond
 
 // TestSlowRanksChangeOnlyWithLastingStatements checks SlowRanks with statements that
--- a/placement/spread/spread.go
+++ b/placement/spread/spread.go
@@ -5,7 +5,7 @@
 // The ranks that hold an expert receive equal parts of its tokens, so that replicas
 // elsewhere do not take all load off a rank that is slow. Such a rank gives up experts
 // that another rank holds, its own ones included. A list of replicas states this by an
-// entry on the expert's home.
+// entry with the number of ranks as its rank; see Shape.GivesUp.
 //
 // A copy occupies the link of its rank while it is made, and demand shifts every
 // few seconds. A plan therefore makes few copies, up to a limit per rank; the ranks
@@ -36,10 +36,12 @@
 	return s.Sets > 0 && s.Experts > 0 && s.Ranks > 0 && s.Slots*s.Ranks >= s.Experts
 }
 
-// Fits reports whether the sets, experts and ranks of all replicas exist.
+// Fits reports whether the sets, experts and ranks of all replicas exist, and none is on
+// the expert's home.
 func (s Shape) Fits(replicas []wire.Replica) bool {
 	return !slices.ContainsFunc(replicas, func(r wire.Replica) bool {
-		return int(r.Set) >= s.Sets || int(r.Expert) >= s.Experts || int(r.Rank) >= s.Ranks
+		return int(r.Set) >= s.Sets || int(r.Expert) >= s.Experts ||
+			int(r.Rank) >= s.Ranks && !s.GivesUp(r) || int(r.Rank) == s.HomeRank(int(r.Expert))
 	})
 }
 
@@ -59,19 +61,20 @@
 		}
 	}
 	for _, c := range replicas {
-		list := &lists[c.Set][c.Rank]
 		if s.GivesUp(c) {
-			*list = slices.DeleteFunc(*list, func(e int) bool { return e == int(c.Expert) })
+			home := &lists[c.Set][s.HomeRank(int(c.Expert))]
+			*home = slices.DeleteFunc(*home, func(e int) bool { return e == int(c.Expert) })
 		} else {
-			*list = append(*list, int(c.Expert))
+			lists[c.Set][c.Rank] = append(lists[c.Set][c.Rank], int(c.Expert))
 		}
 	}
 	return lists
 }
 
-// GivesUp reports whether an entry of a list of replicas states that a rank has given
-// up an expert of the initial map.
-func (s Shape) GivesUp(c wire.Replica) bool { return s.HomeRank(int(c.Expert)) == int(c.Rank) }
+// GivesUp reports whether an entry of a list of replicas states that the expert's home has
+// given the expert up. Its rank does not exist, so that builds that know replicas only
+// refuse the map instead of preparing one with other content.
+func (s Shape) GivesUp(c wire.Replica) bool { return int(c.Rank) == s.Ranks }
 
 // Loads holds the share of its set's tokens that each expert receives, by set and
 // expert. The shares of a set add up to 1.
@@ -192,7 +195,7 @@
 	}
 	for _, c := range replicas {
 		if s.GivesUp(c) {
-			p.removeHolder(int(c.Set), int(c.Expert), int(c.Rank))
+			p.removeHolder(int(c.Set), int(c.Expert), s.HomeRank(int(c.Expert)))
 			continue
 		}
 		p.holders[c.Set][c.Expert] = append(p.holders[c.Set][c.Expert], int(c.Rank))
@@ -338,7 +341,7 @@
 		for e, holders := range p.holders[set] {
 			home := p.shape.HomeRank(e)
 			if !slices.Contains(holders, home) {
-				list = append(list, wire.Replica{Set: uint16(set), Expert: uint16(e), Rank: uint16(home)})
+				list = append(list, wire.Replica{Set: uint16(set), Expert: uint16(e), Rank: uint16(p.shape.Ranks)})
 			}
 			for _, r := range holders {
 				if r != home {
--- a/wire/remap.go
+++ b/wire/remap.go
@@ -27,8 +27,8 @@
 //msgp:ignore Replica Replicas
 
 // Replica is an additional copy of an expert, besides the one that the initial map
-// places. If Rank is the rank of that one, it states that the rank has given the expert
-// up; other ranks then hold replicas of it.
+// places. If Rank is the number of ranks of the group, it states that the rank of that one
+// has given the expert up; other ranks then hold replicas of it.
 type Replica struct {
 	Set    uint16 `msg:"s"`
 	Expert uint16 `msg:"e"`
