--- a/placement/spread/slowness.go
+++ b/placement/spread/slowness.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -42,9 +43,9 @@
 func (s *SlowRanks) Ranks() int { return len(s.ranks) }
 
 // Observe records the factor by which a rank's work takes longer than usual. A factor
-// that is not positive is not known, and changes nothing.
+// that is not positive and finite is not known, and changes nothing.
 func (s *SlowRanks) Observe(rank int, factor float64, now time.Duration) {
-	if rank < 0 || rank >= len(s.ranks) || !(factor > 0) {
+	if rank < 0 || rank >= len(s.ranks) || !(factor > 0) || math.IsInf(factor, 1) {
 		return
 	}
 	if factor < minSlowness {
--- a/placement/spread/slowness_test.go
+++ b/placement/spread/slowness_test.go
@@ -209,6 +209,7 @@
 		require.Equal(t, []float64{1, 12, 1}, state(13, 100*time.Millisecond))
 	}
 	require.Equal(t, []float64{1, 12, 1}, state(math.NaN(), time.Second))
+	require.Equal(t, []float64{1, 12, 1}, state(math.Inf(1), time.Second))
 	require.Equal(t, []float64{1, 12, 1}, state(0, time.Second), "not known")
 	require.Equal(t, []float64{1, 12, 1}, state(1, slownessHold-2*pollInterval), "well for a moment")
 	require.Equal(t, []float64{1, 12, 1}, state(12, pollInterval))
