entry: a request lost with its server asks full servers again

Scenario side_killed fails now and then: a stream of the killed side ends with 201 "the queue is full", may have run, two minutes before its deadline.

Cause, reproduced in virtual time: after the loss, the entry asks each other server once. A server that refuses for lack of room is not asked again, so the last refusal becomes the answer, although the servers have room a second later.

Change: a request that may have run and was then refused for lack of room (201, 202, 205) by the usable servers asks again in rounds. A round begins when a server reports room, at the latest after the least Retry-After stated, and not before a pause that doubles from 0.1 to 2 s. Refusals do not count as executions, of which there are four as before. No round follows if every Retry-After ends after the deadline, without retry budget, and for requests that must run alone.

--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -11,7 +11,7 @@
 )
 
 // maxAttempts is the number of attempts for one request, resumes included, after
-// which it is not retried.
+// which it is not retried. Refusals of earlier rounds do not count; see roomWait.
 const maxAttempts = 4
 
 // retryLoop is the state of one idempotent request across its attempts.
@@ -20,7 +20,10 @@
 	call          *call
 	resp          *response
 	asm           *assembler
-	attemptNumber uint32          // 0 before the first attempt
+	attemptNumber uint32 // 0 before the first attempt
+	lastAttempt   uint32 // number of the last attempt of this round
+	room          roomWait
+	noBudget      bool            // the retry budget did not allow another attempt
 	excluded      map[string]bool // backend servers not to be picked again
 	maxRan        api.Ran         // maximum of Ran over the failed attempts
 	lastErr       *api.Error      // error of the last attempt
@@ -31,28 +34,46 @@
 // allowed or cannot help. The error is to be sent to the caller.
 func (s *Server) serveIdempotent(ctx context.Context, c *call, resp *response) *api.Error {
 	r := &retryLoop{
-		server:   s,
-		call:     c,
-		resp:     resp,
-		asm:      newAssembler(),
-		excluded: make(map[string]bool),
+		server:      s,
+		call:        c,
+		resp:        resp,
+		asm:         newAssembler(),
+		lastAttempt: maxAttempts,
+		excluded:    make(map[string]bool),
 	}
 	s.depositRetryBudget()
-	for r.attemptNumber < maxAttempts {
+	for {
+		if r.runRound(ctx) {
+			return nil
+		}
+		if !r.canRetry(ctx) || !r.awaitRoom(ctx) {
+			return r.finalError()
+		}
+	}
+}
+
+// runRound makes attempts, each on another backend server, and reports whether the
+// answer is complete.
+func (r *retryLoop) runRound(ctx context.Context) bool {
+	for r.attemptNumber < r.lastAttempt {
 		if !r.checkQuarantine() {
-			break
+			return false
 		}
 		if r.attemptNumber > 0 && !r.allowRetry() {
-			break
+			return false
 		}
-		if r.tryBackend(ctx) {
-			return nil
+		l, ok := r.pickTraced(ctx)
+		if !ok {
+			return false
+		}
+		if r.tryBackend(ctx, l) {
+			return true
 		}
 		if !r.canRetry(ctx) {
-			break
+			return false
 		}
 	}
-	return r.finalError()
+	return false
 }
 
 // checkQuarantine checks whether the request is suspected of crashing backend
@@ -77,30 +98,33 @@
 		return true
 	}
 	if !r.server.withdrawRetry() {
+		r.noBudget = true
 		return false
 	}
 	r.server.opt.Metrics.Retried()
 	return true
 }
 
-// tryBackend picks a backend server and sends the request to it. It reports
-// whether the answer is complete.
-func (r *retryLoop) tryBackend(ctx context.Context) bool {
+// pickTraced is pick with a span. If no server is usable, it sets lastErr unless
+// an attempt did.
+func (r *retryLoop) pickTraced(ctx context.Context) (*link, bool) {
 	span := r.server.startPick(ctx)
 	l, ok := r.pick(ctx)
 	span.End()
-	if !ok {
-		if r.lastErr == nil {
-			r.lastErr = api.NewError(api.NoBackend, r.call.route.Pool)
-		}
-		r.attemptNumber = maxAttempts
-		return false
+	if !ok && r.lastErr == nil {
+		r.lastErr = api.NewError(api.NoBackend, r.call.route.Pool)
 	}
+	return l, ok
+}
+
+// tryBackend sends the request to a backend server. It reports whether the answer
+// is complete.
+func (r *retryLoop) tryBackend(ctx context.Context, l *link) bool {
 	r.beginAttempt()
 	r.resp.servedBy = l.name
 	r.resp.attempts = int(r.attemptNumber)
 	start := time.Now()
-	ctx, span = r.server.startAttempt(ctx, l.name, r.attemptNumber)
+	ctx, span := r.server.startAttempt(ctx, l.name, r.attemptNumber)
 	out := r.sendWithResume(ctx, l)
 	endSpan(span, out.err)
 	r.server.reportOutcome(r.call, l.name, out, time.Since(start))
@@ -110,6 +134,9 @@
 	r.connLost = out.connLost || out.err.Code == api.NotResumable
 	r.excluded[l.name] = !r.connLost // a lost connection is no evidence against the server
 	r.lastErr = out.err
+	if isLackOfRoom(out.err) {
+		r.room.record(l.name, out.err)
+	}
 	r.maxRan = max(r.maxRan, out.err.Ran)
 	return false
 }
