scenario: the crashing request comes back after Retry-After

A suspected request runs alone. A server that refuses it because others are in flight states a Retry-After of 1 s and admits no others for 5 s, so that a caller who obeys finds it drained. Nothing is promised to one who comes back after 20 ms. The script sent six requests that far apart and expected the trial to be among them: a verdict that depended on how fast the server drains, against docs/proofs/scenarios.md.

The caller now comes back after each Retry-After (load -obey) until the request is refused for good, for at most 60 s, the limit of every condition. The counters of codes now cover all results, not the first 64.

--- a/internal/scenario/call.go
+++ b/internal/scenario/call.go
@@ -53,15 +53,16 @@
 // Result describes how a Call ended: its outcome and the parts of the answer that
 // scenarios check.
 type Result struct {
-	Outcome  Outcome
-	Entry    string
-	Status   int
-	Code     api.Code
-	Ran      string
-	ServedBy string
-	Replayed bool
-	Text     string // answer to an action or a look-up
-	Detail   string
+	Outcome    Outcome
+	Entry      string
+	Status     int
+	Code       api.Code
+	Ran        string
+	RetryAfter time.Duration // 0 if the answer states none
+	ServedBy   string
+	Replayed   bool
+	Text       string // answer to an action or a look-up
+	Detail     string
 }
 
 // callClient keeps idle connections, as the HTTP clients of real callers do. Like
@@ -104,12 +105,14 @@
 	}
 	defer resp.Body.Close()
 	code, _ := strconv.Atoi(resp.Header.Get(api.HeaderResultCode))
+	retryAfter, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
 	res = Result{
-		Status:   resp.StatusCode,
-		Code:     api.Code(code),
-		Ran:      resp.Header.Get(api.HeaderRan),
-		ServedBy: resp.Header.Get(api.HeaderServedBy),
-		Replayed: resp.Header.Get(api.HeaderReplayed) == "true",
+		Status:     resp.StatusCode,
+		Code:       api.Code(code),
+		Ran:        resp.Header.Get(api.HeaderRan),
+		RetryAfter: time.Duration(retryAfter) * time.Second,
+		ServedBy:   resp.Header.Get(api.HeaderServedBy),
+		Replayed:   resp.Header.Get(api.HeaderReplayed) == "true",
 	}
 	switch {
 	case res.Code != api.OK || resp.Header.Get(api.HeaderResultCode) == "":
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -332,6 +332,7 @@
 	f.IntVar(&opts.Callers, "callers", 1, "")
 	f.IntVar(&opts.Count, "count", 0, "")
 	f.BoolVar(&opts.RepeatRefused, "again", false, "")
+	f.BoolVar(&opts.ObeyRetry, "obey", false, "")
 	f.BoolVar(&opts.Resend, "resend", false, "")
 	f.IntVar(&c.Tokens, "tokens", 40, "")
 	f.IntVar(&c.LeaveAfter, "leave", 0, "")
--- a/internal/scenario/counters.go
+++ b/internal/scenario/counters.go
@@ -196,10 +196,10 @@
 	return strings.Join(out, "; ")
 }
 
-// pauseBeforeRetry waits for retryPause or until stop is closed.
-func pauseBeforeRetry(stop <-chan struct{}) {
+// pause waits for d or until stop is closed.
+func pause(stop <-chan struct{}, d time.Duration) {
 	select {
 	case <-stop:
-	case <-time.After(retryPause):
+	case <-time.After(d):
 	}
 }
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"sync"
+
+	"marjorampitch/api"
 )
 
 // LoadOptions configure a Load.
@@ -12,6 +14,7 @@
 	Callers       int
 	Count         int  // calls per caller; 0 for no limit
 	RepeatRefused bool // refused calls do not count towards Count
+	ObeyRetry     bool // a caller pauses for the Retry-After that an error states
 	Resend        bool // a call without a complete answer is resent with its key, up to maxSends times in all
 	Call          Call // template of all calls; Key "new" stands for a new key per call
 }
@@ -28,6 +31,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	counts      map[Outcome]int
+	codes       map[api.Code]int
 	started     int
 	ended       int
 	failures    []Result // the first maxKeptResults that are neither Whole nor Refused
@@ -43,7 +47,7 @@
 // StartLoad starts the callers of a load.
 func (tb *Testbed) StartLoad(name string, opts LoadOptions) *Load {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Load{testbed: tb, opts: opts, cancel: cancel, stop: make(chan struct{}), counts: make(map[Outcome]int)}
+	l := &Load{testbed: tb, opts: opts, cancel: cancel, stop: make(chan struct{}), counts: make(map[Outcome]int), codes: make(map[api.Code]int)}
 	for caller := range opts.Callers {
 		l.wg.Go(func() { l.run(ctx, caller) })
 	}
@@ -92,11 +96,13 @@
 	l.started++
 }
 
-// callEnded records the result of a call and pauses after a refused one.
+// callEnded records the result of a call and pauses after a refused one, or as
+// long as it says.
 func (l *Load) callEnded(r Result) {
 	l.mu.Lock()
 	l.ended++
 	l.counts[r.Outcome]++
+	l.codes[r.Code]++
 	if len(l.results) < maxKeptResults {
 		l.results = append(l.results, r)
 	}
@@ -104,8 +110,11 @@
 		l.failures = append(l.failures, r)
 	}
 	l.mu.Unlock()
-	if r.Outcome == Refused {
-		pauseBeforeRetry(l.stop)
+	switch {
+	case l.opts.ObeyRetry && r.RetryAfter > 0:
+		pause(l.stop, r.RetryAfter)
+	case r.Outcome == Refused:
+		pause(l.stop, retryPause)
 	}
 }
 
@@ -144,7 +153,7 @@
 	l.finish()
 }
 
-// counters returns the number of calls and outcomes so far. The counters of codes,
+// counters returns the number of calls, outcomes and codes so far. The counters of
 // servers and replays cover the first maxKeptResults results only.
 func (l *Load) counters() counters {
 	l.mu.Lock()
@@ -153,8 +162,10 @@
 	for _, o := range []Outcome{Whole, Refused, Failed, Cut, Wrong, Gone} {
 		c[string(o)] = l.counts[o]
 	}
+	for code, n := range l.codes {
+		c[fmt.Sprintf("code-%d", int(code))] = n
+	}
 	for _, r := range l.results {
-		c[fmt.Sprintf("code-%d", int(r.Code))]++
 		c["by-"+r.ServedBy]++
 		if r.Replayed {
 			c["replayed"]++
