review: restart delays of the MAP case

All processes came back at once, so that now and then two of them claimed the group and the terms no longer met.

--- a/review/standin/mapdrill/main.go
+++ b/review/standin/mapdrill/main.go
@@ -21,6 +21,8 @@
 	ranks   = 12
 	fronts  = 2
 	callers = 10
+	// startsApart is the time between the starts of two side machines after a kill of all.
+	startsApart = 20 * time.Millisecond
 )
 
 // count holds what callers have seen since it was last taken.
@@ -98,7 +100,7 @@
 	for i := range ranks {
 		p, err := t.Start(platform.Settings{
 			Name: fmt.Sprintf("side-za-%d", i+1), Role: "rebalancer", Class: "side", IP: fmt.Sprintf("127.%d.2.%d", t.Subnet, i+1), Zone: "za",
-			Store: r.store.Address, App: addresses[i], Service: "models",
+			Store: r.store.Address, App: addresses[i], Service: "models", Later: time.Duration(i) * startsApart,
 		})
 		if err != nil {
 			return err
@@ -107,7 +109,7 @@
 	}
 	for i := range fronts {
 		ip := fmt.Sprintf("127.%d.1.%d", t.Subnet, i+1)
-		p, err := t.Start(platform.Settings{Name: fmt.Sprintf("front-za-%d", i+1), Role: "gateway", Class: "front", IP: ip, Zone: "za", Store: r.store.Address})
+		p, err := t.Start(platform.Settings{Name: fmt.Sprintf("front-za-%d", i+1), Role: "gateway", Class: "front", IP: ip, Zone: "za", Store: r.store.Address, Later: 250 * time.Millisecond})
 		if err != nil {
 			return err
 		}
--- a/review/standin/platform/process.go
+++ b/review/standin/platform/process.go
@@ -117,7 +117,8 @@
 // ends, and kills it when its memory exceeds the limit.
 type Process struct {
 	Name, Role, IP string
-	MemoryMB       int // limits.memory_mb
+	MemoryMB       int           // limits.memory_mb
+	RestartAfter   time.Duration // the platform's short delay before it starts the process again
 
 	test     *Test
 	settings string
@@ -136,8 +137,13 @@
 	Name, Role, Class, IP, Zone string
 	Store                       string
 	App, Service                string // of a side machine
+	// Later is added to the delay before the process is started again.
+	Later time.Duration
 }
 
+// restartAfter is the delay before a process that has ended is started again.
+const restartAfter = 500 * time.Millisecond
+
 const commonSettings = `region=r
 zones.za=r
 internal_ports=7340,7355
@@ -192,7 +198,7 @@
 
 // Start starts a process of the deploy file: "target/marjorampitch ROLE".
 func (t *Test) Start(s Settings) (*Process, error) {
-	p := &Process{Name: s.Name, Role: s.Role, IP: s.IP, test: t, settings: filepath.Join(t.Dir, s.Name+".conf")}
+	p := &Process{Name: s.Name, Role: s.Role, IP: s.IP, RestartAfter: restartAfter + s.Later, test: t, settings: filepath.Join(t.Dir, s.Name+".conf")}
 	var b strings.Builder
 	fmt.Fprintf(&b, "node=%s\nrole=%s\nmachine_class=%s\nserves=%s\nip=%s\nzone=%s\nplatform.address=%s\n", s.Name, s.Role, s.Class, s.Class, s.IP, s.Zone, s.Store)
 	if s.Class == "front" {
@@ -249,7 +255,7 @@
 			return
 		}
 		p.test.Log("%s: process %d ended: %v", p.Name, cmd.Process.Pid, err)
-		time.Sleep(500 * time.Millisecond) // the platform's short delay
+		time.Sleep(p.RestartAfter)
 		p.mu.Lock()
 		stopping = p.stopping
 		p.mu.Unlock()
