--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,12 +3,12 @@
 # plays the same without the disruption. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
 record=review/1/record.txt
-for program in target/marjorampitch out/review/mapdrill; do
+for program in target/marjorampitch out/review/earlyreset; do
   [ -x "$program" ] || { echo "could not run: $program is missing" | tee "$record"; exit 2; }
 done
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout -s TERM -k 8 110 out/review/mapdrill -record "$record" -trouble="$trouble" -rule MAP
+timeout -s TERM -k 8 110 out/review/earlyreset -record "$record" -trouble="$trouble"
 status=$?
 case $status in 0 | 1) exit $status ;; esac
 exit 2
