--- a/review/standin/crashpart/main.go
+++ b/review/standin/crashpart/main.go
@@ -308,6 +308,9 @@
 	x.conn = conn
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMarjorampitch-Request-Id: %s\r\nMarjorampitch-Response-Seal: %s\r\n"+
 		"Marjorampitch-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n", id, platform.Seal(own, id))
+	if x.bad {
+		g.t.Log("worker %s: runs %s after event %d", own, id, x.sent)
+	}
 	g.mu.Lock()
 	g.streams[x] = true
 	g.mu.Unlock()
@@ -399,7 +402,10 @@
 					return
 				case <-time.After(150 * time.Millisecond):
 				}
-				_, events := call(ips[i%fronts], fmt.Sprintf("c%d-%d", i, n), "5c1e07a2:40")
+				id := fmt.Sprintf("c%d-%d", i, n)
+				sent := t.Now()
+				status, events := call(ips[i%fronts], id, "5c1e07a2:40")
+				t.Log("client: %s sent at %.3f s to %s: %d, %d events", id, sent.Seconds(), ips[i%fronts], status, events)
 				c.add(func() {
 					c.sent++
 					if events == whole {
@@ -426,7 +432,9 @@
 			go func() {
 				defer wait.Done()
 				id := fmt.Sprintf("bad-%d", n)
-				status, _ := call(ips[n%fronts], id, "5c1e07a2:40,"+badPart+":30")
+				sent := t.Now()
+				status, events := call(ips[n%fronts], id, "5c1e07a2:40,"+badPart+":30")
+				t.Log("client: %s sent at %.3f s to %s: %d, %d events", id, sent.Seconds(), ips[n%fronts], status, events)
 				c.add(func() {
 					c.badSent++
 					switch status {
--- a/review/standin/cutstream/main.go
+++ b/review/standin/cutstream/main.go
@@ -184,6 +184,7 @@
 	x.conn = conn.(*net.TCPConn)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMarjorampitch-Request-Id: %s\r\nMarjorampitch-Response-Seal: %s\r\n"+
 		"Marjorampitch-Weight-Versions: 1\r\nConnection: close\r\n\r\n", id, platform.Seal(w.ID, id))
+	g.t.Log("worker %s: runs %s after event %d", w.ID, id, x.sent)
 	g.mu.Lock()
 	g.streams[x] = true
 	g.mu.Unlock()
@@ -214,6 +215,8 @@
 		return
 	}
 	defer conn.Close()
+	sent, how := t.Now(), "no answer"
+	defer func() { t.Log("client: %s sent at %.3f s to %s: %s", id, sent.Seconds(), ip, how) }()
 	body := strings.Repeat("p", 700)
 	fmt.Fprintf(conn, "POST /draft/%s HTTP/1.1\r\nHost: svc.example\r\nMarjorampitch-Request-Id: %s\r\nMarjorampitch-Deadline-Ms: 8000\r\n"+
 		"Marjorampitch-Credential: %s\r\nMarjorampitch-Model: m\r\nMarjorampitch-Token-Counts: 600,96\r\n"+
@@ -225,6 +228,7 @@
 		return
 	}
 	defer resp.Body.Close()
+	how = strconv.Itoa(resp.StatusCode)
 	if resp.StatusCode != http.StatusOK {
 		c.add(func() { c.refused++ })
 		return
@@ -244,6 +248,7 @@
 		if err == nil {
 			continue
 		}
+		how += fmt.Sprintf(", events to %d, then %v", last, err)
 		end(t, g, c, id, last, err)
 		return
 	}
