sockopt: a look at a connection leaves its reset to the reader

Cause: the kernel reports a reset once. After a pause the time of the silence watch is over, so the gateway looked at the connection with MSG_PEEK first; the look took the error, and the next read returned a regular end. Evidence: TestLookLeavesResetToReader and TestResetDuringJudgementOfSilenceIsNoRegularEnd, without a pause, failed before: EOF and no error in place of ECONNRESET. Change: CanReuse polls, HasUnread counts unread bytes. Neither takes an error, so nothing but a read or a write does. The same held for the look at callers' connections.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -218,12 +218,7 @@
 }
 
 // waiting reports whether the connection is open and no data has arrived.
-func (r *exchangeReader) waiting() bool {
-	if err := r.conn.SetReadDeadline(time.Time{}); err != nil { // CanReuse fails after a deadline
-		return false
-	}
-	return sockopt.CanReuse(r.conn)
-}
+func (r *exchangeReader) waiting() bool { return sockopt.CanReuse(r.conn) }
 
 // Do sends the request and reads the head of the response. ctx bounds the exchange
 // including the response body: when it ends, the connection is reset, which makes
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -36,35 +36,33 @@
 }
 
 // CanReuse reports whether an idle connection can be reused: it is open and has no
-// bytes to read. It does not block and does not consume bytes.
+// bytes to read. It does not block, and leaves bytes and a pending error of the connection
+// to its reader: the kernel reports a reset once only, and whatever asks for it, a peek
+// included, makes the next read return a regular end.
 func CanReuse(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-		return true
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		idle = err == nil && n == 0
 	})
 	return err == nil && idle
 }
 
-// HasUnread reports whether a connection has bytes to read. Unlike CanReuse it may be
-// called while a read is in progress. It does not block and does not consume bytes.
+// HasUnread reports whether a connection has bytes to read. It does not block, and leaves
+// bytes and a pending error to the reader, as CanReuse does.
 func HasUnread(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	var countErr error
+	err = raw.Control(func(fd uintptr) { n, countErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && countErr == nil && n > 0
 }
 
 // Sending reports whether a connection has bytes that its peer has not acknowledged,
