--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,18 +36,20 @@
 	store     store.Log
 	log       *log.Logger
 	readPause time.Duration
-	next      int64
-	loaded    chan struct{} // closed after the first successful read
+	next      store.Position // store.NoPosition to start with a snapshot
+	loaded    chan struct{}  // closed after the first successful read
 
-	mu      sync.Mutex // guards entries
-	entries map[string]wire.Instance
+	mu        sync.Mutex // guards all below
+	entries   map[string]wire.Instance
+	announced map[string]wire.Instance // entries of this process that the store is to have
 }
 
 // New returns an empty Directory. Run starts it. readPause is the pause between two
 // reads, so that the entries of many processes that start at once are read together.
 func New(s store.Log, readPause time.Duration, logger *log.Logger) *Directory {
 	return &Directory{
-		store: s, log: logger, readPause: readPause, next: -1, loaded: make(chan struct{}), entries: make(map[string]wire.Instance),
+		store: s, log: logger, readPause: readPause, next: store.NoPosition, loaded: make(chan struct{}),
+		entries: make(map[string]wire.Instance), announced: make(map[string]wire.Instance),
 	}
 }
 
@@ -60,22 +62,37 @@
 
 // Announce appends the entry of an instance, retrying until it is acknowledged or
 // ctx is done. An equal entry that already exists, as after a restart of the process,
-// is not written again, because every write wakes all readers.
+// is not written again, because every write wakes all readers. Run writes the entry again
+// if the store loses it.
 func (d *Directory) Announce(ctx context.Context, name string, entry wire.Instance) {
-	value, err := entry.MarshalMsg(nil)
-	if err != nil {
-		d.log.Error("announce-failed", "err", err)
-		return
-	}
 	select {
 	case <-d.loaded:
-		if d.Entries()[name] == entry {
+		if d.keep(name, entry) {
 			d.log.Info("announced-before", "name", name, "address", entry.Address, "group", entry.Group, "rank", entry.Rank)
 			return
 		}
 	case <-time.After(callTimeout): // a duplicate write costs less than staying undiscovered
+		d.keep(name, entry)
 	case <-ctx.Done():
 	}
+	d.write(ctx, name, entry)
+}
+
+// keep records an entry of this process, and reports whether the store has it.
+func (d *Directory) keep(name string, entry wire.Instance) (known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announced[name] = entry
+	return d.entries[name] == entry
+}
+
+// write appends an entry, retrying until it is acknowledged or ctx is done.
+func (d *Directory) write(ctx context.Context, name string, entry wire.Instance) {
+	value, err := entry.MarshalMsg(nil)
+	if err != nil {
+		d.log.Error("announce-failed", "err", err)
+		return
+	}
 	for retry := minBackoff; ctx.Err() == nil; retry = min(2*retry, maxBackoff) {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := d.store.Append(call, topic, store.Record{Key: name, Value: value})
@@ -89,14 +106,18 @@
 	}
 }
 
-// Run keeps the entries up to date until ctx is done.
+// Run keeps the entries up to date until ctx is done. It writes the entries of this process
+// again that a snapshot does not have, because the store has come back from an older copy.
 func (d *Directory) Run(ctx context.Context) {
 	retry := minBackoff
 	for ctx.Err() == nil {
 		err := d.step(ctx)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
-			d.next = -1
+			d.next = store.NoPosition
+		case errors.Is(err, store.ErrRestored):
+			d.log.Warn("position-void", "stream", topic, "from", d.next.Offset, "era", d.next.Era)
+			d.next = store.NoPosition
 		case err != nil:
 			clock.Sleep(ctx, retry)
 			retry = min(2*retry, maxBackoff)
@@ -107,17 +128,18 @@
 	}
 }
 
-// step does one read, a snapshot if next is negative, and applies its records.
-func (d *Directory) step(ctx context.Context) error {
+// step does one read, a snapshot at store.NoPosition, and applies its records.
+func (d *Directory) step(run context.Context) error {
 	limit := readWait + callTimeout
-	if d.next < 0 {
+	snapshot := d.next == store.NoPosition
+	if snapshot {
 		limit = callTimeout // a store that does not answer must not delay the discovery of peers
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(run, limit)
 	defer cancel()
 	var b store.Batch
 	var err error
-	if d.next < 0 {
+	if snapshot {
 		b, err = d.store.Newest(ctx, topic)
 	} else {
 		b, err = d.store.Read(ctx, topic, d.next, readWait)
@@ -131,6 +153,9 @@
 	for _, r := range b.Records {
 		d.apply(r)
 	}
+	if snapshot {
+		d.writeLost(run, b.Records)
+	}
 	select {
 	case <-d.loaded:
 	default:
@@ -139,6 +164,24 @@
 	return nil
 }
 
+// writeLost writes the entries of this process again that a snapshot does not have. Callers
+// hold mu.
+func (d *Directory) writeLost(ctx context.Context, snapshot []store.Record) {
+	if len(d.announced) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(snapshot))
+	for _, r := range snapshot {
+		listed[r.Key] = true
+	}
+	for name, entry := range d.announced {
+		if !listed[name] || d.entries[name] != entry {
+			d.log.Warn("announcement-lost", "name", name)
+			go d.write(ctx, name, entry)
+		}
+	}
+}
+
 // apply applies one record. Callers hold mu.
 func (d *Directory) apply(r store.Record) {
 	if r.Value == nil {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -23,11 +23,29 @@
 	wake       chan struct{}
 	reads      int
 	unanswered int // number of snapshots that are not answered
+	era        int64
+}
+
+// restore has the store come back from a copy.
+func (m *memoryStore) restore(records ...store.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records = records
+	m.era++
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
+// size returns the number of records.
+func (m *memoryStore) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.records)
 }
 
 func (m *memoryStore) batch(from int64) store.Batch {
 	end := int64(len(m.records))
-	return store.Batch{Records: m.records[from:], Next: end, End: end}
+	return store.Batch{Records: m.records[from:], Next: store.Position{Era: m.era, Offset: end}, End: end}
 }
 
 func (m *memoryStore) Newest(ctx context.Context, _ string) (store.Batch, error) {
@@ -42,15 +60,19 @@
 	return m.batch(0), nil
 }
 
-func (m *memoryStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (store.Batch, error) {
+func (m *memoryStore) Read(ctx context.Context, _ string, from store.Position, wait time.Duration) (store.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	m.mu.Lock()
 	m.reads++
 	wake := m.wake
-	if from < int64(len(m.records)) {
+	if from.Era < m.era {
 		defer m.mu.Unlock()
-		return m.batch(from), nil
+		return store.Batch{}, store.ErrRestored
+	}
+	if from.Offset < int64(len(m.records)) {
+		defer m.mu.Unlock()
+		return m.batch(from.Offset), nil
 	}
 	m.mu.Unlock()
 	select {
@@ -61,7 +83,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.batch(from), nil
+	if from.Era < m.era {
+		return store.Batch{}, store.ErrRestored
+	}
+	return m.batch(from.Offset), nil
 }
 
 func (m *memoryStore) Append(_ context.Context, _ string, r store.Record) error {
@@ -157,3 +182,26 @@
 	require.NoError(t, err)
 	require.NotContains(t, string(rebalancer), "\xa1d", "the entries of rebalancers stay as they were")
 }
+
+// An entry that the store has lost by coming back from an older copy is written again, so
+// that processes that start afterwards discover this one.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memoryStore{wake: make(chan struct{})}
+		ctx, stop := context.WithCancel(t.Context())
+		d := New(m, time.Second, log.New(io.Discard))
+		go d.Run(ctx)
+		go d.Announce(ctx, "a", wire.Instance{Address: "one"})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, m.size())
+		m.restore(store.Record{Key: "a", Value: encoded(t)}, store.Record{Key: "b", Value: encoded(t)}) // an older entry
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 3, m.size())
+		m.restore()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, m.size())
+		require.Equal(t, "one", d.Entries()["a"].Address)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -91,7 +91,7 @@
 	mu         sync.Mutex // guards all but view
 	doc        *Document
 	members    map[string]*Member
-	disabled   map[string]bool
+	disabled   map[string]time.Duration // data centres out of service, until a time; 0 for no end
 	missingTTL time.Duration
 	view       atomic.Pointer[View]
 }
@@ -100,7 +100,7 @@
 // stays usable for missingTTL: entries also expire while the store is
 // unavailable, and reappear afterwards.
 func NewCache(missingTTL time.Duration) *Cache {
-	c := &Cache{members: make(map[string]*Member), disabled: make(map[string]bool), missingTTL: missingTTL}
+	c := &Cache{members: make(map[string]*Member), disabled: make(map[string]time.Duration), missingTTL: missingTTL}
 	c.view.Store(&View{})
 	return c
 }
@@ -126,13 +126,20 @@
 // Reset replaces the state derived from one topic by a snapshot of the topic: the
 // operator topic (documents and disabled data centres) if operator is set, otherwise
 // the server topic. What the snapshot lacks is treated as removed, except for the
-// document, which only a newer one replaces.
-func (c *Cache) Reset(operator bool, changes []Change, now time.Duration) {
+// document, which only a newer one replaces. restored means that the store has come back
+// from an older copy, which may lack what is to be written again: data centres that were
+// disabled before stay so for disabledTTL.
+func (c *Cache) Reset(operator, restored bool, changes []Change, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if operator {
+	switch {
+	case operator && restored:
+		for name := range c.disabled {
+			c.disabled[name] = now + disabledTTL
+		}
+	case operator:
 		clear(c.disabled)
-	} else {
+	default:
 		c.removeUnlisted(changes, now)
 	}
 	for _, change := range changes {
@@ -142,6 +149,11 @@
 	c.publish()
 }
 
+// disabledTTL is the time for which a data centre stays out of service that was disabled
+// before the store came back from a copy without it. It ends sooner with the operator's
+// word, and costs capacity only.
+const disabledTTL = 5 * time.Second
+
 // removeUnlisted applies a ServerGone for every member that changes do not list.
 // Callers hold mu.
 func (c *Cache) removeUnlisted(changes []Change, now time.Duration) {
@@ -168,11 +180,11 @@
 		c.doc = change
 		return true
 	case *CentreDisabled:
-		wasDisabled := c.disabled[change.Name]
-		c.disabled[change.Name] = true
+		_, wasDisabled := c.disabled[change.Name]
+		c.disabled[change.Name] = 0
 		return !wasDisabled
 	case *CentreEnabled:
-		wasDisabled := c.disabled[change.Name]
+		_, wasDisabled := c.disabled[change.Name]
 		delete(c.disabled, change.Name)
 		return wasDisabled
 	case *Server:
@@ -216,9 +228,16 @@
 	return true
 }
 
-// expire removes servers whose entries have been missing for missingTTL. Callers hold mu.
+// expire removes servers whose entries have been missing for missingTTL, and enables the
+// data centres whose disabledTTL is over. Callers hold mu.
 func (c *Cache) expire(now time.Duration) bool {
 	changed := false
+	for name, until := range c.disabled {
+		if until > 0 && now >= until {
+			delete(c.disabled, name)
+			changed = true
+		}
+	}
 	for id, m := range c.members {
 		if m.MissingSince > 0 && now-m.MissingSince >= c.missingTTL {
 			delete(c.members, id)
@@ -259,7 +278,10 @@
 		Document:        c.doc,
 		Members:         maps.Clone(c.members),
 		Services:        make(map[string][]*Member),
-		DisabledCentres: maps.Clone(c.disabled),
+		DisabledCentres: make(map[string]bool, len(c.disabled)),
+	}
+	for name := range c.disabled {
+		v.DisabledCentres[name] = true
 	}
 	latest := c.latestByAddress()
 	for _, id := range slices.Sorted(maps.Keys(v.Members)) {
--- a/fleet/cache_test.go
+++ b/fleet/cache_test.go
@@ -65,10 +65,10 @@
 	cache := NewCache(0)
 	d := &Document{Version: 3}
 	cache.Apply([]Change{d, &CentreDisabled{"y"}, ready("a", "1", 1), ready("b", "2", 1)}, 1)
-	cache.Reset(false, []Change{ready("b", "2", 1)}, 2)
+	cache.Reset(false, false, []Change{ready("b", "2", 1)}, 2)
 	require.Equal(t, []string{"b"}, ids(cache))
 	require.True(t, cache.View().DisabledCentres["y"])
-	cache.Reset(true, []Change{&Document{Version: 2}}, 3)
+	cache.Reset(true, false, []Change{&Document{Version: 2}}, 3)
 	require.False(t, cache.View().DisabledCentres["y"])
 	require.Equal(t, []string{"b"}, ids(cache))
 	require.Same(t, d, cache.View().Document, "an older document must not replace a newer one")
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -16,8 +16,8 @@
 // Batch is the result of one read of a Source.
 type Batch struct {
 	Changes  []Change
-	Next     int64 // offset of the next read
-	Complete bool  // the topic had no records beyond Next
+	Next     store.Position // of the next read
+	Complete bool           // the topic had no records beyond Next
 	// CurrentAt, if not 0, is the freshness proof of a complete read; otherwise the proof
 	// is the start of the read.
 	CurrentAt time.Duration
@@ -27,9 +27,10 @@
 // Source reads one topic of the platform's store, the operator topic or the server
 // topic, as changes. It skips records that cannot be decoded.
 type Source interface {
-	// Read returns the changes from an offset on. If there are none, it waits up to
-	// wait for one. Errors: store.ErrTrimmed, or others if the store is unavailable.
-	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Read returns the changes from a position on. If there are none, it waits up to
+	// wait for one. Errors: store.ErrTrimmed, store.ErrRestored, or others if the store is
+	// unavailable.
+	Read(ctx context.Context, from store.Position, wait time.Duration) (Batch, error)
 	// Snapshot returns the newest record of each key.
 	Snapshot(ctx context.Context) (Batch, error)
 }
@@ -53,6 +54,11 @@
 	followRetryRelaxedMax = 3 * time.Second
 )
 
+// rewriteTime is the time within which the platform and the backend servers write again
+// what a store that has come back from an older copy has lost. Until then a read to the end
+// of a topic does not prove that the Cache has all that was ever acknowledged.
+const rewriteTime = time.Second
+
 // Follower keeps a Cache up to date from one Source. Run must be called once; the
 // other exported methods are safe for concurrent use.
 type Follower struct {
@@ -60,8 +66,12 @@
 	cache  *Cache
 	opts   FollowOptions
 	log    *log.Logger
-	next   int64 // -1 to start with a snapshot
+	next   store.Position // store.NoPosition to start with a snapshot
 	lost   bool
+	// restored means that the next snapshot is the first one since the store came back
+	// from an older copy; rewritten is when its loss has been written again.
+	restored  bool
+	rewritten time.Duration
 	// relayed means that a read was answered by another process. A request to it may be
 	// lost, so that reads are further apart than Pause says: see dateMissing.
 	relayed bool
@@ -71,12 +81,13 @@
 
 // NewFollower returns a Follower. Run starts it.
 func NewFollower(source Source, cache *Cache, opts FollowOptions, logger *log.Logger) *Follower {
-	return &Follower{source: source, cache: cache, opts: opts, log: logger, next: -1}
+	return &Follower{source: source, cache: cache, opts: opts, log: logger, next: store.NoPosition}
 }
 
 // FreshnessProof returns the latest time at which the Cache is known to have held
 // everything that the store had acknowledged; ok is false before the first
-// complete read.
+// complete read. It stays as it is for rewriteTime after the store has come back from an
+// older copy: until then what was known before counts.
 func (f *Follower) FreshnessProof() (at time.Duration, ok bool) {
 	n := f.proof.Load()
 	return time.Duration(n), n != 0
@@ -93,8 +104,13 @@
 		b, err := f.step(ctx)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
-			f.log.Info("store-trimmed", "stream", f.opts.Name, "from", f.next)
-			f.next = -1
+			f.log.Info("store-trimmed", "stream", f.opts.Name, "from", f.next.Offset)
+			f.next = store.NoPosition
+			continue
+		case errors.Is(err, store.ErrRestored):
+			f.log.Warn("position-void", "stream", f.opts.Name, "from", f.next.Offset, "era", f.next.Era)
+			f.next, f.restored = store.NoPosition, true
+			f.rewritten = f.opts.Clock() + rewriteTime
 			continue
 		case err != nil:
 			f.markLost(ctx, err)
@@ -104,12 +120,12 @@
 			retry = min(2*retry, maxRetry)
 			continue
 		}
-		if b.Complete {
-			f.advanceProof(cmp.Or(b.CurrentAt, readStart))
+		if proof := cmp.Or(b.CurrentAt, readStart); b.Complete && proof >= f.rewritten {
+			f.advanceProof(proof)
 		}
 		if f.lost {
 			f.lost = false
-			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next)
+			f.log.Info("store-regained", "stream", f.opts.Name, "next", f.next.Offset)
 		}
 		retry = followRetryMin
 		if b.Relayed {
@@ -139,13 +155,10 @@
 
 // step does one read and applies its changes.
 func (f *Follower) step(ctx context.Context) (Batch, error) {
-	if f.next < 0 {
+	if f.next == store.NoPosition {
 		return f.snapshot(ctx)
 	}
-	wait := f.opts.Wait
-	if _, ok := f.FreshnessProof(); !ok && f.opts.RelaxedPause == 0 || f.lost {
-		wait = 0 // return at once, to learn whether the Cache is complete
-	}
+	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+f.opts.Timeout)
 	defer cancel()
 	b, err := f.source.Read(ctx, f.next, wait)
@@ -164,6 +177,19 @@
 	return b, nil
 }
 
+// wait returns the long-poll time of the next read. It is 0 where the Follower is to learn at
+// once whether the Cache is complete.
+func (f *Follower) wait() time.Duration {
+	proof, ok := f.FreshnessProof()
+	if !ok && f.opts.RelaxedPause == 0 || f.lost {
+		return 0
+	}
+	if proof < f.rewritten && f.opts.RelaxedPause == 0 {
+		return min(max(f.rewritten-f.opts.Clock(), 0), f.opts.Wait)
+	}
+	return f.opts.Wait
+}
+
 // dateMissing dates the removal of entries as if the read had begun Pause after the last
 // one, so that a lost request does not extend the time for which their servers are used.
 func (f *Follower) dateMissing(changes []Change, now time.Duration) {
@@ -195,8 +221,8 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	f.cache.Reset(f.opts.Operator, b.Changes, f.opts.Clock())
-	f.next = b.Next
+	f.cache.Reset(f.opts.Operator, f.restored, b.Changes, f.opts.Clock())
+	f.next, f.restored = b.Next, false
 	f.logView()
 	return Batch{Next: b.Next}, nil
 }
@@ -208,6 +234,6 @@
 	if v.Document != nil {
 		version = v.Document.Version
 	}
-	f.log.Info("view-changed", "stream", f.opts.Name, "next", f.next, "document", version,
+	f.log.Info("view-changed", "stream", f.opts.Name, "next", f.next.Offset, "era", f.next.Era, "document", version,
 		"servers", len(v.Members), "centres_out", len(v.DisabledCentres))
 }
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+
+	"marjorampitch/store"
 )
 
 // scriptedSource answers reads with one batch after the other, then waits for ever.
@@ -21,7 +23,7 @@
 
 func (s *scriptedSource) Snapshot(context.Context) (Batch, error) { return Batch{}, nil }
 
-func (s *scriptedSource) Read(ctx context.Context, _ int64, wait time.Duration) (Batch, error) {
+func (s *scriptedSource) Read(ctx context.Context, _ store.Position, wait time.Duration) (Batch, error) {
 	s.reads, s.at = append(s.reads, wait), append(s.at, time.Since(s.start))
 	if len(s.reads) > len(s.batches) {
 		<-ctx.Done()
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -29,10 +29,10 @@
 }
 
 func (l *listedGateways) Newest(context.Context, string) (store.Batch, error) {
-	return store.Batch{Records: l.records, Next: 1, End: 1}, nil
+	return store.Batch{Records: l.records, Next: store.Position{Offset: 1}, End: 1}, nil
 }
 
-func (l *listedGateways) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Batch, error) {
+func (l *listedGateways) Read(ctx context.Context, _ string, _ store.Position, _ time.Duration) (store.Batch, error) {
 	<-ctx.Done()
 	return store.Batch{}, ctx.Err()
 }
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -26,13 +26,13 @@
 	calls int
 }
 
-func (s *endlessTopic) Read(_ context.Context, _ string, from int64, _ time.Duration) (store.Batch, error) {
+func (s *endlessTopic) Read(_ context.Context, _ string, from store.Position, _ time.Duration) (store.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	s.next = max(s.next, from) + 1
-	b := store.Batch{Next: s.next, End: s.next}
-	for i := from; i < s.next; i++ {
+	s.next = max(s.next, from.Offset) + 1
+	b := store.Batch{Next: store.Position{Offset: s.next}, End: s.next}
+	for i := from.Offset; i < s.next; i++ {
 		b.Records = append(b.Records, store.Record{Key: fmt.Sprint(i)})
 	}
 	return b, nil
@@ -86,7 +86,7 @@
 			other = name
 		}
 	}
-	next := int64(0)
+	next := store.Position{}
 	read := func(name string) store.Batch {
 		b, err := topics[name].Read(ctx, "t", next, 0)
 		require.NoError(t, err)
@@ -97,7 +97,7 @@
 	require.Eventually(t, func() bool {
 		b := read(other)
 		for i, r := range b.Records {
-			require.Equal(t, fmt.Sprint(next+int64(i)), r.Key)
+			require.Equal(t, fmt.Sprint(next.Offset+int64(i)), r.Key)
 		}
 		next = b.Next
 		read(readers[0])
--- a/peerread/desk.go
+++ b/peerread/desk.go
@@ -46,12 +46,12 @@
 
 // Add records the result of a read of the store that began at start, and returns
 // the answers to the requests that waited for it.
-func (d *Desk) Add(now time.Duration, from int64, b *store.Batch, start time.Duration) []Reply {
+func (d *Desk) Add(now time.Duration, from store.Position, b *store.Batch, start time.Duration) []Reply {
 	if from != d.history.next {
 		d.Clear()
 	}
 	d.history.add(from, b, start)
-	return d.release(func(w *waiting) bool { return now >= w.deadline || d.history.next > w.request.From }, now)
+	return d.release(func(w *waiting) bool { return now >= w.deadline || position(&w.request).Before(d.history.next) }, now)
 }
 
 // Clear forgets all records. Requests are refused until the next complete read.
@@ -68,7 +68,7 @@
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, maxWait)
 	delete(d.waiting, to)
 	h := &d.history
-	if wait <= 0 || !d.current(now) || r.From < h.first || r.From < h.next {
+	if wait <= 0 || !d.current(now) || r.Era != h.next.Era || r.From < h.first || r.From < h.next.Offset {
 		return []Reply{{To: to, Answer: d.answer(now, arrived, r)}}, 0
 	}
 	if len(d.waiting) >= maxWaiting {
@@ -96,6 +96,11 @@
 	return replies
 }
 
+// position returns the position from which on a request wants records.
+func position(r *wire.LogRequest) store.Position {
+	return store.Position{Era: r.Era, Offset: r.From}
+}
+
 // current reports whether the last complete read is recent.
 func (d *Desk) current(now time.Duration) bool {
 	return d.history.proven && now-d.history.proof <= d.maxAge
@@ -106,12 +111,12 @@
 	if !d.current(now) {
 		return wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogRefused}
 	}
-	records, size, ok := d.history.since(r.From)
+	records, size, ok := d.history.since(position(r))
 	if !ok {
 		return wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogGap}
 	}
 	a := wire.LogAnswer{
-		Nonce: r.Nonce, Status: wire.LogOK, Next: d.history.next,
+		Nonce: r.Nonce, Status: wire.LogOK, Era: d.history.next.Era, Next: d.history.next.Offset,
 		Proof: int64(d.history.proof - arrived), Records: records,
 	}
 	if size > packedFrom {
--- a/peerread/gone_test.go
+++ b/peerread/gone_test.go
@@ -24,7 +24,7 @@
 	gone   *atomic.Int64
 }
 
-func (c serverSource) Read(ctx context.Context, from int64, wait time.Duration) (fleet.Batch, error) {
+func (c serverSource) Read(ctx context.Context, from store.Position, wait time.Duration) (fleet.Batch, error) {
 	b, err := c.reader.Read(ctx, "t", from, wait)
 	return c.batch(b), err
 }
@@ -35,12 +35,12 @@
 }
 
 func (c serverSource) batch(b store.Batch) fleet.Batch {
-	out := fleet.Batch{Next: b.Next, Complete: b.Next >= b.End, CurrentAt: b.CurrentAt, Relayed: b.Relayed}
+	out := fleet.Batch{Next: b.Next, Complete: b.Next.Offset >= b.End, CurrentAt: b.CurrentAt, Relayed: b.Relayed}
 	for _, r := range b.Records {
 		switch r.Key {
-		case "0":
+		case "0.0":
 			out.Changes = append(out.Changes, &fleet.Server{ID: "x", Service: "s", Address: "x"})
-		case fmt.Sprint(c.gone.Load()):
+		case fmt.Sprintf("0.%d", c.gone.Load()):
 			out.Changes = append(out.Changes, &fleet.ServerGone{ID: "x"})
 		}
 	}
--- a/peerread/history.go
+++ b/peerread/history.go
@@ -30,28 +30,28 @@
 	records []wire.LogRecord
 	offsets []int64 // of records
 	bytes   int
-	first   int64 // offset from which on no record that has an effect is missing
-	next    int64 // offset of the next read; -1 for an empty history
+	first   int64          // offset, in the era of next, from which on no record that has an effect is missing
+	next    store.Position // of the next read; store.NoPosition for an empty history
 	proof   time.Duration
 	proven  bool // proof is set: the records up to next include all that were acknowledged then
 }
 
-// add appends the result of a read of the store from an offset that began at start.
-func (h *history) add(from int64, b *store.Batch, start time.Duration) {
-	if h.next < 0 || from != h.next {
+// add appends the result of a read of the store from a position that began at start.
+func (h *history) add(from store.Position, b *store.Batch, start time.Duration) {
+	if from != h.next {
 		h.clear()
-		h.first = from
+		h.first = from.Offset
 		if h.filter != nil {
 			h.filter.Reset()
 		}
 	}
 	for i, r := range b.Records {
 		if h.filter == nil || h.filter.Effective(r) {
-			h.push(from+int64(i), r)
+			h.push(from.Offset+int64(i), r)
 		}
 	}
 	h.next = b.Next
-	if b.Next >= b.End {
+	if b.Next.Offset >= b.End {
 		h.proof, h.proven = start, true
 	}
 }
@@ -75,15 +75,15 @@
 }
 
 // clear drops everything.
-func (h *history) clear() { *h = history{filter: h.filter, next: -1} }
+func (h *history) clear() { *h = history{filter: h.filter, next: store.NoPosition} }
 
-// since returns the records from an offset on and their size; ok is false if some are
-// missing.
-func (h *history) since(from int64) (list []wire.LogRecord, size int, ok bool) {
-	if from < h.first || from > h.next {
+// since returns the records from a position on and their size; ok is false if some are
+// missing, as all are if the position is of another era.
+func (h *history) since(from store.Position) (list []wire.LogRecord, size int, ok bool) {
+	if from.Era != h.next.Era || from.Offset < h.first || from.Offset > h.next.Offset {
 		return nil, 0, false
 	}
-	i, _ := slices.BinarySearch(h.offsets, from)
+	i, _ := slices.BinarySearch(h.offsets, from.Offset)
 	list = h.records[i:]
 	for _, r := range list {
 		size += recordSize(r.Key, r.Value)
--- a/peerread/peerread_test.go
+++ b/peerread/peerread_test.go
@@ -99,10 +99,13 @@
 	target(0, "", false)
 }
 
+// at returns a position of the first era.
+func at(offset int64) store.Position { return store.Position{Offset: offset} }
+
 var asker = netip.MustParseAddrPort("10.0.0.1:7000")
 
 func batch(from, end int64, size int) *store.Batch {
-	b := &store.Batch{Next: end, End: end}
+	b := &store.Batch{Next: at(end), End: end}
 	for i := from; i < end; i++ {
 		b.Records = append(b.Records, store.Record{Key: fmt.Sprint(i), Value: make([]byte, size)})
 	}
@@ -121,7 +124,7 @@
 // once.
 func TestDeskRefusesTooManyWaiting(t *testing.T) {
 	d := NewDesk(2*time.Second, nil)
-	d.Add(0, 0, batch(0, 1, 4), 0)
+	d.Add(0, at(0), batch(0, 1, 4), 0)
 	r := &wire.LogRequest{From: 1, WaitMillis: 500}
 	for i := range maxWaiting {
 		replies, _ := d.Request(0, 0, netip.AddrPortFrom(asker.Addr(), uint16(i+1)), r)
@@ -141,7 +144,7 @@
 		for _, r := range b.Records {
 			r.Value[0] = fill
 		}
-		d.Add(0, 0, b, 0)
+		d.Add(0, at(0), b, 0)
 		a := answerTo(t, d, &wire.LogRequest{})
 		require.NotEmpty(t, a.Packed)
 		list, err := unpack(&a)
@@ -176,7 +179,7 @@
 	}
 	require.Equal(t, wire.LogRefused, ask(0, request(0, wait)).Status, "before the first read")
 
-	require.Empty(t, d.Add(time.Second, 10, batch(10, 13, 4), 900*time.Millisecond))
+	require.Empty(t, d.Add(time.Second, at(10), batch(10, 13, 4), 900*time.Millisecond))
 	a := ask(time.Second, request(11, wait))
 	require.Equal(t, wire.LogOK, a.Status)
 	require.EqualValues(t, 13, a.Next)
@@ -187,7 +190,7 @@
 
 	waits(time.Second, request(13, wait), 1500*time.Millisecond)
 	require.Empty(t, d.Due(1400*time.Millisecond))
-	a = one(d.Add(1400*time.Millisecond, 13, batch(13, 14, 4), 1300*time.Millisecond))
+	a = one(d.Add(1400*time.Millisecond, at(13), batch(13, 14, 4), 1300*time.Millisecond))
 	require.Len(t, a.Records, 1)
 	require.EqualValues(t, 300*time.Millisecond, a.Proof, "a proof of after the request arrived")
 	waits(1400*time.Millisecond, request(14, wait), 1900*time.Millisecond)
@@ -200,15 +203,15 @@
 	require.Equal(t, wire.LogRefused, ask(4*time.Second, request(14, wait)).Status, "proof too old")
 	incomplete := batch(14, 15, 4)
 	incomplete.End = 99
-	d.Add(4*time.Second, 14, incomplete, 4*time.Second)
+	d.Add(4*time.Second, at(14), incomplete, 4*time.Second)
 	require.Equal(t, wire.LogRefused, ask(4*time.Second, request(14, wait)).Status, "an incomplete read proves nothing")
-	d.Add(4*time.Second, 15, batch(15, 99, 4), 4*time.Second)
+	d.Add(4*time.Second, at(15), batch(15, 99, 4), 4*time.Second)
 	a = ask(4*time.Second, request(14, wait))
 	records, err := unpack(&a)
 	require.NoError(t, err)
 	require.Len(t, records, 85)
 
-	d.Add(4*time.Second, 200, batch(200, 201, 4), 4*time.Second)
+	d.Add(4*time.Second, at(200), batch(200, 201, 4), 4*time.Second)
 	require.Equal(t, wire.LogGap, ask(4*time.Second, request(150, wait)).Status, "a read that skipped records")
 	d.Clear()
 	require.Equal(t, wire.LogRefused, ask(4*time.Second, request(201, wait)).Status)
@@ -235,7 +238,7 @@
 				}
 			}
 			d := NewDesk(time.Second, nil)
-			d.Add(0, 0, b, 0)
+			d.Add(0, at(0), b, 0)
 			require.LessOrEqual(t, d.history.bytes, maxHistoryBytes)
 			gaps := 0
 			for from := int64(0); from <= 1000; from++ {
@@ -263,7 +266,7 @@
 		})
 	}
 	d := NewDesk(time.Second, nil)
-	d.Add(0, 0, batch(0, 1, maxHistoryBytes), 0)
+	d.Add(0, at(0), batch(0, 1, maxHistoryBytes), 0)
 	require.Equal(t, wire.LogGap, answerTo(t, d, &wire.LogRequest{From: 0}).Status, "larger than the history")
 	require.Equal(t, wire.LogOK, answerTo(t, d, &wire.LogRequest{From: 1}).Status)
 }
@@ -272,13 +275,13 @@
 // bytes that are no records, are refused.
 func TestUnpackRefuses(t *testing.T) {
 	var p packer
-	h := history{next: -1}
+	h := history{next: store.NoPosition}
 	for i := range int64(300) {
-		h.add(i, batch(i, i+1, 4000), 0)
+		h.add(at(i), batch(i, i+1, 4000), 0)
 	}
-	list, _, ok := h.since(h.first)
+	list, _, ok := h.since(at(h.first))
 	require.True(t, ok)
-	data, ok := p.pack(h.first, h.next, list)
+	data, ok := p.pack(h.first, h.next.Offset, list)
 	require.True(t, ok)
 	got, err := unpack(&wire.LogAnswer{Packed: data})
 	require.NoError(t, err)
@@ -298,14 +301,14 @@
 // fakeStore is a store of which only Read and Newest at one end are of interest.
 type fakeStore struct{ calls, snapshots int }
 
-func (f *fakeStore) Read(_ context.Context, _ string, from int64, _ time.Duration) (store.Batch, error) {
+func (f *fakeStore) Read(_ context.Context, _ string, from store.Position, _ time.Duration) (store.Batch, error) {
 	f.calls++
-	return store.Batch{Next: from, End: from}, nil
+	return store.Batch{Next: from, End: from.Offset}, nil
 }
 
 func (f *fakeStore) Newest(context.Context, string) (store.Batch, error) {
 	f.snapshots++
-	return store.Batch{Next: 5, End: 5}, nil
+	return store.Batch{Next: at(5), End: 5}, nil
 }
 
 // topicWith returns a Topic of a gateway that has caught up, and whose only reader
@@ -373,6 +376,11 @@
 			a.Next = r.From - 1
 			l.HandleAnswer(a, from)
 		}, false},
+		"records of another era": {func(l *Link, r *wire.LogRequest, from netip.AddrPort) {
+			a := good(r)
+			a.Era = r.Era + 1
+			l.HandleAnswer(a, from)
+		}, false},
 		"gap": {func(l *Link, r *wire.LogRequest, from netip.AddrPort) {
 			l.HandleAnswer(&wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogGap}, from)
 		}, false},
@@ -384,11 +392,11 @@
 				s := &fakeStore{}
 				topic := topicWith(s, test.answer)
 				asked := topic.link.opts.Clock()
-				b, err := topic.Read(t.Context(), "t", 7, 0)
+				b, err := topic.Read(t.Context(), "t", at(7), 0)
 				require.NoError(t, err)
 				require.Equal(t, test.relayed, b.Relayed)
 				if test.relayed {
-					require.Equal(t, store.Batch{Records: []store.Record{{Key: "k"}}, Next: 8, End: 8, CurrentAt: asked, Relayed: true}, b)
+					require.Equal(t, store.Batch{Records: []store.Record{{Key: "k"}}, Next: at(8), End: 8, CurrentAt: asked, Relayed: true}, b)
 				} else {
 					require.Equal(t, 1, s.calls, "one call to the store")
 				}
@@ -407,7 +415,7 @@
 			l.HandleAnswer(&wire.LogAnswer{Nonce: r.Nonce, Status: wire.LogOK, Next: r.From}, from)
 		})
 		read := func(relayed bool) {
-			b, err := topic.Read(t.Context(), "t", 5, 0)
+			b, err := topic.Read(t.Context(), "t", at(5), 0)
 			require.NoError(t, err)
 			require.Equal(t, relayed, b.Relayed)
 		}
--- a/peerread/sim_test.go
+++ b/peerread/sim_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,10 +26,12 @@
 const revocationLimit = 4700 * time.Millisecond
 
 // simTopic is a topic of which each record takes one data centre out of service, so that a
-// View shows which records it includes. Acknowledged records are never lost.
+// View shows which records it includes. Acknowledged records are lost by restore only.
 type simTopic struct {
 	mu      sync.Mutex // guards all below
 	acked   []time.Time
+	keys    []string // of acked
+	era     int64
 	trimmed int64 // first retained offset
 	down    bool
 	calls   int
@@ -38,6 +41,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acked = append(s.acked, time.Now())
+	s.keys = append(s.keys, fmt.Sprintf("%d.%d", s.era, len(s.keys)))
+}
+
+// restore has the topic come back from a copy that ends at an offset.
+func (s *simTopic) restore(end int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked, s.keys = s.acked[:end], s.keys[:end]
+	s.era++
+}
+
+// end returns where the topic ends. Callers hold mu.
+func (s *simTopic) end() store.Position {
+	return store.Position{Era: s.era, Offset: int64(len(s.acked))}
 }
 
 // ackedBy returns the number of records acknowledged at t.
@@ -61,7 +78,7 @@
 func (s *simTopic) records(from int64) []store.Record {
 	var list []store.Record
 	for i := from; i < int64(len(s.acked)); i++ {
-		list = append(list, store.Record{Key: fmt.Sprint(i), Value: []byte("x")})
+		list = append(list, store.Record{Key: s.keys[i], Value: []byte("x")})
 	}
 	return list
 }
@@ -234,7 +251,7 @@
 }
 
 // Read implements store.Reader.
-func (n *simNode) Read(ctx context.Context, _ string, from int64, wait time.Duration) (store.Batch, error) {
+func (n *simNode) Read(ctx context.Context, _ string, from store.Position, wait time.Duration) (store.Batch, error) {
 	s := n.sim.topic
 	s.mu.Lock()
 	s.calls++
@@ -244,19 +261,22 @@
 	}
 	for began := time.Now(); time.Since(began) < wait; time.Sleep(10 * time.Millisecond) {
 		s.mu.Lock()
-		end := int64(len(s.acked))
+		end := s.end()
 		s.mu.Unlock()
-		if end > from {
+		if from.Before(end) {
 			break
 		}
 	}
 	s.mu.Lock()
-	if from < s.trimmed {
+	if from.Era < s.era || from.Offset < s.trimmed {
+		restored := from.Era < s.era
 		s.mu.Unlock()
+		if restored {
+			return store.Batch{}, store.ErrRestored
+		}
 		return store.Batch{}, store.ErrTrimmed
 	}
-	end := int64(len(s.acked))
-	b := store.Batch{Next: end, End: end, Records: s.records(from)}
+	b := store.Batch{Next: s.end(), End: s.end().Offset, Records: s.records(from.Offset)}
 	s.mu.Unlock()
 	return b, n.call(ctx)
 }
@@ -269,7 +289,7 @@
 	s := n.sim.topic
 	s.mu.Lock()
 	s.calls++
-	b := store.Batch{Next: int64(len(s.acked)), End: int64(len(s.acked)), Records: s.records(0)}
+	b := store.Batch{Next: s.end(), End: s.end().Offset, Records: s.records(0)}
 	s.mu.Unlock()
 	return b, n.call(ctx)
 }
@@ -277,7 +297,7 @@
 // centreSource decodes the records of a simTopic.
 type centreSource struct{ topic *Topic }
 
-func (c centreSource) Read(ctx context.Context, from int64, wait time.Duration) (fleet.Batch, error) {
+func (c centreSource) Read(ctx context.Context, from store.Position, wait time.Duration) (fleet.Batch, error) {
 	b, err := c.topic.Read(ctx, "t", from, wait)
 	return centreBatch(b), err
 }
@@ -288,7 +308,7 @@
 }
 
 func centreBatch(b store.Batch) fleet.Batch {
-	out := fleet.Batch{Next: b.Next, Complete: b.Next >= b.End, CurrentAt: b.CurrentAt, Relayed: b.Relayed}
+	out := fleet.Batch{Next: b.Next, Complete: b.Next.Offset >= b.End, CurrentAt: b.CurrentAt, Relayed: b.Relayed}
 	for _, r := range b.Records {
 		out.Changes = append(out.Changes, &fleet.CentreDisabled{Name: r.Key})
 	}
@@ -422,6 +442,47 @@
 	}
 }
 
+// After the store has come back from an older copy, and its offsets have been given out
+// again, all gateways are current, also those that read through others, and whichever of
+// them learns of it first. Faults of the network go on meanwhile.
+func TestRestoredStoreBehindReaders(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSim(seed, 3+int(seed%4))
+				defer s.end()
+				s.mu.Lock()
+				s.loss, s.delay, s.slow = 0.1, 300*time.Millisecond, 100*time.Millisecond
+				s.mu.Unlock()
+				rng := rand.New(rand.NewPCG(seed, 3))
+				for range 4 {
+					for range 4 + rng.IntN(4) {
+						s.topic.append()
+						time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+					}
+					end, _ := s.topic.counts()
+					copied := end - 1 - rng.IntN(3)
+					s.topic.restore(copied)
+					for range end - copied + rng.IntN(2) { // up to the end of before, or beyond
+						s.topic.append()
+					}
+					time.Sleep(5 * time.Second)
+					s.topic.mu.Lock()
+					want := slices.Clone(s.topic.keys)
+					s.topic.mu.Unlock()
+					for _, n := range s.nodes {
+						disabled := n.cache.View().DisabledCentres
+						for _, key := range want {
+							require.True(t, disabled[key], "%s lacks %s", n.name, key)
+						}
+						require.Less(t, n.proofAge(), revocationLimit)
+					}
+				}
+			})
+		})
+	}
+}
+
 // With one fault at a time, and a store that serves the others, the proof of every gateway
 // that is not cut off itself stays young enough for keys, and a record arrives in time.
 func TestKeysStayUsableWhenReadersFail(t *testing.T) {
--- a/peerread/topic.go
+++ b/peerread/topic.go
@@ -70,7 +70,7 @@
 
 // Read implements store.Reader. It asks the readers, and reads the store if this
 // gateway is the first reader, or if no reader has current records.
-func (t *Topic) Read(ctx context.Context, topic string, from int64, wait time.Duration) (store.Batch, error) {
+func (t *Topic) Read(ctx context.Context, topic string, from store.Position, wait time.Duration) (store.Batch, error) {
 	if !t.caughtUp || !t.link.connected() {
 		return t.readStore(ctx, topic, from, wait)
 	}
@@ -139,13 +139,13 @@
 }
 
 // ask asks a reader for the records from an offset on.
-func (t *Topic) ask(ctx context.Context, reader, address string, from int64, trial bool) (store.Batch, Outcome) {
+func (t *Topic) ask(ctx context.Context, reader, address string, from store.Position, trial bool) (store.Batch, Outcome) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		t.link.opts.Log.Warn("relay-address-refused", "reader", reader, "err", err)
 		return store.Batch{}, Lost
 	}
-	request := wire.LogRequest{Topic: t.opts.Name, From: from}
+	request := wire.LogRequest{Topic: t.opts.Name, Era: from.Era, From: from.Offset}
 	limit := answerTimeout
 	if !trial {
 		request.WaitMillis = t.opts.Wait.Milliseconds()
@@ -168,13 +168,13 @@
 }
 
 // accept checks the answer to a request that was sent at the given time.
-func (t *Topic) accept(a *wire.LogAnswer, from int64, asked time.Duration) (store.Batch, Outcome) {
+func (t *Topic) accept(a *wire.LogAnswer, from store.Position, asked time.Duration) (store.Batch, Outcome) {
 	now := t.link.opts.Clock()
 	proof := asked + time.Duration(a.Proof)
 	switch {
-	case a.Status == wire.LogGap:
+	case a.Status == wire.LogGap, a.Status == wire.LogOK && a.Era != from.Era:
 		return store.Batch{}, Gap
-	case a.Status != wire.LogOK || a.Next < from || proof > now:
+	case a.Status != wire.LogOK || a.Next < from.Offset || proof > now:
 		return store.Batch{}, Refused
 	case now-proof > t.opts.MaxAge:
 		return store.Batch{}, Stale
@@ -184,7 +184,7 @@
 		t.link.opts.Log.Warn("datagram-refused", "topic", t.opts.Name, "err", err)
 		return store.Batch{}, Refused
 	}
-	b := store.Batch{Next: a.Next, End: a.Next, CurrentAt: proof, Relayed: true}
+	b := store.Batch{Next: store.Position{Era: a.Era, Offset: a.Next}, End: a.Next, CurrentAt: proof, Relayed: true}
 	for _, r := range records {
 		record := store.Record{Key: r.Key}
 		if len(r.Value) > 0 {
@@ -196,7 +196,7 @@
 }
 
 // readStore reads the store, and answers waiting requests if this gateway is a reader.
-func (t *Topic) readStore(ctx context.Context, topic string, from int64, wait time.Duration) (store.Batch, error) {
+func (t *Topic) readStore(ctx context.Context, topic string, from store.Position, wait time.Duration) (store.Batch, error) {
 	reader := t.isReader()
 	if reader {
 		wait = min(wait, t.opts.ReaderWait)
@@ -213,7 +213,7 @@
 	}
 	t.logSource(storeSource)
 	b.CurrentAt = start
-	t.caughtUp = t.caughtUp || b.Next >= b.End
+	t.caughtUp = t.caughtUp || b.Next.Offset >= b.End
 	if reader {
 		now := t.link.opts.Clock()
 		t.mu.Lock()
--- a/rebalance/claim_test.go
+++ b/rebalance/claim_test.go
@@ -21,15 +21,16 @@
 	fail   error // answer of the next append, which takes effect
 }
 
-func (l *claimLog) AppendAt(_ context.Context, _ string, offset int64, record []byte) (int64, error) {
+func (l *claimLog) AppendAt(_ context.Context, _ string, offset int64, record []byte) (store.Position, error) {
 	l.calls++
-	if offset != int64(len(l.claims)) {
-		return int64(len(l.claims)), eris.Wrap(store.ErrOffsetMismatch, "append")
+	end := store.Position{Offset: int64(len(l.claims))}
+	if offset != end.Offset {
+		return end, eris.Wrap(store.ErrOffsetMismatch, "append")
 	}
 	l.claims = append(l.claims, string(record))
 	err := l.fail
 	l.fail = nil
-	return 0, err
+	return store.Position{}, err
 }
 
 func newClaimant() *Process {
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -335,12 +335,12 @@
 		return claimResult{term: max(expected, 0)}
 	}
 	if expected == remap.None && errors.Is(err, store.ErrOffsetMismatch) {
-		at := end
+		at := end.Offset
 		if end, err = s.AppendAt(ctx, topic, at, name); err == nil {
 			return claimResult{term: at}
 		}
 	}
-	return claimResult{end: end, err: eris.Wrapf(err, "append claim to %s", topic)}
+	return claimResult{end: end.Offset, err: eris.Wrapf(err, "append claim to %s", topic)}
 }
 
 // handleClaimResult makes this process the coordinator if its claim succeeded and
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -111,8 +111,9 @@
 type LogRequest struct {
 	Nonce      uint64 `msg:"n"` // repeated in the answer
 	Topic      string `msg:"t"`
-	From       int64  `msg:"f"` // offset of the first record wanted
-	WaitMillis int64  `msg:"w"` // longest time to wait for a record at or after From
+	Era        int64  `msg:"e,omitempty"` // of From; see store.Position
+	From       int64  `msg:"f"`           // offset of the first record wanted
+	WaitMillis int64  `msg:"w"`           // longest time to wait for a record at or after From
 }
 
 // LogStatus says whether a LogAnswer holds the records that were asked for.
@@ -121,7 +122,7 @@
 // Values of LogStatus.
 const (
 	LogRefused LogStatus = iota // the sender does not follow the topic, is not current, or is stopping
-	LogGap                      // the sender does not hold all records from the offset on, or they do not fit into a datagram
+	LogGap                      // the sender does not hold all records from the position on, or they do not fit into a datagram
 	LogOK
 )
 
@@ -130,7 +131,8 @@
 type LogAnswer struct {
 	Nonce  uint64    `msg:"n"`
 	Status LogStatus `msg:"s"`
-	Next   int64     `msg:"x"` // offset of the next read
+	Era    int64     `msg:"e,omitempty"` // of Next
+	Next   int64     `msg:"x"`           // offset of the next read
 	// Proof is when the records up to Next were known to be all that the store had
 	// acknowledged, in ns after the arrival of the request, by the sender's clock.
 	// Usually it is negative.
--- a/wire/instance_gen.go
+++ b/wire/instance_gen.go
@@ -1354,6 +1354,12 @@
 				}
 				z.Status = LogStatus(zb0002)
 			}
+		case "e":
+			z.Era, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "x":
 			z.Next, err = dc.ReadInt64()
 			if err != nil {
@@ -1434,12 +1440,16 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LogAnswer) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
+	if z.Era == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	if z.Packed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -1469,6 +1479,18 @@
 			err = msgp.WrapError(err, "Status")
 			return
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Era)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
+		}
 		// write "x"
 		err = en.Append(0xa1, 0x78)
 		if err != nil {
@@ -1516,7 +1538,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "z"
 			err = en.Append(0xa1, 0x7a)
 			if err != nil {
@@ -1536,12 +1558,16 @@
 func (z *LogAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
+	if z.Era == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	if z.Packed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -1554,6 +1580,11 @@
 		// string "s"
 		o = append(o, 0xa1, 0x73)
 		o = msgp.AppendUint8(o, uint8(z.Status))
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendInt64(o, z.Era)
+		}
 		// string "x"
 		o = append(o, 0xa1, 0x78)
 		o = msgp.AppendInt64(o, z.Next)
@@ -1569,7 +1600,7 @@
 			o = msgp.AppendString(o, z.Records[za0001].Key)
 			o = msgp.AppendBytes(o, z.Records[za0001].Value)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendBytes(o, z.Packed)
@@ -1612,6 +1643,12 @@
 				}
 				z.Status = LogStatus(zb0002)
 			}
+		case "e":
+			z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "x":
 			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1714,7 +1751,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LogAnswer) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Records {
 		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value)
 	}
@@ -2078,6 +2115,12 @@
 				err = msgp.WrapError(err, "Topic")
 				return
 			}
+		case "e":
+			z.Era, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "f":
 			z.From, err = dc.ReadInt64()
 			if err != nil {
@@ -2103,46 +2146,74 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LogRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "n"
-	err = en.Append(0x84, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Nonce)
-	if err != nil {
-		err = msgp.WrapError(err, "Nonce")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Topic)
-	if err != nil {
-		err = msgp.WrapError(err, "Topic")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Era == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.WaitMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "WaitMillis")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Nonce)
+		if err != nil {
+			err = msgp.WrapError(err, "Nonce")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Topic)
+		if err != nil {
+			err = msgp.WrapError(err, "Topic")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Era)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "w"
+		err = en.Append(0xa1, 0x77)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.WaitMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "WaitMillis")
+			return
+		}
 	}
 	return
 }
@@ -2150,19 +2221,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LogRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "n"
-	o = append(o, 0x84, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Nonce)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Topic)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.From)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.WaitMillis)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Era == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Nonce)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Topic)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendInt64(o, z.Era)
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendInt64(o, z.From)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.WaitMillis)
+	}
 	return
 }
 
@@ -2196,6 +2285,12 @@
 				err = msgp.WrapError(err, "Topic")
 				return
 			}
+		case "e":
+			z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "f":
 			z.From, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2222,7 +2317,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LogRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Topic) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Topic) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
