duplex: a connection tells its reader of a reset that a write was told of

Cause: the kernel reports a reset once. The write of the rest of the body was told, and the read of the answer got a regular end, which is how an answer without a length ends. Evidence: TestResetDuringSendingIsNoRegularEnd failed in backend ("expected error, got nil") and in side ("half of the answer counts as whole"), in the first of 20 tries each. Change: internal/duplex keeps the error of a failed write; its Read asks the kernel whether the server has closed the connection, and otherwise returns that error. The gateway's connections and the side process's use it; causeOf, which asked for the head only, is gone. Why it works: the state of the connection is not used up by whoever asks first, and a write on a reset connection ends at once.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -6,18 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/internal/duplex"
 	"marjorampitch/internal/sockopt"
 )
 
@@ -100,19 +99,17 @@
 	reader *exchangeReader
 	pool   *Pool
 	stop   func() bool
-	sent   <-chan error // result of sending a long body; nil for a short one
 }
 
 // exchangeReader reads the responses of one exchange from its connection.
 type exchangeReader struct {
-	conn     *net.TCPConn
+	conn     *duplex.Conn
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
-	onSilent OnSilent    // nil for no watch
-	headLeft int         // bytes that may still be read while a head is read; unlimited if negative
-	judgeAt  time.Time   // when the silence is judged next; zero if it begins with the next read
-	long     bool        // the request has a long body
-	writing  atomic.Bool // the long body is being passed to the kernel
+	onSilent OnSilent  // nil for no watch
+	headLeft int       // bytes that may still be read while a head is read; unlimited if negative
+	judgeAt  time.Time // when the silence is judged next; zero if it begins with the next read
+	body     *longBody // of the request; nil for a short one
 
 	mu         sync.Mutex // guards the fields below, and the read deadline while recheckDue may change
 	recheckDue bool
@@ -174,7 +171,7 @@
 
 // sending reports whether a long body is underway, so that the server need not answer yet.
 func (r *exchangeReader) sending() bool {
-	return r.long && (r.writing.Load() || sockopt.Sending(r.conn))
+	return r.body != nil && (!r.body.written() || sockopt.Sending(r.conn.TCP()))
 }
 
 // setReadDeadline sets the deadline of the next read, which is over if a recheck is due.
@@ -218,7 +215,7 @@
 }
 
 // waiting reports whether the connection is open and no data has arrived.
-func (r *exchangeReader) waiting() bool { return sockopt.CanReuse(r.conn) }
+func (r *exchangeReader) waiting() bool { return sockopt.CanReuse(r.conn.TCP()) }
 
 // Do sends the request and reads the head of the response. ctx bounds the exchange
 // including the response body: when it ends, the connection is reset, which makes
@@ -233,7 +230,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn.(*net.TCPConn), silence: r.Silence, onSilent: r.OnSilent, headLeft: maxHeadBytes}
+	reader := &exchangeReader{conn: conn.Conn, silence: r.Silence, onSilent: r.OnSilent, headLeft: maxHeadBytes}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -247,54 +244,52 @@
 			return fail(err)
 		}
 	}
-	sent, err := conn.send(r, reader)
-	if err != nil {
+	if reader.body, err = conn.send(r); err != nil {
 		return fail(err)
 	}
 	resp, err := conn.readResponse(r, reader)
 	if err != nil {
-		return fail(causeOf(err, sent))
+		return fail(err)
 	}
 	reader.onSilent, reader.headLeft = nil, -1
-	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop, sent: sent}, nil
+	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
+}
+
+// longBody is a body that is passed to the kernel while the response is awaited.
+type longBody struct {
+	done chan struct{} // closed when err is set
+	err  error
+}
+
+// written reports whether the whole body has been passed to the kernel, or cannot be.
+func (b *longBody) written() bool {
+	select {
+	case <-b.done:
+		return true
+	default:
+		return false
+	}
 }
 
-// send sends the request. The body, if it is long, is sent by a goroutine that
-// reports its result to sent; an error of the connection also ends the reading.
-func (c *Conn) send(r *Request, reader *exchangeReader) (sent <-chan error, err error) {
+// send sends the request. The body, if it is long, is sent by a goroutine; an error of the
+// connection also ends the reading.
+func (c *Conn) send(r *Request) (body *longBody, err error) {
 	if len(r.Body) < longBodyBytes {
 		_, err := c.Write(append(r.encodeHead(len(r.Body)), r.Body...))
 		return nil, err
 	}
-	tcp := c.Conn.(*net.TCPConn)
-	if err := sockopt.SetUserTimeout(tcp, slowReaderTimeout); err != nil {
+	if err := sockopt.SetUserTimeout(c.TCP(), slowReaderTimeout); err != nil {
 		return nil, err
 	}
 	if _, err := c.Write(r.encodeHead(0)); err != nil {
 		return nil, err
 	}
-	result := make(chan error, 1)
-	reader.long = true
-	reader.writing.Store(true)
+	body = &longBody{done: make(chan struct{})}
 	go func() {
-		_, err := c.Write(r.Body)
-		reader.writing.Store(false)
-		result <- err
+		defer close(body.done)
+		_, body.err = c.Write(r.Body)
 	}()
-	return result, nil
-}
-
-// causeOf returns why an exchange failed whose response could not be read: the error of
-// sending the body, if there is one, because a connection reports its cause only once.
-func causeOf(readErr error, sent <-chan error) error {
-	select {
-	case err := <-sent:
-		if err != nil {
-			return err
-		}
-	default:
-	}
-	return readErr
+	return body, nil
 }
 
 // encodeHead returns the head of the request in a buffer with room for spare bytes.
@@ -367,15 +362,11 @@
 // allSent reports whether the request has been sent to its end. If so, the connection is
 // as after a short one.
 func (r *Response) allSent() bool {
-	if r.sent == nil {
+	body := r.reader.body
+	if body == nil {
 		return true
 	}
-	select {
-	case err := <-r.sent:
-		return err == nil && sockopt.SetUserTimeout(r.conn.Conn.(*net.TCPConn), tcpUserTimeout) == nil
-	default:
-		return false
-	}
+	return body.written() && body.err == nil && sockopt.SetUserTimeout(r.conn.TCP(), tcpUserTimeout) == nil
 }
 
 // WatchSilence calls onSilent when the body has made no progress for this long, and
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"marjorampitch/internal/duplex"
 	"marjorampitch/internal/sockopt"
 )
 
@@ -42,7 +43,7 @@
 
 // Conn is a connection to a backend server. One request uses it at a time.
 type Conn struct {
-	net.Conn
+	*duplex.Conn
 	br        *bufio.Reader
 	address   string
 	reused    bool          // has served a request before
@@ -53,9 +54,7 @@
 // not received, for example because its instance is frozen or partitioned, is not
 // delivered later.
 func (c *Conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0) //nolint:errcheck // the connection is closed next
-	}
+	c.TCP().SetLinger(0) //nolint:errcheck // the connection is closed next
 	c.Close()
 }
 
@@ -93,7 +92,7 @@
 		if c == nil {
 			break
 		}
-		if p.clock() < c.expiresAt && c.br.Buffered() == 0 && sockopt.CanReuse(c.Conn.(*net.TCPConn)) {
+		if p.clock() < c.expiresAt && c.br.Buffered() == 0 && sockopt.CanReuse(c.TCP()) {
 			return c, nil
 		}
 		c.Close()
@@ -105,7 +104,7 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &Conn{Conn: conn, br: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	return &Conn{Conn: duplex.New(conn.(*net.TCPConn)), br: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
 }
 
 // take removes and returns the most recently used idle connection, or nil.
--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -13,8 +13,8 @@
 )
 
 // awaitReset waits until the kernel has closed a connection because of a reset.
-func awaitReset(t *testing.T, c net.Conn) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+func awaitReset(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		var info *unix.TCPInfo
@@ -63,10 +63,60 @@
 	defer resp.Abort()
 	resp.WatchSilence(time.Millisecond, func(func()) bool {
 		close(cut)
-		awaitReset(t, resp.conn.Conn)
+		awaitReset(t, resp.conn.TCP())
 		return true
 	})
 	body, err := io.ReadAll(resp.Body)
 	require.Equal(t, "data: 1\n\n", string(body))
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// longRequest is a request that is still being sent as its answer arrives.
+func longRequest() *Request {
+	return &Request{Method: http.MethodPost, URI: "/", Host: "h", IDHeader: "X-Id", ID: "1", Body: make([]byte, 32<<20)}
+}
+
+// An answer without a length that is reset while the rest of a long request is being sent
+// is broken off and not complete, although the kernel reports the reset to the sending.
+func TestResetDuringSendingIsNoRegularEnd(t *testing.T) {
+	for range 20 {
+		cut := make(chan struct{})
+		address := serveOnce(t, func(c *net.TCPConn) {
+			c.Read(make([]byte, 4096))
+			io.WriteString(c, unframedHead+"half")
+			<-cut
+			reset(c)
+		})
+		pool := NewPool(func() time.Duration { return 0 })
+		resp, err := pool.Do(t.Context(), address, longRequest())
+		require.NoError(t, err)
+		close(cut)
+		<-resp.reader.body.done
+		body, err := io.ReadAll(resp.Body)
+		require.Equal(t, "half", string(body))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		resp.Abort()
+	}
+}
+
+// A server that has closed the connection after its answer has answered completely, also if
+// it resets the connection afterwards because it does not read the rest of the request.
+func TestResetAfterRegularEndLeavesAnswerWhole(t *testing.T) {
+	for range 20 {
+		address := serveOnce(t, func(c *net.TCPConn) {
+			c.Read(make([]byte, 4096))
+			io.WriteString(c, unframedHead+"whole")
+			c.CloseWrite()
+			time.Sleep(time.Millisecond)
+			reset(c)
+		})
+		pool := NewPool(func() time.Duration { return 0 })
+		resp, err := pool.Do(t.Context(), address, longRequest())
+		require.NoError(t, err)
+		<-resp.reader.body.done
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+		resp.Abort()
+	}
+}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -2,6 +2,7 @@
 package sockopt
 
 import (
+	"errors"
 	"syscall"
 	"time"
 
@@ -69,16 +70,29 @@
 // because it reads slowly or they are on their way. It returns false if the peer does not
 // answer at all.
 func Sending(c syscall.Conn) bool {
+	info, err := tcpInfo(c)
+	return err == nil && sending(info)
+}
+
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(c syscall.Conn) (*unix.TCPInfo, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return nil, err
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(fd uintptr) {
 		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return err == nil && infoErr == nil && sending(info)
+	return info, errors.Join(err, infoErr)
+}
+
+// ClosedByPeer reports whether the peer has closed its side of a connection, or all of it,
+// and has not reset it since. A pending error of the connection is left to its reader.
+func ClosedByPeer(c syscall.Conn) bool {
+	info, err := tcpInfo(c)
+	return err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
 }
 
 // sending implements Sending. A peer whose window is shut acknowledges what is sent again.
--- a/side/backend_client_test.go
+++ b/side/backend_client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -62,3 +64,31 @@
 
 // allowSend lets every request be sent.
 func allowSend() *api.Error { return nil }
+
+// An answer without a length whose connection is reset while the rest of a long request is
+// being sent is broken off and not complete.
+func TestResetDuringSendingIsNoRegularEnd(t *testing.T) {
+	for range 20 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4096))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(20 * time.Millisecond) // so that the answer is being read
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}()
+		b := newBackendClient("http://"+ln.Addr().String(), nil)
+		req := &wire.Request{Method: http.MethodPost, Path: "/", Body: make([]byte, 32<<20)}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		e := b.run(ctx, newAttempt(req, cancel), allowSend, func() {})
+		require.NotNil(t, e, "half of the answer counts as whole")
+		require.Equal(t, api.StreamBroken, e.Code)
+		cancel(nil)
+		ln.Close()
+	}
+}
--- a/side/verify.go
+++ b/side/verify.go
@@ -10,6 +10,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/backing"
+	"marjorampitch/internal/duplex"
 )
 
 // dialer opens connections to one incarnation of the backend server and verifies
@@ -24,10 +25,11 @@
 // dial implements http.Transport.DialContext. If verify rejects the connection,
 // the error is the *api.Error of verify, whose Ran is NotRun.
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.net.DialContext(ctx, network, address)
+	raw, err := d.net.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
+	c := duplex.New(raw.(*net.TCPConn)) // the transport sends the rest of a body as it reads the answer
 	if d.verify == nil {
 		return &gatedConn{Conn: c}, nil
 	}
