rebalance: the term of a coordinator holds the era of the store

Cause: a term was the offset of a claim. After a return of the store from an older copy the offset is given out again, and with the term the versions of maps, by which ranks tell contents apart. Evidence: TestTermIsNotGivenOutAgainAfterReturn failed before ("2" is not greater than "2"), and so did TestClaimAfterReturn: a process that knew of a claim beyond the copy's end expected that end for ever, and never claimed again. Change: a term is the era of the answer to the claim above its offset. Expected ends of the topic are positions, compared by era first. Why it works: the era rises with each return, so terms are unique, and higher than all before; so are versions.

--- a/rebalance/claim_test.go
+++ b/rebalance/claim_test.go
@@ -19,18 +19,26 @@
 	claims []string
 	calls  int
 	fail   error // answer of the next append, which takes effect
+	era    int64
+}
+
+// restore has the store come back from a copy with the first n claims.
+func (l *claimLog) restore(n int) {
+	l.claims = l.claims[:n]
+	l.era++
 }
 
 func (l *claimLog) AppendAt(_ context.Context, _ string, offset int64, record []byte) (store.Position, error) {
 	l.calls++
-	end := store.Position{Offset: int64(len(l.claims))}
+	end := store.Position{Era: l.era, Offset: int64(len(l.claims))}
 	if offset != end.Offset {
 		return end, eris.Wrap(store.ErrOffsetMismatch, "append")
 	}
 	l.claims = append(l.claims, string(record))
 	err := l.fail
 	l.fail = nil
-	return store.Position{}, err
+	end.Offset++
+	return end, err
 }
 
 func newClaimant() *Process {
@@ -84,3 +92,48 @@
 	require.True(t, l.claim(p, "p"))
 	require.Equal(t, int64(2), p.coord.Term())
 }
+
+// A term that a coordinator has had is not given out again after the store has come back
+// from a copy without its claim: two coordinators would name different maps by one version.
+func TestTermIsNotGivenOutAgainAfterReturn(t *testing.T) {
+	l := &claimLog{claims: []string{"a", "b"}}
+	old := newClaimant()
+	require.True(t, l.claim(old, "old"))
+	for returns := range 3 {
+		l.restore(2)
+		next := newClaimant() // knows nothing of the old one
+		require.True(t, l.claim(next, "next"))
+		require.Greater(t, next.coord.Term(), old.coord.Term(), "return %d", returns+1)
+		old = next
+	}
+}
+
+// A process that knows of a claim beyond the end of the copy claims again nevertheless,
+// after it has waited for a coordinator of the new era once.
+func TestClaimAfterReturn(t *testing.T) {
+	l := &claimLog{claims: []string{"a", "b", "c", "d"}}
+	old := newClaimant()
+	require.True(t, l.claim(old, "old"))
+	p := newClaimant()
+	require.True(t, p.driver.SetGoal(old.coord.Goal()))
+	l.restore(2)
+	require.False(t, l.claim(p, "p"), "another process may have claimed in the new era")
+	require.True(t, l.claim(p, "p"))
+	require.Greater(t, p.coord.Term(), old.coord.Term())
+	require.Equal(t, []string{"a", "b", "p"}, l.claims)
+}
+
+// A claim whose offset is that of a known one's successor counts in its own era.
+func TestClaimAtSameOffsetInNewEra(t *testing.T) {
+	l := &claimLog{}
+	old := newClaimant()
+	require.True(t, l.claim(old, "old"))
+	p := newClaimant()
+	require.True(t, p.driver.SetGoal(old.coord.Goal()))
+	l.restore(0)
+	l.claims = []string{"other"}
+	require.True(t, l.claim(p, "p"))
+	other := newClaimant()
+	require.True(t, other.driver.SetGoal(p.coord.Goal()), "follows the latest term")
+	require.Equal(t, claimPosition(p.coord.Term()), store.Position{Era: 1, Offset: 1})
+}
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -14,10 +14,6 @@
 	"marjorampitch/wire"
 )
 
-// claimTopicPrefix is the prefix of the topic to which the processes of a group
-// append their claims. The offset of a claim is its term.
-const claimTopicPrefix = "coordinators."
-
 // handleDatagram decodes and handles a datagram: a coordinator's goal or a rank's
 // report. A report stops the substitute of its rank's process.
 func (p *Process) handleDatagram(ctx context.Context, d datagram) {
@@ -315,32 +311,42 @@
 	}()
 }
 
-// expectedClaimEnd returns the offset at which the group's topic ends if this process
-// knows of every claim; remap.None if it cannot tell: it knows of none, or does not know
-// whether its own last one took effect.
-func (p *Process) expectedClaimEnd() int64 {
-	if p.claimUnanswered || p.driver.Term() == remap.None && p.claimEnd == 0 {
-		return remap.None
-	}
-	return max(p.driver.Term()+1, p.claimEnd)
+// expectedClaimEnd returns the position at which the group's topic ends if this process
+// knows of every claim; store.NoPosition if it cannot tell: it knows of none, or does not
+// know whether its own last one took effect.
+func (p *Process) expectedClaimEnd() store.Position {
+	term := p.driver.Term()
+	switch {
+	case p.claimUnanswered:
+		return store.NoPosition
+	case term == remap.None:
+		return p.claimEnd
+	}
+	after := claimPosition(term)
+	after.Offset++
+	if p.claimEnd.Before(after) {
+		return after
+	}
+	return p.claimEnd
 }
 
-// appendClaim appends a claim to a group's topic at offset expected. It fails with
+// appendClaim appends a claim to a group's topic at the offset of expected. It fails with
 // store.ErrOffsetMismatch if another claim is there, whose coordinator has not been
-// heard yet. If expected is remap.None, it appends the claim at the end of the topic,
-// and fails only if another one is appended meanwhile.
-func appendClaim(ctx context.Context, s store.Log, topic string, name []byte, expected int64) claimResult {
-	end, err := s.AppendAt(ctx, topic, max(expected, 0), name) // offset 0 fails on a topic that is not empty
-	if err == nil {
-		return claimResult{term: max(expected, 0)}
-	}
-	if expected == remap.None && errors.Is(err, store.ErrOffsetMismatch) {
-		at := end.Offset
-		if end, err = s.AppendAt(ctx, topic, at, name); err == nil {
-			return claimResult{term: at}
-		}
+// heard yet. If expected is store.NoPosition, it appends the claim at the end of the topic,
+// and fails only if another one is appended meanwhile. The term is that of the era in which
+// the claim was appended: where expected is of an earlier one, its offset is one of many.
+func appendClaim(ctx context.Context, s store.Log, topic string, name []byte, expected store.Position) claimResult {
+	at := max(expected.Offset, 0) // offset 0 fails on a topic that is not empty
+	end, err := s.AppendAt(ctx, topic, at, name)
+	if expected == store.NoPosition && errors.Is(err, store.ErrOffsetMismatch) {
+		at = end.Offset
+		end, err = s.AppendAt(ctx, topic, at, name)
+	}
+	if err != nil {
+		return claimResult{end: end, err: eris.Wrapf(err, "append claim to %s", topic)}
 	}
-	return claimResult{end: end.Offset, err: eris.Wrapf(err, "append claim to %s", topic)}
+	term, err := claimTerm(store.Position{Era: end.Era, Offset: at})
+	return claimResult{term: term, err: err}
 }
 
 // handleClaimResult makes this process the coordinator if its claim succeeded and
@@ -351,7 +357,7 @@
 	p.claimUnanswered = false
 	if errors.Is(c.err, store.ErrOffsetMismatch) {
 		p.claimEnd = c.end
-		p.opts.Log.Info("claim-late", "end", c.end, "err", c.err)
+		p.opts.Log.Info("claim-late", "end", c.end.Offset, "era", c.end.Era, "err", c.err)
 		return
 	}
 	if c.err != nil {
@@ -363,7 +369,8 @@
 	if !ok || c.term <= p.driver.Term() {
 		return
 	}
-	p.opts.Log.Info("coordinator-elected", "group", e.Group, "term", c.term)
+	claim := claimPosition(c.term)
+	p.opts.Log.Info("coordinator-elected", "group", e.Group, "term", c.term, "era", claim.Era, "offset", claim.Offset)
 	p.coord = remap.NewCoordinator(c.term, e, p.now())
 	p.loggedPhase = remap.Sealing
 	p.metrics.setCoordinator(true, 0, 0)
--- a/rebalance/process.go
+++ b/rebalance/process.go
@@ -123,7 +123,7 @@
 	coordSeenAt  time.Duration // time of the last goal received or sent, or of the last claim's result
 	claiming     bool
 	claimResults chan claimResult
-	claimEnd     int64 // end of the topic of claims when a claim came too late; 0 if none has
+	claimEnd     store.Position // end of the topic of claims when a claim came too late; store.NoPosition if none has
 	// claimUnanswered means that the last claim failed without an answer, so that it may
 	// have taken effect.
 	claimUnanswered bool
@@ -160,7 +160,7 @@
 // claimResult is the result of a claim to coordinate the group.
 type claimResult struct {
 	term int64
-	end  int64 // end of the topic, with store.ErrOffsetMismatch
+	end  store.Position // of the topic, with store.ErrOffsetMismatch
 	err  error
 }
 
@@ -172,7 +172,7 @@
 // New returns a process; Run starts it.
 func New(opts Options) *Process {
 	return &Process{
-		opts: opts, metrics: newMetrics(opts.Registry), start: time.Now(), driver: remap.NewRankDriver(), maps: newMapPacer(opts.LinkRate), claimResults: make(chan claimResult, 1),
+		opts: opts, metrics: newMetrics(opts.Registry), start: time.Now(), driver: remap.NewRankDriver(), maps: newMapPacer(opts.LinkRate), claimResults: make(chan claimResult, 1), claimEnd: store.NoPosition,
 		substitutes: make(map[int]*substituteDriver), remoteEngines: make(map[string]Engine), substituteReports: make(chan wire.RankReport, 8),
 	}
 }
--- a/remap/remap.go
+++ b/remap/remap.go
@@ -27,8 +27,9 @@
 // knows whether that rank may be armed; if it cannot be, the switch can be
 // cancelled without that rank.
 //
-// A coordinator is identified by its term, the offset of its claim in the
-// platform's log. A RankDriver follows only the highest term it has received. Its
+// A coordinator is identified by its term, which the platform's log gives out. A term
+// must be unique and higher than all earlier ones, because the versions of maps are made
+// from it. A RankDriver follows only the highest term it has received. Its
 // caller must call SetGoal and Report only when none of the driver's orders awaits
 // its result, so that a report under a new term includes the results of all earlier
 // orders.
@@ -159,3 +160,6 @@
 	// term.
 	versionBits = 20
 )
+
+// MaxTerm is the highest term of which versions can be made.
+const MaxTerm = 1<<(63-versionBits) - 2
