peerread: a gateway reads the store itself after it has come back

Cause: a proof counts 1 s after a return at the earliest, and one that comes through a reader is up to 2 s old, so a gateway behind a reader could refuse keyed requests for longer than the store was away. Change: for 2 s after it has noticed the return a gateway reads the store instead of asking a reader.

--- a/peerread/topic.go
+++ b/peerread/topic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,6 +15,10 @@
 // reader may wait for a record.
 const answerTimeout = 250 * time.Millisecond
 
+// directTime is the time for which a gateway reads the store itself once it has come back
+// from an older copy. The proofs that a gateway then needs come sooner than through a reader.
+const directTime = 2 * time.Second
+
 // TopicOptions are the settings of a Topic.
 type TopicOptions struct {
 	Name string // topic of the store
@@ -42,8 +47,9 @@
 	store store.Reader
 	opts  TopicOptions
 
-	caughtUp bool   // the store was read to the end since the last snapshot
-	source   string // of the last successful read: a reader, or "store"; for the log
+	caughtUp bool          // the store was read to the end since the last snapshot
+	direct   time.Duration // until then the store is read, as it has come back from an older copy
+	source   string        // of the last successful read: a reader, or "store"; for the log
 
 	mu    sync.Mutex // guards all below
 	asker *Asker
@@ -71,7 +77,7 @@
 // Read implements store.Reader. It asks the readers, and reads the store if this
 // gateway is the first reader, or if no reader has current records.
 func (t *Topic) Read(ctx context.Context, topic string, from store.Position, wait time.Duration) (store.Batch, error) {
-	if !t.caughtUp || !t.link.connected() {
+	if !t.caughtUp || t.link.opts.Clock() < t.direct || !t.link.connected() {
 		return t.readStore(ctx, topic, from, wait)
 	}
 	entries := t.link.opts.Entries()
@@ -209,6 +215,9 @@
 		t.mu.Lock()
 		t.desk.Clear()
 		t.mu.Unlock()
+		if errors.Is(err, store.ErrRestored) {
+			t.direct = t.link.opts.Clock() + directTime
+		}
 		return store.Batch{}, err
 	}
 	t.logSource(storeSource)
