--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,8 +1,11 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -205,3 +208,32 @@
 		synctest.Wait()
 	})
 }
+
+// Odd entries among those of the processes are left out, and the others hold.
+func TestOddEntriesAreLeftOut(t *testing.T) {
+	sound := encoded(t)
+	nested := append([]byte("\x81\xa7further"), bytes.Repeat([]byte{0x91}, 250_000)...)
+	for name, odd := range map[string][]byte{
+		"nested deeply":     append(nested, 0xc0),
+		"length too large":  []byte("\x81\xa4addr\xdb\xff\xff\xff\xff"),
+		"fields too many":   []byte("\xdf\xff\xff\xff\xff"),
+		"number too large":  []byte("\x81\xa1r\xcf\xff\xff\xff\xff\xff\xff\xff\xff"),
+		"of another type":   []byte("\x81\xa4addr\x01"),
+		"bytes of no entry": {0xc1, 0xff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &memoryStore{wake: make(chan struct{}), records: []store.Record{{Key: "a", Value: sound}, {Key: "odd", Value: odd}, {Key: "b", Value: sound}}}
+				ctx, stop := context.WithCancel(t.Context())
+				d := New(m, time.Second, log.New(io.Discard))
+				go d.Run(ctx)
+				time.Sleep(time.Second)
+				require.NoError(t, m.Append(ctx, topic, store.Record{Key: "c", Value: sound}))
+				time.Sleep(5 * time.Second)
+				require.Equal(t, []string{"a", "b", "c"}, slices.Sorted(maps.Keys(d.Entries())))
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -252,7 +252,7 @@
 		if e.Role != wire.RoleGateway || name == p.g.opts.Settings.Instance {
 			continue
 		}
-		if a, err := net.ResolveUDPAddr("udp4", e.Address); err == nil {
+		if a, err := e.UDPAddr(); err == nil {
 			list = append(list, a)
 		}
 	}
--- a/rebalance/coordinator.go
+++ b/rebalance/coordinator.go
@@ -197,7 +197,7 @@
 	}
 	for _, entry := range p.otherRanks() {
 		if short || p.coord.KnowsGoal(entry.Rank) {
-			p.sendTo(heartbeatData, entry.Address)
+			p.sendTo(heartbeatData, &entry)
 		}
 	}
 }
@@ -223,7 +223,7 @@
 			}
 		}
 		if p.maps.take(g.Seq, entry.Rank, len(data), interval+p.maps.time(len(ranks)*len(data)), now) {
-			p.sendTo(data, entry.Address)
+			p.sendTo(data, &entry)
 		}
 	}
 }
@@ -279,9 +279,9 @@
 	p.conn.WriteToUDP(data, p.coordAddr) //nolint:errcheck // sent again at the next change or after rankReportInterval
 }
 
-// sendTo sends a datagram to a host and port.
-func (p *Process) sendTo(data []byte, address string) {
-	addr, err := net.ResolveUDPAddr("udp4", address)
+// sendTo sends a datagram to another process.
+func (p *Process) sendTo(data []byte, entry *wire.Instance) {
+	addr, err := entry.UDPAddr()
 	if err != nil {
 		return // entry without a valid address
 	}
--- a/rebalance/state.go
+++ b/rebalance/state.go
@@ -89,7 +89,7 @@
 	}
 	for _, entry := range p.opts.Directory.Entries() {
 		if entry.Role == wire.RoleGateway {
-			p.sendTo(data, entry.Address)
+			p.sendTo(data, &entry)
 		}
 	}
 }
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -1,5 +1,12 @@
 package wire
 
+import (
+	"net"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
 //go:generate go tool -modfile=../tools/go.mod msgp -file instance.go -o instance_gen.go -tests=false
 
 //msgp:limit arrays:4096
@@ -17,6 +24,16 @@
 	DataCentre string `msg:"d,omitempty"`
 }
 
+// UDPAddr returns the address that receives datagrams. Error: it is not an IP address and a
+// port. Names are not looked up, which could take seconds.
+func (i *Instance) UDPAddr() (*net.UDPAddr, error) {
+	at, err := netip.ParseAddrPort(i.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "address of an instance")
+	}
+	return net.UDPAddrFromAddrPort(at), nil
+}
+
 // Values of Instance.Role.
 const (
 	RoleGateway    = "gateway"
