backend: a connection serves no request again that was refused on it

Here a caller that returned with its request, under the same id and on the connection that its refusal had come on, was told once more that it had not run while the server ran it. Cause: answers are told apart by the id of their request. A refusal that the server writes once more to the same request has the same one. Evidence: TestRepeatedRefusalIsNoAnswerToReturningRequest failed before on both kinds of route (503 in place of 200, run once). Change: a connection remembers the ids that were refused on it, 32 at most, and is not used for them again; a new one has no earlier refusal. Requests that may not be repeated always had new connections, so that no second run came of it. Measured: tests of backend and gateway pass.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -95,6 +95,7 @@
 // Abort.
 type Response struct {
 	*http.Response
+	id     string // of the request
 	conn   *Conn
 	reader *exchangeReader
 	pool   *Pool
@@ -226,7 +227,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, eris.Wrap(ErrDial, err.Error())
 	}
-	conn, err := p.Get(ctx, address, r.NoReuse)
+	conn, err := p.Get(ctx, address, r.ID, r.NoReuse)
 	if err != nil {
 		return nil, err
 	}
@@ -252,7 +253,7 @@
 		return fail(err)
 	}
 	reader.onSilent, reader.headLeft = nil, -1
-	return &Response{Response: resp, conn: conn, reader: reader, pool: p, stop: stop}, nil
+	return &Response{Response: resp, id: r.ID, conn: conn, reader: reader, pool: p, stop: stop}, nil
 }
 
 // longBody is a body that is passed to the kernel while the response is awaited.
@@ -391,8 +392,10 @@
 
 func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
-// Discard ends the exchange without its body. The connection is kept only if the body
-// ends within limit bytes and timeout.
+// Discard ends the exchange of a request that the server has refused, without the body. The
+// connection is kept only if the body ends within limit bytes and timeout. It serves no
+// request with the same id again, as the id would not tell the refusal, written once more,
+// from the answer.
 func (r *Response) Discard(limit int64, timeout time.Duration) {
 	if end := time.Now().Add(timeout); r.reader.deadline.IsZero() || end.Before(r.reader.deadline) {
 		r.reader.deadline = end
@@ -402,6 +405,7 @@
 	} else if whole, err := discard(r.Body, limit); err != nil || !whole {
 		r.Abort()
 	} else {
+		r.conn.refused = append(r.conn.refused, r.id)
 		r.Finish()
 	}
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	// short: a timeout of one second or more would be announced, so the server may
 	// close idle connections sooner than that.
 	defaultIdleTimeout = 300 * time.Millisecond
+	maxRefused         = 32 // refusals after which a connection is closed
 	// idleMargin is subtracted from an announced timeout, so that a connection is
 	// not reused just as the server closes it.
 	idleMargin = 700 * time.Millisecond
@@ -47,6 +49,7 @@
 	br        *bufio.Reader
 	address   string
 	reused    bool          // has served a request before
+	refused   []string      // ids of the requests that were refused on it; maxRefused at most
 	expiresAt time.Duration // on the clock of the Pool; not reused from then on
 }
 
@@ -84,11 +87,12 @@
 	}
 }
 
-// Get returns an idle connection that is open and has no unread data. If there is
+// Get returns an idle connection that is open, has no unread data, and on which no request
+// with the given id was refused: the server may write that refusal once more. If there is
 // none, or if fresh is set, it opens a new connection. Error: ErrDial, wrapped.
-func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, address, id string, fresh bool) (*Conn, error) {
 	for !fresh {
-		c := p.take(address)
+		c := p.take(address, id)
 		if c == nil {
 			break
 		}
@@ -107,23 +111,26 @@
 	return &Conn{Conn: duplex.New(conn.(*net.TCPConn)), br: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
 }
 
-// take removes and returns the most recently used idle connection, or nil.
-func (p *Pool) take(address string) *Conn {
+// take removes and returns the most recently used idle connection on which no request with
+// the given id was refused, or nil.
+func (p *Pool) take(address, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.refused, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Put returns c to the pool for up to idle. The caller must have read the complete
-// response. c is closed if it has unread data or the pool for its address is full.
+// response. c is closed if it has unread data, has had maxRefused refusals, or the pool for
+// its address is full.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
-	if c.br.Buffered() > 0 || idle <= 0 {
+	if c.br.Buffered() > 0 || idle <= 0 || len(c.refused) >= maxRefused {
 		c.Close()
 		return
 	}
--- a/gateway/late_copy_test.go
+++ b/gateway/late_copy_test.go
@@ -76,3 +76,44 @@
 		require.Equal(t, "own", string(body[:n]))
 	}
 }
+
+// A server writes an earlier refusal once more on a kept connection, to the same request as
+// its caller returns with it. The caller is not told that what the server runs has not run.
+func TestRepeatedRefusalIsNoAnswerToReturningRequest(t *testing.T) {
+	for _, path := range []string{"/again/", "/stream/"} {
+		for name, repeated := range map[string]int{"once": 1, "three times": 3} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				tg := newTestGateway(t)
+				var ran, refused atomic.Int64
+				tg.server(func(c *conn) {
+					refusal := ""
+					for r := c.request(); r != nil; r = c.request() {
+						if refused.Add(1) == 1 {
+							refusal = "HTTP/1.1 503 X\r\nX-Not-Run: full\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Length: 0\r\n\r\n"
+							c.write(refusal)
+							continue
+						}
+						ran.Add(1)
+						c.write(strings.Repeat(refusal, repeated))
+						c.write(answer(r, http.StatusOK, "own"))
+					}
+				})
+				status := func() int {
+					r, err := http.NewRequest(http.MethodPost, tg.front.URL+path, strings.NewReader("x"))
+					require.NoError(t, err)
+					r.Host = "h"
+					r.Header.Set("X-Id", "returns")
+					r.Header.Set("X-Key", "key")
+					resp, err := http.DefaultClient.Do(r)
+					require.NoError(t, err)
+					resp.Body.Close()
+					return resp.StatusCode
+				}
+				require.Equal(t, http.StatusServiceUnavailable, status())
+				require.Equal(t, http.StatusOK, status())
+				require.EqualValues(t, 1, ran.Load())
+			})
+		}
+	}
+}
