--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -405,7 +405,7 @@
 	} else if whole, err := discard(r.Body, limit); err != nil || !whole {
 		r.Abort()
 	} else {
-		r.conn.refused = append(r.conn.refused, r.id)
+		r.conn.refused = append(r.conn.refused, hashID(r.id))
 		r.Finish()
 	}
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -49,7 +50,7 @@
 	br        *bufio.Reader
 	address   string
 	reused    bool          // has served a request before
-	refused   []string      // ids of the requests that were refused on it; maxRefused at most
+	refused   []uint64      // hashes of the ids of requests that were refused on it; maxRefused at most
 	expiresAt time.Duration // on the clock of the Pool; not reused from then on
 }
 
@@ -116,9 +117,9 @@
 func (p *Pool) take(address, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list, hash := p.idle[address], hashID(id)
 	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.refused, id) {
+		if !slices.Contains(c.refused, hash) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -126,6 +127,12 @@
 	return nil
 }
 
+// idSeed is the seed of hashID.
+var idSeed = maphash.MakeSeed()
+
+// hashID returns a hash of the id of a request. Ids are given by callers and may be long.
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 // Put returns c to the pool for up to idle. The caller must have read the complete
 // response. c is closed if it has unread data, has had maxRefused refusals, or the pool for
 // its address is full.
