--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -54,6 +54,7 @@
 	f.IntVar(&opts.Gateways, "gateways", 3, "number of gateways")
 	f.IntVar(&opts.Callers, "callers", 12, "number of concurrent callers")
 	f.DurationVar(&opts.Faults, "faults", 20*time.Second, "how long faults are injected in a day")
+	f.BoolVar(&opts.Restores, "restores", false, "have the store come back from older copies")
 	f.StringVar(&dir, "out", "out/soak", "directory for settings and logs; kept only for days with violations")
 	return cmd
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// TestDaysOfRestoredStore performs runs in which the store comes back from older copies,
+// and expects no violation.
+func TestDaysOfRestoredStore(t *testing.T) {
+	binary, err := os.Executable()
+	require.NoError(t, err)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), Options{Seed: seed, Binary: binary, Dir: t.TempDir(), Gateways: 3, Callers: 6, Faults: 8 * time.Second, Restores: true})
+			require.NoError(t, err)
+			t.Logf("answers %v, %d passes, map %d", r.Counts, r.Passes, r.MapVersion)
+			require.Empty(t, r.Violations, "faults:\n%s", strings.Join(r.Faults, "\n"))
+			require.Positive(t, r.Counts["200"], "no request succeeded")
+		})
+	}
+}
+
 // seedEntry is one line of testdata/seeds.
 type seedEntry struct {
 	seed     uint64
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -37,6 +37,7 @@
 	Gateways int           // processes
 	Faults   time.Duration // how long faults are injected
 	Callers  int
+	Restores bool // the store comes back from older copies
 }
 
 // Report is the result of a run.
@@ -188,6 +189,7 @@
 	}
 	tb.background.Go(func() { tb.stateLimits(ctx) })
 	tb.background.Go(func() { tb.askForRest(ctx) })
+	tb.background.Go(func() { tb.restoreStore(ctx) })
 	tb.injectFaults(ctx)
 	sleep(ctx, faultFreeEnd-recoveryWindow)
 	tb.checker.startRecoveryWindow()
