--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,11 +30,11 @@
 	keepAliveCount    = 2                      // unacknowledged keep-alive probes that end a connection
 	readBufferBytes   = 2 << 10
 	maxIdlePerServer  = 12 // idle connections kept per server
+	maxRefused        = 32 // refusals after which a connection is closed
 	// defaultIdleTimeout applies if the server announces no Keep-Alive timeout. It is
 	// short: a timeout of one second or more would be announced, so the server may
 	// close idle connections sooner than that.
 	defaultIdleTimeout = 300 * time.Millisecond
-	maxRefused         = 32 // refusals after which a connection is closed
 	// idleMargin is subtracted from an announced timeout, so that a connection is
 	// not reused just as the server closes it.
 	idleMargin = 700 * time.Millisecond
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -43,6 +43,9 @@
 		tb.recordFault("store restored from a copy of %v before", (age + storeAway).Round(time.Millisecond))
 		tb.store.RestoreRewritten(copied, platformtest.OperatorTopic, platformtest.ServersTopic)
 		setFaults(platformtest.Faults{})
+		if rnd.IntN(2) == 0 {
+			tb.revokeKey() // the offsets reach those of before again
+		}
 		sleep(ctx, time.Duration(rnd.Float64()*float64(maxRestoreGap)))
 	}
 }
