--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -137,15 +137,15 @@
 
 // kill kills a process and restarts it after the given time plus restartDelay.
 func (tb *testbed) kill(p *process, after time.Duration) {
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
 	time.AfterFunc(after+restartDelay, func() { tb.restart(p) })
 }
 
 // restart starts a process again once it has exited.
 func (tb *testbed) restart(p *process) {
-	p.waitOrKill(stopTimeout)
-	if err := p.start(); err != nil {
+	p.WaitOrKill(stopTimeout)
+	if err := p.Start(); err != nil {
 		tb.checker.Violation("test harness", err.Error())
 	}
 	tb.checker.started(p)
@@ -154,11 +154,9 @@
 // stopGracefully sends SIGTERM to a process, checks that it exits within its
 // grace time plus one second, and restarts it.
 func (tb *testbed) stopGracefully(p *process) {
-	p.signal(syscall.SIGTERM)
+	p.Signal(syscall.SIGTERM)
 	go func() {
-		p.mu.Lock()
-		stopRequested, done := p.stopRequested, p.done
-		p.mu.Unlock()
+		stopRequested, done := p.StopRequested()
 		<-done
 		if elapsed := time.Since(stopRequested); !stopRequested.IsZero() && elapsed > platformtest.GraceTime+time.Second {
 			tb.checker.Violation("slow stop", p.Name+" took "+elapsed.String())
@@ -169,8 +167,8 @@
 
 // pause stops a process with SIGSTOP for d.
 func pause(p *process, d time.Duration) {
-	p.signal(syscall.SIGSTOP)
-	time.AfterFunc(d, func() { p.signal(syscall.SIGCONT) })
+	p.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { p.Signal(syscall.SIGCONT) })
 }
 
 // injectConnectionFault resets, silences, cuts or delays the connections through
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"slices"
 	"sync"
@@ -59,7 +59,7 @@
 	group       *platformtest.Group
 	gateways    []*process
 	rebalancers []*process
-	reservation net.Listener   // of the run's subnet
+	reservation io.Closer      // of the run's subnet
 	background  sync.WaitGroup // goroutines that run until the run's context ends
 
 	mu          sync.Mutex // guards the fields below; no other lock is taken while it is held
@@ -130,9 +130,8 @@
 func (tb *testbed) stopping(name string) bool {
 	for _, g := range tb.gateways {
 		if g.Name == name {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return !g.stopRequested.IsZero() && time.Since(g.stopRequested) < platformtest.GraceTime
+			at, _ := g.StopRequested()
+			return !at.IsZero() && time.Since(at) < platformtest.GraceTime
 		}
 	}
 	return false
@@ -215,12 +214,14 @@
 			return err
 		}
 	}
-	subnet, err := tb.reserveSubnet()
+	subnet, reservation, err := platformtest.ReserveSubnet(tb.opts.Seed)
 	if err != nil {
 		return err
 	}
+	tb.reservation = reservation
 	for i := range tb.opts.Gateways {
-		p := &process{role: "gateway", binary: tb.opts.Binary}
+		p := &process{role: "gateway"}
+		p.Binary = tb.opts.Binary
 		p.Name, p.Centre, p.IP = fmt.Sprint("gateway-", i), centres[i%len(centres)], fmt.Sprintf("127.%d.1.%d", subnet, i+1)
 		if err := tb.startProcess(p); err != nil {
 			return err
@@ -235,7 +236,8 @@
 		if err != nil {
 			return err
 		}
-		p := &process{role: "rebalancer", binary: tb.opts.Binary}
+		p := &process{role: "rebalancer"}
+		p.Binary = tb.opts.Binary
 		p.Name, p.Centre, p.IP = fmt.Sprint("side-", r), b.Centre, fmt.Sprintf("127.%d.2.%d", subnet, r+1)
 		p.App, p.Service = b.Address(), b.Service
 		if err := tb.startProcess(p); err != nil {
@@ -246,30 +248,13 @@
 	return nil
 }
 
-// Subnets 127.N.0.0/16 of the loopback network, of which each run uses one.
-const (
-	subnets         = 200
-	reservationPort = 7099 // on which a run listens as long as it uses its subnet
-)
-
-// reserveSubnet returns the number of a subnet that no other run on the machine uses.
-func (tb *testbed) reserveSubnet() (n uint64, err error) {
-	for i := range uint64(subnets) {
-		n = 1 + (tb.opts.Seed+i)%subnets
-		if tb.reservation, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, reservationPort)); err == nil {
-			return n, nil
-		}
-	}
-	return 0, eris.Wrap(err, "no subnet is free")
-}
-
 // startProcess connects a process to the store, writes its settings and starts it.
 func (tb *testbed) startProcess(p *process) error {
 	p.Store, p.setStoreFaults = tb.store.AddListener()
 	if err := p.writeSettings(tb.opts.Dir); err != nil {
 		return eris.Wrapf(err, "write settings of %s", p.Name)
 	}
-	return eris.Wrapf(p.start(), "start %s", p.Name)
+	return eris.Wrapf(p.Start(), "start %s", p.Name)
 }
 
 // startServer starts a backend server and publishes its record. rank is -1 for a
@@ -323,11 +308,11 @@
 // stopTimeout, and closes all servers.
 func (tb *testbed) close() {
 	for _, p := range slices.Concat(tb.gateways, tb.rebalancers) {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGTERM)
 	}
 	for _, p := range slices.Concat(tb.gateways, tb.rebalancers) {
-		p.waitOrKill(stopTimeout)
+		p.WaitOrKill(stopTimeout)
 		if p.frontRelay != nil {
 			p.frontRelay.Close()
 		}
