Heads are counted as they were sent

A 431 is not tried again.

Cause: the size of a head was compared with the document's limit counting a space after each colon, whether it was sent or not. It now counts the least that a head can have been, so that no legal head is refused.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -99,13 +99,13 @@
 	return c, nil
 }
 
-// headerBytes returns the size of a request head as sent, apart from optional
-// white space.
+// headerBytes returns the least size of a request head as sent: without optional white
+// space, such as that after the colon of a field.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
+			n += len(name) + len(v) + len(":\r\n")
 		}
 	}
 	return n
