Connections of callers are kept within descriptors and memory

Callers saw the process end: it ran out of memory, or of descriptors, under clients that send legal heads of very many short fields and stop, heads far over the limit, requests ahead, or nothing at all.

Cause: only bodies and unread answers were counted. A head was compared with the document's limit after net/http had parsed it, up to 1 MB, and each short field takes a few hundred bytes for as long as its request lasts; connections were counted nowhere, and limits.max_fds was not read.

Now memory and descriptors of the process are two budgets, derived from its settings. admit.ConnBudget, which grew out of BufferBudget and stays pure, decides what fits and who yields: connections without a whole head, idle ones, answered ones that still send, then, after 2 s without progress, bodies that do not arrive and answers that are not read; of equal ones the longest without progress, then the one that holds most. internal/callerconn (outbuf before) applies it to each accepted connection; idleconn counts a head as it is read, refuses it when it is over the document's limit, and what is held returns with the connection or the next request, after panics and resets, too. Half of the sockets is for callers. A quarter of the memory is not for large requests, so that ordinary ones find room. Receive buffers of callers' sockets are 16 KB: what waits in them is memory of the instance. A body that yields is refused with 408 or 503, not run.

golang.org/x/net/netutil.LimitListener was weighed: it makes new callers wait for old ones instead of letting idle ones yield.

--- a/admit/buffer_budget_test.go
+++ b/admit/conn_budget_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestBufferBudgetBounds(t *testing.T) {
-	b := NewBufferBudget(100, 40)
+func TestConnBudgetBounds(t *testing.T) {
+	b := NewConnBudget(ConnLimits{Bytes: 100, UnreadPerConn: 40})
 	for id := range uint64(3) {
 		ok, evicted := b.Hold(id, 30, 0)
 		require.True(t, ok)
@@ -19,7 +19,7 @@
 	require.False(t, ok, "more than one holder may have")
 	ok, _ = b.Hold(0, 10, 0)
 	require.True(t, ok)
-	ok, evicted := b.Reserve(1, BufferStall-1)
+	ok, evicted := b.Reserve(1, Stall-1)
 	require.False(t, ok, "nothing is left")
 	require.Empty(t, evicted, "and no holder is stalled")
 	b.Progress(1, 30, 0)
@@ -33,13 +33,13 @@
 }
 
 // Holders that make progress stay, the others go in the order of their last progress.
-func TestBufferBudgetEvictsLongestStalled(t *testing.T) {
-	b := NewBufferBudget(100, 100)
+func TestConnBudgetEvictsLongestStalled(t *testing.T) {
+	b := NewConnBudget(ConnLimits{Bytes: 100, UnreadPerConn: 100})
 	for id, at := range []time.Duration{3: 30, 2: 20, 1: 10, 0: 0} {
 		ok, _ := b.Hold(uint64(id), 25, at)
 		require.True(t, ok)
 	}
-	now := BufferStall + 25
+	now := Stall + 25
 	b.Progress(0, 5, now-1) // slow but steady
 	ok, evicted := b.Hold(9, 20, now)
 	require.True(t, ok)
@@ -53,10 +53,10 @@
 }
 
 // A random load never exceeds the bounds, and all bytes return.
-func TestBufferBudgetUnderRandomLoad(t *testing.T) {
+func TestConnBudgetUnderRandomLoad(t *testing.T) {
 	const limit, perHolder, holders = 1000, 200, 20
 	rng := rand.New(rand.NewPCG(1, 2))
-	b := NewBufferBudget(limit, perHolder)
+	b := NewConnBudget(ConnLimits{Bytes: limit, UnreadPerConn: perHolder})
 	held := make(map[uint64]int64)
 	evictions := 0
 	for step := range 20_000 {
@@ -96,9 +96,8 @@
 }
 
 // Holders that make progress are never evicted; they leave room for reservations.
-func TestBufferBudgetHoldersLeaveRoomForReservations(t *testing.T) {
-	b := NewBufferBudget(100, 30)
-	b.LimitHolders(60)
+func TestConnBudgetHoldersLeaveRoomForReservations(t *testing.T) {
+	b := NewConnBudget(ConnLimits{Bytes: 100, UnreadPerConn: 30, Unread: 60})
 	for id := range uint64(2) {
 		ok, _ := b.Hold(id, 30, 0)
 		require.True(t, ok)
@@ -108,22 +107,22 @@
 	require.Empty(t, evicted)
 	ok, _ = b.Reserve(40, 0)
 	require.True(t, ok)
-	ok, evicted = b.Hold(2, 1, BufferStall)
+	ok, evicted = b.Hold(2, 1, Stall)
 	require.True(t, ok, "a stalled holder gives way")
 	require.Equal(t, []uint64{0}, evicted)
 }
 
 // The buffer of an evicted holder may write, and hold, a little more before it is dropped.
-func TestBufferBudgetEvictedHolderReturnsNoBytesTwice(t *testing.T) {
-	b := NewBufferBudget(100, 100)
+func TestConnBudgetEvictedHolderReturnsNoBytesTwice(t *testing.T) {
+	b := NewConnBudget(ConnLimits{Bytes: 100, UnreadPerConn: 100})
 	ok, _ := b.Hold(1, 80, 0)
 	require.True(t, ok)
-	ok, evicted := b.Reserve(50, BufferStall)
+	ok, evicted := b.Reserve(50, Stall)
 	require.True(t, ok)
 	require.Equal(t, []uint64{1}, evicted)
-	ok, _ = b.Hold(1, 10, BufferStall)
+	ok, _ = b.Hold(1, 10, Stall)
 	require.True(t, ok)
-	b.Progress(1, 80, BufferStall)
+	b.Progress(1, 80, Stall)
 	used, _ := b.Used()
 	require.EqualValues(t, 50, used)
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -103,7 +103,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    api.MaxHeaderBytes,
 	}
-	s.conns = idleconn.Track(s.http)
+	s.conns = idleconn.Track(s.http, idleconn.Options{})
 	return s
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"marjorampitch/api"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/idleconn"
 	"marjorampitch/pace"
 )
 
@@ -19,7 +20,8 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	body          []byte
-	held          int64 // bytes taken from the budget of the gateway's buffers
+	bodyRead      bool  // to its end
+	held          int64 // bytes taken from the budget of callers' connections until the call ends
 	route         *fleet.Route
 	org           string // organisation; empty for none
 	priority      int    // of the organisation or the route; 0 is the highest
@@ -259,8 +261,8 @@
 	if c.id != "" {
 		h.Set(g.opts.Headers.RequestID, c.id)
 	}
-	if e.Code == api.BuffersFull || e.Code == api.BodyTooSlow {
-		h.Set("Connection", "close") // instead of reading the rest of the body first
+	if !c.bodyRead && (e.Code == api.BuffersFull || e.Code == api.BodyTooSlow) {
+		idleconn.SkipBody(c.w)
 	}
 	if after > 0 && info.Ran == api.NotRun {
 		h.Set(retryAfterHeader, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -1,65 +1,57 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"marjorampitch/admit"
-	"marjorampitch/internal/outbuf"
+	"marjorampitch/api"
+	"marjorampitch/internal/callerconn"
+	"marjorampitch/internal/idleconn"
 )
 
-// Bounds of what is held for callers and backend servers that read slowly.
-const (
-	// bufferShare is the part of the process's memory that requests, answers and
-	// streams may take while they wait for a slow peer.
-	bufferShare = 0.2
-	// defaultBufferBytes applies where the settings name no limit of the memory.
-	defaultBufferBytes = 64 << 20
-	// maxCallerShare is the part of it that one caller may take.
-	maxCallerShare = 0.125
-	// maxCallersShare is the part of it that all callers may take. The rest is left to
-	// bodies, so that slow callers do not keep requests of others out.
-	maxCallersShare = 0.5
-)
+// defaultMaxHead is the size of a request's head in bytes where the document sets none.
+const defaultMaxHead = 64 << 10
 
-// newCallerBuffers returns the buffers of the connections of callers.
-func newCallerBuffers(g *Gateway, memoryLimit int64) *outbuf.Buffers {
-	limit := int64(bufferShare * float64(memoryLimit))
-	if limit <= 0 {
-		limit = defaultBufferBytes
-	}
-	budget := admit.NewBufferBudget(limit, int64(maxCallerShare*float64(limit)))
-	budget.LimitHolders(int64(maxCallersShare * float64(limit)))
-	b := outbuf.New(budget, g.now)
-	b.OnCut = func(cut outbuf.Cut) {
+// newCallerConns returns the connections of callers, for a process with this memory in bytes
+// and this number of sockets.
+func newCallerConns(g *Gateway, memory int64, sockets int) *callerconn.Conns {
+	b := callerconn.New(admit.NewConnBudget(admit.NewConnLimits(memory, sockets, callerconn.ConnBytes)), g.now)
+	b.OnCut = func(cut callerconn.Cut) {
 		g.metrics.slowCallers.Inc()
 		g.opts.Log.Warn("slow-caller-cut", "caller", cut.Peer, "held_bytes", cut.Held,
 			"unread_ms", cut.Unread.Milliseconds(), "reason", cut.Reason)
 	}
+	b.OnYield = func(y callerconn.Yield) {
+		g.metrics.yielded.WithLabelValues(string(y.Cause)).Inc()
+		g.opts.Log.Warn("connection-yielded", "caller", y.Peer, "cause", y.Cause)
+	}
 	return b
 }
 
-// callerConnKey is the context key of the net.Conn of a request.
-type callerConnKey struct{}
+// Callers returns the connections of callers, of which the process's other listeners take
+// their part.
+func (g *Gateway) Callers() *callerconn.Conns { return g.callers }
 
-// withCallerConns makes the context of each request hold its connection.
-func withCallerConns(srv *http.Server) {
-	inner := srv.ConnContext
-	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(inner(ctx, c), callerConnKey{}, c)
+// maxHead returns the largest size of a request's head in bytes.
+func (g *Gateway) maxHead() int {
+	if view := g.opts.Cache.View(); view.Document != nil && view.Document.Limits.HeaderBytes > 0 {
+		return view.Document.Limits.HeaderBytes
 	}
+	return defaultMaxHead
+}
+
+// refuseFull refuses a request for whose head there is no room.
+func (g *Gateway) refuseFull(w http.ResponseWriter, r *http.Request) {
+	g.reject(&call{
+		id: r.Header.Get(g.opts.Headers.RequestID), w: w, r: r, view: g.opts.Cache.View(), arrived: g.now(),
+	}, g.retryElsewhere(api.BuffersFull, "head"))
 }
 
 // callerEvicted reports whether a request has ended because its caller did not read.
 func callerEvicted(r *http.Request) bool {
-	c, ok := r.Context().Value(callerConnKey{}).(interface{ NetConn() net.Conn })
-	if !ok {
-		return false
-	}
-	buffered, ok := c.NetConn().(*outbuf.Conn)
-	return ok && buffered.Evicted()
+	c := idleconn.Conn(r)
+	return c != nil && c.Evicted()
 }
 
 // blockedWrite is the time from which on a write to the caller counts as having waited.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,7 +12,9 @@
 	"marjorampitch/api"
 	"marjorampitch/backend"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/callerconn"
 	"marjorampitch/internal/clock"
+	"marjorampitch/internal/idleconn"
 	"marjorampitch/pace"
 )
 
@@ -308,6 +310,9 @@
 
 // forwardAnswer forwards the response to an attempt for which settle returned nil.
 func (g *Gateway) forwardAnswer(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
+	if conn := idleconn.Conn(c.r); conn != nil {
+		conn.Served()
+	}
 	if isStream(resp.Response) && resp.StatusCode == http.StatusOK {
 		return g.forwardStream(ctx, c, m, resp, sent)
 	}
@@ -329,7 +334,7 @@
 // has disconnected, there is no room for the response, or the time was over after a pause
 // of this process, the server is not at fault.
 func (g *Gateway) attemptFailed(ctx context.Context, c *call, m *fleet.Member, sent time.Duration, err error) {
-	if c.r.Context().Err() != nil || errors.Is(err, errBuffersFull) || pausedAtDeadline(ctx) {
+	if c.r.Context().Err() != nil || errors.Is(err, callerconn.ErrNoRoom) || pausedAtDeadline(ctx) {
 		c.service.attemptEnded(m, g.now(), severityNone)
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,9 +20,9 @@
 	"marjorampitch/cost"
 	"marjorampitch/directory"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/callerconn"
 	"marjorampitch/internal/clock"
 	"marjorampitch/internal/idleconn"
-	"marjorampitch/internal/outbuf"
 	"marjorampitch/internal/sockopt"
 	"marjorampitch/pace"
 	"marjorampitch/peerread"
@@ -89,7 +89,7 @@
 type Gateway struct {
 	opts       Options
 	pool       *backend.Pool
-	callers    *outbuf.Buffers // of the connections of callers
+	callers    *callerconn.Conns
 	start      time.Time
 	metrics    *metrics
 	peers      *peers
@@ -119,7 +119,7 @@
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.statements = newServerStatements(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
-	g.callers = newCallerBuffers(g, opts.Settings.MemoryLimit)
+	g.callers = newCallerConns(g, opts.Settings.MemoryLimit, opts.Settings.Sockets)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
 	opts.Registry.MustRegister(collector{g})
@@ -216,8 +216,7 @@
 // Run serves until ctx is done, then shuts down gracefully within the grace period.
 func (g *Gateway) Run(ctx context.Context) error {
 	st := g.opts.Settings
-	lc := net.ListenConfig{Control: sockopt.UserTimeout(callerUserTimeout)}
-	ln, err := lc.Listen(ctx, "tcp", st.Listen)
+	ln, err := callerconn.Listen(ctx, st.Listen, sockopt.UserTimeout(callerUserTimeout))
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -235,8 +234,7 @@
 		Handler: g, ReadHeaderTimeout: maxHeaderTimeout,
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
-	conns := idleconn.Track(srv)
-	withCallerConns(srv)
+	conns := idleconn.Track(srv, idleconn.Options{MaxHead: g.maxHead, Refuse: g.refuseFull})
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(conns.Listener(g.callers.Listener(ln))) }()
 	tick := time.NewTicker(sweepInterval)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,6 +19,7 @@
 	ReadyAddr   string // listen address of the platform's readiness check
 	PeerPort    int    // UDP port for load reports between instances; 0 for none
 	MemoryLimit int64  // bytes; 0 for no limit
+	Sockets     int    // sockets that the process may have open; 0 for no limit
 	// EntryInterval is the time between two entries that a backend server writes to
 	// the store; 0 for defaultEntryInterval.
 	EntryInterval time.Duration
--- a/gateway/slow_body_test.go
+++ b/gateway/slow_body_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/admit"
 	"marjorampitch/fleet"
+	"marjorampitch/internal/callerconn"
 )
 
 // longBody is more than the sockets between the gateway and a server hold.
@@ -240,11 +242,12 @@
 // Slow callers that make progress keep nobody's request out.
 func TestSlowCallersLeaveRoomForBodies(t *testing.T) {
 	g := newUnservedGateway(t).g
-	g.callers = newCallerBuffers(g, 10<<20)
-	limit := int64(bufferShare * (10 << 20))
+	g.callers = newCallerConns(g, 10<<20, 0)
+	limits := admit.NewConnLimits(10<<20, 0, callerconn.ConnBytes)
+	limit := limits.Bytes
 	ln := listenSmall(t)
 	defer ln.Close()
-	for range int(2 / maxCallerShare) {
+	for range 2 * limits.Bytes / limits.UnreadPerConn {
 		dialSlow(t, ln, "/fixed/")
 		conn, err := g.callers.Listener(ln).Accept()
 		require.NoError(t, err)
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -16,7 +16,7 @@
 
 	"marjorampitch/admit"
 	"marjorampitch/fleet"
-	"marjorampitch/internal/outbuf"
+	"marjorampitch/internal/callerconn"
 )
 
 // smallSocket is the size of the socket buffers of callers and servers, in bytes.
@@ -79,7 +79,7 @@
 // limitBuffers sets the bytes that the gateway may hold, in total and for one caller.
 func (tg *testGateway) limitBuffers(limit, perHolder int64) {
 	onCut := tg.g.callers.OnCut
-	tg.g.callers = outbuf.New(admit.NewBufferBudget(limit, perHolder), tg.g.now)
+	tg.g.callers = callerconn.New(admit.NewConnBudget(admit.ConnLimits{Bytes: limit, UnreadPerConn: perHolder}), tg.g.now)
 	tg.g.callers.OnCut = onCut
 }
 
@@ -140,7 +140,7 @@
 		c := dialSlow(t, ln, "/fixed/")
 		go func() {
 			c.br = bufio.NewReaderSize(c, 16) // reads byte by byte, as far as the sockets show it
-			body, err := c.readSlowly(admit.BufferStall + time.Second)
+			body, err := c.readSlowly(admit.Stall + time.Second)
 			results <- fmt.Sprint(strings.Count(body, "id: "), err)
 		}()
 	}
--- a/internal/outbuf/outbuf_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,4 +1,4 @@
-package outbuf
+package callerconn
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 const smallSocket = 16 << 10
 
 // connPair returns a buffered connection and its peer.
-func connPair(t *testing.T, b *Buffers) (*Conn, *net.TCPConn) {
+func connPair(t *testing.T, b *Conns) (*Conn, *net.TCPConn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
@@ -38,9 +38,9 @@
 
 func (c *testClock) add(d time.Duration) { c.now.Add(int64(d)) }
 
-func newBuffers(limit, perHolder int64) (*Buffers, *testClock) {
+func newTestConns(limit, perHolder int64) (*Conns, *testClock) {
 	clock := &testClock{}
-	return New(admit.NewBufferBudget(limit, perHolder), func() time.Duration { return time.Duration(clock.now.Load()) }), clock
+	return New(admit.NewConnBudget(admit.ConnLimits{Bytes: limit, UnreadPerConn: perHolder}), func() time.Duration { return time.Duration(clock.now.Load()) }), clock
 }
 
 // Writes of any size arrive complete and in order at peers of any pace, also where the
@@ -51,7 +51,7 @@
 			t.Parallel()
 			for seed := range uint64(3) {
 				rng := rand.New(rand.NewPCG(seed, 0))
-				b, _ := newBuffers(limit, limit)
+				b, _ := newTestConns(limit, limit)
 				c, peer := connPair(t, b)
 				var want bytes.Buffer
 				var sizes []int
@@ -93,7 +93,7 @@
 }
 
 // fill writes until at least n bytes are held and the sockets take no more.
-func fill(t *testing.T, b *Buffers, c *Conn, n int64) {
+func fill(t *testing.T, b *Conns, c *Conn, n int64) {
 	for settled := 0; settled < 10; {
 		if used, _ := b.Used(); used >= n {
 			settled++
@@ -108,13 +108,13 @@
 
 // The answer of a peer that does not read ends with a reset, not like a complete one.
 func TestEvictedConnectionIsReset(t *testing.T) {
-	b, clock := newBuffers(64<<10, 64<<10)
+	b, clock := newTestConns(64<<10, 64<<10)
 	cuts := make(chan Cut, 1)
 	b.OnCut = func(c Cut) { cuts <- c }
 	c, peer := connPair(t, b)
 	fill(t, b, c, 60<<10)
 	require.False(t, b.Reserve(32<<10), "not stalled for long enough")
-	clock.add(admit.BufferStall)
+	clock.add(admit.Stall)
 	require.True(t, b.Reserve(32<<10))
 	require.True(t, c.Evicted())
 	require.ErrorIs(t, (<-cuts).Reason, ErrEvicted)
@@ -129,7 +129,7 @@
 
 // The socket itself has no room yet for what is held.
 func TestPeerThatReadsLittleIsNotStalled(t *testing.T) {
-	b, clock := newBuffers(1<<20, 1<<20)
+	b, clock := newTestConns(1<<20, 1<<20)
 	c, peer := connPair(t, b)
 	fill(t, b, c, 700<<10)
 	buf := make([]byte, 16<<10)
@@ -137,11 +137,11 @@
 		_, err := io.ReadFull(peer, buf)
 		require.NoError(t, err)
 		time.Sleep(10 * time.Millisecond) // for the acknowledgement
-		clock.add(admit.BufferStall / 4)
+		clock.add(admit.Stall / 4)
 		b.Sample()
 		require.False(t, b.Reserve(1<<20) || c.Evicted())
 	}
-	clock.add(admit.BufferStall)
+	clock.add(admit.Stall)
 	require.True(t, b.Reserve(1<<20))
 	require.True(t, c.Evicted())
 }
--- a/internal/outbuf/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,4 +1,4 @@
-package outbuf
+package callerconn
 
 import (
 	"errors"
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"marjorampitch/admit"
 )
 
 // minChunk is the least size of a chunk of held bytes.
@@ -16,23 +18,28 @@
 
 // ErrEvicted means that a connection was ended in favour of others because its peer had
 // not read for a while.
-var ErrEvicted = eris.New("outbuf: peer does not read")
+var ErrEvicted = eris.New("callerconn: peer does not read")
 
 // Conn is a connection whose writes wait for the peer only if the budget is used up.
 type Conn struct {
 	net.Conn
 	raw     syscall.RawConn
-	buffers *Buffers
-	id      uint64 // of the holder; set by Buffers.hold
+	all     *Conns
+	id      uint64 // in the budget; set by Conns.open
 	evicted atomic.Bool
-	held    atomic.Int64 // bytes not yet written
+	held    atomic.Int64    // bytes of answers not yet written
+	stage   admit.ConnStage // guarded by Conns.mu
 
 	writing    sync.Mutex // held by Write
 	direct     []byte     // what tryWrite writes; guarded by writing
 	written    int        // result of tryWrite
 	err        error      // result of tryWrite
 	tryOnce    func(fd uintptr) bool
-	lastUnsent int // bytes in the socket at the last sample; guarded by Buffers.mu
+	lastUnsent int // bytes in the socket at the last sample; guarded by Conns.mu
+
+	yieldStage admit.ConnStage // in which it yielded; set before yield is called
+	deadlines  sync.Mutex      // guards readEnded
+	readEnded  bool            // reads end at once, whatever deadline is set
 
 	mu         sync.Mutex // guards the fields below
 	chunks     [][]byte   // not yet written; nil if nothing is held
@@ -42,8 +49,8 @@
 	flushed    chan struct{} // closed when nothing is held any more; nil for no waiter
 }
 
-func newConn(c net.Conn, raw syscall.RawConn, b *Buffers) *Conn {
-	x := &Conn{Conn: c, raw: raw, buffers: b}
+func newConn(c net.Conn, raw syscall.RawConn, b *Conns) *Conn {
+	x := &Conn{Conn: c, raw: raw, all: b}
 	x.tryOnce = func(fd uintptr) bool {
 		x.written, x.err = write(fd, x.direct)
 		return true
@@ -116,7 +123,7 @@
 		return true
 	}
 	size := max(len(p), minChunk)
-	if !c.buffers.hold(c, int64(size)) {
+	if !c.all.hold(c, int64(size)) {
 		return false
 	}
 	starts := c.chunks == nil
@@ -162,7 +169,7 @@
 		if freed > 0 {
 			done = 0
 		}
-		c.buffers.progress(c, freed)
+		c.all.progress(c, freed)
 		if ended {
 			c.end()
 			return
--- /dev/null
+++ b/internal/callerconn/conns.go
@@ -0,0 +1,282 @@
+// Package callerconn keeps the connections of callers within the descriptors and the memory
+// that a process may spend on them.
+//
+// All listeners of a process share one Conns. Each connection takes a descriptor and some
+// memory; requests that are read and answers that are not read take more. Where nothing is
+// left, admit.ConnBudget decides which connections yield, and they are ended.
+//
+// Writes to peers that read slowly do not wait for them: a write passes to the socket what
+// it accepts at once, and the rest is held and written by a goroutine that runs only while
+// something is held. Without room in the budget a write waits for the peer.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marjorampitch/admit"
+)
+
+const (
+	// ConnBytes is the memory that an open connection takes by itself: the stacks of its
+	// goroutines, the buffers of http.Server, the head of an ordinary request, and what its
+	// socket holds unread.
+	ConnBytes = 24<<10 + headBytes + receiveBufferBytes
+	// headBytes is the part of it for the head of a request. What a head takes beyond that
+	// is held for the request.
+	headBytes = 8 << 10
+	// receiveBufferBytes is the size of a socket's receive buffer. Bytes that wait in it are
+	// memory of the instance, too.
+	receiveBufferBytes = 16 << 10
+)
+
+// Conns are the connections of callers of a process. They are safe for concurrent use.
+type Conns struct {
+	clock func() time.Duration
+	// OnCut is called for each connection that is ended because its peer did not read
+	// what was held for it: with the bytes held, and the time without progress. It may
+	// be nil. Set it before the first use.
+	OnCut func(Cut)
+	// OnYield is called for each other connection that is ended in favour of others, and
+	// for each that is not accepted. It may be nil. Set it before the first use.
+	OnYield func(Yield)
+
+	mu     sync.Mutex // guards the fields below
+	budget *admit.ConnBudget
+	conns  map[uint64]*Conn // those that are open or hold bytes
+	nextID uint64
+}
+
+// Cut describes a connection that was ended because its peer did not read.
+type Cut struct {
+	Peer   string        // address
+	Held   int64         // bytes
+	Unread time.Duration // without progress
+	Reason error         // ErrEvicted, or the error of the connection
+}
+
+// Yield describes a connection that was ended in favour of others.
+type Yield struct {
+	Peer  string // address
+	Cause YieldCause
+}
+
+// YieldCause is why a connection was ended.
+type YieldCause string
+
+// Values of YieldCause.
+const (
+	YieldNotAccepted YieldCause = "not-accepted" // no connection could yield to a new one
+	YieldHead        YieldCause = "head"         // the head of its request was not whole
+	YieldIdle        YieldCause = "idle"
+	YieldAnswered    YieldCause = "answered" // its request had been answered, but not read to its end
+	YieldBody        YieldCause = "body"     // the body of its request did not arrive
+)
+
+// YieldCauses are all values of YieldCause.
+var YieldCauses = []YieldCause{YieldNotAccepted, YieldHead, YieldIdle, YieldAnswered, YieldBody}
+
+// Listen listens for callers on address. control, if not nil, sets further options of the
+// sockets. Errors: those of net.ListenConfig.Listen.
+func Listen(ctx context.Context, address string, control func(network, address string, c syscall.RawConn) error) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(network, address string, c syscall.RawConn) error {
+		// Connections inherit the size from the listener. A kernel that refuses it uses its own.
+		c.Control(func(fd uintptr) { //nolint:errcheck // see above
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) //nolint:errcheck // see above
+		})
+		if control == nil {
+			return nil
+		}
+		return control(network, address, c)
+	}}
+	return lc.Listen(ctx, "tcp", address)
+}
+
+// New returns connections that share a budget. clock must be monotonic.
+func New(budget *admit.ConnBudget, clock func() time.Duration) *Conns {
+	return &Conns{clock: clock, budget: budget, conns: make(map[uint64]*Conn)}
+}
+
+// Listener returns a listener whose connections belong to b. Connections for which there is
+// no room are closed. Connections without a file descriptor are left as they are.
+func (b *Conns) Listener(ln net.Listener) net.Listener { return &listener{ln, b} }
+
+type listener struct {
+	net.Listener
+	all *Conns
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		s, ok := c.(syscall.Conn)
+		if !ok {
+			return c, nil
+		}
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return c, nil //nolint:nilerr // a connection that has ended already
+		}
+		if accepted := newConn(c, raw, l.all); l.all.open(accepted) {
+			return accepted, nil
+		}
+		c.Close()
+		l.all.yielded(Yield{c.RemoteAddr().String(), YieldNotAccepted})
+	}
+}
+
+// Reserve takes n bytes of the budget for something that is not held for a connection.
+// It reports whether it did.
+func (b *Conns) Reserve(n int64) bool {
+	b.mu.Lock()
+	ok, evicted := b.budget.Reserve(n, b.clock())
+	cut := b.removed(evicted)
+	b.mu.Unlock()
+	b.abort(cut)
+	return ok
+}
+
+// Release returns n bytes taken by Reserve.
+func (b *Conns) Release(n int64) {
+	b.mu.Lock()
+	b.budget.Release(n)
+	b.mu.Unlock()
+}
+
+// Used returns the bytes of the budget in use and the number of connections that hold some.
+func (b *Conns) Used() (bytes int64, conns int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Used()
+}
+
+// Sample records the connections whose peers have read from what their sockets hold.
+// It is called about every second: the socket itself reports late that it has room.
+func (b *Conns) Sample() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock()
+	for id, c := range b.conns {
+		if c.Held() > 0 && c.peerHasRead() {
+			b.budget.Progress(id, 0, now)
+		}
+	}
+}
+
+// open adds a connection and reports whether there is room for it.
+func (b *Conns) open(c *Conn) bool {
+	b.mu.Lock()
+	b.nextID++
+	c.id = b.nextID
+	ok, evicted := b.budget.Open(c.id, b.clock())
+	cut := b.removed(evicted)
+	if ok {
+		b.conns[c.id] = c
+	}
+	b.mu.Unlock()
+	b.abort(cut)
+	return ok
+}
+
+// closed removes a connection that has been closed.
+func (b *Conns) closed(c *Conn) {
+	b.mu.Lock()
+	b.budget.Drop(c.id)
+	delete(b.conns, c.id)
+	b.mu.Unlock()
+}
+
+// setRequest calls set, which changes what the request of c holds, and ends the connections
+// that yield to it.
+func (b *Conns) setRequest(c *Conn, set func(now time.Duration) (ok bool, yielded []uint64)) bool {
+	b.mu.Lock()
+	ok, evicted := set(b.clock())
+	cut := b.removed(evicted)
+	b.mu.Unlock()
+	b.abort(cut)
+	return ok
+}
+
+// setStage records what c is used for. It returns false if c has yielded.
+func (b *Conns) setStage(c *Conn, s admit.ConnStage) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.stage = s
+	return b.budget.SetStage(c.id, s, b.clock())
+}
+
+// hold takes n bytes for the answer of a connection and reports whether it did.
+func (b *Conns) hold(c *Conn, n int64) bool {
+	b.mu.Lock()
+	ok, evicted := b.budget.Hold(c.id, n, b.clock())
+	cut := b.removed(evicted)
+	if ok {
+		b.conns[c.id] = c
+	}
+	b.mu.Unlock()
+	b.abort(cut)
+	return ok
+}
+
+// progress records that the peer of a connection has taken bytes, and returns n bytes
+// to the budget.
+func (b *Conns) progress(c *Conn, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Progress(c.id, n, b.clock())
+}
+
+// failed removes a connection that has ended with err.
+func (b *Conns) failed(c *Conn, err error) {
+	b.mu.Lock()
+	held, at := b.budget.Holding(c.id)
+	b.budget.Drop(c.id)
+	delete(b.conns, c.id)
+	unread := b.clock() - at
+	b.mu.Unlock()
+	if held > 0 && b.OnCut != nil && !peerLeft(err) && !c.Evicted() {
+		b.OnCut(Cut{Peer: c.RemoteAddr().String(), Held: held, Unread: unread, Reason: err})
+	}
+}
+
+// removed returns the connections that yielded and forgets them. Callers hold mu.
+func (b *Conns) removed(evicted []uint64) []*Conn {
+	var list []*Conn
+	for _, id := range evicted {
+		c := b.conns[id]
+		c.yieldStage = c.stage
+		list = append(list, c)
+		delete(b.conns, id)
+	}
+	return list
+}
+
+// abort ends connections that yielded. Callers do not hold mu.
+func (b *Conns) abort(evicted []*Conn) {
+	for _, c := range evicted {
+		if held := c.Held(); held > 0 {
+			c.abort()
+			if b.OnCut != nil {
+				b.OnCut(Cut{Peer: c.RemoteAddr().String(), Held: held, Unread: admit.Stall, Reason: ErrEvicted})
+			}
+			continue
+		}
+		b.yielded(Yield{c.RemoteAddr().String(), c.yield()})
+	}
+}
+
+// yielded reports a connection that was ended in favour of others.
+func (b *Conns) yielded(y Yield) {
+	if b.OnYield != nil {
+		b.OnYield(y)
+	}
+}
--- a/internal/outbuf/end.go
+++ b/internal/callerconn/end.go
@@ -1,4 +1,4 @@
-package outbuf
+package callerconn
 
 import (
 	"errors"
@@ -42,7 +42,7 @@
 	c.mu.Unlock()
 	switch {
 	case closed:
-		c.Conn.Close()
+		c.closeNow()
 	case halfClosed:
 		closeWrite(c.Conn) //nolint:errcheck // the connection is closed next
 	}
@@ -58,13 +58,20 @@
 	closed := c.closed
 	c.wake()
 	c.mu.Unlock()
-	c.buffers.failed(c, err)
+	c.all.failed(c, err)
 	c.held.Store(0)
 	if closed {
-		c.Conn.Close()
+		c.closeNow()
 	}
 }
 
+// closeNow closes the connection and returns what it takes to the budget.
+func (c *Conn) closeNow() error {
+	err := c.Conn.Close()
+	c.all.closed(c)
+	return err
+}
+
 // abort resets the connection and returns the bytes that were held for it.
 func (c *Conn) abort() (held int64) {
 	c.evicted.Store(true)
@@ -91,7 +98,7 @@
 	if holding {
 		return nil
 	}
-	return c.Conn.Close()
+	return c.closeNow()
 }
 
 // CloseWrite ends the sending direction once what is held has been written.
@@ -117,7 +124,7 @@
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
 // peerHasRead reports whether the socket holds less than at the last call. Callers hold
-// Buffers.mu.
+// Conns.mu.
 func (c *Conn) peerHasRead() bool {
 	unsent := 0
 	var err error
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -1,9 +1,17 @@
 // Package idleconn ends idle connections of an http.Server without ever ending one
-// from which a request has been read.
+// from which a request has been read, and limits the heads of requests.
+//
+// # Idle connections
 //
 // http.Server reports a connection as idle until it has parsed the head of the next
 // request, and its Shutdown closes such connections. A request that has been read by
 // then gets no answer, although its caller cannot know whether it ran.
+//
+// # Heads
+//
+// http.Server parses a whole head, and keeps all of its fields, before a handler sees it. A
+// head is therefore counted as it is read: one that is too long, or for which the process
+// has no room, is refused before it is parsed.
 package idleconn
 
 import (
@@ -14,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"marjorampitch/internal/callerconn"
 	"marjorampitch/internal/sockopt"
 )
 
@@ -22,29 +31,65 @@
 
 // Tracker tracks the connections of one http.Server. It is safe for concurrent use.
 type Tracker struct {
+	opts Options
 	mu   sync.Mutex // guards open; conn.mu may be taken while it is held
 	open map[*conn]struct{}
 }
 
+// Options configure a Tracker.
+type Options struct {
+	// MaxHead returns the largest size of a request's head in bytes, apart from headSlack.
+	// It is called for each head. nil stands for no limit but that of http.Server.
+	MaxHead func() int
+	// Refuse answers a request for which there is no room. Its response is the last one on
+	// the connection. nil stands for status 503.
+	Refuse http.HandlerFunc
+}
+
 // Track makes t follow the connections of srv, whose handler must be set. It replaces
-// ConnState and ConnContext. The server must use t.Listener.
-func Track(srv *http.Server) *Tracker {
-	t := &Tracker{open: make(map[*conn]struct{})}
+// ConnState and ConnContext. The server must use t.Listener. What connections hold is taken
+// from their budget if the listener is one of callerconn.
+func Track(srv *http.Server, opts Options) *Tracker {
+	if opts.Refuse == nil {
+		opts.Refuse = refuse
+	}
+	t := &Tracker{opts: opts, open: make(map[*conn]struct{})}
 	srv.ConnState = t.stateChanged
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	handler := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Context().Value(connKey{}).(*conn).setPhase(handling)
+		c := r.Context().Value(connKey{}).(*conn)
+		if !c.begin(r) {
+			SkipBody(w)
+			opts.Refuse(w, r)
+			return
+		}
+		defer c.end()
 		handler.ServeHTTP(w, r)
 	})
 	return t
 }
 
+// refuse answers that there is no room for a request.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // connKey is the context key of a request's *conn.
 type connKey struct{}
 
+// Conn returns the connection of a request, as its budget knows it; nil if it has none.
+func Conn(r *http.Request) *callerconn.Conn {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	return c.budget
+}
+
 // Listener returns a listener whose connections t tracks.
 func (t *Tracker) Listener(ln net.Listener) net.Listener { return &listener{ln, t} }
 
@@ -52,7 +97,7 @@
 func (t *Tracker) stateChanged(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateIdle:
-		c.(*conn).setPhase(idle)
+		c.(*conn).idle()
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		delete(t.open, c.(*conn))
@@ -130,7 +175,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, since: time.Now()}
+	c := &conn{Conn: accepted, maxHead: l.tracker.opts.MaxHead, since: time.Now()}
+	c.budget, _ = accepted.(*callerconn.Conn)
 	l.tracker.mu.Lock()
 	l.tracker.open[c] = struct{}{}
 	l.tracker.mu.Unlock()
@@ -149,8 +195,11 @@
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
+	budget  *callerconn.Conn // the same connection; nil if it has no budget
+	maxHead func() int       // as Options.MaxHead
 
 	mu       sync.Mutex // guards the fields below
+	head     head
 	phase    phase
 	since    time.Time // start of the phase
 	deadline time.Time // read deadline set by http.Server
@@ -165,11 +214,20 @@
 		return n, err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == idle {
+	began := c.phase == idle
+	if began {
 		c.phase, c.since = reading, time.Now()
 		c.withdraw()
 	}
+	c.head.add(p[:n])
+	h, isHead := c.head, c.phase == reading
+	c.mu.Unlock()
+	if isHead {
+		if status := c.admitHead(&h, began); status != 0 {
+			c.refuse(status)
+			return 0, errRefused
+		}
+	}
 	return n, err
 }
 
@@ -190,9 +248,6 @@
 	return nil
 }
 
-// NetConn returns the connection that the listener has accepted.
-func (c *conn) NetConn() net.Conn { return c.Conn }
-
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/idleconn/idleconn_test.go
+++ b/internal/idleconn/idleconn_test.go
@@ -27,7 +27,7 @@
 func serveInBubble(t *testing.T, h http.HandlerFunc, test func(t *testing.T, ln *pipetest.Listener, tracker *Tracker)) {
 	synctest.Test(t, func(t *testing.T) {
 		srv := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
-		tracker, ln := Track(srv), pipetest.NewListener()
+		tracker, ln := Track(srv, Options{}), pipetest.NewListener()
 		go srv.Serve(tracker.Listener(ln))
 		ctx, stop := context.WithCancel(context.Background())
 		defer func() {
@@ -103,7 +103,7 @@
 
 func TestRequestWaitingInSocketBufferIsRead(t *testing.T) {
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
-	tracker := Track(srv)
+	tracker := Track(srv, Options{})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go srv.Serve(tracker.Listener(ln))
