A refusal does not wait for the rest of a body

Callers saw no answer at all where a request was refused before its body had arrived, such as on a path without a route; the connection, its descriptor and its head stayed for as long as the client liked.

Cause: http.Server reads up to 256 KiB of a body that no handler has read before it sends the response, without a limit of time.

Evidence: TestRefusalDoesNotWaitForBody fails before in three of four cases (no answer in 10 s); "body over the limit" held. TestRefusalKeepsConnectionIfBodyIsThere held before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -261,8 +261,12 @@
 	if c.id != "" {
 		h.Set(g.opts.Headers.RequestID, c.id)
 	}
-	if !c.bodyRead && (e.Code == api.BuffersFull || e.Code == api.BodyTooSlow) {
+	switch {
+	case c.bodyRead:
+	case e.Code == api.BuffersFull || e.Code == api.BodyTooSlow:
 		idleconn.SkipBody(c.w)
+	default:
+		idleconn.FinishBody(c.w, c.r)
 	}
 	if after > 0 && info.Ran == api.NotRun {
 		h.Set(retryAfterHeader, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- /dev/null
+++ b/gateway/refused_body_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A refusal does not wait for the rest of a body, whatever the reason of the refusal is.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"no route":            "POST /nowhere/ HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n",
+		"no route, chunks":    "POST /nowhere/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n",
+		"unknown key":         "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Key: none\r\nContent-Length: 10\r\n",
+		"body over the limit": "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Key: key\r\nContent-Length: 1099511627776\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tg := newUnservedGateway(t)
+			tg.document(allowTime)
+			tg.server(serve("answer"))
+			ln := listenSmall(t)
+			tg.serveOn(ln)
+			caller, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			defer caller.Close()
+			require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+			fmt.Fprintf(caller, "%sX-Id: %x\r\n\r\n", head, nextID.Add(1))
+			br := bufio.NewReader(caller)
+			resp, err := http.ReadResponse(br, nil)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, resp.StatusCode, http.StatusBadRequest)
+			require.True(t, resp.Close)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			_, err = br.ReadByte()
+			require.Error(t, err, "the connection is closed")
+		})
+	}
+}
+
+// The connection of a refused request whose body has been sent is kept.
+func TestRefusalKeepsConnectionIfBodyIsThere(t *testing.T) {
+	t.Parallel()
+	tg := newUnservedGateway(t)
+	tg.document(allowTime)
+	tg.server(serve("answer"))
+	ln := listenSmall(t)
+	tg.serveOn(ln)
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	br := bufio.NewReader(caller)
+	for _, path := range []string{"/nowhere/", "/once/"} {
+		fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %x\r\nX-Key: key\r\nContent-Length: 10\r\n\r\n%s", path, nextID.Add(1), strings.Repeat("x", 10))
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.False(t, resp.Close)
+		if path == "/once/" {
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+		}
+	}
+}
