Connections to servers have a part of the sockets

Callers saw requests fail while many were served at once: connections to backend servers took all descriptors that were left, up to 808 sockets of 300 in a crowd of 400 clients that send requests ahead.

Cause: the pool of connections to servers had no limit in total, only 12 idle ones for each server.

Half of the sockets, less 24 for listeners, the store and other instances, is for servers. Where it is used up, the idle connection that expires first is closed, to whichever server; without one the request is refused (219, 503, not run), and the server is not held to be at fault.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -10,10 +10,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,11 +46,17 @@
 // over before it was sent. Nothing was sent.
 var ErrDial = eris.New("backend: no connection")
 
+// ErrNoSocket is the cause of an ErrDial where the process may open no further connection.
+// It says nothing about the server.
+var ErrNoSocket = eris.New("backend: no socket left")
+
 // Conn is a connection to a backend server. One request uses it at a time.
 type Conn struct {
 	*duplex.Conn
 	br        *bufio.Reader
 	address   string
+	pool      *Pool
+	closed    atomic.Bool
 	reused    bool          // has served a request before
 	refused   []uint64      // hashes of the ids of requests that were refused on it; maxRefused at most
 	expiresAt time.Duration // on the clock of the Pool; not reused from then on
@@ -62,16 +70,27 @@
 	c.Close()
 }
 
-// Pool keeps idle connections by address. Set OnOpen before the first use; the
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return err
+}
+
+// Pool keeps idle connections by address. Set OnOpen and MaxOpen before the first use; the
 // methods are safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
 	clock  func() time.Duration
+	open   atomic.Int64 // connections, and dials underway
 
 	mu   sync.Mutex // guards idle
 	idle map[string][]*Conn
 
-	OnOpen func() // called after each new connection; may be nil
+	OnOpen  func() // called after each new connection; may be nil
+	MaxOpen int    // connections, idle ones included; 0 for no limit
 }
 
 // NewPool returns an empty pool. clock must be monotonic.
@@ -102,14 +121,53 @@
 		}
 		c.Close()
 	}
+	if !p.takeSocket() {
+		return nil, fmt.Errorf("%w: %w", ErrNoSocket, ErrDial)
+	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &Conn{Conn: duplex.New(conn.(*net.TCPConn)), br: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	return &Conn{Conn: duplex.New(conn.(*net.TCPConn)), br: bufio.NewReaderSize(conn, readBufferBytes), address: address, pool: p}, nil
+}
+
+// takeSocket counts a connection that is to be opened. In favour of it, idle connections to
+// any server are closed. It reports whether there is room.
+func (p *Pool) takeSocket() bool {
+	for p.open.Add(1) > int64(p.MaxOpen) && p.MaxOpen > 0 {
+		p.open.Add(-1)
+		c := p.takeAny()
+		if c == nil {
+			return false
+		}
+		c.Close()
+	}
+	return true
+}
+
+// takeAny removes and returns the idle connection that expires first; nil if there is none.
+func (p *Pool) takeAny() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first *Conn
+	for _, list := range p.idle {
+		for _, c := range list {
+			if first == nil || c.expiresAt < first.expiresAt {
+				first = c
+			}
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	list := p.idle[first.address]
+	at := slices.Index(list, first)
+	p.idle[first.address] = slices.Delete(list, at, at+1)
+	return first
 }
 
 // take removes and returns the most recently used idle connection on which no request with
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -278,6 +278,10 @@
 // settle records what became of an attempt up to the head of its response. It returns nil
 // if the response is the answer to the request.
 func (g *Gateway) settle(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, err error, sent time.Duration) *api.Error {
+	if errors.Is(err, backend.ErrNoSocket) {
+		c.service.attemptEnded(m, g.now(), severityNone)
+		return g.retryElsewhere(api.BuffersFull, "connections to servers")
+	}
 	if errors.Is(err, backend.ErrDial) {
 		if c.r.Context().Err() != nil || errors.Is(err, backend.ErrPaused) {
 			c.service.attemptEnded(m, g.now(), severityNone)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	g.callers = newCallerConns(g, opts.Settings.MemoryLimit, opts.Settings.Sockets)
 	g.pool = backend.NewPool(g.now)
 	g.pool.OnOpen = g.metrics.opened.Inc
+	g.pool.MaxOpen = maxServerConns(opts.Settings.Sockets)
 	opts.Registry.MustRegister(collector{g})
 	return g
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,6 +26,24 @@
 	Bounds        Bounds
 }
 
+// Sockets other than those of callers, which take half.
+const (
+	// otherSockets are those for listeners, the store, other instances and the runtime.
+	otherSockets = 24
+	// serverSocketShare is the part of the process's sockets for connections to servers,
+	// without otherSockets.
+	serverSocketShare = 0.5
+)
+
+// maxServerConns returns the number of connections to servers for a process with this
+// number of sockets; 0 for no limit.
+func maxServerConns(sockets int) int {
+	if sockets <= 0 {
+		return 0
+	}
+	return max(1, int(serverSocketShare*float64(sockets))-otherSockets)
+}
+
 // Bounds are the guarantees of a deployment.
 type Bounds struct {
 	DrainBound       time.Duration // a draining server gets no new work after this time
