Readiness and metrics listeners share the budgets of callers' connections

Callers of these listeners could end the process in the same ways as at the callers' door: 951 to 1,155 MB of 96 under heads over the limit, about 410 of 300 sockets under any crowd, on gateways and rebalancers.

Cause: each had an http.Server of its own with a limit for the time of the head only, and the default of 1 MB for its size.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,7 +38,6 @@
 	stopTimeout        = 10 * time.Minute // for requests in flight during a graceful shutdown
 	traceFlushTimeout  = 2 * time.Second
 	checkpointInterval = 10 * time.Minute
-	statusTimeout      = 5 * time.Second
 	traceSampleRatio   = 1.0 // share of the traces started by this process that are recorded
 )
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/rotisserie/eris"
 
 	"marjorampitch/directory"
 	"marjorampitch/fleet"
@@ -118,10 +116,10 @@
 		Cache: cache, FreshnessProof: operator.FreshnessProof, ServersProof: servers.FreshnessProof,
 		Log: logger, Registry: registry, Directory: dir, Relay: link,
 	})
-	if err := serveHTTP(background, st.Gateway.ReadyAddr, readyHandler(g.Ready)); err != nil {
+	if err := serveStatus(background, g.Callers(), st.Gateway.ReadyAddr, readyHandler(g.Ready), logger); err != nil {
 		return err
 	}
-	if err := serveHTTP(background, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, readyError(g.Ready))); err != nil {
+	if err := serveStatus(background, g.Callers(), st.Gateway.Address+metricsPort, telemetry.NewMux(registry, readyError(g.Ready)), logger); err != nil {
 		return err
 	}
 	logger.Info("started", "listen", st.Gateway.Listen, "store", st.StoreAddress)
@@ -152,19 +150,6 @@
 	}
 }
 
-// serveHTTP serves h on address until ctx ends. Error: the address cannot be
-// listened on.
-func serveHTTP(ctx context.Context, address string, h http.Handler) error {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, "open HTTP listener")
-	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: statusTimeout}
-	go srv.Serve(ln) //nolint:errcheck // ends with the process
-	context.AfterFunc(ctx, func() { srv.Close() })
-	return nil
-}
-
 // watchSettings reads the settings file again on each SIGHUP and logs whether it is
 // valid. The settings in force do not change before the process restarts.
 func watchSettings(ctx context.Context, path string, logger *log.Logger) {
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -63,7 +63,8 @@
 		Log:           logger,
 		Registry:      registry,
 	})
-	if err := serveHTTP(ctx, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, func() error { return nil })); err != nil {
+	conns := newConns(st.Gateway.MemoryLimit, st.Gateway.Sockets, logger)
+	if err := serveStatus(ctx, conns, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, func() error { return nil }), logger); err != nil {
 		return err
 	}
 	logger.Info("started", "engine", st.BackendAddress, "store", st.StoreAddress)
