--- a/api/code.go
+++ b/api/code.go
@@ -115,7 +115,7 @@
 	GroupStalled:     {"group-stalled", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "a rank of the model's group is down and the group stands still"},
 	CrashSuspect:     {"crash-suspect", http.StatusServiceUnavailable, NotRun, 10 * time.Minute, "requests with the same part of the prompt, or the same request, crashed backend servers; refused while the evidence stands, or because copies of the suspected request run one at a time"},
 	ServersResting:   {"servers-resting", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the backend servers that could take the request have asked for rest"},
-	BuffersFull:      {"buffers-full", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process holds as much as it may for callers and servers that are slow"},
+	BuffersFull:      {"buffers-full", http.StatusServiceUnavailable, NotRun, 1 * time.Second, "the process holds as much as it may for requests and slow peers, or has no connection to a server left"},
 
 	Unresolved:       {"unresolved", http.StatusBadGateway, MayHaveRun, 0, "the call was sent and its fate cannot be learnt"},
 	StreamBroken:     {"stream-broken", http.StatusBadGateway, MayHaveRun, 1 * time.Second, "the answer broke off and the rest cannot be had"},
--- a/daemon/rebalancer.go
+++ b/daemon/rebalancer.go
@@ -63,7 +63,7 @@
 		Log:           logger,
 		Registry:      registry,
 	})
-	conns := newConns(st.Gateway.MemoryLimit, st.Gateway.Sockets, logger)
+	conns := newConns(st.Gateway.MemoryLimit, st.Gateway.Sockets, registry, logger)
 	if err := serveStatus(ctx, conns, st.Gateway.Address+metricsPort, telemetry.NewMux(registry, func() error { return nil }), logger); err != nil {
 		return err
 	}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/admit"
 	"marjorampitch/internal/callerconn"
 	"marjorampitch/internal/clock"
 	"marjorampitch/internal/idleconn"
+	"marjorampitch/telemetry"
 )
 
 // Limits of a listener for health checks, metrics and status pages.
@@ -26,12 +28,14 @@
 
 // newConns returns the connections of a process's listeners, for its memory in bytes and its
 // number of sockets.
-func newConns(memory int64, sockets int, logger *log.Logger) *callerconn.Conns {
+func newConns(memory int64, sockets int, registry prometheus.Registerer, logger *log.Logger) *callerconn.Conns {
 	conns := callerconn.New(admit.NewConnBudget(admit.NewConnLimits(memory, sockets, callerconn.ConnBytes)), clock.SinceBoot)
-	conns.OnCut = func(c callerconn.Cut) {
-		logger.Warn("slow-caller-cut", "caller", c.Peer, "held_bytes", c.Held, "unread_ms", c.Unread.Milliseconds(), "reason", c.Reason)
+	yielded, lines := telemetry.NewYieldCounter(registry), &callerconn.YieldLog{Log: logger}
+	conns.OnYield = func(y callerconn.Yield) {
+		yielded(string(y.Cause))
+		lines.Record(y)
 	}
-	conns.OnYield = func(y callerconn.Yield) { logger.Warn("connection-yielded", "caller", y.Peer, "cause", y.Cause) }
+	conns.OnCut = func(c callerconn.Cut) { conns.OnYield(callerconn.Yield{Peer: c.Peer, Cause: callerconn.YieldUnread}) }
 	return conns
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -22,9 +22,10 @@
 		g.opts.Log.Warn("slow-caller-cut", "caller", cut.Peer, "held_bytes", cut.Held,
 			"unread_ms", cut.Unread.Milliseconds(), "reason", cut.Reason)
 	}
+	lines := &callerconn.YieldLog{Log: g.opts.Log}
 	b.OnYield = func(y callerconn.Yield) {
-		g.metrics.yielded.WithLabelValues(string(y.Cause)).Inc()
-		g.opts.Log.Warn("connection-yielded", "caller", y.Peer, "cause", y.Cause)
+		g.metrics.yielded(string(y.Cause))
+		lines.Record(y)
 	}
 	return b
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marjorampitch/api"
+	"marjorampitch/telemetry"
 )
 
 // metricsNamespace is the prefix of all metric names.
@@ -33,7 +34,7 @@
 	opened           prometheus.Counter
 	idleClosed       prometheus.Counter
 	slowCallers      prometheus.Counter
-	yielded          *prometheus.CounterVec
+	yielded          func(cause string)
 	crashesSuspected prometheus.Counter
 	crashesConfirmed prometheus.Counter
 	firstEvent       prometheus.Histogram
@@ -66,10 +67,8 @@
 		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "prioritized_streams_total", Help: "Streams ended, by class of priority and result code, of services with several priorities.",
 		}, []string{"class", "code"}),
-		yielded: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "connections_yielded_total", Help: "Connections of callers that were ended or not accepted in favour of others, by cause.",
-		}, []string{"cause"}),
-		routes: make(map[string]bool),
+		yielded: telemetry.NewYieldCounter(r),
+		routes:  make(map[string]bool),
 		queueTime: histogram("queue_seconds", "Time that a request waited for admission.",
 			[]float64{.01, .03, .06, .12, .25, .5, 1}),
 		retries:          counter("retries_total", "Attempts after the first of a request."),
@@ -89,7 +88,7 @@
 		outputRatio: histogram("output_ratio", "Output tokens of a stream relative to those expected when it began.",
 			[]float64{.25, .5, .7, .85, 1, 1.2, 1.5, 2, 4}),
 	}
-	r.MustRegister(m.answers, m.streams, m.yielded)
+	r.MustRegister(m.answers, m.streams)
 	return m
 }
 
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -76,11 +76,9 @@
 	YieldIdle        YieldCause = "idle"
 	YieldAnswered    YieldCause = "answered" // its request had been answered, but not read to its end
 	YieldBody        YieldCause = "body"     // the body of its request did not arrive
+	YieldUnread      YieldCause = "unread"   // its answer was not read; reported by Conns.OnCut instead
 )
 
-// YieldCauses are all values of YieldCause.
-var YieldCauses = []YieldCause{YieldNotAccepted, YieldHead, YieldIdle, YieldAnswered, YieldBody}
-
 // Listen listens for callers on address. control, if not nil, sets further options of the
 // sockets. Errors: those of net.ListenConfig.Listen.
 func Listen(ctx context.Context, address string, control func(network, address string, c syscall.RawConn) error) (net.Listener, error) {
