Entries and sidecars keep their connections within settings of their own

Callers of an entry, and of the status pages of entries and sidecars, could end the process as on gateways: up to 1,505 MB and 1,588 sockets in crowds of 400.

Cause: no limit of memory or sockets in their settings; heads up to 32 KiB were parsed without being counted, bodies read into memory 1 MiB each, and a refusal waited up to 15 s for the rest of a body.

[process] has memory-mb and sockets (defaults 1024 and 16384, docs/CONFIG.md).

TestSoundClientsBesideCrowd is new, too: a slow body and an idle connection of clients that keep their promises are not cut beside a crowd. It was not run on the old code, where nothing is cut. TestLimitsInSettings checks the settings.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -253,3 +253,21 @@
 	_, err = config.CheckDocument(name, []byte(text), config.Build{Placement: build.Placement})
 	require.ErrorContains(t, err, "policy")
 }
+
+// Limits of a process have defaults, and bounds below which nothing could be served.
+func TestLimitsInSettings(t *testing.T) {
+	st, err := config.ParseSettings("side.ini", []byte(sideSettings))
+	require.NoError(t, err)
+	require.Positive(t, st.Process.MemoryMB)
+	require.Positive(t, st.Process.Sockets)
+	limited := strings.Replace(sideSettings, "[process]\n", "[process]\nmemory-mb = 96\nsockets = 300\n", 1)
+	st, err = config.ParseSettings("side.ini", []byte(limited))
+	require.NoError(t, err)
+	require.Equal(t, 96, st.Process.MemoryMB)
+	require.Equal(t, 300, st.Process.Sockets)
+	for _, bad := range []string{"memory-mb = 1", "memory-mb = 96MB", "sockets = -1", "sockets = 0"} {
+		_, err = config.ParseSettings("side.ini", []byte(strings.Replace(sideSettings, "[process]\n", "[process]\n"+bad+"\n", 1)))
+		var problems config.Problems
+		require.ErrorAs(t, err, &problems, bad)
+	}
+}
--- a/config/settings.go
+++ b/config/settings.go
@@ -55,6 +55,8 @@
 	HTTP       string        // IP:port for HTTP requests of callers; front proxies only
 	Status     string        // IP:port of health checks, metrics and the status page
 	DrainWait  time.Duration // time between reporting not ready and refusing new connections
+	MemoryMB   int           // memory that the process may take, in MiB
+	Sockets    int           // sockets that the process may have open
 }
 
 // PlatformSettings holds the keys of section [platform]: base URLs of the
@@ -83,6 +85,12 @@
 const (
 	maxDrainWait     = 10 * time.Minute
 	defaultDrainWait = 5 * time.Second
+	minMemoryMB      = 32
+	maxMemoryMB      = 1 << 20
+	defaultMemoryMB  = 1024
+	minSockets       = 64
+	maxSockets       = 1 << 20
+	defaultSockets   = 16384
 )
 
 // ParseSettings parses and validates the settings file of a process. file is used
@@ -136,6 +144,8 @@
 	p.Listen = s.address("listen", required)
 	p.Status = s.address("status", required)
 	p.DrainWait = s.duration("drain-wait", optional, defaultDrainWait, 0, maxDrainWait)
+	p.MemoryMB = s.integer("memory-mb", optional, defaultMemoryMB, minMemoryMB, maxMemoryMB)
+	p.Sockets = s.integer("sockets", optional, defaultSockets, minSockets, maxSockets)
 	if p.Role == RoleEntry {
 		p.HTTP = s.address("http", required)
 	} else if _, given := s.unread["http"]; given {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,21 +13,20 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rotisserie/eris"
 
 	"marjorampitch/backing"
 	"marjorampitch/config"
+	"marjorampitch/internal/callerconn"
 	"marjorampitch/logfold"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
@@ -50,6 +49,7 @@
 	logService backing.Log
 	runner     *logfold.Runner
 	hello      wire.Hello
+	conns      *callerconn.Conns // of all listeners for HTTP
 }
 
 // status is the content of a process's status page. It is served as text or, through
@@ -60,6 +60,7 @@
 
 func newBase(ctx context.Context, st *config.Settings, out io.Writer, role wire.Role) (*base, error) {
 	p := st.Process
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(int64(p.MemoryMB)<<20)))
 	id := telemetry.Identity{Role: string(p.Role), Instance: p.Instance, DataCentre: p.DataCentre}
 	logger, err := telemetry.NewLogger(out, string(st.Log), id)
 	if err != nil {
@@ -70,13 +71,15 @@
 		return nil, err
 	}
 	logService := backing.NewLogClient(st.Platform.LogService)
+	registry := telemetry.NewRegistry()
 	return &base{
 		settings:   st,
 		log:        logger,
 		tracing:    tracing,
-		registry:   telemetry.NewRegistry(),
+		registry:   registry,
 		logService: logService,
 		runner:     logfold.NewRunner(logService, followerOptions(p)),
+		conns:      newConns(int64(p.MemoryMB)<<20, p.Sockets, registry, logger),
 		hello: wire.Hello{
 			Role:        role,
 			Service:     p.Service,
@@ -116,26 +119,15 @@
 }
 
 // serveStatus serves health checks, metrics, profiles and the status page until ctx
-// ends. Error: the status address cannot be listened on.
-func (b *base) serveStatus(ctx context.Context, ready func() error, describe func() status) error {
-	ln, err := net.Listen("tcp", b.settings.Process.Status)
-	if err != nil {
-		return eris.Wrap(err, "open status listener")
-	}
+// ends, within what conns leave. Error: the status address cannot be listened on.
+func (b *base) serveStatus(ctx context.Context, conns *callerconn.Conns, ready func() error, describe func() status) error {
 	mux := telemetry.NewMux(b.registry, ready)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		writeStatus(w, r, describe())
 	})
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout}
-	go func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			b.log.Error("status-failed", "err", err)
-		}
-	}()
-	context.AfterFunc(ctx, func() { srv.Close() })
-	return nil
+	return serveStatus(ctx, conns, b.settings.Process.Status, mux, b.log)
 }
 
 // writeStatus answers with JSON if the request asks for it, otherwise with plain
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -10,6 +10,7 @@
 	"marjorampitch/backing"
 	"marjorampitch/config"
 	"marjorampitch/entry"
+	"marjorampitch/internal/callerconn"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -35,7 +36,7 @@
 		Tracer:    b.tracing.Tracer,
 		DrainWait: st.Process.DrainWait,
 	})
-	if err := b.serveStatus(background, s.Ready, func() status { return s.Status() }); err != nil {
+	if err := b.serveStatus(background, b.conns, s.Ready, func() status { return s.Status() }); err != nil {
 		return err
 	}
 	peers, err := net.Listen("tcp", st.Process.Listen)
@@ -43,14 +44,14 @@
 		return eris.Wrap(err, "open peer listener")
 	}
 	defer peers.Close()
-	callers, err := net.Listen("tcp", st.Process.HTTP)
+	callers, err := callerconn.Listen(ctx, st.Process.HTTP, nil)
 	if err != nil {
 		return eris.Wrap(err, "open HTTP listener")
 	}
 	go b.runner.Run(background)
 	go s.ServePeers(peers)
 	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(background, callers) }()
+	go func() { failed <- s.Serve(background, b.conns.Listener(callers)) }()
 	b.log.Info("started", "http", callers.Addr(), "listen", peers.Addr())
 	select {
 	case err := <-failed:
--- a/daemon/side.go
+++ b/daemon/side.go
@@ -33,7 +33,7 @@
 		Metrics: telemetry.NewSideMetrics(b.registry),
 		Tracer:  b.tracing.Tracer,
 	})
-	if err := b.serveStatus(background, s.Ready, func() status { return s.Status() }); err != nil {
+	if err := b.serveStatus(background, b.conns, s.Ready, func() status { return s.Status() }); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", st.Process.Listen)
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +13,8 @@
 
 	"marjorampitch/api"
 	"marjorampitch/config"
+	"marjorampitch/internal/callerconn"
+	"marjorampitch/internal/idleconn"
 	"marjorampitch/route"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
@@ -147,13 +149,14 @@
 }
 
 func (c *call) readBody(r *http.Request) *api.Error {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, api.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := idleconn.Conn(r).ReadBody(r.Body, r.ContentLength, api.MaxBodyBytes+1)
 	switch {
-	case asError(err, &tooLarge):
-		return api.NewError(api.BodyTooLarge, "")
+	case errors.Is(err, callerconn.ErrNoRoom):
+		return api.NewError(api.BuffersFull, "")
 	case err != nil:
 		return api.NewError(api.BadRequest, "body: "+err.Error())
+	case len(body) > api.MaxBodyBytes:
+		return api.NewError(api.BodyTooLarge, "")
 	}
 	c.body = body
 	return nil
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marjorampitch/api"
+	"marjorampitch/internal/idleconn"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -46,6 +47,7 @@
 	}
 	s.recordRequest(c, resp, e, time.Since(start))
 	if e != nil {
+		idleconn.FinishBody(w, r)
 		resp.fail(e)
 	}
 }
@@ -55,6 +57,7 @@
 	s.opt.Metrics.RequestDone(code, 0, 0)
 	resp := newResponse(w, requestID(r))
 	defer resp.clearWriteDeadline()
+	idleconn.FinishBody(w, r)
 	resp.fail(api.NewError(code, ""))
 }
 
--- a/internal/crowd/bed_test.go
+++ b/internal/crowd/bed_test.go
@@ -21,7 +21,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/backing/backingtest"
 	"marjorampitch/internal/child"
+	"marjorampitch/internal/scenario"
 	"marjorampitch/platform/platformtest"
 )
 
@@ -70,8 +72,9 @@
 
 // daemon is a process under test.
 type daemon struct {
-	child.Process
 	t      *testing.T
+	now    func() (pid int)                // of the running process; 0 if it has ended
+	output string                          // path of its log
 	probe  func(ctx context.Context) error // one ordinary request
 	pid    int
 	idle   usage // once it serves and before any crowd
@@ -153,19 +156,70 @@
 	require.NoError(d.t, err)
 	defer f.Close()
 	require.NoError(d.t, st.WriteSettings(f))
-	d.start(role, "--settings", path)
-}
-
-// start starts the program and waits until it serves. Its memory and descriptors are
-// sampled until the test ends.
-func (d *daemon) start(args ...string) {
-	d.Binary, d.Args, d.Output = program, args, filepath.Join(d.t.TempDir(), "log")
-	require.NoError(d.t, d.Start())
+	p := &child.Process{Binary: program, Args: []string{role, "--settings", path}, Output: filepath.Join(d.t.TempDir(), "log")}
+	require.NoError(d.t, p.Start())
 	d.t.Cleanup(func() {
-		d.Signal(syscall.SIGKILL)
-		d.WaitOrKill(patience)
+		p.Signal(syscall.SIGKILL)
+		p.WaitOrKill(patience)
 	})
-	d.pid = d.PID()
+	d.now, d.output = p.PID, p.Output
+	d.watch()
+}
+
+// startEntry starts the stand-ins of a service, its sidecars and an entry. It returns the
+// entry and the address for its callers.
+func startEntry(t *testing.T) (*daemon, string) {
+	tb := startService(t)
+	return watchDaemon(t, tb, "n1"), tb.Process("n1").HTTP
+}
+
+// startEntryStatus does the same, and returns the address of the entry's status page.
+func startEntryStatus(t *testing.T) (*daemon, string) {
+	tb := startService(t)
+	return watchDaemon(t, tb, "n1"), tb.Process("n1").Status
+}
+
+// startSide does the same for a sidecar.
+func startSide(t *testing.T) (*daemon, string) {
+	tb := startService(t)
+	return watchDaemon(t, tb, "p1"), tb.Process("p1").Status
+}
+
+// startService starts a service with an engine and a plain server.
+func startService(t *testing.T) *scenario.Testbed {
+	tb, err := scenario.NewTestbed(t.TempDir(), program)
+	require.NoError(t, err)
+	t.Cleanup(tb.Close)
+	tb.MemoryMB, tb.Sockets = memoryMB, maxFDs-fileFDs
+	require.NoError(t, tb.AddEngine("e1", "north", backingtest.DefaultEngineOptions()))
+	require.NoError(t, tb.AddPlain("p1", "north"))
+	require.NoError(t, tb.StartDaemon("entry", "n1", "north"))
+	require.NoError(t, tb.StartDaemon("side", "e1", ""))
+	require.NoError(t, tb.StartDaemon("side", "p1", ""))
+	require.NoError(t, tb.Publish())
+	return tb
+}
+
+// watchDaemon returns a process of a service. Its ordinary requests go to a plain server.
+func watchDaemon(t *testing.T, tb *scenario.Testbed, name string) *daemon {
+	p := tb.Process(name)
+	d := &daemon{t: t, now: func() int { return tb.Process(name).PID }, output: p.Output, probe: func(ctx context.Context) error {
+		if err := errors.Join(get(ctx, p.Status, "/readyz"), get(ctx, p.Status, "/metrics")); err != nil {
+			return err
+		}
+		if r := tb.Do(ctx, scenario.Call{Kind: "availability"}); r.Outcome != scenario.Whole {
+			return fmt.Errorf("%s: code %d, %s", r.Outcome, r.Code, r.Detail)
+		}
+		return nil
+	}}
+	d.watch()
+	return d
+}
+
+// watch waits until the process serves. Its memory and descriptors are sampled until the
+// test ends.
+func (d *daemon) watch() {
+	d.pid = d.now()
 	d.mustServe("at the start")
 	d.idle = readUsage(d.t, d.pid)
 	d.stop = make(chan struct{})
@@ -192,7 +246,7 @@
 	defer cancel()
 	var err error
 	for ctx.Err() == nil {
-		require.NotZero(d.t, d.PID(), "the process has ended %s: %s", when, d.lastLines())
+		require.NotZero(d.t, d.now(), "the process has ended %s: %s", when, d.lastLines())
 		if err = d.probe(ctx); err == nil {
 			return
 		}
@@ -203,7 +257,7 @@
 
 // checkLimits requires that the process lives and has stayed within its limits.
 func (d *daemon) checkLimits() {
-	require.Equal(d.t, d.pid, d.PID(), "the process has ended: %s", d.lastLines())
+	require.Equal(d.t, d.pid, d.now(), "the process has ended: %s", d.lastLines())
 	close(d.stop)
 	d.sample.Wait()
 	d.stop = make(chan struct{}) // for the cleanup
@@ -223,7 +277,7 @@
 
 // lastLines returns the end of the log.
 func (d *daemon) lastLines() string {
-	data, err := os.ReadFile(d.Output)
+	data, err := os.ReadFile(d.output)
 	if err != nil {
 		return err.Error()
 	}
--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -30,6 +30,7 @@
 	ctx     context.Context // ends when the crowd leaves
 	address string
 	path    string
+	fields  string // of each request
 	net.Conn
 }
 
@@ -90,7 +91,7 @@
 	{name: "heads that stop midway", send: func(c *client) {
 		c.write(strings.TrimSuffix(c.text(shortFields(headLimit-512)), "\r\n"))
 	}},
-	{name: "heads a byte at a time", send: func(c *client) { c.slowly(c.text("A: b\r\n")[:slowBytes]) }},
+	{name: "heads a byte at a time", send: func(c *client) { c.slowly(strings.TrimSuffix(c.text("A: b\r\n"), "\r\n")) }},
 	{name: "idle connections", send: func(*client) {}},
 	{name: "many requests ahead and no answer read", send: func(c *client) {
 		c.repeat(c.text("Content-Length: 0\r\n"), ahead*len(c.text("Content-Length: 0\r\n")))
@@ -110,7 +111,7 @@
 var allInTurn = kind{name: "all in turn", send: func(c *client) {
 	for range rounds {
 		for _, k := range kinds {
-			again, err := dial(c.ctx, c.address, c.path)
+			again, err := dial(c.ctx, c.address, c.path, c.fields)
 			if err != nil {
 				continue
 			}
@@ -121,7 +122,7 @@
 }}
 
 // dial connects a client whose socket holds little that it does not read.
-func dial(ctx context.Context, address, path string) (*client, error) {
+func dial(ctx context.Context, address, path, fields string) (*client, error) {
 	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallSocket) //nolint:errcheck // larger ones serve, too
@@ -132,12 +133,12 @@
 		return nil, err
 	}
 	conn.SetDeadline(time.Now().Add(sendTime)) //nolint:errcheck // of an open connection
-	return &client{ctx, address, path, conn}, nil
+	return &client{ctx, address, path, fields, conn}, nil
 }
 
 // text returns the head of a request with further fields.
 func (c *client) text(fields string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nMarjorampitch-Request-Id: %s\r\n%s\r\n", c.path, platformtest.RouteHost, newID(), fields)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s%s\r\n", c.path, platformtest.RouteHost, strings.ReplaceAll(c.fields, "$ID", newID()), fields)
 }
 
 func (c *client) head(fields string) { c.write(c.text(fields)) }
@@ -195,13 +196,13 @@
 
 // gather lets n clients of a kind do what they do, all at once, and returns when they have.
 // Those whose connection the process does not take are done.
-func gather(n int, k kind, address, path string) *crowd {
+func gather(n int, k kind, address string, at door) *crowd {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &crowd{cancel: cancel, kind: k}
 	var all sync.WaitGroup
 	for range n {
 		all.Go(func() {
-			c, err := dial(ctx, address, path)
+			c, err := dial(ctx, address, at.path, at.fields)
 			if err != nil {
 				return
 			}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,20 +21,34 @@
 type door struct {
 	name  string
 	start func(t *testing.T) (d *daemon, host string)
-	port  string
+	port  string // that host lacks
 	path  string
+	// fields of each request. $ID stands for a new id.
+	fields string
 }
 
+// Fields by which a gateway and an entry know a request.
+const (
+	gatewayFields = "Marjorampitch-Request-Id: $ID\r\n"
+	entryFields   = "X-Organisation: org\r\n"
+)
+
 var doors = []door{
-	{"gateway, idempotent route", startGateway, frontPort, "/again/x"},
-	{"gateway, non-idempotent route", startGateway, frontPort, "/once/x"},
-	{"gateway, stream", startGateway, frontPort, "/stream/x"},
-	{"gateway, no route", startGateway, frontPort, "/nowhere/x"},
-	{"gateway, path of the readiness", startGateway, frontPort, readyPath},
-	{"gateway, readiness listener", startGateway, readyPort, readyPath},
-	{"gateway, readiness listener, no route", startGateway, readyPort, "/nowhere/x"},
-	{"gateway, metrics listener", startGateway, metricsPort, "/metrics"},
-	{"rebalancer, metrics listener", startRebalancer, metricsPort, "/metrics"},
+	{"gateway, idempotent route", startGateway, frontPort, "/again/x", gatewayFields},
+	{"gateway, non-idempotent route", startGateway, frontPort, "/once/x", gatewayFields},
+	{"gateway, stream", startGateway, frontPort, "/stream/x", gatewayFields},
+	{"gateway, no route", startGateway, frontPort, "/nowhere/x", gatewayFields},
+	{"gateway, path of the readiness", startGateway, frontPort, readyPath, gatewayFields},
+	{"gateway, readiness listener", startGateway, readyPort, readyPath, ""},
+	{"gateway, readiness listener, no route", startGateway, readyPort, "/nowhere/x", ""},
+	{"gateway, metrics listener", startGateway, metricsPort, "/metrics", ""},
+	{"rebalancer, metrics listener", startRebalancer, metricsPort, "/metrics", ""},
+	{"entry, chat", startEntry, "", "/v1/chat/completions", entryFields},
+	{"entry, idempotent route", startEntry, "", "/availability", entryFields},
+	{"entry, no route", startEntry, "", "/nowhere", entryFields},
+	{"entry, readiness", startEntryStatus, "", "/readyz", ""},
+	{"entry, metrics", startEntryStatus, "", "/metrics", ""},
+	{"side, readiness", startSide, "", "/readyz", ""},
 }
 
 // Each kind of client at each door: the process lives, stays within its memory and its
@@ -50,7 +66,7 @@
 
 func testCrowd(t *testing.T, at door, k kind) {
 	d, host := at.start(t)
-	g := gather(crowdSize, k, host+at.port, at.path)
+	g := gather(crowdSize, k, host+at.port, at)
 	time.Sleep(standTime)
 	d.mustServe("beside the crowd")
 	g.leave()
@@ -65,7 +81,7 @@
 func TestLegalHeadOfManyFieldsIsServed(t *testing.T) {
 	d, host := startGateway(t)
 	d.probe = func(ctx context.Context) error {
-		c, err := dial(ctx, host+frontPort, "/again/x")
+		c, err := dial(ctx, host+frontPort, "/again/x", gatewayFields)
 		if err != nil {
 			return err
 		}
@@ -84,3 +100,39 @@
 	}
 	d.mustServe("in calm")
 }
+
+// Clients that keep their promises do not suffer from a crowd that takes all connections: a
+// body that is sent slowly is served, and an idle connection stays usable.
+func TestSoundClientsBesideCrowd(t *testing.T) {
+	d, host := startGateway(t)
+	idle, err := dial(t.Context(), host+frontPort, "/again/x", gatewayFields)
+	require.NoError(t, err)
+	defer idle.Close()
+	slow, err := dial(t.Context(), host+frontPort, "/again/x", gatewayFields)
+	require.NoError(t, err)
+	defer slow.Close()
+	answers := map[*client]*bufio.Reader{idle: bufio.NewReader(idle), slow: bufio.NewReader(slow)}
+	status := func(c *client) int {
+		require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+		resp, err := http.ReadResponse(answers[c], nil)
+		require.NoError(t, err, d.lastLines())
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode
+	}
+	for served := false; !served; time.Sleep(sampleTime) { // a server that has just been announced takes few requests at first
+		idle.head("Content-Length: 0\r\n")
+		served = status(idle) == http.StatusOK
+	}
+	const body = 200
+	slow.head(fmt.Sprintf("Content-Length: %d\r\n", body))
+	slow.write("x")
+	g := gather(crowdSize, kind{send: func(*client) {}}, host+frontPort, doors[0])
+	defer g.leave()
+	require.NoError(t, slow.SetDeadline(time.Now().Add(patience)))
+	slow.slowly(strings.Repeat("x", body-1))
+	require.Equal(t, http.StatusOK, status(slow))
+	idle.head("Content-Length: 0\r\n")
+	require.Equal(t, http.StatusOK, status(idle))
+	d.checkLimits()
+}
--- a/internal/scenario/daemon.go
+++ b/internal/scenario/daemon.go
@@ -36,6 +36,8 @@
 	listen       string // address for the other processes
 	status       string // address of the status page
 	http         string // address for callers; entries only
+	memoryMB     int    // of the settings; 0 for the default, as of sockets
+	sockets      int
 
 	cmd     *exec.Cmd     // the last process started; nil before the first start
 	done    chan struct{} // closed when the process has ended
@@ -51,6 +53,9 @@
 status = {{.Status}}
 {{if .HTTP}}http = {{.HTTP}}
 {{end}}drain-wait = 2s
+{{if .MemoryMB}}memory-mb = {{.MemoryMB}}
+{{end}}{{if .Sockets}}sockets = {{.Sockets}}
+{{end -}}
 [platform]
 log-service = {{.Log}}
 instance-list = {{.List}}
@@ -63,6 +68,7 @@
 type settingsData struct {
 	Role, Name, Service, DataCentre, Listen, Status, HTTP string
 	Log, List, Weights, Backend                           string
+	MemoryMB, Sockets                                     int
 }
 
 // writeSettings writes the settings file.
@@ -84,6 +90,8 @@
 		List:       listURL,
 		Weights:    weightsURL,
 		Backend:    backendURL,
+		MemoryMB:   d.memoryMB,
+		Sockets:    d.sockets,
 	})
 }
 
@@ -146,6 +154,24 @@
 	}
 }
 
+// Process describes a process of a Testbed.
+type Process struct {
+	PID    int    // 0 if it is not running
+	HTTP   string // address for callers; empty for a sidecar
+	Status string // address of the status page
+	Output string // path of its output
+}
+
+// Process returns the process with this name. It panics if there is none.
+func (tb *Testbed) Process(name string) Process {
+	d := tb.daemons[name]
+	p := Process{HTTP: d.http, Status: d.status, Output: d.outputPath}
+	if d.running() {
+		p.PID = d.cmd.Process.Pid
+	}
+	return p
+}
+
 // kill kills the process if it is running and waits for its exit.
 func (d *daemon) kill() {
 	if d.running() {
--- a/internal/scenario/testbed.go
+++ b/internal/scenario/testbed.go
@@ -33,6 +33,10 @@
 // callers. Its methods must be called from the script's goroutine, except Do, which
 // callers use concurrently.
 type Testbed struct {
+	// MemoryMB and Sockets are the limits in the settings of processes that are started
+	// from now on; 0 for the defaults.
+	MemoryMB, Sockets int
+
 	dir    string
 	binary string
 
@@ -138,6 +142,8 @@
 		outputPath:   filepath.Join(tb.dir, name+".log"),
 		listen:       newAddress(),
 		status:       newAddress(),
+		memoryMB:     tb.MemoryMB,
+		sockets:      tb.Sockets,
 	}
 	backendURL := ""
 	if role == roleSide {
