The largest group of connections yields, and refusals while yielding are bounded

Found while reading the order of yielding again, not seen by a caller: with a crowd of bodies that stand still in all places, a connection that has just been accepted yielded to the next one, since connections without a whole head came first, however new; with the opposite order a crowd that only connects would end every slow but sound body. Now connections without a head for 0.5 s come first, and of new ones, stalled ones and idle ones the largest group (TestCrowdYieldsBeforeOthers; with the order before it fails for bodies and idle connections, and held for new ones).

A body that yields is refused with 408, and its connection stays half a second more for that; these were beyond the budget of descriptors without a bound. 64 of them may be, further ones are closed (TestYieldingBodies).

Lines of the log hold ids that callers send, and up to 2,000 lines wait for a slow reader: a line is cut at 4 KiB (TestLogWriterCutsLongLines). Rebalancers have the soft limit of memory of gateways.

Two kinds more in TestCrowds: ids that fill the head, prompts of very many parts.

--- a/admit/conn_budget.go
+++ b/admit/conn_budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 const Stall = 2 * time.Second
 
 const (
+	// headGrace is the time for which a connection without a whole head counts as new.
+	headGrace = 500 * time.Millisecond
 	// sendTime is how long a connection whose request has been served does not yield, so that
 	// its answer is sent.
 	sendTime = 100 * time.Millisecond
@@ -51,12 +54,17 @@
 // ConnBudget shares the descriptors and the memory that connections of callers may take,
 // and decides which connections yield when there is no room for another or for more.
 //
-// Connections without a whole head of a request yield first, then those that are idle: first
-// those that have not been served before. They are followed by connections that have been
-// answered and still send the rest of a body, and then, after Stall only, by those whose
-// body does not arrive and those that do not read their answers. Among
-// equal ones the longest without progress yields first, then the one that holds most. What
-// is reserved without a connection, and requests that are served, never yield.
+// Connections yield in this order:
+//
+//  1. those without a whole head of a request, unless they are new
+//  2. idle ones of which no request was passed on to a server
+//  3. those that have been answered and still send the rest of a body
+//  4. whichever are most: those without progress for Stall, in a body or an answer; new ones
+//     without a whole head; other idle ones. A crowd is of one kind, mostly, and clients of
+//     the others need not yield to it.
+//
+// Among equal ones the longest without progress yields first, then the one that holds most.
+// What is reserved without a connection, and requests that are served, never yield.
 //
 // It is a pure state machine and not safe for concurrent use. A connection that yields is
 // removed at once; the caller must end it.
@@ -301,42 +309,65 @@
 
 func (b *ConnBudget) maxLarge() int64 { return int64(largeShare * float64(b.limits.Bytes)) }
 
-// yieldOrder is the order in which connections yield.
-type yieldOrder uint8
+// yieldGroup is a group of connections that yield one after the other.
+type yieldGroup uint8
 
 const (
-	yieldsHead    yieldOrder = iota // no whole head of a request
+	yieldsHead    yieldGroup = iota // no whole head of a request
 	yieldsUnknown                   // idle, no request of it was passed on
-	yieldsIdle                      // idle
 	yieldsDone                      // its request has been answered, but not read to its end
-	yieldsBody                      // its body does not arrive
-	yieldsUnread                    // its peer does not read
+	yieldsStalled                   // its body does not arrive, or its peer does not read
+	yieldsNew                       // no whole head of a request, but not for long
+	yieldsIdle                      // idle
 	yieldsNever
+	yieldGroups = iota
 )
 
-// order returns the place of a connection in the order.
-func (b *ConnBudget) order(c *budgetConn, now time.Duration) yieldOrder {
-	stalled := now-c.progressAt >= Stall
+// group returns the group of a connection.
+func (c *budgetConn) group(now time.Duration) yieldGroup {
+	age := now - c.progressAt
 	switch {
-	case c.unread > 0 && stalled:
-		return yieldsUnread
+	case c.unread > 0 && age >= Stall:
+		return yieldsStalled
 	case c.unread > 0 || !c.opened:
 		return yieldsNever
-	case c.stage == StageHead:
+	case c.stage == StageHead && age >= headGrace:
 		return yieldsHead
+	case c.stage == StageHead:
+		return yieldsNew
 	case c.stage == StageIdle && !c.served:
 		return yieldsUnknown
 	case c.stage == StageIdle:
 		return yieldsIdle
-	case c.stage == StageDone && now-c.progressAt >= sendTime:
+	case c.stage == StageDone && age >= sendTime:
 		return yieldsDone
-	case c.stage == StageBody && stalled:
-		return yieldsBody
+	case c.stage == StageBody && age >= Stall:
+		return yieldsStalled
 	default:
 		return yieldsNever
 	}
 }
 
+// yieldOrder is the place of each group in the order.
+type yieldOrder [yieldGroups]int
+
+// order returns the order in which groups yield now.
+func (b *ConnBudget) order(now time.Duration) (o yieldOrder) {
+	var size [yieldGroups]int
+	for _, c := range b.conns {
+		size[c.group(now)]++
+	}
+	for g := range o {
+		o[g] = g
+	}
+	bySize := []yieldGroup{yieldsStalled, yieldsNew, yieldsIdle}
+	slices.SortStableFunc(bySize, func(x, y yieldGroup) int { return cmp.Compare(size[y], size[x]) })
+	for i, g := range bySize {
+		o[g] = int(yieldsStalled) + i
+	}
+	return o
+}
+
 // frees returns n without what a connection frees when it yields.
 func (b *ConnBudget) frees(c *budgetConn, n need) need {
 	n.bytes -= c.request + c.unread
@@ -364,15 +395,16 @@
 	}
 	possible := n
 	for _, c := range b.conns {
-		if b.order(c, now) != yieldsNever {
+		if c.group(now) != yieldsNever {
 			possible = b.frees(c, possible)
 		}
 	}
 	if !possible.met() {
 		return false, nil
 	}
+	order := b.order(now)
 	for !n.met() {
-		id := b.next(n, now)
+		id := b.next(n, &order, now)
 		n = b.frees(b.conns[id], n)
 		b.Drop(id)
 		yielded = append(yielded, id)
@@ -381,23 +413,23 @@
 }
 
 // next returns the connection that yields next. There is one that helps.
-func (b *ConnBudget) next(n need, now time.Duration) (first uint64) {
+func (b *ConnBudget) next(n need, order *yieldOrder, now time.Duration) (first uint64) {
 	var best *budgetConn
 	for id, c := range b.conns {
-		if b.order(c, now) == yieldsNever || !b.helps(c, n) {
+		if c.group(now) == yieldsNever || !b.helps(c, n) {
 			continue
 		}
-		if best == nil || b.compare(id, c, first, best, now) < 0 {
+		if best == nil || compareConns(id, c, first, best, order, now) < 0 {
 			first, best = id, c
 		}
 	}
 	return first
 }
 
-// compare returns a negative number if connection x yields before y.
-func (b *ConnBudget) compare(xID uint64, x *budgetConn, yID uint64, y *budgetConn, now time.Duration) int {
+// compareConns returns a negative number if connection x yields before y.
+func compareConns(xID uint64, x *budgetConn, yID uint64, y *budgetConn, order *yieldOrder, now time.Duration) int {
 	return cmp.Or(
-		cmp.Compare(b.order(x, now), b.order(y, now)),
+		cmp.Compare(order[x.group(now)], order[y.group(now)]),
 		cmp.Compare(x.progressAt/progressStep, y.progressAt/progressStep),
 		cmp.Compare(y.request+y.unread, x.request+x.unread),
 		cmp.Compare(x.progressAt, y.progressAt),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -53,9 +53,6 @@
 func RunGateway(ctx context.Context, path, logLevel string, out io.Writer) error {
 	return runOnPlatform(ctx, path, logLevel, out, "gateway", func(ctx context.Context, st *platform.Settings, logger *log.Logger) error {
 		debug.SetGCPercent(gatewayGCPercent)
-		if m := st.Gateway.MemoryLimit; m > 0 {
-			debug.SetMemoryLimit(int64(memoryLimitShare * float64(m)))
-		}
 		return serveGateway(ctx, st, logger)
 	})
 }
@@ -70,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if m := st.Gateway.MemoryLimit; m > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(m)))
+	}
 	lines := telemetry.NewLogWriter(out, logQueueLines, logLinesPerKind)
 	defer flushLog(lines)
 	logger, err := telemetry.NewLogger(lines, logLevel, telemetry.Identity{
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -28,7 +28,10 @@
 	id      uint64 // in the budget; set by Conns.open
 	evicted atomic.Bool
 	held    atomic.Int64    // bytes of answers not yet written
-	stage   admit.ConnStage // guarded by Conns.mu
+	stage   admit.ConnStage // guarded by Conns.mu, as refusing
+	// refusing means that the connection has yielded, and is open until its request has been
+	// refused.
+	refusing bool
 
 	writing    sync.Mutex // held by Write
 	direct     []byte     // what tryWrite writes; guarded by writing
@@ -37,9 +40,8 @@
 	tryOnce    func(fd uintptr) bool
 	lastUnsent int // bytes in the socket at the last sample; guarded by Conns.mu
 
-	yieldStage admit.ConnStage // in which it yielded; set before yield is called
-	deadlines  sync.Mutex      // guards readEnded
-	readEnded  bool            // reads end at once, whatever deadline is set
+	deadlines sync.Mutex // guards readEnded
+	readEnded bool       // reads end at once, whatever deadline is set
 
 	mu         sync.Mutex // guards the fields below
 	chunks     [][]byte   // not yet written; nil if nothing is held
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -50,8 +50,15 @@
 	budget *admit.ConnBudget
 	conns  map[uint64]*Conn // those that are open or hold bytes
 	nextID uint64
+	// refusing is the number of connections that have yielded and are open still, because
+	// their requests are being refused.
+	refusing int
 }
 
+// maxRefusing bounds the connections that are open beyond the budget. Further ones that yield
+// are closed without a refusal.
+const maxRefusing = 64
+
 // Cut describes a connection that was ended because its peer did not read.
 type Cut struct {
 	Peer   string        // address
@@ -79,6 +86,11 @@
 	YieldUnread      YieldCause = "unread"   // its answer was not read; reported by Conns.OnCut instead
 )
 
+// yieldCauses are the causes by the stage in which a connection yields.
+var yieldCauses = map[admit.ConnStage]YieldCause{
+	admit.StageHead: YieldHead, admit.StageIdle: YieldIdle, admit.StageDone: YieldAnswered, admit.StageBody: YieldBody,
+}
+
 // Listen listens for callers on address. control, if not nil, sets further options of the
 // sockets. Errors: those of net.ListenConfig.Listen.
 func Listen(ctx context.Context, address string, control func(network, address string, c syscall.RawConn) error) (net.Listener, error) {
@@ -190,6 +202,10 @@
 	b.mu.Lock()
 	b.budget.Drop(c.id)
 	delete(b.conns, c.id)
+	if c.refusing {
+		c.refusing = false
+		b.refusing--
+	}
 	b.mu.Unlock()
 }
 
@@ -246,29 +262,40 @@
 	}
 }
 
+// yielding is a connection that has yielded and is to be ended.
+type yielding struct {
+	*Conn
+	stage  admit.ConnStage // when it yielded
+	refuse bool            // its request is refused first
+}
+
 // removed returns the connections that yielded and forgets them. Callers hold mu.
-func (b *Conns) removed(evicted []uint64) []*Conn {
-	var list []*Conn
+func (b *Conns) removed(evicted []uint64) []yielding {
+	var list []yielding
 	for _, id := range evicted {
 		c := b.conns[id]
-		c.yieldStage = c.stage
-		list = append(list, c)
+		if c.stage == admit.StageBody && b.refusing < maxRefusing {
+			c.refusing = true
+			b.refusing++
+		}
+		list = append(list, yielding{c, c.stage, c.refusing})
 		delete(b.conns, id)
 	}
 	return list
 }
 
 // abort ends connections that yielded. Callers do not hold mu.
-func (b *Conns) abort(evicted []*Conn) {
-	for _, c := range evicted {
-		if held := c.Held(); held > 0 {
-			c.abort()
+func (b *Conns) abort(evicted []yielding) {
+	for _, y := range evicted {
+		if held := y.Held(); held > 0 {
+			y.Conn.abort()
 			if b.OnCut != nil {
-				b.OnCut(Cut{Peer: c.RemoteAddr().String(), Held: held, Unread: admit.Stall, Reason: ErrEvicted})
+				b.OnCut(Cut{Peer: y.RemoteAddr().String(), Held: held, Unread: admit.Stall, Reason: ErrEvicted})
 			}
 			continue
 		}
-		b.yielded(Yield{c.RemoteAddr().String(), c.yield()})
+		y.end()
+		b.yielded(Yield{y.RemoteAddr().String(), yieldCauses[y.stage]})
 	}
 }
 
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -65,23 +65,15 @@
 	return c.all.setRequest(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.SetRequest(c.id, n, now) })
 }
 
-// yield ends the connection in favour of others. While the body of a request is read, the
-// server still refuses the request; otherwise nothing is owed to the peer. It does not take mu: a
-// connection calls it for another one with its own mu held.
-func (c *Conn) yield() YieldCause {
-	if c.yieldStage == admit.StageBody {
-		c.endReads()
-		return YieldBody
-	}
-	c.Conn.Close()
-	switch c.yieldStage {
-	case admit.StageIdle:
-		return YieldIdle
-	case admit.StageDone:
-		return YieldAnswered
-	default:
-		return YieldHead
+// end ends the connection. While the body of a request is read, the server may refuse the
+// request first; otherwise nothing is owed to the peer. It does not take mu: a connection ends
+// another one with its own mu held.
+func (y yielding) end() {
+	if y.refuse {
+		y.endReads()
+		return
 	}
+	y.Conn.Conn.Close()
 }
 
 // endReads makes reads fail with os.ErrDeadlineExceeded from now on.
--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -1,12 +1,15 @@
 package crowd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,6 +90,17 @@
 		one := c.text(shortFields(headLimit-512) + "Content-Length: 0\r\n")
 		c.repeat(one, 20*len(one))
 	}},
+	{name: "requests whose ids fill the head", send: func(c *client) {
+		c.fields = entryFields // without an id
+		c.requests(ahead/100, func() string {
+			return "Marjorampitch-Request-Id: " + newID() + strings.Repeat("x", headLimit-1<<10) + "\r\n"
+		})
+	}},
+	{name: "prompts of very many parts", send: func(c *client) {
+		c.requests(ahead/100, func() string {
+			return "Marjorampitch-Model: m\r\nMarjorampitch-Token-Counts: 1000,10\r\nMarjorampitch-Prompt-Prefix: " + newParts(headLimit-1<<10) + "\r\n"
+		})
+	}},
 	{name: "heads of short fields far over the limit", send: func(c *client) { c.head(shortFields(hugeHead)) }},
 	{name: "heads that stop midway", send: func(c *client) {
 		c.write(strings.TrimSuffix(c.text(shortFields(headLimit-512)), "\r\n"))
@@ -146,6 +160,32 @@
 // write sends s. Errors do not matter: the process may close the connection.
 func (c *client) write(s string) { io.WriteString(c.Conn, s) } //nolint:errcheck // see above
 
+// requests sends n requests with further fields, one after the other, and reads the answers.
+func (c *client) requests(n int, fields func() string) {
+	br := bufio.NewReader(c)
+	for range n {
+		c.head(fields() + "Content-Length: 0\r\n")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			return
+		}
+	}
+}
+
+// newParts returns n bytes of parts of a prompt that no other has.
+func newParts(n int) string {
+	var b strings.Builder
+	for b.Len() < n-20 {
+		fmt.Fprintf(&b, "%x:1,", lastPart.Add(1))
+	}
+	return strings.TrimSuffix(b.String(), ",")
+}
+
+var lastPart atomic.Uint64
+
 // repeat sends s again and again, n bytes at most.
 func (c *client) repeat(s string, n int) {
 	for n >= len(s) {
--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -38,14 +38,29 @@
 	return w
 }
 
-// Write queues one line. It never returns an error.
+// maxLineBytes is the length from which on a line is cut: lines hold what callers send, such
+// as ids of requests, and up to a whole queue of them waits.
+const maxLineBytes = 4 << 10
+
+// cutMark ends a line that was cut.
+const cutMark = "... cut\n"
+
+// bounded returns a copy of line of maxLineBytes at most.
+func bounded(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	return append(append([]byte(nil), line[:maxLineBytes-len(cutMark)]...), cutMark...)
+}
+
+// Write queues one line, of maxLineBytes at most. It never returns an error.
 func (w *LogWriter) Write(line []byte) (int, error) {
 	reports, exceeded := w.limit(messageKind(line))
 	for _, l := range reports {
 		w.queue(l)
 	}
 	if !exceeded {
-		w.queue(append([]byte(nil), line...))
+		w.queue(bounded(line))
 	}
 	return len(line), nil
 }
--- a/telemetry/logwriter_test.go
+++ b/telemetry/logwriter_test.go
@@ -111,3 +111,19 @@
 		require.Equal(t, 1, strings.Count(out.String(), "msg=lines-limited kind=often count=7\n"))
 	})
 }
+
+// Lines hold what callers send; those that wait are bounded in bytes, too.
+func TestLogWriterCutsLongLines(t *testing.T) {
+	var out bytes.Buffer
+	w := NewLogWriter(&out, 10, 10)
+	line := []byte("level=info msg=x request=" + strings.Repeat("y", 2*maxLineBytes) + "\n")
+	_, err := w.Write(line)
+	require.NoError(t, err)
+	_, err = w.Write([]byte("level=info msg=x request=z\n"))
+	require.NoError(t, err)
+	<-w.Close()
+	first, second, _ := strings.Cut(out.String(), "\n")
+	require.Len(t, first+"\n", maxLineBytes)
+	require.True(t, strings.HasSuffix(first+"\n", cutMark))
+	require.Equal(t, "level=info msg=x request=z\n", second)
+}
