--- a/admit/conn_budget.go
+++ b/admit/conn_budget.go
@@ -290,10 +290,6 @@
 	return b.used, unread
 }
 
-// OpenConns returns the number of connections that were opened and have neither yielded nor
-// been dropped.
-func (b *ConnBudget) OpenConns() int { return b.open }
-
 // Holding returns the bytes of a connection's answers, and when it last made progress.
 func (b *ConnBudget) Holding(id uint64) (bytes int64, progressAt time.Duration) {
 	if c := b.conns[id]; c != nil {
--- a/admit/conn_budget_yield_test.go
+++ b/admit/conn_budget_yield_test.go
@@ -42,7 +42,7 @@
 	require.False(t, ok, "all that are left are served")
 	require.Empty(t, yielded)
 	require.False(t, b.SetStage(6, StageRequest, now), "a connection that has yielded is served no more")
-	require.Equal(t, 7, b.OpenConns())
+	require.Equal(t, 7, b.open)
 }
 
 // Neither a body nor an answer that makes progress yields, and what is sent is not cut off.
@@ -203,10 +203,10 @@
 			if len(open) == 0 {
 				break
 			}
-			id, ok, yielded := pick(), true, []uint64(nil)
+			id, yielded := pick(), []uint64(nil)
 			switch rng.IntN(8) {
 			case 0, 1:
-				ok, yielded = b.SetRequest(id, rng.Int64N(200<<10), now)
+				_, yielded = b.SetRequest(id, rng.Int64N(200<<10), now)
 			case 2:
 				_, yielded = b.Hold(id, rng.Int64N(50<<10), now)
 			case 3:
@@ -217,15 +217,14 @@
 				b.Drop(id)
 				delete(open, id)
 			default:
-				ok = b.SetStage(id, ConnStage(rng.IntN(int(StageDone)+1)), now)
-				require.True(t, ok)
+				require.True(t, b.SetStage(id, ConnStage(rng.IntN(int(StageDone)+1)), now))
 			}
 			end(yielded)
 		}
 		held, _ := b.Used()
-		require.LessOrEqual(t, held+int64(b.OpenConns())*limits.BytesPerConn, limits.Bytes)
-		require.LessOrEqual(t, b.OpenConns(), limits.Conns)
-		require.Equal(t, len(open), b.OpenConns())
+		require.LessOrEqual(t, held+int64(b.open)*limits.BytesPerConn, limits.Bytes)
+		require.LessOrEqual(t, b.open, limits.Conns)
+		require.Equal(t, len(open), b.open)
 	}
 	require.Positive(t, yields)
 	require.Positive(t, refusals)
@@ -237,5 +236,5 @@
 	require.Zero(t, unread)
 	require.Zero(t, b.large)
 	require.Zero(t, b.unread)
-	require.Zero(t, b.OpenConns())
+	require.Zero(t, b.open)
 }
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -294,7 +294,7 @@
 			}
 			continue
 		}
-		y.end()
+		y.finish()
 		b.yielded(Yield{y.RemoteAddr().String(), yieldCauses[y.stage]})
 	}
 }
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -65,10 +65,10 @@
 	return c.all.setRequest(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.SetRequest(c.id, n, now) })
 }
 
-// end ends the connection. While the body of a request is read, the server may refuse the
+// finish ends the connection. While the body of a request is read, the server may refuse the
 // request first; otherwise nothing is owed to the peer. It does not take mu: a connection ends
 // another one with its own mu held.
-func (y yielding) end() {
+func (y yielding) finish() {
 	if y.refuse {
 		y.endReads()
 		return
