Entries refuse requests without room with their own codes; full share after crowds

An entry answered a request for whose head there is no room, where that shows only when the head is whole, with a bare 503, without X-Result-Code and X-Ran; clients that use them could not tell that it had not run. It is refused like any other now (219, not run).

TestFullShareAfterCrowds: after crowds of every kind, one after the other, at one gateway, nothing is held any more and 16 bodies of 1 MiB are served at once.

--- a/entry/server.go
+++ b/entry/server.go
@@ -103,7 +103,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    api.MaxHeaderBytes,
 	}
-	s.conns = idleconn.Track(s.http, idleconn.Options{})
+	s.conns = idleconn.Track(s.http, idleconn.Options{Refuse: func(w http.ResponseWriter, r *http.Request) { s.reject(w, r, api.BuffersFull) }})
 	return s
 }
 
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -136,3 +136,52 @@
 	require.Equal(t, http.StatusOK, status(idle))
 	d.checkLimits()
 }
+
+// After crowds of every kind, one after the other, nothing is held for them any more, and as
+// many large requests as ever are served at once.
+func TestFullShareAfterCrowds(t *testing.T) {
+	const large = 16 // requests of bodyLimit bytes, about half of what fits
+	d, host := startGateway(t)
+	for _, k := range kinds {
+		g := gather(crowdSize, k, host+frontPort, doors[0])
+		time.Sleep(standTime)
+		g.leave()
+	}
+	d.mustRecover()
+	require.Eventually(t, func() bool {
+		held, err := metric(t.Context(), host, "marjorampitch_gateway_held_bytes")
+		return err == nil && held == "0"
+	}, patience, sampleTime, "memory is not given back")
+	d.mustServe("after the crowds")
+	results := make(chan error, large)
+	for range large {
+		go func() { results <- request(t.Context(), host+frontPort, "/again/x", bodyLimit) }()
+	}
+	for range large {
+		require.NoError(t, <-results)
+	}
+	d.checkLimits()
+}
+
+// metric returns the value of a metric of a gateway.
+func metric(ctx context.Context, host, name string) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+metricsPort+"/metrics", nil)
+	if err != nil {
+		return "", err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	_, rest, found := strings.Cut(string(data), "\n"+name+" ")
+	if !found {
+		return "", fmt.Errorf("no metric %s", name)
+	}
+	value, _, _ := strings.Cut(rest, "\n")
+	return value, nil
+}
