--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -147,12 +147,7 @@
 // Reserve takes n bytes of the budget for something that is not held for a connection.
 // It reports whether it did.
 func (b *Conns) Reserve(n int64) bool {
-	b.mu.Lock()
-	ok, evicted := b.budget.Reserve(n, b.clock())
-	cut := b.removed(evicted)
-	b.mu.Unlock()
-	b.abort(cut)
-	return ok
+	return b.take(nil, func(now time.Duration) (bool, []uint64) { return b.budget.Reserve(n, now) })
 }
 
 // Release returns n bytes taken by Reserve.
@@ -184,17 +179,11 @@
 
 // open adds a connection and reports whether there is room for it.
 func (b *Conns) open(c *Conn) bool {
-	b.mu.Lock()
-	b.nextID++
-	c.id = b.nextID
-	ok, evicted := b.budget.Open(c.id, b.clock())
-	cut := b.removed(evicted)
-	if ok {
-		b.conns[c.id] = c
-	}
-	b.mu.Unlock()
-	b.abort(cut)
-	return ok
+	return b.take(c, func(now time.Duration) (bool, []uint64) {
+		b.nextID++
+		c.id = b.nextID
+		return b.budget.Open(c.id, now)
+	})
 }
 
 // closed removes a connection that has been closed.
@@ -209,14 +198,17 @@
 	b.mu.Unlock()
 }
 
-// setRequest calls set, which changes what the request of c holds, and ends the connections
-// that yield to it.
-func (b *Conns) setRequest(c *Conn, set func(now time.Duration) (ok bool, yielded []uint64)) bool {
+// take calls from, which takes something of the budget for c, or for no connection if c is
+// nil, and ends the connections that yield to it. It reports whether there was room.
+func (b *Conns) take(c *Conn, from func(now time.Duration) (ok bool, yielded []uint64)) bool {
 	b.mu.Lock()
-	ok, evicted := set(b.clock())
-	cut := b.removed(evicted)
+	ok, yielded := from(b.clock())
+	ended := b.removed(yielded)
+	if ok && c != nil {
+		b.conns[c.id] = c
+	}
 	b.mu.Unlock()
-	b.abort(cut)
+	b.abort(ended)
 	return ok
 }
 
@@ -230,15 +222,7 @@
 
 // hold takes n bytes for the answer of a connection and reports whether it did.
 func (b *Conns) hold(c *Conn, n int64) bool {
-	b.mu.Lock()
-	ok, evicted := b.budget.Hold(c.id, n, b.clock())
-	cut := b.removed(evicted)
-	if ok {
-		b.conns[c.id] = c
-	}
-	b.mu.Unlock()
-	b.abort(cut)
-	return ok
+	return b.take(c, func(now time.Duration) (bool, []uint64) { return b.budget.Hold(c.id, n, now) })
 }
 
 // progress records that the peer of a connection has taken bytes, and returns n bytes
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -19,7 +19,7 @@
 // AddRequest takes n more bytes for the request that is read, and reports whether there is
 // room for them.
 func (c *Conn) AddRequest(n int64) bool {
-	return c.all.setRequest(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.AddRequest(c.id, n, now) })
+	return c.all.take(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.AddRequest(c.id, n, now) })
 }
 
 // BeginRequest records that the head of a request has been read, which takes n bytes. It
@@ -62,7 +62,7 @@
 }
 
 func (c *Conn) setRequest(n int64) bool {
-	return c.all.setRequest(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.SetRequest(c.id, n, now) })
+	return c.all.take(c, func(now time.Duration) (bool, []uint64) { return c.all.budget.SetRequest(c.id, n, now) })
 }
 
 // finish ends the connection. While the body of a request is read, the server may refuse the
