Requests sent ahead are counted from where they begin

What callers saw: a process was killed for its memory by clients that send a request and, with it, the first bytes of a second one, and 900 KB of short fields after the answer.

Cause: idleconn guessed from the last bytes read whether http.Server had read beyond a request. Where it had, the start of the next head was not seen: its first line could end in what had not been seen, so the first line break after it counted as the end of the head, and no field behind it was counted. The flag was never withdrawn.

Change: framing follows each request to its end, by its length or its chunks, so that every byte is known to belong to a request or to the next one. What is sent ahead is counted as a head and refused like one. If http.Server should read a request in another way than framing does, nothing more is read from the connection. OPTIONS * goes to the handler, as http.Server would answer it without one.

--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -54,10 +54,9 @@
 // still.
 func (c *Conn) EndRequest() { c.all.setStage(c, admit.StageDone) }
 
-// Idle records that the next request is awaited, of which a part that takes n bytes may have
-// been read already.
-func (c *Conn) Idle(n int64) {
-	c.setRequest(max(0, n-headBytes))
+// Idle records that the next request is awaited.
+func (c *Conn) Idle() {
+	c.setRequest(0)
 	c.all.setStage(c, admit.StageIdle)
 }
 
--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -102,6 +102,16 @@
 		})
 	}},
 	{name: "heads of short fields far over the limit", send: func(c *client) { c.head(shortFields(hugeHead)) }},
+	{name: "heads of short fields far over the limit, begun ahead", send: func(c *client) {
+		const cut = "\r\n" // the first line that is sent ahead ends after the answer
+		c.write(c.text("Content-Length: 0\r\n") + strings.TrimSuffix(c.text(""), cut+cut))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, resp.Body) //nolint:errcheck // as write
+		c.write(cut + shortFields(hugeHead))
+	}},
 	{name: "heads that stop midway", send: func(c *client) {
 		c.write(strings.TrimSuffix(c.text(shortFields(headLimit-512)), "\r\n"))
 	}},
--- a/internal/idleconn/head.go
+++ b/internal/idleconn/head.go
@@ -19,42 +19,24 @@
 	fieldBytes = 400
 	// textCopies is how often the text of a field is kept.
 	textCopies = 3
-	// readerBytes is the size of http.Server's buffer, so the most that it has read ahead.
+	// readerBytes is the size of http.Server's buffer.
 	readerBytes = 4 << 10
-	// shortestField is the size of the shortest line of a head: a name of one letter.
-	shortestField = len("a:\r\n")
-	// aheadBytes is the most memory that fields take which have been read ahead of the
-	// request before them.
-	aheadBytes = readerBytes/shortestField*fieldBytes + textCopies*readerBytes
 	// drainTime and drainReads bound what is read of a client that is refused, so that the
 	// refusal reaches it before the connection is reset.
 	drainTime  = 100 * time.Millisecond
 	drainReads = 16
 )
 
-// head counts what is read of requests.
+// head counts what is read of the head of a request.
 type head struct {
-	bytes   int    // of the head so far
-	memory  int64  // that it takes so far
-	line    int    // length of its last line so far, without line ends
-	ended   bool   // the whole head has been read
-	after   int64  // bytes read after its end
-	body    int64  // length of the body; negative if it is not known
-	tail    []byte // the last bytes read, len(lastChunk) at most
-	isAhead bool   // more has been read than the request before, so the start of this head was not seen
+	bytes  int   // so far
+	memory int64 // that it takes so far
+	line   int   // length of its last line so far, without line ends
+	ended  bool  // the whole head has been read
 }
 
-// lastChunk ends a body in chunks that has no trailer.
-const lastChunk = "0\r\n\r\n"
-
-// add counts bytes that have been read.
-func (h *head) add(p []byte) {
-	h.tail = append(h.tail, p[max(0, len(p)-len(lastChunk)):]...)
-	h.tail = h.tail[max(0, len(h.tail)-len(lastChunk)):]
-	if h.ended {
-		h.after += int64(len(p))
-		return
-	}
+// add counts bytes that have been read, and returns those after the end of the head.
+func (h *head) add(p []byte) []byte {
 	lines, n := 0, len(p)
 	for i, b := range p {
 		if b == '\n' && h.line == 0 {
@@ -71,22 +53,8 @@
 		}
 	}
 	h.bytes += n
-	h.after = int64(len(p) - n)
 	h.memory += int64(lines*fieldBytes + textCopies*n)
-}
-
-// next begins the next head. It reports whether a part of it may have been read already.
-func (h *head) next() bool {
-	switch {
-	case h.isAhead || !h.ended:
-		h.isAhead = true
-	case h.body >= 0:
-		h.isAhead = h.after > h.body+1 // http.Server reads one byte while it serves a request
-	default:
-		h.isAhead = string(h.tail) != lastChunk
-	}
-	*h = head{isAhead: h.isAhead, tail: h.tail[:0]}
-	return h.isAhead
+	return p[n:]
 }
 
 // errRefused ends the reads of a connection whose request was refused. http.Server takes it
@@ -135,7 +103,7 @@
 func (c *conn) begin(r *http.Request) bool {
 	c.setPhase(handling)
 	c.mu.Lock()
-	c.head.body = r.ContentLength
+	c.framing.begin(r)
 	c.mu.Unlock()
 	return c.budget == nil || c.budget.BeginRequest(headBytes(r))
 }
@@ -147,19 +115,26 @@
 	}
 }
 
-// idle records that the next request is awaited.
+// idle records that the next request is awaited. What has been read of it is counted. A
+// refusal is left to the next read: there is none if http.Server has the whole head already.
 func (c *conn) idle() {
+	c.setPhase(idle)
+	if c.budget != nil {
+		c.budget.Idle()
+	}
 	c.mu.Lock()
-	isAhead := c.head.next()
+	c.framing.next()
+	h := c.framing.head
 	c.mu.Unlock()
-	if c.budget != nil {
-		n := int64(0)
-		if isAhead {
-			n = int64(aheadBytes)
-		}
-		c.budget.Idle(n)
+	if h.bytes == 0 {
+		return
+	}
+	c.setPhase(reading)
+	if status := c.admitHead(&h, true); !h.ended {
+		c.mu.Lock()
+		c.refusal = status
+		c.mu.Unlock()
 	}
-	c.setPhase(idle)
 }
 
 // headBytes returns the memory that the head of a request takes.
--- a/internal/idleconn/head_test.go
+++ b/internal/idleconn/head_test.go
@@ -114,6 +114,7 @@
 		"many fields":   "GET / HTTP/1.1\r\nHost: h\r\n" + fields(testMaxHead-100) + "\r\n",
 		"length":        fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(long), long),
 		"chunks":        fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long),
+		"trailer":       fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x;e=1\r\n%s\r\n0\r\na: b\r\n\r\n", len(long), long),
 		"body not read": "PUT /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n1234567\n\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -134,15 +135,79 @@
 	}
 }
 
-// What a client sends ahead may be fields that were parsed without having been counted.
-func TestRequestsAheadAreHeld(t *testing.T) {
-	s := newHeadServer(t, admit.ConnLimits{Bytes: 1 << 20, UnreadPerConn: 1 << 20}, readBody)
+// requestsByBody are requests with bodies of each kind.
+var requestsByBody = map[string]string{
+	"no body": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+	"length":  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nG\n\n\n",
+	"chunks":  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n\n\n\n\r\nA\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n",
+	"trailer": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;e=\"0\"\r\n0\r\n000\r\na: b\r\n\r\n",
+}
+
+// However much a client sends ahead, what its requests hold is counted, and given back.
+func TestRequestsAheadAreCounted(t *testing.T) {
+	const shortFields = 3 << 10
+	for name, request := range requestsByBody {
+		for ahead := range len(request) + 2 {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, ahead), func(t *testing.T) {
+				s := newHeadServer(t, admit.ConnLimits{Bytes: 1 << 20, UnreadPerConn: 1 << 20}, readBody)
+				c, br := s.dial(t)
+				stream := strings.Repeat(request, 3) + "GET / HTTP/1.1\r\nHost: h\r\n" + fields(shortFields)
+				sent := 0
+				for i := range 3 {
+					next := min((i+1)*len(request)+ahead, len(stream))
+					fmt.Fprint(c, stream[sent:next])
+					sent = next
+					resp, err := http.ReadResponse(br, nil)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+				}
+				fmt.Fprint(c, stream[sent:])
+				require.Eventually(t, func() bool { return s.held() > shortFields/8*fieldBytes }, eventually, time.Millisecond, "not counted")
+				fmt.Fprint(c, "\r\n")
+				resp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Eventually(t, func() bool { return s.held() == 0 }, eventually, time.Millisecond, "not given back")
+			})
+		}
+	}
+}
+
+// A head that is too long is refused also if it was begun ahead, wherever its first part ends.
+func TestLongHeadBegunAheadIsRefused(t *testing.T) {
+	const start = "GET / HTTP/1.1\r\nHost: h\r\n"
+	for name, request := range requestsByBody {
+		for n := range start {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, n), func(t *testing.T) {
+				s := newHeadServer(t, admit.ConnLimits{Bytes: 1 << 20, UnreadPerConn: 1 << 20}, readBody)
+				c, br := s.dial(t)
+				fmt.Fprint(c, request, start[:n])
+				resp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				fmt.Fprint(c, start[n:], fields(testMaxHead+headSlack))
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(eventually)))
+				resp, err = http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+				require.EqualValues(t, 1, s.served.Load())
+			})
+		}
+	}
+}
+
+// A head that was begun ahead and for which there is no room is refused.
+func TestHeadBegunAheadWithoutRoomIsRefused(t *testing.T) {
+	s := newHeadServer(t, admit.ConnLimits{Bytes: 40 << 10, UnreadPerConn: 1 << 20}, readBody)
 	c, br := s.dial(t)
-	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n", fields(3<<10))
-	_, err := http.ReadResponse(br, nil)
+	fmt.Fprint(c, requestsByBody["length"], "GET / HTTP/1.1\r\n", fields(2<<10))
+	resp, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	resp, err = http.ReadResponse(br, nil)
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return s.held() > 3<<10/8*fieldBytes }, eventually, time.Millisecond)
-	c.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.EqualValues(t, 1, s.served.Load())
 	require.Eventually(t, func() bool { return s.held() == 0 }, eventually, time.Millisecond)
 }
 
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -58,6 +58,7 @@
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
+	srv.DisableGeneralOptionsHandler = true // requests that it answers would not be begun
 	handler := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*conn)
@@ -199,7 +200,8 @@
 	maxHead func() int       // as Options.MaxHead
 
 	mu       sync.Mutex // guards the fields below
-	head     head
+	framing  framing
+	refusal  int // status with which the next read refuses the request; 0 for none
 	phase    phase
 	since    time.Time // start of the phase
 	deadline time.Time // read deadline set by http.Server
@@ -209,6 +211,17 @@
 // Read implements net.Conn. A read that returns data withdraws an expiry that came
 // at the same time, so that the request is handled.
 func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	refusal, lost := c.refusal, c.framing.lost
+	c.refusal = 0
+	c.mu.Unlock()
+	switch {
+	case lost:
+		return 0, errRefused
+	case refusal != 0:
+		c.refuse(refusal)
+		return 0, errRefused
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -219,8 +232,8 @@
 		c.phase, c.since = reading, time.Now()
 		c.withdraw()
 	}
-	c.head.add(p[:n])
-	h, isHead := c.head, c.phase == reading
+	c.framing.add(p[:n])
+	h, isHead := c.framing.head, c.phase == reading
 	c.mu.Unlock()
 	if isHead {
 		if status := c.admitHead(&h, began); status != 0 {
