A refusal reaches a caller that is still sending

What callers saw: a refused request whose body was in chunks, or had up to 256 KiB to come, ended with a reset right behind the refusal, which may overtake it. A client then has no answer to a request that did not run. Seen as TestBodyBeyondBuffersIsRefused, which failed 8 to 14 times in 1,800 runs (six copies at a time) with "connection reset by peer".

Cause: a refusal no longer waits for the rest of a body, and http.Server delays the close of a connection only where it has given up reading by itself.

Change: a connection whose body was skipped ends its sending direction, and reads for 100 ms and 64 KiB at most, before it is closed, as after a refused head. The memory of a body returns to the budget with the end of its request, not of its connection: without that, the next request in the test found no room (833 of 1,800). The test is served by the gateway's listener now, as callers are; its checks are the same.

Evidence: TestRefusalReachesCallerThatIsSending failed before in 3 of 3 runs (chunks; the other case held); TestBodyBeyondBuffersIsRefused fails in none of 1,800.

--- a/daemon/status.go
+++ b/daemon/status.go
@@ -66,7 +66,7 @@
 func skipBodies(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
-			idleconn.SkipBody(w)
+			idleconn.SkipBody(w, r)
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -264,7 +264,7 @@
 	switch {
 	case c.bodyRead:
 	case e.Code == api.BuffersFull || e.Code == api.BodyTooSlow:
-		idleconn.SkipBody(c.w)
+		idleconn.SkipBody(c.w, c.r)
 	default:
 		idleconn.FinishBody(c.w, c.r)
 	}
--- a/gateway/refused_body_test.go
+++ b/gateway/refused_body_test.go
@@ -70,3 +70,36 @@
 		}
 	}
 }
+
+// A refusal reaches a caller that sends its whole body before it reads the answer.
+func TestRefusalReachesCallerThatIsSending(t *testing.T) {
+	const size = 2 << 20
+	for name, body := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", strings.Repeat("400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", size>>10)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tg := newUnservedGateway(t)
+			tg.document(allowTime)
+			tg.server(serve("answer"))
+			ln := listenSmall(t)
+			tg.serveOn(ln)
+			for range 20 {
+				caller, err := net.Dial("tcp", ln.Addr().String())
+				require.NoError(t, err)
+				defer caller.Close()
+				require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+				fmt.Fprintf(caller, "POST /nowhere/ HTTP/1.1\r\nHost: h\r\nX-Id: %x\r\n%s", nextID.Add(1), body)
+				br := bufio.NewReader(caller)
+				resp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusNotFound, resp.StatusCode)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				_, err = br.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "a reset may overtake the answer")
+			}
+		})
+	}
+}
--- a/gateway/slow_body_test.go
+++ b/gateway/slow_body_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -195,8 +196,12 @@
 
 // A request that cannot be held is refused, and says when to return.
 func TestBodyBeyondBuffersIsRefused(t *testing.T) {
-	tg := newTestGateway(t)
+	tg := newUnservedGateway(t)
 	tg.limitBuffers(64<<10, 64<<10)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	tg.serveOn(ln)
+	tg.front = &httptest.Server{URL: "http://" + ln.Addr().String()}
 	var arrivals atomic.Int64
 	tg.server(func(c *conn) { arrivals.Add(1); serve("answer")(c) })
 	for _, chunked := range []bool{false, true} {
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -50,9 +50,12 @@
 	c.all.budget.Served(c.id)
 }
 
-// EndRequest records that the request has been served. The rest of its body may be read
-// still.
-func (c *Conn) EndRequest() { c.all.setStage(c, admit.StageDone) }
+// EndRequest records that the request has been served, and that only its head of n bytes is
+// still held. The rest of its body may be read still.
+func (c *Conn) EndRequest(n int64) {
+	c.setRequest(max(0, n-headBytes))
+	c.all.setStage(c, admit.StageDone)
+}
 
 // Idle records that the next request is awaited.
 func (c *Conn) Idle() {
--- a/internal/idleconn/body.go
+++ b/internal/idleconn/body.go
@@ -19,7 +19,12 @@
 // SkipBody leaves the rest of a request's body unread. The response is the last one on the
 // connection. Without it, http.Server sends a response after it has read up to 256 KiB of
 // the rest, however long that takes.
-func SkipBody(w http.ResponseWriter) {
+func SkipBody(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.mu.Lock()
+		c.skipped = true
+		c.mu.Unlock()
+	}
 	w.Header().Set("Connection", "close")
 	http.NewResponseController(w).SetReadDeadline(longAgo) //nolint:errcheck // not supported by some writers of tests
 }
@@ -33,5 +38,5 @@
 			return
 		}
 	}
-	SkipBody(w)
+	SkipBody(w, r)
 }
--- a/internal/idleconn/head.go
+++ b/internal/idleconn/head.go
@@ -21,10 +21,9 @@
 	textCopies = 3
 	// readerBytes is the size of http.Server's buffer.
 	readerBytes = 4 << 10
-	// drainTime and drainReads bound what is read of a client that is refused, so that the
-	// refusal reaches it before the connection is reset.
-	drainTime  = 100 * time.Millisecond
-	drainReads = 16
+	// lingerTime and lingerReads bound what is read of a client that has been refused.
+	lingerTime  = 100 * time.Millisecond
+	lingerReads = 16
 )
 
 // head counts what is read of the head of a request.
@@ -89,29 +88,36 @@
 	if _, err := fmt.Fprintf(c.Conn, format, status, http.StatusText(status), retry); err != nil {
 		return
 	}
-	c.CloseWrite()                                    //nolint:errcheck // the connection is closed next
-	c.Conn.SetReadDeadline(time.Now().Add(drainTime)) //nolint:errcheck // as above
+	c.linger()
+}
+
+// linger ends the sending direction and reads a part of what the client still sends. A
+// connection that is closed with unread data is reset, and a reset may overtake the answer.
+func (c *conn) linger() {
+	c.CloseWrite()                                     //nolint:errcheck // the connection is closed next
+	c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // as above
 	buf := make([]byte, readerBytes)
-	for range drainReads {
+	for range lingerReads {
 		if _, err := io.ReadFull(c.Conn, buf); err != nil {
 			return
 		}
 	}
 }
 
-// begin records that a request is served. It returns false if there is no room for it.
-func (c *conn) begin(r *http.Request) bool {
+// begin records that a request whose head takes n bytes is served. It returns false if there
+// is no room for it.
+func (c *conn) begin(r *http.Request, n int64) bool {
 	c.setPhase(handling)
 	c.mu.Lock()
 	c.framing.begin(r)
 	c.mu.Unlock()
-	return c.budget == nil || c.budget.BeginRequest(headBytes(r))
+	return c.budget == nil || c.budget.BeginRequest(n)
 }
 
-// end records that a request has been served.
-func (c *conn) end() {
+// end records that a request whose head takes n bytes has been served.
+func (c *conn) end(n int64) {
 	if c.budget != nil {
-		c.budget.EndRequest()
+		c.budget.EndRequest(n)
 	}
 }
 
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -62,12 +62,13 @@
 	handler := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*conn)
-		if !c.begin(r) {
-			SkipBody(w)
+		n := headBytes(r)
+		if !c.begin(r, n) {
+			SkipBody(w, r)
 			opts.Refuse(w, r)
 			return
 		}
-		defer c.end()
+		defer c.end(n)
 		handler.ServeHTTP(w, r)
 	})
 	return t
@@ -201,6 +202,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	framing  framing
+	skipped  bool // SkipBody was called
 	refusal  int // status with which the next read refuses the request; 0 for none
 	phase    phase
 	since    time.Time // start of the phase
@@ -244,6 +246,18 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	skipped := c.skipped
+	c.skipped = false
+	c.mu.Unlock()
+	if skipped {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(at time.Time) error {
 	c.mu.Lock()
