Trailers of requests are not held while they are served

A body in chunks may end with 4 KB of fields, which http.Server parses into up to 400 KB and keeps with the request for as long as it is served; the budget of callers' connections did not know them. They are never passed on, so they are dropped once the body has been read.

TestTrailerIsNotHeld failed before.

--- a/entry/call.go
+++ b/entry/call.go
@@ -158,6 +158,7 @@
 	case len(body) > api.MaxBodyBytes:
 		return api.NewError(api.BodyTooLarge, "")
 	}
+	r.Trailer = nil // never passed on
 	c.body = body
 	return nil
 }
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -16,3 +17,17 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, headerBytes(r), len(head))
 }
+
+// Fields after a body in chunks are not held while the request is served.
+func TestTrailerIsNotHeld(t *testing.T) {
+	tg := newUnservedGateway(t)
+	tg.server(serve("answer"))
+	trailer := strings.Repeat("a:\r\n", 900)
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(
+		"POST /again/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: key\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + trailer + "\r\n")))
+	require.NoError(t, err)
+	w := httptest.NewRecorder()
+	tg.g.ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Empty(t, r.Trailer)
+}
--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -23,6 +23,7 @@
 	slowPause   = 10 * time.Millisecond
 	farOver     = 4 * bodyLimit
 	hugeHead    = 900 << 10
+	trailerSize = 4000
 	ahead       = 2000 // requests that are sent on one connection before an answer is read
 	smallSocket = 4 << 10
 	rounds      = 2 // in which the clients of the last kind do all of the others
@@ -102,6 +103,9 @@
 		})
 	}},
 	{name: "heads of short fields far over the limit", send: func(c *client) { c.head(shortFields(hugeHead)) }},
+	{name: "trailers of short fields and no answer read", send: func(c *client) {
+		c.repeat(c.text("Transfer-Encoding: chunked\r\n")+"1\r\nx\r\n0\r\n"+shortFields(trailerSize)+"\r\n", ahead*trailerSize/10)
+	}},
 	{name: "heads of short fields far over the limit, begun ahead", send: func(c *client) {
 		const cut = "\r\n" // the first line that is sent ahead ends after the answer
 		c.write(c.text("Content-Length: 0\r\n") + strings.TrimSuffix(c.text(""), cut+cut))
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -203,7 +203,7 @@
 	mu       sync.Mutex // guards the fields below
 	framing  framing
 	skipped  bool // SkipBody was called
-	refusal  int // status with which the next read refuses the request; 0 for none
+	refusal  int  // status with which the next read refuses the request; 0 for none
 	phase    phase
 	since    time.Time // start of the phase
 	deadline time.Time // read deadline set by http.Server
