Refusals at a connection and of status requests are counted and logged

What operators saw: nothing. A head over the limit, a head without room, and a request for status beyond eight at once were refused without a line of the log or a metric.

They are reported like connections that yield, with causes of their own (long-head, no-room, busy), in the same counter and the same line, one a second at most.

--- a/daemon/status.go
+++ b/daemon/status.go
@@ -72,8 +72,8 @@
 	})
 }
 
-// limitInFlight refuses requests beyond statusMaxInFlight at once: an answer may take far
-// more memory than its request.
+// limitInFlight refuses requests beyond statusMaxInFlight at once, and ends their connections:
+// an answer may take far more memory than its request.
 func limitInFlight(h http.Handler) http.Handler {
 	slots := make(chan struct{}, statusMaxInFlight)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -82,6 +82,10 @@
 			defer func() { <-slots }()
 			h.ServeHTTP(w, r)
 		default:
+			if c := idleconn.Conn(r); c != nil {
+				c.Refused(callerconn.YieldBusy)
+			}
+			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -42,8 +42,9 @@
 	// what was held for it: with the bytes held, and the time without progress. It may
 	// be nil. Set it before the first use.
 	OnCut func(Cut)
-	// OnYield is called for each other connection that is ended in favour of others, and
-	// for each that is not accepted. It may be nil. Set it before the first use.
+	// OnYield is called for each other connection that is ended in favour of others, for
+	// each that is not accepted, and for each that reports a refusal with Conn.Refused. It
+	// may be nil. Set it before the first use.
 	OnYield func(Yield)
 
 	mu     sync.Mutex // guards the fields below
@@ -67,7 +68,7 @@
 	Reason error         // ErrEvicted, or the error of the connection
 }
 
-// Yield describes a connection that was ended in favour of others.
+// Yield describes a connection that was ended in favour of others or because of a limit.
 type Yield struct {
 	Peer  string // address
 	Cause YieldCause
@@ -81,9 +82,12 @@
 	YieldNotAccepted YieldCause = "not-accepted" // no connection could yield to a new one
 	YieldHead        YieldCause = "head"         // the head of its request was not whole
 	YieldIdle        YieldCause = "idle"
-	YieldAnswered    YieldCause = "answered" // its request had been answered, but not read to its end
-	YieldBody        YieldCause = "body"     // the body of its request did not arrive
-	YieldUnread      YieldCause = "unread"   // its answer was not read; reported by Conns.OnCut instead
+	YieldAnswered    YieldCause = "answered"  // its request had been answered, but not read to its end
+	YieldBody        YieldCause = "body"      // the body of its request did not arrive
+	YieldUnread      YieldCause = "unread"    // its answer was not read; reported by Conns.OnCut instead
+	YieldLongHead    YieldCause = "long-head" // the head of its request is over the limit
+	YieldNoRoom      YieldCause = "no-room"   // no connection could yield to its request
+	YieldBusy        YieldCause = "busy"      // the process answers as many requests of this kind as it may
 )
 
 // yieldCauses are the causes by the stage in which a connection yields.
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -57,6 +57,10 @@
 	c.all.setStage(c, admit.StageDone)
 }
 
+// Refused reports that a request was refused because of a limit, and that the connection ends
+// therefore.
+func (c *Conn) Refused(cause YieldCause) { c.all.yielded(Yield{c.RemoteAddr().String(), cause}) }
+
 // Idle records that the next request is awaited.
 func (c *Conn) Idle() {
 	c.setRequest(0)
--- a/internal/idleconn/head.go
+++ b/internal/idleconn/head.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"marjorampitch/internal/callerconn"
 )
 
 // Costs and limits of heads.
@@ -81,9 +83,12 @@
 // Nothing else is written: the answers to earlier requests have been.
 func (c *conn) refuse(status int) {
 	const format = "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n%s\r\n"
-	retry := ""
+	retry, cause := "", callerconn.YieldLongHead
 	if status == http.StatusServiceUnavailable {
-		retry = "Retry-After: 1\r\n"
+		retry, cause = "Retry-After: 1\r\n", callerconn.YieldNoRoom
+	}
+	if c.budget != nil {
+		c.budget.Refused(cause)
 	}
 	if _, err := fmt.Fprintf(c.Conn, format, status, http.StatusText(status), retry); err != nil {
 		return
--- a/internal/idleconn/head_test.go
+++ b/internal/idleconn/head_test.go
@@ -24,14 +24,19 @@
 
 // headServer is a server whose connections have a budget.
 type headServer struct {
-	conns  *callerconn.Conns
-	addr   string
-	served atomic.Int64
+	conns   *callerconn.Conns
+	addr    string
+	served  atomic.Int64
+	yielded chan callerconn.YieldCause
 }
 
 func newHeadServer(t *testing.T, limits admit.ConnLimits, handler http.HandlerFunc) *headServer {
 	start := time.Now()
-	s := &headServer{conns: callerconn.New(admit.NewConnBudget(limits), func() time.Duration { return time.Since(start) })}
+	s := &headServer{
+		conns:   callerconn.New(admit.NewConnBudget(limits), func() time.Duration { return time.Since(start) }),
+		yielded: make(chan callerconn.YieldCause, 100),
+	}
+	s.conns.OnYield = func(y callerconn.Yield) { s.yielded <- y.Cause }
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.served.Add(1)
 		handler(w, r)
@@ -78,6 +83,7 @@
 	resp, err := http.ReadResponse(br, nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+	require.Equal(t, callerconn.YieldLongHead, <-s.yielded)
 	require.True(t, resp.Close)
 	_, err = br.ReadByte()
 	require.Error(t, err, "the connection is closed")
@@ -207,6 +213,7 @@
 	resp, err = http.ReadResponse(br, nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, callerconn.YieldNoRoom, <-s.yielded)
 	require.EqualValues(t, 1, s.served.Load())
 	require.Eventually(t, func() bool { return s.held() == 0 }, eventually, time.Millisecond)
 }
@@ -222,6 +229,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Equal(t, callerconn.YieldNoRoom, <-s.yielded)
 	require.Zero(t, s.served.Load())
 	_, err = br.ReadByte()
 	require.Error(t, err, "the connection is closed")
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -65,6 +65,7 @@
 		n := headBytes(r)
 		if !c.begin(r, n) {
 			SkipBody(w, r)
+			c.budget.Refused(callerconn.YieldNoRoom)
 			opts.Refuse(w, r)
 			return
 		}
