--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -103,6 +103,18 @@
 		})
 	}},
 	{name: "heads of short fields far over the limit", send: func(c *client) { c.head(shortFields(hugeHead)) }},
+	{name: "options of the server, with bodies that stop short", send: func(c *client) {
+		head := c.text(shortFields(headLimit-512) + "Content-Length: 4000\r\n")
+		c.write(strings.Replace(head, "POST "+c.path, "OPTIONS *", 1) + "x")
+	}},
+	{name: "bodies that are to be asked for", send: func(c *client) {
+		c.head(shortFields(headLimit-512) + "Expect: 100-continue\r\nContent-Length: 4000\r\n")
+		c.slowly(strings.Repeat("x", slowBytes))
+	}},
+	{name: "chunks with long extensions", send: func(c *client) {
+		c.head("Transfer-Encoding: chunked\r\n")
+		c.repeat("1;"+strings.Repeat("x", 3000)+"\r\nx\r\n", bodyLimit)
+	}},
 	{name: "trailers of short fields and no answer read", send: func(c *client) {
 		c.repeat(c.text("Transfer-Encoding: chunked\r\n")+"1\r\nx\r\n0\r\n"+shortFields(trailerSize)+"\r\n", ahead*trailerSize/10)
 	}},
