--- a/gateway/body.go
+++ b/gateway/body.go
@@ -45,7 +45,7 @@
 		return api.NewError(api.BodyTooLarge, "")
 	}
 	control.SetReadDeadline(time.Time{}) //nolint:errcheck // as above
-	c.r.Trailer = nil // never passed on
+	c.r.Trailer = nil                    // never passed on
 	c.body, c.bodyRead = body, true
 	return nil
 }
