--- a/gateway/refused_body_test.go
+++ b/gateway/refused_body_test.go
@@ -13,6 +13,23 @@
 	"github.com/stretchr/testify/require"
 )
 
+// dialGateway serves callers with a gateway that has one server, and returns the function that
+// connects a caller.
+func dialGateway(t *testing.T) (dial func() net.Conn) {
+	tg := newUnservedGateway(t)
+	tg.document(allowTime)
+	tg.server(serve("answer"))
+	ln := listenSmall(t)
+	tg.serveOn(ln)
+	return func() net.Conn {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { caller.Close() })
+		require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+		return caller
+	}
+}
+
 // A refusal does not wait for the rest of a body, whatever the reason of the refusal is.
 func TestRefusalDoesNotWaitForBody(t *testing.T) {
 	for name, head := range map[string]string{
@@ -23,15 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			tg := newUnservedGateway(t)
-			tg.document(allowTime)
-			tg.server(serve("answer"))
-			ln := listenSmall(t)
-			tg.serveOn(ln)
-			caller, err := net.Dial("tcp", ln.Addr().String())
-			require.NoError(t, err)
-			defer caller.Close()
-			require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+			caller := dialGateway(t)()
 			fmt.Fprintf(caller, "%sX-Id: %x\r\n\r\n", head, nextID.Add(1))
 			br := bufio.NewReader(caller)
 			resp, err := http.ReadResponse(br, nil)
@@ -49,14 +58,7 @@
 // The connection of a refused request whose body has been sent is kept.
 func TestRefusalKeepsConnectionIfBodyIsThere(t *testing.T) {
 	t.Parallel()
-	tg := newUnservedGateway(t)
-	tg.document(allowTime)
-	tg.server(serve("answer"))
-	ln := listenSmall(t)
-	tg.serveOn(ln)
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer caller.Close()
+	caller := dialGateway(t)()
 	br := bufio.NewReader(caller)
 	for _, path := range []string{"/nowhere/", "/once/"} {
 		fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %x\r\nX-Key: key\r\nContent-Length: 10\r\n\r\n%s", path, nextID.Add(1), strings.Repeat("x", 10))
@@ -80,16 +82,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			tg := newUnservedGateway(t)
-			tg.document(allowTime)
-			tg.server(serve("answer"))
-			ln := listenSmall(t)
-			tg.serveOn(ln)
+			dial := dialGateway(t)
 			for range 20 {
-				caller, err := net.Dial("tcp", ln.Addr().String())
-				require.NoError(t, err)
-				defer caller.Close()
-				require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+				caller := dial()
 				fmt.Fprintf(caller, "POST /nowhere/ HTTP/1.1\r\nHost: h\r\nX-Id: %x\r\n%s", nextID.Add(1), body)
 				br := bufio.NewReader(caller)
 				resp, err := http.ReadResponse(br, nil)
