idleconn: the test of held requests is back, comments

TestRequestsAheadAreHeld had been replaced by TestRequestsAheadAreCounted, which does not end the connection while a head that was begun ahead is held. Both stand now.

--- a/internal/idleconn/body.go
+++ b/internal/idleconn/body.go
@@ -17,7 +17,7 @@
 )
 
 // SkipBody leaves the rest of a request's body unread. The response is the last one on the
-// connection. Without it, http.Server sends a response after it has read up to 256 KiB of
+// connection, which is closed so that the response can arrive. Without it, http.Server sends a response after it has read up to 256 KiB of
 // the rest, however long that takes.
 func SkipBody(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
--- a/internal/idleconn/head_test.go
+++ b/internal/idleconn/head_test.go
@@ -27,7 +27,7 @@
 	conns   *callerconn.Conns
 	addr    string
 	served  atomic.Int64
-	yielded chan callerconn.YieldCause
+	yielded chan callerconn.YieldCause // why connections were ended
 }
 
 func newHeadServer(t *testing.T, limits admit.ConnLimits, handler http.HandlerFunc) *headServer {
@@ -141,6 +141,18 @@
 	}
 }
 
+// What a client sends ahead is held, and given back when its connection ends.
+func TestRequestsAheadAreHeld(t *testing.T) {
+	s := newHeadServer(t, admit.ConnLimits{Bytes: 1 << 20, UnreadPerConn: 1 << 20}, readBody)
+	c, br := s.dial(t)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n", fields(3<<10))
+	_, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.held() > 3<<10/8*fieldBytes }, eventually, time.Millisecond)
+	c.Close()
+	require.Eventually(t, func() bool { return s.held() == 0 }, eventually, time.Millisecond)
+}
+
 // requestsByBody are requests with bodies of each kind.
 var requestsByBody = map[string]string{
 	"no body": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -11,7 +11,8 @@
 //
 // http.Server parses a whole head, and keeps all of its fields, before a handler sees it. A
 // head is therefore counted as it is read: one that is too long, or for which the process
-// has no room, is refused before it is parsed.
+// has no room, is refused before it is parsed. What a client sends ahead of an answer is read
+// with the request before it, which is therefore followed to its end.
 package idleconn
 
 import (
