--- a/review/standin-2/fleet/deployment.go
+++ b/review/standin-2/fleet/deployment.go
@@ -18,6 +18,7 @@
 	routeHost    = "wuny96.example"
 	streamPrefix = "/gono990/"
 	safePrefix   = "/cuti104/"
+	oncePrefix   = "/puxa403/"
 	modelService = "dele69a"
 	plainService = "xano55b"
 )
@@ -120,12 +121,16 @@
 		"routes": []map[string]any{
 			{
 				"name": "r-stream", "host": routeHost, "path_prefix": streamPrefix, "kind": "stream", "timeout_ms": 8000,
-				"target_latency_ms": 500, "priority": 1, "service": modelService, "max_attempts": 2, "allow_anonymous": true,
+				"target_latency_ms": 500, "priority": 1, "service": modelService, "max_attempts": 2, "allow_anonymous": false,
 				"session_affinity": true, "resume_streams": true, "target_gap_ms": 120,
 			},
 			{
 				"name": "r-safe", "host": routeHost, "path_prefix": safePrefix, "kind": "idempotent", "timeout_ms": 1000,
-				"target_latency_ms": 100, "priority": 2, "service": plainService, "max_attempts": 2, "allow_anonymous": true,
+				"target_latency_ms": 100, "priority": 2, "service": plainService, "max_attempts": 2, "allow_anonymous": false,
+			},
+			{
+				"name": "r-once", "host": routeHost, "path_prefix": oncePrefix, "kind": "non_idempotent", "timeout_ms": 1000,
+				"target_latency_ms": 100, "priority": 2, "service": plainService, "max_attempts": 1, "allow_anonymous": false,
 			},
 		},
 		"services": []map[string]any{
@@ -150,6 +155,16 @@
 	d.rec.line("the operator has written version %d", d.version)
 }
 
+// workerOf returns the worker on the machine of a rebalancer.
+func (d *deployment) workerOf(p *process) *worker {
+	for _, w := range d.workers {
+		if w.address == p.App {
+			return w
+		}
+	}
+	return nil
+}
+
 // processes returns all processes of the system.
 func (d *deployment) processes() []*process {
 	return append(append([]*process(nil), d.sides...), d.gateways...)
--- a/review/standin-2/fleet/group.go
+++ b/review/standin-2/fleet/group.go
@@ -42,7 +42,6 @@
 	weights  [sets][]float64
 	ranks    [ranks]rank
 	passDone chan struct{}           // closed at each pass
-	onArmed  func()                  // called, with mu held, when the last rank has been armed for a pass
 	onCopy   func()                  // called, with mu held, when a rank begins to copy experts
 	endless  [ranks]bool             // reports are bytes without end
 	random   func() *rand.Rand       // source of the demand
@@ -200,16 +199,6 @@
 	return text + fmt.Sprintf(", %d ranks are armed", armed)
 }
 
-// allArmed reports whether all ranks are armed for the same map and pass. The caller holds mu.
-func (g *group) allArmed() bool {
-	for r := range g.ranks {
-		if x := &g.ranks[r]; x.armed == none || x.armed != g.ranks[0].armed || x.armedAt != g.ranks[0].armedAt {
-			return false
-		}
-	}
-	return true
-}
-
 func optional(v int64) any {
 	if v == none {
 		return nil
@@ -299,9 +288,6 @@
 			return http.StatusConflict
 		}
 		x.armed, x.armedAt = o.Version, o.Step
-		if g.onArmed != nil && g.allArmed() {
-			g.onArmed()
-		}
 	case "disarm":
 		if x.version == o.Version {
 			return http.StatusConflict
--- a/review/standin-2/fleet/main.go
+++ b/review/standin-2/fleet/main.go
@@ -18,7 +18,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) int{
-	"map": runMap, "recover": runRecover, "memory": runMemory,
+	"recover": runRecover, "memory": runMemory, "length": runLength, "leaving": runLeaving,
 }
 
 // cleanup ends what the case has started.
--- a/review/standin-2/fleet/worker.go
+++ b/review/standin-2/fleet/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -25,12 +26,29 @@
 	born                       int64
 	seq                        atomic.Int64
 	rec                        *record
+
+	frozen   atomic.Bool  // the machine stands still, so that nothing reaches the worker or comes from it
+	draining atomic.Bool  // the entry says that the worker leaves
+	leaving  atomic.Bool  // answers say that the worker leaves
+	broken   atomic.Int64 // each so many answers break off and state a false length; 0 for none
+	answers  atomic.Int64
+	arrived  func(w *worker, r *http.Request) // called for each request; may be nil
 }
 
+// plainAnswer is the answer of a plain worker.
+var plainAnswer = strings.Repeat("abcdefghijklmnop", plainBytes/16)
+
+// falseLength is the length that an answer states that breaks off.
+const falseLength = "9223372036854775807"
+
 // entry returns the worker's next entry in the store.
 func (w *worker) entry() []byte {
+	state := "ready"
+	if w.draining.Load() {
+		state = "draining"
+	}
 	data, err := json.Marshal(map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 12, "state": "ready", "cold_remaining_ms": 0,
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 12, "state": state, "cold_remaining_ms": 0,
 		"stage": "colocated", "models": []any{}, "seq": w.seq.Add(1), "born": w.born,
 	})
 	if err != nil {
@@ -39,8 +57,16 @@
 	return data
 }
 
+// thawed waits until the worker's machine goes on.
+func (w *worker) thawed() {
+	for w.frozen.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.thawed()
 	if w.rank >= 0 {
 		switch r.Method + " " + r.URL.Path {
 		case "GET /marjorampitch/report":
@@ -68,16 +94,22 @@
 	if _, err := io.ReadAll(r.Body); err != nil {
 		return
 	}
+	if w.arrived != nil {
+		w.arrived(w, r)
+	}
+	if w.leaving.Load() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	rw.Header().Set("Marjorampitch-Response-Seal", "seal."+w.id+"."+id)
 	w.rec.line("worker %s runs %s %s", w.id, id, r.URL.Path)
 	if w.rank < 0 {
 		time.Sleep(plainWork)
-		body := make([]byte, plainBytes)
-		for i := range body {
-			body[i] = 'a' + byte(i%26)
+		if n := w.broken.Load(); n > 0 && w.answers.Add(1)%n == 0 {
+			w.rec.line("worker %s states a length of %s in its answer to %s and breaks off after %d bytes", w.id, falseLength, id, plainBytes/2)
+			w.breakOff(rw)
 		}
-		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		rw.Write(body) //nolint:errcheck // the caller detects a short answer
+		rw.Header().Set("Content-Length", strconv.Itoa(plainBytes))
+		io.WriteString(rw, plainAnswer) //nolint:errcheck // the caller detects a short answer
 		return
 	}
 	w.stream(rw, r)
@@ -98,6 +130,7 @@
 		if !w.group.await(r.Context()) {
 			return
 		}
+		w.thawed()
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s/%d\n\n", n, r.Header.Get("Marjorampitch-Request-Id"), n); err != nil {
 			return
 		}
@@ -106,3 +139,11 @@
 		}
 	}
 }
+
+// breakOff states a false length, sends a half of the answer, and closes the connection.
+func (w *worker) breakOff(rw http.ResponseWriter) {
+	rw.Header().Set("Content-Length", falseLength)
+	io.WriteString(rw, plainAnswer[:plainBytes/2]) //nolint:errcheck // see below
+	http.NewResponseController(rw).Flush()         //nolint:errcheck // see below
+	panic(http.ErrAbortHandler)                    // closes the connection
+}
