Gateway: a head that is no response ends the exchange before its body is framed

What callers saw: a server wrote "Transfer-Encoding : chunked" or "Content-Length : 90", with a blank in the name of the field. They got 200 with the frames of the chunks in the body, or with 9 bytes of 90 as a whole answer, on every kind of route; a stream that had begun went on with the frames in it. The same held for lines that begin with a blank, for chunks of HTTP/1.0 (the parser ignores the transfer encoding there), for statuses from 600 on, and for other versions of the protocol.

Cause: http.ReadResponse takes such lines, and keeps the name with its blank as another field, so that the framing is not seen. Once parsed, the head does not show how its lines were written.

Change: package resphead checks the bytes of a head on their way to the parser, and ends the exchange as without a whole answer (502, may have run, or a repeat where the route allows).

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"marjorampitch/internal/duplex"
+	"marjorampitch/internal/resphead"
 	"marjorampitch/internal/sockopt"
 )
 
@@ -24,11 +25,8 @@
 // other requests, that are skipped before the connection is closed.
 const maxSkippedResponses = 3
 
-// Sizes of what is read of a server that may send without end, in bytes.
-const (
-	maxHeadBytes    = 64 << 10 // of the heads of all responses of an exchange
-	maxSkippedBytes = 1 << 20  // of the body of a response that is skipped
-)
+// maxSkippedBytes bounds the body of a response that is skipped.
+const maxSkippedBytes = 1 << 20
 
 // silenceRechecks is how often a silence that goes on is judged again within the time
 // of the first judgement.
@@ -37,15 +35,14 @@
 // Errors of Pool.Do.
 var (
 	// ErrNoResponse means that the request may have reached the server, but no
-	// response to it was received. Do returns it together with its cause.
+	// response to it was received. Do returns it together with its cause, such as those
+	// of resphead.
 	ErrNoResponse = eris.New("backend: no whole answer")
 	// ErrMismatchedResponse means that the responses on the connection belong to other
 	// requests.
 	ErrMismatchedResponse = eris.New("backend: answer to another request")
 	// ErrSilent reports a server whose silence a watch has ended.
 	ErrSilent = eris.New("backend: no data from the server")
-	// ErrHeadSize means that the head of a response is larger than maxHeadBytes.
-	ErrHeadSize = eris.New("backend: head of the answer is too large")
 )
 
 // ClosedByServer reports whether an exchange failed with err because the server
@@ -107,8 +104,8 @@
 	conn     *duplex.Conn
 	deadline time.Time // of the exchange; zero for none
 	silence  time.Duration
-	onSilent OnSilent  // nil for no watch
-	headLeft int       // bytes that may still be read while a head is read; unlimited if negative
+	onSilent OnSilent // nil for no watch
+	heads    resphead.Checker
 	judgeAt  time.Time // when the silence is judged next; zero if it begins with the next read
 	body     *longBody // of the request; nil for a short one
 
@@ -117,22 +114,20 @@
 	ended      bool // the connection may serve another exchange
 }
 
-// Read implements io.Reader. Silence is judged between reads, so that neither a read
-// nor the end of the exchange can overlap with it.
+// Read implements io.Reader. Errors: those of resphead, too.
 func (r *exchangeReader) Read(p []byte) (int, error) {
-	if r.headLeft == 0 {
-		return 0, ErrHeadSize
-	}
-	if r.headLeft > 0 {
-		p = p[:min(len(p), r.headLeft)]
+	if err := r.heads.Err(); err != nil {
+		return 0, err
 	}
 	n, err := r.read(p)
-	if r.headLeft > 0 {
-		r.headLeft -= n
+	if n, malformed := r.heads.Check(p[:n]); malformed != nil {
+		return n, malformed
 	}
 	return n, err
 }
 
+// read reads from the connection. Silence is judged between reads, so that neither a read
+// nor the end of the exchange can overlap with it.
 func (r *exchangeReader) read(p []byte) (int, error) {
 	for {
 		deadline := r.deadline
@@ -231,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := &exchangeReader{conn: conn.Conn, silence: r.Silence, onSilent: r.OnSilent, headLeft: maxHeadBytes}
+	reader := &exchangeReader{conn: conn.Conn, silence: r.Silence, onSilent: r.OnSilent}
 	conn.br.Reset(reader) // nothing is buffered between exchanges
 	stop := context.AfterFunc(ctx, conn.reset)
 	fail := func(err error) (*Response, error) {
@@ -252,7 +247,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	reader.onSilent, reader.headLeft = nil, -1
+	reader.onSilent = nil
 	return &Response{Response: resp, id: r.ID, conn: conn, reader: reader, pool: p, stop: stop}, nil
 }
 
@@ -333,16 +328,25 @@
 		if resp.Close || !delimited(resp) {
 			break
 		}
-		left := reader.headLeft
-		reader.headLeft = -1
 		if whole, err := discard(resp.Body, maxSkippedBytes); err != nil || !whole {
 			return nil, errors.Join(ErrMismatchedResponse, err)
 		}
-		reader.headLeft = left
+		if err := c.expectHead(reader); err != nil {
+			return nil, err
+		}
 	}
 	return nil, ErrMismatchedResponse
 }
 
+// expectHead has a head follow the response that has been read. What has been buffered behind
+// that one was not checked as a head. Errors: those of resphead.
+func (c *Conn) expectHead(reader *exchangeReader) error {
+	reader.heads.Expect()
+	ahead, _ := c.br.Peek(c.br.Buffered()) // never reads
+	_, err := reader.heads.Check(ahead)
+	return err
+}
+
 // Finish ends the exchange after the body was read to the end. The connection is
 // returned to the pool if the server allows its reuse and has been sent the whole request:
 // where the rest of a body is due, no other bytes may follow.
