HTTP clients: heads that are no responses are none for them either

What callers saw: behind entry and side, a worker's answer with status 000, 001 or 099 reached WriteHeader of the entry, which takes no such status; one with a blank in the name of a field was passed on with a body that was not the worker's (frames of chunks, a part of the stated length). Load reports with status 000 verified connections.

Cause: as in the gateway, net/http parses such heads; statuses of three characters that Atoi takes pass, "+20" too. 101 was handed on as well, though no request asks for another protocol.

Change: connections of all HTTP clients (side to its backend server, engines, store, log service, instance list, weight store) are resphead.Conns, which check heads from the moment that the transport has chosen a connection for a request (httptrace GotConn). The first byte of a malformed head is passed on, so that the transport knows that a response had begun and does not repeat the request.

Evidence: with these six files as before, 58 subtests of side fail (a nil error, a head for the caller, or a verified connection), 32 of platform, 27 of backing, for 16 of the heads, among them status 000, 001, 099, 101, 600, 999, +20 and blanks in names. All pass now; a connection is used again after sound answers, and the next request is served. go test -race of side, platform, backing, entry and rebalance passes.

--- a/backing/http.go
+++ b/backing/http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"marjorampitch/internal/resphead"
 )
 
 // Timeouts and limits of the HTTP clients.
@@ -29,12 +31,12 @@
 )
 
 // newTransport returns a transport that does not use a proxy.
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() http.RoundTripper {
+	return resphead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
-	}
+	})
 }
 
 // newClient returns a client that neither retries nor follows redirects.
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -27,7 +27,7 @@
 				c.write(text(r))
 				return
 			default:
-				c.write(answer(r, http.StatusOK, headtest.Own))
+				c.write(answer(r, http.StatusOK, "own"))
 			}
 		}
 	}
@@ -53,7 +53,7 @@
 						tg := newTestGateway(t)
 						tg.document(allowTime)
 						faulty := tg.server(malformedOnce(second, func(r *http.Request) string {
-							return m.Text(fields.status, "X-Id: "+r.Header.Get("X-Id")+"\r\n"+fields.header)
+							return m.Text(fields.status, "X-Id: "+r.Header.Get("X-Id")+"\r\n"+fields.header, "malformed")
 						}))
 						other := tg.server(serve("other"))
 						what := fmt.Sprint(path, " second ", second)
@@ -61,7 +61,7 @@
 							tg.preferInOrder(faulty, other)
 							status, body, _ := tg.call(path)
 							require.Equal(t, http.StatusOK, status, what)
-							require.Equal(t, headtest.Own, body, what)
+							require.Equal(t, "own", body, what)
 						}
 						tg.preferInOrder(faulty, other)
 						status, body, h := tg.call(path)
@@ -71,7 +71,7 @@
 							require.Equal(t, "other", body, what)
 						case second: // on a connection of its own
 							require.Equal(t, http.StatusOK, status, what)
-							require.Equal(t, headtest.Own, body, what)
+							require.Equal(t, "own", body, what)
 						default:
 							require.Equal(t, http.StatusBadGateway, status, what)
 							require.Empty(t, h.Get("X-Seal"), what)
@@ -81,7 +81,7 @@
 							status, body, _ = tg.call(path)
 						}
 						require.Equal(t, http.StatusOK, status, what)
-						require.Contains(t, []string{headtest.Own, "other"}, body, what)
+						require.Contains(t, []string{"own", "other"}, body, what)
 					}
 				}
 			})
@@ -101,7 +101,7 @@
 			first := tg.server(func(c *conn) { c.write(streamHead(c.request()) + event(1)) })
 			faulty := tg.server(func(c *conn) {
 				r := c.request()
-				c.write(m.Text(http.StatusOK, "X-Id: "+r.Header.Get("X-Id")+"\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\n"))
+				c.write(m.Text(http.StatusOK, "X-Id: "+r.Header.Get("X-Id")+"\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\n", "data: malformed\n\n"))
 			})
 			sound := tg.server(func(c *conn) {
 				r := c.request()
--- a/internal/resphead/resphead_test.go
+++ b/internal/resphead/resphead_test.go
@@ -32,7 +32,7 @@
 func TestMalformedHeadNeverPassesWhole(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 51))
 	for _, m := range headtest.Heads() {
-		text := m.Text(http.StatusOK, "X-Id: 1\r\n")
+		text := m.Text(http.StatusOK, "X-Id: 1\r\n", "body")
 		var first string
 		for n := range 50 {
 			passed, err := check(text, rng)
@@ -71,7 +71,7 @@
 // What passes the checker has no field or status that the parser takes and that is none.
 func FuzzHeads(f *testing.F) {
 	for _, m := range headtest.Heads() {
-		f.Add(m.Text(http.StatusOK, "X-Id: 1\r\n"))
+		f.Add(m.Text(http.StatusOK, "X-Id: 1\r\n", "body"))
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		var c resphead.Checker
--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"marjorampitch/api"
+	"marjorampitch/internal/resphead"
 	"marjorampitch/telemetry"
 	"marjorampitch/wire"
 )
@@ -86,14 +87,14 @@
 // newClient returns a client without a timeout; the context of each call bounds it.
 func newClient(d *dialer, disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: resphead.Transport{Transport: &http.Transport{
 			DialContext:         d.dial,
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 			DisableKeepAlives:   disableKeepAlives,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/side/send_gate.go
+++ b/side/send_gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"marjorampitch/api"
+	"marjorampitch/internal/resphead"
 )
 
 // errSendRefused is the error of a write to a gatedConn after refuse.
@@ -17,7 +18,7 @@
 // gatedConn is a connection to the backend server that can be closed to the request
 // that is about to be written to it.
 type gatedConn struct {
-	net.Conn
+	*resphead.Conn
 	refused atomic.Bool
 }
 
--- a/side/verify.go
+++ b/side/verify.go
@@ -11,6 +11,7 @@
 	"marjorampitch/api"
 	"marjorampitch/backing"
 	"marjorampitch/internal/duplex"
+	"marjorampitch/internal/resphead"
 )
 
 // dialer opens connections to one incarnation of the backend server and verifies
@@ -29,13 +30,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c := duplex.New(raw.(*net.TCPConn)) // the transport sends the rest of a body as it reads the answer
-	if d.verify == nil {
-		return &gatedConn{Conn: c}, nil
-	}
-	if e := d.verify(c); e != nil {
-		c.Close()
-		return nil, e
+	// The transport sends the rest of a body as it reads the answer.
+	c := resphead.NewConn(duplex.New(raw.(*net.TCPConn)))
+	if d.verify != nil {
+		if e := d.verify(c); e != nil {
+			c.Close()
+			return nil, e
+		}
 	}
 	return &gatedConn{Conn: c}, nil
 }
