Answers that state the largest length are read to their end

Callers got 200 with the worker's seal and a whole, empty body, on all kinds of route, those that may run once only included.

Cause: callerconn.ReadHeld reads a byte more than the length, to read the end; for the largest length the sum overflows to a negative limit, and nothing is read.

Change: the length replaces the limit only where it is below it, so that no sum overflows.

Evidence: TestLengthBeyondBodyIsNoWholeAnswer fails before for that length, with and without a part of the body, and holds for the other lengths (one less, beyond 63 bits, one more than the body).

--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -115,3 +115,30 @@
 		})
 	}
 }
+
+// A server states a length that no body has, and breaks off. No part of that is a whole
+// answer.
+func TestLengthBeyondBodyIsNoWholeAnswer(t *testing.T) {
+	for _, length := range []string{"9223372036854775807", "9223372036854775806", "9223372036854775808", "99999999999999999999", "16777217", "6"} {
+		for _, sent := range []string{"", "short"} {
+			t.Run(length+" "+sent, func(t *testing.T) {
+				t.Parallel()
+				for path, repeats := range map[string]bool{"/once/": false, "/again/": true, "/stream/": true, "/fixed/": false, "/open/": true} {
+					tg := newTestGateway(t)
+					tg.document(allowTime)
+					faulty := tg.server(malformedOnce(false, func(r *http.Request) string {
+						return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Seal: seal\r\nContent-Length: " + length + "\r\n\r\n" + sent
+					}))
+					tg.preferInOrder(faulty, tg.server(serve("other")))
+					status, body, _ := tg.call(path)
+					if repeats {
+						require.Equal(t, http.StatusOK, status, path)
+						require.Equal(t, "other", body, path)
+					} else {
+						require.Equal(t, http.StatusBadGateway, status, path)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -48,8 +48,8 @@
 // Errors: ErrNoRoom, those of r.
 func ReadHeld(r io.Reader, length, limit int64, reserve func(n int64) bool) ([]byte, error) {
 	size := int64(firstBodyBytes)
-	if length >= 0 {
-		limit = min(limit, length+1) // a byte more, to read the end
+	if length >= 0 && length < limit {
+		limit = length + 1 // a byte more, to read the end
 	}
 	var body []byte
 	for int64(len(body)) < limit {
