--- a/internal/crowd/bed_test.go
+++ b/internal/crowd/bed_test.go
@@ -75,6 +75,7 @@
 	t      *testing.T
 	now    func() (pid int)                // of the running process; 0 if it has ended
 	output string                          // path of its log
+	faults func(platformtest.Faults)       // sets those of its store; nil where it has another one
 	probe  func(ctx context.Context) error // one ordinary request
 	pid    int
 	idle   usage // once it serves and before any crowd
@@ -86,36 +87,49 @@
 // startGateway starts the stand-ins of the store and of backend servers, and a gateway. It
 // returns the gateway and its host.
 func startGateway(t *testing.T) (*daemon, string) {
+	d, host, _ := startGatewayBeside(t)
+	return d, host
+}
+
+// startGatewayBeside is startGateway with two plain servers. It returns the servers as well,
+// the plain ones first.
+func startGatewayBeside(t *testing.T) (d *daemon, host string, servers []*platformtest.Backend) {
 	store, group, subnet := startDeployment(t)
 	st := platformtest.Settings{Name: "gateway-0", Centre: "a", IP: fmt.Sprintf("127.%d.1.1", subnet)}
 	store.PutDocument(1, nil, 0)
-	startServer(t, store, group, platformtest.PlainService, -1)
+	for range 2 {
+		servers = append(servers, startServer(t, store, group, platformtest.PlainService, -1-len(servers)))
+	}
 	for rank := range platformtest.Ranks {
-		startServer(t, store, group, platformtest.ModelService, rank)
+		servers = append(servers, startServer(t, store, group, platformtest.ModelService, rank))
 	}
-	d := &daemon{t: t, probe: func(ctx context.Context) error {
+	d = &daemon{t: t, probe: func(ctx context.Context) error {
 		return errors.Join(ordinaryRequest(ctx, st.FrontAddress()), get(ctx, st.IP+readyPort, readyPath), get(ctx, st.IP+metricsPort, "/metrics"))
 	}}
 	d.run(store, st, "gateway")
-	return d, st.IP
+	return d, st.IP, servers
 }
 
 // startRebalancer does the same for a rebalancer.
 func startRebalancer(t *testing.T) (*daemon, string) {
+	d, host, _ := startRebalancerBeside(t)
+	return d, host
+}
+
+// startRebalancerBeside is startRebalancer. It returns the engines as well, that of the
+// rebalancer first.
+func startRebalancerBeside(t *testing.T) (d *daemon, host string, engines []*platformtest.Backend) {
 	store, group, subnet := startDeployment(t)
-	var first *platformtest.Backend
 	for rank := range platformtest.Ranks {
-		if b := startServer(t, store, group, platformtest.ModelService, rank); rank == 0 {
-			first = b
-		}
+		engines = append(engines, startServer(t, store, group, platformtest.ModelService, rank))
 	}
 	store.PutDocument(1, nil, 0)
 	st := platformtest.Settings{
-		Name: "side-0", Centre: "a", IP: fmt.Sprintf("127.%d.2.1", subnet), App: first.Address(), Service: platformtest.ModelService,
+		Name: "side-0", Centre: "a", IP: fmt.Sprintf("127.%d.2.1", subnet), App: engines[0].Address(), Service: platformtest.ModelService,
 	}
-	d := &daemon{t: t, probe: func(ctx context.Context) error { return get(ctx, st.IP+metricsPort, "/metrics") }}
+	d = &daemon{t: t, probe: func(ctx context.Context) error { return get(ctx, st.IP+metricsPort, "/metrics") }}
 	d.run(store, st, "rebalancer")
-	return d, st.IP
+	return d, st.IP, engines
 }
 
 // startDeployment starts a store and a rank group without servers.
@@ -149,7 +163,7 @@
 
 // run starts a process on the platform and waits until it serves.
 func (d *daemon) run(store *platformtest.Store, st platformtest.Settings, role string) {
-	st.Store, _ = store.AddListener()
+	st.Store, d.faults = store.AddListener()
 	st.MemoryMB, st.MaxFDs = memoryMB, maxFDs
 	path := filepath.Join(d.t.TempDir(), "settings.conf")
 	f, err := os.Create(path)
--- /dev/null
+++ b/internal/crowd/endless_test.go
@@ -0,0 +1,105 @@
+package crowd
+
+import (
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjorampitch/platform/platformtest"
+)
+
+// endlessTime is how long servers send without end, to all that call them.
+const endlessTime = time.Second
+
+// endlessAnswer is a response that does not end until its reader closes: how it begins, and
+// what it repeats. $ID stands for the id of the request.
+type endlessAnswer struct {
+	begin, repeat string
+	most          int // bytes after which nothing more is sent; 0 for no end
+}
+
+var endless = map[string]endlessAnswer{
+	"no response":     {"", "0123456789", 0},
+	"long field":      {headOK + "X-Long: ", "x", 0},
+	"fields":          {headOK, "a:\r\n", 0},
+	"interim heads":   {"", "HTTP/1.1 103 X\r\n\r\n", 0},
+	"body":            {headOK + "\r\n", "x", 0},
+	"numbers":         {headOK + "Content-Type: application/json\r\n\r\n" + `{"counts":[`, "0,", 0},
+	"chunks":          {headOK + "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("x", 64) + "\r\n", 0},
+	"largest length":  {headOK + "Content-Length: 9223372036854775807\r\n\r\n", "x", 0},
+	"body of error":   {headError + "\r\n", "x", 0},
+	"body of refusal": {headRefusal + "\r\n", "x", 0},
+	"event":           {headOK + "Content-Type: text/event-stream\r\n\r\ndata: ", "x", 0},
+	"lines of events": {headOK + "Content-Type: text/event-stream\r\n\r\n", "data: x\n", 0},
+	// What is held of these is held until their reader gives up.
+	"long field that stalls":    {headOK + "X-Long: ", "x", 60 << 10},
+	"fields that stall":         {headOK, "a:\r\n", 1000},
+	"body that stalls":          {headOK + "\r\n", "x", 1 << 20},
+	"body of error that stalls": {headError + "\r\n", "x", 1 << 20},
+	"event that stalls":         {headOK + "Content-Type: text/event-stream\r\n\r\ndata: ", "x", 1000 << 10},
+}
+
+const (
+	headFields  = "Marjorampitch-Request-Id: $ID\r\nMarjorampitch-Response-Seal: x\r\n"
+	headOK      = "HTTP/1.1 200 OK\r\n" + headFields
+	headError   = "HTTP/1.1 500 X\r\n" + headFields
+	headRefusal = "HTTP/1.1 503 X\r\nMarjorampitch-Request-Id: $ID\r\nMarjorampitch-Not-Executed: 1\r\n"
+)
+
+// sendEndless sends such a response.
+func sendEndless(c net.Conn, kind, id string) {
+	e := endless[kind]
+	if _, err := io.WriteString(c, strings.ReplaceAll(e.begin, "$ID", id)); err != nil {
+		return
+	}
+	block := []byte(strings.Repeat(e.repeat, (64<<10)/len(e.repeat)))
+	for sent := 0; e.most == 0 || sent < e.most; {
+		if e.most > 0 {
+			block = block[:min(len(block), e.most-sent)]
+		}
+		n, err := c.Write(block)
+		if sent += n; err != nil {
+			return
+		}
+	}
+	io.Copy(io.Discard, c) //nolint:errcheck // until the reader closes
+}
+
+// Engines answer their rebalancer without end. It stays within its memory and lives.
+func TestEndlessAnswersToRebalancer(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(endless)) {
+		t.Run(kind, func(t *testing.T) {
+			d, _, engines := startRebalancerBeside(t)
+			time.Sleep(standTime)
+			for _, e := range engines {
+				e.UpdateState(func(st *platformtest.State) { st.Raw = func(c net.Conn, id string) { sendEndless(c, kind, id) } })
+			}
+			time.Sleep(endlessTime)
+			d.mustServe("beside the answers")
+			d.checkLimits()
+		})
+	}
+}
+
+// The store answers without end. Processes stay within their memory and live.
+func TestEndlessAnswersOfStore(t *testing.T) {
+	for role, start := range map[string]func(t *testing.T) (*daemon, string){"gateway": startGateway, "rebalancer": startRebalancer} {
+		for _, kind := range []string{"body", "chunks", "fields", "long field"} {
+			t.Run(role+", "+kind, func(t *testing.T) {
+				d, host := start(t)
+				d.faults(platformtest.Faults{Raw: func(c net.Conn, id string) { sendEndless(c, kind, id) }})
+				time.Sleep(2 * endlessTime) // calls that have begun before end first
+				d.faults(platformtest.Faults{})
+				require.NoError(t, get(t.Context(), host+metricsPort, "/metrics"), d.lastLines())
+				d.mustServe("after the answers")
+				d.checkLimits()
+			})
+		}
+	}
+}
