Gateway: the body of an answer takes no more memory than is reserved for it

Cause: a body was read into a slice that grows. While it is copied, the old and the new one are held, of which only the new one is reserved: half as much again, and garbage as long as that.

Change: the body is read in pieces, which are reserved before they are read and written to the caller one after the other. A stated length beyond the bound is refused before any of the body is read.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -73,20 +74,59 @@
 // responseBufferWait is how long the answer of a server waits for room in the buffers.
 const responseBufferWait = time.Second
 
-// readResponse reads the whole body of an answer. Unlike a request it has cost a server
-// its work, so it waits a while for room in the buffers.
-func (g *Gateway) readResponse(ctx context.Context, c *call, resp *backend.Response) ([]byte, error) {
-	return callerconn.ReadHeld(resp.Body, resp.ContentLength, maxResponseBytes+1, func(n int64) bool {
-		for end := g.now() + responseBufferWait; ; {
-			if g.reserve(c, n) {
-				return true
-			}
-			if ctx.Err() != nil || g.now() >= end {
-				return false
-			}
-			clock.Sleep(ctx, reservePollInterval)
+// Sizes of the pieces of a response's body. Each is twice as long as the one before.
+const (
+	firstPieceBytes = 16 << 10
+	maxPieceBytes   = 1 << 20
+)
+
+// errResponseSize reports a body larger than maxResponseBytes.
+var errResponseSize = errors.New("gateway: response exceeds the buffer limit")
+
+// readResponse reads the whole body of a response, in pieces: a slice that grows would take
+// more than what is reserved for it. Errors: callerconn.ErrNoRoom, errResponseSize, those of
+// the body.
+func (g *Gateway) readResponse(ctx context.Context, c *call, resp *backend.Response) (pieces [][]byte, size int64, err error) {
+	if resp.ContentLength > maxResponseBytes {
+		return nil, 0, errResponseSize
+	}
+	for length := int64(firstPieceBytes); size <= maxResponseBytes; length = min(2*length, maxPieceBytes) {
+		n := length
+		if resp.ContentLength >= 0 {
+			n = min(n, resp.ContentLength-size+1) // a byte more, to read the end
+		}
+		if !g.awaitRoom(ctx, c, n) {
+			return nil, 0, callerconn.ErrNoRoom
+		}
+		piece := make([]byte, 0, n)
+		for len(piece) < cap(piece) && err == nil {
+			var read int
+			read, err = resp.Body.Read(piece[len(piece):cap(piece)])
+			piece = piece[:len(piece)+read]
+		}
+		pieces, size = append(pieces, piece), size+int64(len(piece))
+		if err == io.EOF {
+			return pieces, size, nil
 		}
-	})
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	return nil, 0, errResponseSize
+}
+
+// awaitRoom takes n bytes of the callers' budget until the call ends. It waits a while for
+// them: unlike a request, an answer has cost a server its work.
+func (g *Gateway) awaitRoom(ctx context.Context, c *call, n int64) bool {
+	for end := g.now() + responseBufferWait; ; {
+		if g.reserve(c, n) {
+			return true
+		}
+		if ctx.Err() != nil || g.now() >= end {
+			return false
+		}
+		clock.Sleep(ctx, reservePollInterval)
+	}
 }
 
 // reservePollInterval is the time between two tries to reserve room for an answer.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -448,12 +448,8 @@
 
 // forwardResponse reads a complete response and forwards it to the caller.
 func (g *Gateway) forwardResponse(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (bool, *api.Error) {
-	body, err := g.readResponse(ctx, c, resp)
-	switch {
-	case err != nil:
-	case len(body) > maxResponseBytes:
-		err = errors.New("response exceeds the buffer limit")
-	case !g.validResponse(resp.Response):
+	body, size, err := g.readResponse(ctx, c, resp)
+	if err == nil && !g.validResponse(resp.Response) {
 		err = errors.New("answer without the server's proof")
 	}
 	if err != nil {
@@ -486,10 +482,12 @@
 	g.dropReplacements(c)
 	g.copyHeader(c, resp.Response)
 	if c.r.Method != http.MethodHead {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		c.w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 	}
 	c.w.WriteHeader(resp.StatusCode)
-	c.w.Write(body) //nolint:errcheck // the caller may have disconnected
+	for _, piece := range body {
+		c.w.Write(piece) //nolint:errcheck // the caller may have disconnected
+	}
 	g.recordEnd(c, api.OK, "status", resp.StatusCode, "server", m.ID)
 	return true, nil
 }
