Gateway: long events take their memory from the budget of callers

What operators saw elsewhere: answers without end filled the memory of the machine that had called the server, and the requests of others ended with it. Here an event may have 1 MiB, whatever else is held: 150 streams whose servers sent 1000 KiB of an event and then nothing took a gateway to 186 MB of 96.

Cause: the event that a stream is reading was not counted in the budget of the callers' connections, which bounds all else that is held for them, and its buffer was copied as it grew.

Change: beyond 16 KiB the buffer of a stream's events is taken from the budget, while it is copied both of them, and given back with the call. Without room for a second, the attempt ends as for any answer, and the server is not held at fault.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -129,5 +129,20 @@
 	}
 }
 
+// callRoom is the callers' budget, of which a call takes what it holds of an answer. It
+// implements budget.
+type callRoom struct {
+	g   *Gateway
+	ctx context.Context // of the attempt
+	c   *call
+}
+
+func (r callRoom) reserve(n int64) bool { return r.g.awaitRoom(r.ctx, r.c, n) }
+
+func (r callRoom) release(n int64) {
+	r.g.callers.Release(n)
+	r.c.held -= n
+}
+
 // reservePollInterval is the time between two tries to reserve room for an answer.
 const reservePollInterval = 20 * time.Millisecond
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,10 +5,16 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"marjorampitch/internal/callerconn"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+// Sizes of an eventReader's buffer.
+const (
+	firstEventBytes = 1 << 10
+	ownEventBytes   = 16 << 10 // up to which it is not reserved
+	maxEventBytes   = 1 << 20  // bounds the size of one event
+)
 
 // errEventSize reports an event larger than maxEventBytes.
 var errEventSize = errors.New("gateway: event too large")
@@ -16,18 +22,28 @@
 // eventReader splits a stream into complete server-sent events.
 type eventReader struct {
 	body io.Reader
+	room budget
 	buf  []byte
 	used int // bytes of buf that next has returned
 	fill int // bytes of buf that have been read
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, buf: make([]byte, 1<<10)}
+// budget is memory that is shared with others.
+type budget interface {
+	reserve(n int64) bool // reports whether there was room for n bytes
+	release(n int64)
+}
+
+// newEventReader returns a reader of the events of body. It takes the memory of long events
+// from room, and does not give back what it holds in the end.
+func newEventReader(body io.Reader, room budget) *eventReader {
+	return &eventReader{body: body, room: room, buf: make([]byte, firstEventBytes)}
 }
 
 // next returns the complete events that have arrived, at least one, and the id
 // of the last of them that has one; -1 for none. They are valid until the next call. At the end of the stream the
-// error is io.EOF, or io.ErrUnexpectedEOF if part of an event is left over.
+// error is io.EOF, or io.ErrUnexpectedEOF if part of an event is left over. Other errors:
+// errEventSize, callerconn.ErrNoRoom, those of the body.
 func (e *eventReader) next() (events []byte, last int64, err error) {
 	e.fill = copy(e.buf, e.buf[e.used:e.fill])
 	e.used = 0
@@ -37,10 +53,9 @@
 			return e.buf[:end], lastEventID(e.buf[:end]), nil
 		}
 		if e.fill == len(e.buf) {
-			if e.fill >= maxEventBytes {
-				return nil, -1, errEventSize
+			if err := e.grow(); err != nil {
+				return nil, -1, err
 			}
-			e.buf = append(e.buf, make([]byte, len(e.buf))...)
 		}
 		n, err := e.body.Read(e.buf[e.fill:])
 		e.fill += n
@@ -53,6 +68,24 @@
 	}
 }
 
+// grow doubles the buffer. Both have room while the old one is copied.
+func (e *eventReader) grow() error {
+	old := len(e.buf)
+	switch {
+	case old >= maxEventBytes:
+		return errEventSize
+	case 2*old > ownEventBytes && !e.room.reserve(int64(2*old)):
+		return callerconn.ErrNoRoom
+	}
+	grown := make([]byte, 2*old)
+	copy(grown, e.buf)
+	e.buf = grown
+	if old > ownEventBytes {
+		e.room.release(int64(old))
+	}
+	return nil
+}
+
 // lastEventEnd returns the end of the last complete event in b; 0 for none.
 func lastEventEnd(b []byte) int {
 	lf := bytes.LastIndex(b, []byte("\n\n"))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,7 +67,7 @@
 		return false, &api.Error{Code: api.Unresolved, Ran: api.MayHaveRun, Detail: m.ID}
 	}
 	g.dropReplacements(c)
-	n, err := g.copyEvents(c, m, resp, sent)
+	n, err := g.copyEvents(ctx, c, m, resp, sent)
 	if err == io.EOF && n == 0 && !resp.Delimited() {
 		err = io.ErrUnexpectedEOF // its end cannot be told from a broken connection
 	}
@@ -95,8 +95,8 @@
 
 // copyEvents forwards complete events until the stream ends. It returns the number of
 // chunks with events, and io.EOF when the stream ended normally.
-func (g *Gateway) copyEvents(c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (n int, err error) {
-	events := newEventReader(resp.Body)
+func (g *Gateway) copyEvents(ctx context.Context, c *call, m *fleet.Member, resp *backend.Response, sent time.Duration) (n int, err error) {
+	events := newEventReader(resp.Body, callRoom{g, ctx, c})
 	g.watchStream(c, m, resp)
 	flush := http.NewResponseController(c.w)
 	previous := time.Duration(-1)
--- a/internal/crowd/endless_test.go
+++ b/internal/crowd/endless_test.go
@@ -47,6 +47,7 @@
 	"fields that stall":         {headOK, "a:\r\n", 1000},
 	"body that stalls":          {headOK + "\r\n", "x", 1 << 20},
 	"body of error that stalls": {headError + "\r\n", "x", 1 << 20},
+	"event that stalls":         {headOK + "Content-Type: text/event-stream\r\n\r\ndata: ", "x", 1000 << 10},
 }
 
 const (
