Gateway: a planned stop answers what it has taken, or refuses it before it is passed on

Here new requests are refused after 2.5 s, but what was inside since before was not looked at again: a stream that waited for its place, and a repeat, were passed on up to the end, and whatever was underway 0.5 s before the end lost its connection. A body still arriving was waited for, until the end as well.

Cause: the end of the grace period was a deadline of the process only, not of the requests; closing the server was their only end.

Change: a stop has stages. New requests are refused, and those whose body is still arriving, at once. In the middle of the rest, what waits is refused (206, not run), and no request is sent on, but streams that have begun. 0.25 s before the connections are closed, what is underway is cancelled and answered (301, may have run, or 206), and the deadlines that servers are told end there, too.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -38,6 +38,8 @@
 	switch {
 	case errors.Is(err, callerconn.ErrNoRoom):
 		return g.retryElsewhere(api.BuffersFull, "")
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.stages.leaving.Load():
+		return g.retryElsewhere(api.Leaving, "body still arriving")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return api.NewError(api.BodyTooSlow, "")
 	case err != nil:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -88,7 +88,7 @@
 			c.lastEventID = id
 		}
 	}
-	if g.leaving.Load() {
+	if g.stages.leaving.Load() {
 		return c, g.retryElsewhere(api.Leaving, "")
 	}
 	c.features = g.crashFeatures(c)
@@ -186,8 +186,14 @@
 	return split[len(split)-1].Service
 }
 
-// timeLeft returns the time until the request's deadline.
-func (g *Gateway) timeLeft(c *call) time.Duration { return c.deadline - g.now() }
+// timeLeft returns the time until the request's deadline, or until its final answer in a stop.
+func (g *Gateway) timeLeft(c *call) time.Duration {
+	left := c.deadline - g.now()
+	if toStop, ok := g.timeToStop(); ok {
+		left = min(left, toStop)
+	}
+	return left
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -202,7 +208,7 @@
 			g.callers.Release(c.held)
 		}
 	}()
-	if g.stopping.Load() {
+	if g.stages.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	var refusal *api.Error
@@ -257,6 +263,9 @@
 		after = g.retryAfter(c)
 	}
 	h := c.w.Header()
+	if g.stages.stopping.Load() { // may have begun meanwhile
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if c.id != "" {
 		h.Set(g.opts.Headers.RequestID, c.id)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -60,6 +60,10 @@
 	ready := make(chan struct{})
 	s.mu.Lock()
 	s.objective = c.route.TargetGap
+	if !g.mayStart(c) {
+		s.mu.Unlock()
+		return nil, g.retryElsewhere(api.Leaving, "")
+	}
 	gate.SetObjective(c.route.TargetGap)
 	gate.SetPrioritized(c.prioritized())
 	start := g.now()
@@ -91,6 +95,9 @@
 		if t.Admitted() {
 			return release, nil
 		}
+		if !g.mayStart(c) {
+			return nil, g.retryElsewhere(api.Leaving, "waited")
+		}
 		s.mu.Lock()
 		detail := "displaced by a higher priority: " + gate.Explain(g.now(), t)
 		s.mu.Unlock()
@@ -158,6 +165,13 @@
 // nextAttempt sends the request to one more server. If no attempt was made, failure is nil
 // and refusal, which may be nil, says why; last is the failure of the attempt before.
 func (g *Gateway) nextAttempt(ctx context.Context, c *call, last *api.Error) (done bool, failure, refusal *api.Error) {
+	if !g.mayStart(c) {
+		c.noAttempt = "stopping"
+		if c.mayHaveRun {
+			return false, nil, last
+		}
+		return false, nil, g.retryElsewhere(api.Leaving, "")
+	}
 	if c.attempts >= c.route.MaxAttempts {
 		c.noAttempt = "attempts used up"
 		return false, nil, last
@@ -223,6 +237,10 @@
 		panic(http.ErrAbortHandler) // abort, so that the response does not look complete
 	}
 	switch {
+	case stopped(c.r.Context()) && c.mayHaveRun:
+		g.reject(c, api.NewError(api.Unresolved, "process stops: "+detail(last)))
+	case stopped(c.r.Context()):
+		g.reject(c, g.retryElsewhere(api.Leaving, ""))
 	case c.r.Context().Err() != nil:
 		g.recordEnd(c, api.Cancelled, "caller_cut", evicted)
 		panic(http.ErrAbortHandler)
@@ -517,7 +535,7 @@
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
-	if g.stopping.Load() {
+	if g.stages.stopping.Load() {
 		h.Set("Connection", "close")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -44,13 +43,6 @@
 	// revocationMargin is subtracted from Bounds.RevocationBound: the gateway
 	// stops trusting cached keys this long before a revoked key must be refused.
 	revocationMargin = 300 * time.Millisecond
-	// deregistrationDelay is how long the platform takes to notice that an
-	// instance is not ready: two readiness checks one second apart, plus a margin.
-	deregistrationDelay = 2500 * time.Millisecond
-	// graceMargin is the part of the grace period that is left unused, so that
-	// the process exits before it is killed.
-	graceMargin      = 500 * time.Millisecond
-	stopPollInterval = 20 * time.Millisecond
 	// defaultInstances is used as the number of gateways that share a limit
 	// while the directory lists none.
 	defaultInstances = 16
@@ -95,8 +87,7 @@
 	peers      *peers
 	crashes    *crashGuard
 	statements *serverStatements
-	stopping   atomic.Bool // reported as not ready, still accepts requests
-	leaving    atomic.Bool // refuses new requests
+	stages     stopStages
 	inFlight   inFlightRequests
 
 	mu       sync.Mutex // guards services; Directory.mu may be taken while it is held
@@ -116,6 +107,7 @@
 		services: make(map[string]*service),
 		metrics:  newMetrics(opts.Registry),
 	}
+	g.stages.init()
 	g.peers = newPeers(g)
 	g.crashes = newCrashGuard(opts.Log, g.metrics)
 	g.statements = newServerStatements(opts.Settings.Instance, opts.Headers.Limit, opts.Log)
@@ -147,7 +139,7 @@
 
 // Ready reports whether the gateway should receive new connections.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.opts.Cache.View().Document != nil && g.documentFresh()
+	return !g.stages.stopping.Load() && g.opts.Cache.View().Document != nil && g.documentFresh()
 }
 
 // service returns the state of a service and creates it on first use.
@@ -232,7 +224,7 @@
 	grace := callerIdleMargin + g.opts.Settings.Bounds.ApplyBound
 	limits := &callerLimits{idle: idleLimit{grace: grace}, header: idleLimit{grace: grace}}
 	srv := &http.Server{
-		Handler: g, ReadHeaderTimeout: maxHeaderTimeout,
+		Handler: g, ReadHeaderTimeout: maxHeaderTimeout, BaseContext: func(net.Listener) context.Context { return g.stages.requests },
 		ErrorLog: stdlog.New(serverErrors{g.opts.Log}, "", 0),
 	}
 	conns := idleconn.Track(srv, idleconn.Options{MaxHead: g.maxHead, Refuse: g.refuseFull})
@@ -305,41 +297,6 @@
 	}
 }
 
-// stop shuts down gracefully. It reports not ready, serves requests that still
-// arrive during deregistrationDelay, then refuses new ones, and returns when no
-// request is in flight and no connection is open, or the grace period is nearly over.
-// Responses carry "Connection: close". Idle connections stay open while requests are
-// in flight, because a request may already be on its way on one of them; a request
-// that arrives after deregistrationDelay is refused so that the running ones can
-// finish in time.
-func (g *Gateway) stop(srv *http.Server, ln net.Listener, conns *idleconn.Tracker, served <-chan error) error {
-	g.stopping.Store(true)
-	g.opts.Relay.Stop()
-	g.opts.Log.Info("stopping")
-	began := g.now()
-	grace := g.opts.Settings.Bounds.GracePeriod - graceMargin
-	for {
-		time.Sleep(stopPollInterval)
-		since := g.now() - began
-		if since >= deregistrationDelay && !g.leaving.Swap(true) {
-			ln.Close()
-			<-served // from now on every accepted connection is tracked
-		}
-		if since >= deregistrationDelay && g.inFlight.none() {
-			conns.ExpireIdle(0)
-			conns.ExpireReading(idleconn.HeadTimeout)
-			if _, holding := g.callers.Used(); conns.Open() == 0 && holding == 0 {
-				return srv.Close()
-			}
-		}
-		if since >= grace {
-			g.inFlight.close()
-			g.opts.Log.Warn("stopped-with-requests-underway")
-			return srv.Close()
-		}
-	}
-}
-
 // maxLoggedStack bounds the stack of a panic in a log line, in bytes.
 const maxLoggedStack = 2 << 10
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -645,7 +645,7 @@
 	send(busy, "/once/held")
 	<-held
 	stop()
-	require.Eventually(t, tg.g.leaving.Load, 20*time.Second, time.Millisecond)
+	require.Eventually(t, tg.g.stages.leaving.Load, 20*time.Second, time.Millisecond)
 	time.Sleep(50 * time.Millisecond)
 
 	send(idle, "/once/")
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -84,6 +84,9 @@
 // meanwhile explains it. So must those of earlier replacements.
 func (g *Gateway) mayReplace(c *call, a silentAttempt) bool {
 	pending := c.replacements.list
+	if !g.mayStart(c) {
+		return false
+	}
 	if c.attempts+a.uncounted+len(pending) >= c.route.MaxAttempts || c.replacements.made >= maxServerAttempts ||
 		g.timeLeft(c) <= deadlineSlack {
 		return false
--- a/gateway/return_test.go
+++ b/gateway/return_test.go
@@ -28,7 +28,7 @@
 	const callers = 20
 	cannotServe := map[string]func(tg *testGateway){
 		"store lost":   func(tg *testGateway) { tg.proof.Store(1) },
-		"leaving":      func(tg *testGateway) { tg.g.leaving.Store(true) },
+		"leaving":      func(tg *testGateway) { tg.g.stages.leaving.Store(true) },
 		"no document":  func(tg *testGateway) { tg.g.opts.Cache = fleet.NewCache(time.Second) },
 		"keys unknown": func(tg *testGateway) { tg.proof.Store(0) },
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -395,6 +396,19 @@
 	}
 }
 
+// refuseWaiting wakes all waiting requests, whose places are cancelled, and returns their
+// number.
+func (s *service) refuseWaiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := slices.Collect(maps.Keys(s.waiters))
+	for _, t := range waiting {
+		s.gate.Cancel(t)
+	}
+	s.wake(waiting)
+	return len(waiting)
+}
+
 // activityKey returns the key in activity of a server's streams: its rank group, or
 // the server alone while its group is not known. Callers hold mu.
 func (s *service) activityKey(server string) string {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -147,7 +147,7 @@
 // because its server is slow and holds up its group. It has then taken the retry of the
 // next one from the budget.
 func (g *Gateway) moveFromSlow(c *call, m *fleet.Member, now time.Duration) bool {
-	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
+	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts || g.stages.startsEnded.Load() {
 		return false
 	}
 	members := g.opts.Cache.View().Services[c.service.name]
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -119,6 +119,16 @@
 // read longer than limit ago.
 func (t *Tracker) ExpireReading(limit time.Duration) { t.expire(reading, limit) }
 
+// ExpireBodies ends the reads of bodies that have not arrived whole: they fail with
+// os.ErrDeadlineExceeded. Unlike the other expiries it does not end connections.
+func (t *Tracker) ExpireBodies() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		c.expireBody()
+	}
+}
+
 func (t *Tracker) expire(p phase, limit time.Duration) (n int, longest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -309,6 +319,16 @@
 	return age, first && c.expired
 }
 
+// expireBody ends the reads of the body of the request that is handled, unless all of it has
+// been read or more of it has arrived.
+func (c *conn) expireBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == handling && c.framing.known && !c.framing.body.done && !c.requestWaits() {
+		c.Conn.SetReadDeadline(longAgo) //nolint:errcheck // a closed connection is not read
+	}
+}
+
 // requestWaits reports whether the socket has unread data, for example because the
 // process had no processor time.
 func (c *conn) requestWaits() bool {
