Sidecar: what all attempts hold of their answers fits the process's memory

What operators saw elsewhere: answers without end filled the memory of the machine that had called the server. Here each attempt of a sidecar holds 2 MiB of an answer and 1 MiB of an event at most, but nothing bounded them all: 32 calls to a plain server that sent bodies without end took its sidecar to 100 MB of 96; with more calls at once it is more.

Change: an attempt's limits are its part of 0.4 of the memory, by the number of requests that the document lets the server run, where that is less than the limits before (2 MiB and 1 MiB stay as they are with 12 requests in 152 MB).

--- a/daemon/side.go
+++ b/daemon/side.go
@@ -27,6 +27,7 @@
 	s := side.New(side.Options{
 		Hello:   b.hello,
 		Backend: st.Backend.URL,
+		Memory:  int64(st.Process.MemoryMB) << 20,
 		Config:  b.runner,
 		Claims:  b.logService,
 		Log:     b.log,
--- a/internal/crowd/endless_test.go
+++ b/internal/crowd/endless_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"marjorampitch/internal/scenario"
 	"marjorampitch/platform/platformtest"
 )
 
@@ -123,6 +126,45 @@
 	}
 }
 
+// A plain server answers its sidecar without end, and callers with it. Neither the sidecar nor
+// the entry exceeds its memory, and both live.
+func TestEndlessAnswersToSide(t *testing.T) {
+	for _, kind := range []string{"body", "event that stalls", "fields that stall"} {
+		t.Run(kind, func(t *testing.T) {
+			tb := startService(t)
+			side, entry := watchDaemon(t, tb, "p1"), watchDaemon(t, tb, "n1")
+			callService(t, tb) // so that the sidecar allows more at once
+			tb.Override("p1", platformtest.Raw(func(c net.Conn, id string) { sendEndless(c, kind, id) }))
+			callService(t, tb)
+			tb.Override("p1", nil)
+			side.mustServe("after the answers")
+			side.checkLimits()
+			entry.checkLimits()
+		})
+	}
+}
+
+// callService makes calls of both kinds for endlessTime, callersAtOnce at a time.
+func callService(t *testing.T, tb *scenario.Testbed) {
+	ctx, cancel := context.WithTimeout(t.Context(), endlessTime)
+	defer cancel()
+	var callers sync.WaitGroup
+	for i := range callersAtOnce {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if i%2 == 0 {
+					tb.Do(ctx, scenario.Call{Kind: "availability"})
+					continue
+				}
+				if id, err := uuid.NewV7(); assert.NoError(t, err) {
+					tb.Do(ctx, scenario.Call{Kind: "deposits", Key: id.String(), Body: `{"amount":1}`})
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // The store answers without end. Processes stay within their memory and live.
 func TestEndlessAnswersOfStore(t *testing.T) {
 	for role, start := range map[string]func(t *testing.T) (*daemon, string){"gateway": startGateway, "rebalancer": startRebalancer} {
--- a/internal/scenario/server.go
+++ b/internal/scenario/server.go
@@ -49,8 +49,9 @@
 	address string
 	handler http.Handler
 
-	mu   sync.Mutex // guards http
-	http *http.Server
+	mu       sync.Mutex // guards the fields below
+	http     *http.Server
+	override http.Handler // answers in place of handler; nil for none
 }
 
 // newServer returns a server with a new address; start starts it.
@@ -67,11 +68,22 @@
 	if err != nil {
 		return err
 	}
-	s.http = &http.Server{Handler: s.handler}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go s.http.Serve(l)
 	return nil
 }
 
+// serve answers a request.
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	h := s.override
+	s.mu.Unlock()
+	if h == nil {
+		h = s.handler
+	}
+	h.ServeHTTP(w, r)
+}
+
 // kill closes the listener and every connection, as the exit of a process does.
 func (s *server) kill() {
 	s.mu.Lock()
@@ -140,6 +152,15 @@
 	})
 }
 
+// Override has h answer all requests to the backend server with this name in its place; nil
+// ends that.
+func (tb *Testbed) Override(name string, h http.Handler) {
+	s := tb.backends[name].server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.override = h
+}
+
 // plainMaxRunning is the limit of concurrent requests of a plain server.
 const plainMaxRunning = 32
 
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -8,12 +8,35 @@
 	"marjorampitch/wire"
 )
 
-// Limits on the response data that an attempt buffers.
+// Limits on the response data that an attempt buffers. Where many may run in little memory,
+// each has less; see limitsFor.
 const (
 	maxUnsentBytes = 256 << 10 // reading from the backend server pauses at this much unsent data
 	maxKeptBytes   = 2 << 20   // limit on buffered data, including sent chunks kept for a resume
+	maxEventBytes  = api.MaxBodyBytes
+	minKeptBytes   = 2 * maxChunkBytes
+	// responseMemoryShare is the share of the process's memory for the responses that are
+	// being read.
+	responseMemoryShare = 0.4
 )
 
+// responseLimits bound what an attempt holds of its response, in bytes.
+type responseLimits struct {
+	kept  int // as maxKeptBytes
+	event int // that is being read
+}
+
+// limitsFor returns the limits of each of so many attempts that run at once, in a process with
+// this memory in bytes; 0 if that is not known.
+func limitsFor(memory int64, running int) responseLimits {
+	l := responseLimits{kept: maxKeptBytes, event: maxEventBytes}
+	if memory > 0 {
+		each := int(responseMemoryShare * float64(memory) / float64(2*max(running, 1)))
+		l.kept, l.event = max(min(l.kept, each), minKeptBytes), max(min(l.event, each), minKeptBytes)
+	}
+	return l
+}
+
 // attempt is one execution of a request at the backend server. It buffers the
 // response, which Server.sendResponse delivers to the current subscriber. It
 // outlives its connection by resumeGrace, so that another connection can resume
@@ -22,6 +45,7 @@
 // mu guards the fields below it; no other lock is taken while it is held.
 type attempt struct {
 	req    *wire.Request
+	limits responseLimits
 	cancel context.CancelCauseFunc
 	ticket *ticket
 
@@ -51,7 +75,7 @@
 }
 
 func newAttempt(req *wire.Request, cancel context.CancelCauseFunc) *attempt {
-	return &attempt{req: req, cancel: cancel, changed: make(chan struct{})}
+	return &attempt{req: req, limits: limitsFor(0, 0), cancel: cancel, changed: make(chan struct{})}
 }
 
 // signal wakes all goroutines that wait for a change. The caller holds mu.
@@ -93,13 +117,13 @@
 // subscriber, because it is stored under the idempotency key.
 func (a *attempt) unsentLimit() int {
 	if a.req.Idempotent {
-		return maxUnsentBytes
+		return min(maxUnsentBytes, a.limits.kept)
 	}
-	return maxKeptBytes
+	return a.limits.kept
 }
 
 // appendChunk stores a chunk and discards the oldest sent chunks beyond
-// maxKeptBytes. The caller holds mu.
+// limits.kept. The caller holds mu.
 func (a *attempt) appendChunk(data []byte) {
 	a.chunks = append(a.chunks, data)
 	a.keptBytes += len(data)
@@ -108,7 +132,7 @@
 	if a.sub != nil {
 		limit = min(limit, a.sub.next)
 	}
-	for a.keptBytes > maxKeptBytes && a.first < limit {
+	for a.keptBytes > a.limits.kept && a.first < limit {
 		a.keptBytes -= len(a.chunks[0])
 		a.chunks[0] = nil
 		a.chunks = a.chunks[1:]
--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -236,7 +236,7 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
-		if len(event) > api.MaxBodyBytes {
+		if len(event) > a.limits.event {
 			return bufio.ErrTooLong
 		}
 		if err == io.EOF {
--- a/side/peer.go
+++ b/side/peer.go
@@ -152,6 +152,9 @@
 	ctx, stop := context.WithTimeoutCause(context.Background(), budget, timeoutErr)
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := newAttempt(m, cancel)
+	if own := s.ownConfig(); own != nil {
+		a.limits = limitsFor(s.opt.Memory, min(own.MaxRunning, maxAttempts))
+	}
 	span := s.startAdmitSpan(m)
 	a.ticket = &ticket{
 		organisation: m.Organisation,
--- a/side/server.go
+++ b/side/server.go
@@ -31,12 +31,13 @@
 	claimedGracePeriod = 30 * time.Second // how long a non-idempotent call may run past its caller's deadline
 )
 
-// Options are the settings of a Server. All fields are required.
+// Options are the settings of a Server. All fields but Memory are required.
 type Options struct {
 	Hello   wire.Hello // identifies the process; Role is RoleSide
 	Backend string     // base URL of the backend server
 	Config  node.ConfigView
 	Claims  backing.Log // log on which coordinators claim their rank groups
+	Memory  int64       // of the process, in bytes; 0 if not known
 	Log     *log.Logger
 	Metrics *telemetry.SideMetrics
 	Tracer  trace.Tracer
