Entry: what is held of answers is bounded, and counts against the memory of connections

What operators saw elsewhere: answers without end filled the memory of the machine that had called the server, and the requests of others ended with it. Here 150 callers of an entry, half of them with calls that may not repeat, before three plain servers that send bodies without end: the entry took 994 MB of 96.

Cause: the answer to a claimed call was collected without a bound. Up to 1 MiB of any other answer is buffered twice, for its caller and for comparison after a restart, whatever all of them take.

Change: a claimed answer ends with 302 (may have run) at 4 MiB, beyond which no message could carry it. All that is held of answers is reserved in the budget of callers' connections until the request ends. Without room an answer is forwarded as it arrives and its request not restarted, as for a long one; a claimed call ends with 302.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -35,6 +35,7 @@
 		Metrics:   telemetry.NewEntryMetrics(b.registry),
 		Tracer:    b.tracing.Tracer,
 		DrainWait: st.Process.DrainWait,
+		Buffers:   b.conns,
 	})
 	if err := b.serveStatus(background, b.conns, s.Ready, func() status { return s.Status() }); err != nil {
 		return err
--- a/entry/assembler.go
+++ b/entry/assembler.go
@@ -27,7 +27,8 @@
 
 	delivered      [][]byte // delivered chunks, in order; nil if historyDropped
 	retainedBytes  int      // size of delivered
-	historyDropped bool     // delivered exceeded maxRetainedBytes, so the answer cannot be restarted
+	historyDropped bool     // delivered exceeded maxRetainedBytes or its room, so the answer cannot be restarted
+	held           *held    // from which the room for delivered is taken
 	unverified     int      // number of delivered chunks that the restarted attempt has yet to repeat
 	diverged       bool     // the restarted attempt differs from the delivered chunks
 }
@@ -127,13 +128,13 @@
 }
 
 // retain keeps a delivered chunk for verification. When the retained chunks exceed
-// maxRetainedBytes, it drops all of them.
+// maxRetainedBytes or there is no room for them, it drops all of them.
 func (a *assembler) retain(data []byte) {
 	if a.historyDropped {
 		return
 	}
 	a.retainedBytes += len(data)
-	if a.retainedBytes > maxRetainedBytes {
+	if a.retainedBytes > maxRetainedBytes || !a.held.reserve(len(data)) {
 		a.delivered = nil
 		a.historyDropped = true
 		return
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,7 +19,8 @@
 type sink interface {
 	// head sets the status and headers. It is called for each attempt that receives them.
 	head(h *wire.Head)
-	// write appends data to the answer. An error means that the caller disconnected.
+	// write appends data to the answer. An error that is no *api.Error means that the caller
+	// disconnected.
 	write(data []byte) error
 }
 
@@ -111,8 +112,12 @@
 func consumeChunk(m *wire.Chunk, cs *clientStream, asm *assembler, out sink) *api.Error {
 	cs.grantCredit(len(m.Data))
 	for _, data := range asm.add(m) {
-		if out.write(data) != nil {
+		if err := out.write(data); err != nil {
 			cs.cancel(asm.attempt)
+			var e *api.Error
+			if asError(err, &e) {
+				return e
+			}
 			return api.NewError(api.Cancelled, "caller went away")
 		}
 	}
--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -41,6 +41,9 @@
 		lastAttempt: maxAttempts,
 		excluded:    make(map[string]bool),
 	}
+	h := &held{buffers: s.opt.Buffers}
+	defer h.release()
+	r.asm.held, r.resp.held = h, h
 	s.depositRetryBudget()
 	for {
 		if r.runRound(ctx) {
--- a/entry/non_idempotent.go
+++ b/entry/non_idempotent.go
@@ -141,7 +141,9 @@
 	defer cs.close()
 	asm := newAssembler()
 	asm.restart(m.Attempt)
-	var buf bufferSink
+	buf := bufferSink{held: held{buffers: t.server.opt.Buffers}}
+	defer buf.held.release()
+	asm.held = &buf.held
 	out := receiveAnswer(ctx, cs, asm, &buf)
 	endSpan(span, out.err)
 	t.server.opt.Metrics.AttemptDone(resultCode(out.err))
@@ -218,15 +220,25 @@
 	return t.links[name]
 }
 
-// bufferSink is a sink that buffers the whole answer.
+// maxClaimedBytes bounds the answer to a claimed call. No message could carry a longer one.
+const maxClaimedBytes = wire.MaxFrameBytes
+
+// bufferSink is a sink that buffers the whole answer. Errors of write: StreamBroken.
 type bufferSink struct {
 	responseHead *wire.Head
 	body         bytes.Buffer
+	held         held
 }
 
 func (b *bufferSink) head(h *wire.Head) { b.responseHead = h }
 
 func (b *bufferSink) write(data []byte) error {
+	if b.body.Len()+len(data) > maxClaimedBytes {
+		return api.NewError(api.StreamBroken, "answer is too long")
+	}
+	if !b.held.reserve(bufferCopies * len(data)) {
+		return api.NewError(api.StreamBroken, "no room for the answer")
+	}
 	b.body.Write(data)
 	return nil
 }
@@ -270,7 +282,9 @@
 	defer cs.close()
 	asm := newAssembler()
 	asm.restart(1)
-	var buf bufferSink
+	buf := bufferSink{held: held{buffers: s.opt.Buffers}}
+	defer buf.held.release()
+	asm.held = &buf.held
 	if out := receiveAnswer(ctx, cs, asm, &buf); out.err != nil {
 		return wire.Answer{}, false
 	}
--- a/entry/response.go
+++ b/entry/response.go
@@ -14,8 +14,8 @@
 )
 
 // maxBufferedBytes bounds the responses that are buffered until they are
-// complete. A longer one is forwarded as it arrives, and the request cannot be
-// retried after that.
+// complete. A longer one, or one for which there is no room, is forwarded as it arrives, and
+// the request cannot be retried after that.
 const maxBufferedBytes = 1 << 20
 
 // callerWriteTimeout is how long one write to a caller may take.
@@ -55,6 +55,7 @@
 	streaming     bool       // forward chunks as they arrive
 	headerSent    bool
 	buffered      bytes.Buffer
+	held          *held               // from which the room for buffered is taken
 	nextExtension time.Time           // the write deadline is not extended before this time
 	lastWrite     time.Time           // of a chunk of a stream
 	observeGap    func(time.Duration) // called with the time between two chunks of a stream; may be nil
@@ -77,7 +78,7 @@
 func (r *response) write(data []byte) error {
 	if !r.streaming && !r.headerSent {
 		r.buffered.Write(data)
-		if r.buffered.Len() <= maxBufferedBytes {
+		if r.buffered.Len() <= maxBufferedBytes && r.held.reserve(bufferCopies*len(data)) {
 			return nil
 		}
 		data = bytes.Clone(r.buffered.Bytes())
--- a/entry/server.go
+++ b/entry/server.go
@@ -46,6 +46,7 @@
 	Metrics   *telemetry.EntryMetrics
 	Tracer    trace.Tracer
 	DrainWait time.Duration // from unready until new connections are refused
+	Buffers   Buffers       // for what is held of answers; nil for no limit but that of each
 }
 
 // Server is a front proxy. No other lock is taken while one of its own is held.
--- a/internal/crowd/bed_test.go
+++ b/internal/crowd/bed_test.go
@@ -183,33 +183,37 @@
 // startEntry starts the stand-ins of a service, its sidecars and an entry. It returns the
 // entry and the address for its callers.
 func startEntry(t *testing.T) (*daemon, string) {
-	tb := startService(t)
+	tb := startService(t, "p1")
 	return watchDaemon(t, tb, "n1"), tb.Process("n1").HTTP
 }
 
 // startEntryStatus does the same, and returns the address of the entry's status page.
 func startEntryStatus(t *testing.T) (*daemon, string) {
-	tb := startService(t)
+	tb := startService(t, "p1")
 	return watchDaemon(t, tb, "n1"), tb.Process("n1").Status
 }
 
 // startSide does the same for a sidecar.
 func startSide(t *testing.T) (*daemon, string) {
-	tb := startService(t)
+	tb := startService(t, "p1")
 	return watchDaemon(t, tb, "p1"), tb.Process("p1").Status
 }
 
-// startService starts a service with an engine and a plain server.
-func startService(t *testing.T) *scenario.Testbed {
+// startService starts a service with an engine and these plain servers.
+func startService(t *testing.T, plain ...string) *scenario.Testbed {
 	tb, err := scenario.NewTestbed(t.TempDir(), program)
 	require.NoError(t, err)
 	t.Cleanup(tb.Close)
 	tb.MemoryMB, tb.Sockets = memoryMB, maxFDs-fileFDs
 	require.NoError(t, tb.AddEngine("e1", "north", backingtest.DefaultEngineOptions()))
-	require.NoError(t, tb.AddPlain("p1", "north"))
+	for _, name := range plain {
+		require.NoError(t, tb.AddPlain(name, "north"))
+	}
 	require.NoError(t, tb.StartDaemon("entry", "n1", "north"))
 	require.NoError(t, tb.StartDaemon("side", "e1", ""))
-	require.NoError(t, tb.StartDaemon("side", "p1", ""))
+	for _, name := range plain {
+		require.NoError(t, tb.StartDaemon("side", name, ""))
+	}
 	require.NoError(t, tb.Publish())
 	return tb
 }
--- a/internal/crowd/endless_test.go
+++ b/internal/crowd/endless_test.go
@@ -126,17 +126,22 @@
 	}
 }
 
-// A plain server answers its sidecar without end, and callers with it. Neither the sidecar nor
+// Plain servers answer their sidecars without end, and callers with them. Neither a sidecar nor
 // the entry exceeds its memory, and both live.
 func TestEndlessAnswersToSide(t *testing.T) {
 	for _, kind := range []string{"body", "event that stalls", "fields that stall"} {
 		t.Run(kind, func(t *testing.T) {
-			tb := startService(t)
+			servers := []string{"p1", "p2", "p3"}
+			tb := startService(t, servers...)
 			side, entry := watchDaemon(t, tb, "p1"), watchDaemon(t, tb, "n1")
 			callService(t, tb) // so that the sidecar allows more at once
-			tb.Override("p1", platformtest.Raw(func(c net.Conn, id string) { sendEndless(c, kind, id) }))
+			for _, name := range servers {
+				tb.Override(name, platformtest.Raw(func(c net.Conn, id string) { sendEndless(c, kind, id) }))
+			}
 			callService(t, tb)
-			tb.Override("p1", nil)
+			for _, name := range servers {
+				tb.Override(name, nil)
+			}
 			side.mustServe("after the answers")
 			side.checkLimits()
 			entry.checkLimits()
