Connections to servers and between processes have small receive buffers

Bytes that were received and are not read yet count as memory of a process, and the kernel lets each buffer grow to megabytes while it is read quickly.

Change: 128 KiB for connections to backend servers (more than a link of 1 Gbit/s has underway in 1 ms), 512 KiB between entries and sidecars, which carry many streams.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -31,8 +31,11 @@
 	keepAliveInterval = time.Second            // keep-alive idle time and interval between probes
 	keepAliveCount    = 2                      // unacknowledged keep-alive probes that end a connection
 	readBufferBytes   = 2 << 10
-	maxIdlePerServer  = 12 // idle connections kept per server
-	maxRefused        = 32 // refusals after which a connection is closed
+	// receiveBufferBytes is the size of a socket's buffer for what is not read yet. The
+	// kernel's own choice grows to megabytes while answers are read quickly.
+	receiveBufferBytes = 128 << 10
+	maxIdlePerServer   = 12 // idle connections kept per server
+	maxRefused         = 32 // refusals after which a connection is closed
 	// defaultIdleTimeout applies if the server announces no Keep-Alive timeout. It is
 	// short: a timeout of one second or more would be announced, so the server may
 	// close idle connections sooner than that.
@@ -132,7 +135,9 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &Conn{Conn: duplex.New(conn.(*net.TCPConn)), br: bufio.NewReaderSize(conn, readBufferBytes), address: address, pool: p}, nil
+	tcp := conn.(*net.TCPConn)
+	tcp.SetReadBuffer(receiveBufferBytes) //nolint:errcheck // without it the kernel's own limits hold
+	return &Conn{Conn: duplex.New(tcp), br: bufio.NewReaderSize(conn, readBufferBytes), address: address, pool: p}, nil
 }
 
 // takeSocket counts a connection that is to be opened. In favour of it, idle connections to
--- a/side/backend_client.go
+++ b/side/backend_client.go
@@ -22,10 +22,13 @@
 
 // Timeouts and sizes of calls to the backend server.
 const (
-	dialTimeout     = 2 * time.Second
-	maxChunkBytes   = 32 << 10
-	maxIdleConns    = 256 // idle connections kept open to the backend server
-	idleConnTimeout = 90 * time.Second
+	dialTimeout   = 2 * time.Second
+	maxChunkBytes = 32 << 10
+	// receiveBufferBytes is the size of a socket's buffer for what is not read yet. The
+	// kernel's own choice grows to megabytes while answers are read quickly.
+	receiveBufferBytes = 128 << 10
+	maxIdleConns       = 256 // idle connections kept open to the backend server
+	idleConnTimeout    = 90 * time.Second
 )
 
 // backendClient calls the backend server of the sidecar.
--- a/side/verify.go
+++ b/side/verify.go
@@ -30,8 +30,13 @@
 	if err != nil {
 		return nil, err
 	}
+	tcp := raw.(*net.TCPConn)
+	if err := tcp.SetReadBuffer(receiveBufferBytes); err != nil {
+		tcp.Close()
+		return nil, err
+	}
 	// The transport sends the rest of a body as it reads the answer.
-	c := resphead.NewConn(duplex.New(raw.(*net.TCPConn)))
+	c := resphead.NewConn(duplex.New(tcp))
 	if d.verify != nil {
 		if e := d.verify(c); e != nil {
 			c.Close()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -21,7 +21,10 @@
 	maxQueueBytes     = 32 << 20 // total size of the queued messages
 	maxHelloBytes     = 16 << 10
 	bufferBytes       = 32 << 10
-	maxSentTimes      = 64 // heartbeats whose send times are kept
+	// receiveBufferBytes is the size of a socket's buffer for what is not read yet. The
+	// kernel's own choice grows to several megabytes.
+	receiveBufferBytes = 512 << 10
+	maxSentTimes       = 64 // heartbeats whose send times are kept
 )
 
 // Errors of a connection. A front proxy passes their texts on to its callers.
@@ -90,6 +93,9 @@
 }
 
 func start(nc net.Conn, hello Hello, h Handler, b HeartbeatSource) (*Conn, error) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(receiveBufferBytes) //nolint:errcheck // without it the kernel's own limits hold
+	}
 	r := NewReader(nc)
 	peer, err := handshake(nc, r, hello)
 	if err != nil {
