Sidecar: load reports are read whole, up to a bound

What operators saw elsewhere: answers without end filled memory. Here the report that verifies a new connection to an engine was decoded as it arrived, for 300 ms, whatever came; its status was not looked at, nor what came behind it: the rest of a body, or a second answer, was the beginning of the answer to the caller's request. The client of engines took answers of up to 64 MiB.

Change: a report has 64 KiB and status 200, is read to its end, and leaves neither bytes behind it nor a connection that ends. Otherwise the connection is closed and the request has not run.

--- a/backing/http.go
+++ b/backing/http.go
@@ -19,7 +19,8 @@
 	answerTimeout    = 5 * time.Second
 	idleTimeout      = 90 * time.Second
 	maxIdlePerHost   = 16
-	maxAnswerBytes   = 64 << 20
+	maxAnswerBytes   = 64 << 20 // of the log and the instance list
+	maxEngineBytes   = 1 << 20  // of an engine
 	weightReadBuffer = 64 << 10 // bytes
 )
 
--- a/side/verify.go
+++ b/side/verify.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"marjorampitch/api"
 	"marjorampitch/backing"
 	"marjorampitch/internal/duplex"
@@ -64,8 +67,16 @@
 	return api.NewError(api.ColdLimit, "the engine was restarted")
 }
 
+// maxReportBytes bounds a load report.
+const maxReportBytes = 64 << 10
+
+// errReport means that the answer to a request for a load report is none, or leaves the
+// connection unusable.
+var errReport = eris.New("side: no load report")
+
 // loadReportOver requests the load report over the open connection c, which
-// remains usable for further requests.
+// remains usable for further requests. Errors: errReport, those of the connection and of the
+// decoding.
 func loadReportOver(c net.Conn, base string) (*backing.EngineReport, error) {
 	if err := c.SetDeadline(time.Now().Add(healthCheckTimeout)); err != nil {
 		return nil, err
@@ -77,13 +88,28 @@
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, req)
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read the rest of it, which may not end.
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Wrapf(errReport, "status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxReportBytes:
+		return nil, eris.Wrapf(errReport, "more than %d bytes", maxReportBytes)
+	case resp.Close:
+		return nil, eris.Wrap(errReport, "the connection ends with it")
+	case br.Buffered() > 0:
+		return nil, eris.Wrap(errReport, "more than one answer")
+	}
 	var report backing.EngineReport
-	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+	if err := json.Unmarshal(body, &report); err != nil {
 		return nil, err
 	}
 	return &report, c.SetDeadline(time.Time{})
