Tests: answers that stop anywhere are no whole answers

Operators of similar systems saw a 200 with an empty or short body, framed as whole, where a worker had stopped in the middle of its answer's head and closed. The tests stay.

--- a/side/malformed_head_test.go
+++ b/side/malformed_head_test.go
@@ -85,3 +85,30 @@
 		})
 	}
 }
+
+// The backend server stops anywhere in its answer and closes the connection. That is no whole
+// answer.
+func TestAnswerThatStopsAnywhereIsNoWholeAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":       headtest.Sound("twelve bytes"),
+		"chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\nX-A: a\r\n\r\n",
+		"interim head": "HTTP/1.1 103 X\r\nLink: a\r\n\r\n" + headtest.Sound("twelve bytes"),
+		"empty":        "HTTP/1.1 204 X\r\nX-A: a\r\n\r\n",
+		"stream":       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, idempotent := range []bool{true, false} {
+				for cut := range len(text) {
+					b := newBackendClient("http://"+headtest.Serve(t, func(*http.Request) (string, bool) { return text[:cut], true }), nil)
+					ctx, cancel := context.WithCancelCause(t.Context())
+					a := newAttempt(&wire.Request{Method: http.MethodPost, Path: "/x", Idempotent: idempotent, Key: "key"}, cancel)
+					e := b.run(ctx, a, allowSend, func() {})
+					require.NotNil(t, e, "cut at %d", cut)
+					require.Equal(t, api.MayHaveRun, e.Ran)
+					cancel(nil)
+				}
+			}
+		})
+	}
+}
