sockopt: an interrupted look at a connection is repeated

Cause: poll(2) without a wait returns EINTR if a signal is pending, and the runtime sends itself many. CanReuse took that for a connection that has ended or has data: idle ones were closed, which costs a new one, and a server's silence was not judged.

--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -47,7 +47,11 @@
 	}
 	idle := false
 	err = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		n, err := unix.Poll(events, 0)
+		for err == unix.EINTR { // also without a wait, if a signal is pending
+			n, err = unix.Poll(events, 0)
+		}
 		idle = err == nil && n == 0
 	})
 	return err == nil && idle
