--- a/internal/crowd/endless_test.go
+++ b/internal/crowd/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -186,3 +188,26 @@
 		}
 	}
 }
+
+// The store comes back from an older copy, and its newest records have pages without end.
+// Processes stay within their memory and live.
+func TestEndlessPagesOfStore(t *testing.T) {
+	value := base64.StdEncoding.EncodeToString(make([]byte, 2<<10))
+	page := func(c net.Conn, _ string) {
+		var items []string
+		for range 500 {
+			items = append(items, fmt.Sprintf(`{"key":%q,"value":%q}`, uuid.NewString(), value))
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nStore-Era: %d\r\n\r\n"+`{"items":[%s],"has_more":true,"end":1}`, platformtest.FirstEra+1, strings.Join(items, ","))
+	}
+	for role, start := range map[string]func(t *testing.T) (*daemon, string){"gateway": startGateway, "rebalancer": startRebalancer} {
+		t.Run(role, func(t *testing.T) {
+			d, host := start(t)
+			d.faults(platformtest.Faults{Raw: page})
+			time.Sleep(4 * endlessTime) // calls that have begun before end first
+			d.faults(platformtest.Faults{})
+			require.NoError(t, get(t.Context(), host+metricsPort, "/metrics"), d.lastLines())
+			d.checkLimits()
+		})
+	}
+}
