Log service, instance list: the bounds of answers follow from the call

Change: newClient takes the bound; appends and the instance list have their own.

Evidence: TestEndlessAnswersOfServices, with the old bounds: an append's answer was read for 33 MB (at least; the server stops there), "is not less than". It holds now for appends, reads and the list, with 200, 409 and 500.

--- a/backing/engine_client.go
+++ b/backing/engine_client.go
@@ -71,7 +71,7 @@
 
 // NewEngineClient returns a client of the engine at the base URL.
 func NewEngineClient(baseURL string) *EngineClient {
-	return &EngineClient{http: newClient(baseURL).SetTimeout(answerTimeout).SetResponseBodyLimit(maxEngineBytes)}
+	return &EngineClient{http: newClient(baseURL, maxEngineBytes).SetTimeout(answerTimeout)}
 }
 
 // Load returns the engine's load report. Error: ErrUnavailable.
--- a/backing/http.go
+++ b/backing/http.go
@@ -19,8 +19,10 @@
 	answerTimeout    = 5 * time.Second
 	idleTimeout      = 90 * time.Second
 	maxIdlePerHost   = 16
-	maxAnswerBytes   = 64 << 20 // of the log and the instance list
-	maxEngineBytes   = 1 << 20  // of an engine
+	maxReadBytes     = 64 << 20 // of the records of a read
+	maxAppendedBytes = 64 << 10 // of the answer to an append
+	maxListBytes     = 8 << 20  // of the instance list
+	maxEngineBytes   = 1 << 20  // of the answer of an engine
 	weightReadBuffer = 64 << 10 // bytes
 )
 
@@ -40,13 +42,14 @@
 	})
 }
 
-// newClient returns a client that neither retries nor follows redirects.
-func newClient(baseURL string) *resty.Client {
+// newClient returns a client that neither retries nor follows redirects. It fails calls
+// whose answers have more than maxBytes.
+func newClient(baseURL string, maxBytes int) *resty.Client {
 	return resty.New().
 		SetTransport(newTransport()).
 		SetBaseURL(baseURL).
 		SetRedirectPolicy(resty.NoRedirectPolicy()).
-		SetResponseBodyLimit(maxAnswerBytes)
+		SetResponseBodyLimit(maxBytes)
 }
 
 // sendTrace records whether a request got a connection. Without one, no byte of it
--- a/backing/list_client.go
+++ b/backing/list_client.go
@@ -29,7 +29,7 @@
 
 // NewInstanceListClient returns a client of the instance list at the base URL.
 func NewInstanceListClient(baseURL string) *InstanceListClient {
-	return &InstanceListClient{http: newClient(baseURL).SetTimeout(answerTimeout)}
+	return &InstanceListClient{http: newClient(baseURL, maxListBytes).SetTimeout(answerTimeout)}
 }
 
 // Instances implements InstanceList. Callers must not modify the result.
--- a/backing/log_client.go
+++ b/backing/log_client.go
@@ -43,7 +43,7 @@
 
 // NewLogClient returns a client of the log service at the base URL, such as "http://10.0.0.1:7000".
 func NewLogClient(baseURL string) *LogClient {
-	return &LogClient{http: newClient(baseURL)}
+	return &LogClient{http: newClient(baseURL, maxReadBytes)}
 }
 
 // Append implements Log. It returns ErrRefused if the request got no connection or
@@ -59,6 +59,7 @@
 		SetPathParam("stream", stream).
 		SetBody(AppendRequest{Records: records}).
 		SetResult(&answer).
+		SetResponseBodyLimit(maxAppendedBytes).
 		Post("/streams/{stream}/records")
 	if err != nil {
 		return NoOffset, appendFailure(stream, trace.connected, err)
