--- a/side/malformed_head_test.go
+++ b/side/malformed_head_test.go
@@ -90,11 +90,12 @@
 // answer.
 func TestAnswerThatStopsAnywhereIsNoWholeAnswer(t *testing.T) {
 	for name, text := range map[string]string{
-		"length":       headtest.Sound("twelve bytes"),
-		"chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\nX-A: a\r\n\r\n",
-		"interim head": "HTTP/1.1 103 X\r\nLink: a\r\n\r\n" + headtest.Sound("twelve bytes"),
-		"empty":        "HTTP/1.1 204 X\r\nX-A: a\r\n\r\n",
-		"stream":       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n",
+		"length":         headtest.Sound("twelve bytes"),
+		"largest length": "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\ntwelve bytes",
+		"chunks":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\nX-A: a\r\n\r\n",
+		"interim head":   "HTTP/1.1 103 X\r\nLink: a\r\n\r\n" + headtest.Sound("twelve bytes"),
+		"empty":          "HTTP/1.1 204 X\r\nX-A: a\r\n\r\n",
+		"stream":         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
