Gateway: a length stated in the answer to HEAD bounds nothing

What callers saw: since an answer to HEAD that stated more than 16 MiB was a failure, 502 and "may have run", though it has no body.

Cause: readResponse compared the stated length with its bound before it looked for a body.

Change: a response without a body is whole, whatever length it states.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -89,7 +89,10 @@
 // more than what is reserved for it. Errors: callerconn.ErrNoRoom, errResponseSize, those of
 // the body.
 func (g *Gateway) readResponse(ctx context.Context, c *call, resp *backend.Response) (pieces [][]byte, size int64, err error) {
-	if resp.ContentLength > maxResponseBytes {
+	switch {
+	case resp.Body == http.NoBody: // a length may be stated nevertheless: in an answer to HEAD
+		return nil, 0, nil
+	case resp.ContentLength > maxResponseBytes:
 		return nil, 0, errResponseSize
 	}
 	for length := int64(firstPieceBytes); size <= maxResponseBytes; length = min(2*length, maxPieceBytes) {
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -142,3 +143,30 @@
 		}
 	}
 }
+
+// The answer to HEAD states the length of a body that it does not have. However long, the
+// answer is whole.
+func TestLengthOfAnswerToHeadIsThatOfNoBody(t *testing.T) {
+	for _, length := range []string{"9223372036854775807", "16777217", "6"} {
+		t.Run(length, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGateway(t)
+			tg.server(func(c *conn) {
+				for r := c.request(); r != nil; r = c.request() {
+					c.write("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Seal: seal\r\nContent-Length: " + length + "\r\n\r\n")
+				}
+			})
+			for range 2 { // the second one on the same connection
+				r, err := http.NewRequest(http.MethodHead, tg.front.URL+"/once/", nil)
+				require.NoError(t, err)
+				r.Host = "h"
+				r.Header = http.Header{"X-Id": {strconv.FormatInt(nextID.Add(1), 16)}, "X-Key": {"key"}}
+				resp, err := http.DefaultClient.Do(r)
+				require.NoError(t, err)
+				resp.Body.Close()
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, "seal", resp.Header.Get("X-Seal"))
+			}
+		})
+	}
+}
